--- /dev/null
+++ b/crates/bh-consensus/src/election.rs
@@ -0,0 +1,126 @@
+//! Elections, with a pre-vote round before the term is raised.
+
+use crate::output::Output;
+use crate::replica::Replica;
+use crate::role::Role;
+use bh_protocol::wire::RaftBody;
+use bh_protocol::wire::RaftKind;
+use std::collections::BTreeSet;
+
+impl Replica {
+    /// Asks whether an election would succeed. A VM cut off from the others keeps asking without raising its term, so
+    /// that it does not depose a working leader when it comes back.
+    pub(crate) fn start_pre_vote(&mut self, now_ms: u64) {
+        self.restart_election_timer(now_ms);
+        self.leader = None;
+        self.role = Role::PreCandidate {
+            granted: BTreeSet::from([self.config.id]),
+        };
+        self.outputs.push(Output::RoleChanged);
+        self.ask_votes(RaftKind::PreVote, self.term + 1);
+        self.count_pre_votes(now_ms);
+    }
+
+    fn start_election(&mut self, now_ms: u64) {
+        self.restart_election_timer(now_ms);
+        self.term += 1;
+        self.voted_for = self.config.id;
+        self.save_vote();
+        self.role = Role::Candidate {
+            granted: BTreeSet::from([self.config.id]),
+        };
+        self.ask_votes(RaftKind::Vote, self.term);
+        self.count_votes(now_ms);
+    }
+
+    fn ask_votes(&mut self, kind: RaftKind, term: u64) {
+        let body = RaftBody {
+            term,
+            index: self.log.last_index(),
+            index_term: self.log.last_term(),
+            ..self.body(kind)
+        };
+        let others: Vec<u64> = self
+            .voters
+            .iter()
+            .map(|(id, _)| id)
+            .filter(|id| *id != self.config.id)
+            .collect();
+        for id in others {
+            self.send(id, body.clone());
+        }
+    }
+
+    fn is_up_to_date(&self, body: &RaftBody) -> bool {
+        (body.index_term, body.index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    pub(crate) fn receive_pre_vote(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
+        let granted =
+            body.term > self.term && self.is_up_to_date(body) && !self.hears_leader(now_ms);
+        // A grant echoes the term asked for, so that late answers to an earlier question do not count.
+        let term = if granted { body.term } else { self.term };
+        let reply = RaftBody {
+            term,
+            granted,
+            ..self.body(RaftKind::PreVoteReply)
+        };
+        self.send(from, reply);
+    }
+
+    pub(crate) fn receive_pre_vote_reply(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
+        let Role::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
+        if body.granted && body.term == self.term + 1 {
+            granted.insert(from);
+            self.count_pre_votes(now_ms);
+        }
+    }
+
+    fn count_pre_votes(&mut self, now_ms: u64) {
+        let Role::PreCandidate { granted } = &self.role else {
+            return;
+        };
+        if self.voters.majority(|id| granted.contains(&id)) {
+            self.start_election(now_ms);
+        }
+    }
+
+    pub(crate) fn receive_vote(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
+        let free = self.voted_for == 0 || self.voted_for == from;
+        // An observer never votes: without a disk it would forget the vote, and vote again in the same term.
+        let granted = self.is_voter() && free && self.is_up_to_date(body) && self.leader.is_none();
+        if granted {
+            if self.voted_for != from {
+                self.voted_for = from;
+                self.save_vote();
+            }
+            self.restart_election_timer(now_ms);
+        }
+        let reply = RaftBody {
+            granted,
+            ..self.body(RaftKind::VoteReply)
+        };
+        self.send(from, reply);
+    }
+
+    pub(crate) fn receive_vote_reply(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
+        let Role::Candidate { granted } = &mut self.role else {
+            return;
+        };
+        if body.granted {
+            granted.insert(from);
+            self.count_votes(now_ms);
+        }
+    }
+
+    fn count_votes(&mut self, now_ms: u64) {
+        let Role::Candidate { granted } = &self.role else {
+            return;
+        };
+        if self.voters.majority(|id| granted.contains(&id)) {
+            self.become_leader(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-consensus/src/log.rs
@@ -0,0 +1,147 @@
+//! The log in memory, from the last snapshot on.
+
+use bh_protocol::wire::LogEntry;
+use bh_protocol::wire::Member;
+use std::collections::VecDeque;
+
+/// Entries after a snapshot, and the snapshot itself.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Log {
+    pub snapshot_index: u64,
+    pub snapshot_term: u64,
+    pub snapshot_voters: Vec<Member>,
+    pub snapshot_state: Vec<u8>,
+    entries: VecDeque<LogEntry>,
+}
+
+impl Log {
+    pub fn last_index(&self) -> u64 {
+        self.entries
+            .back()
+            .map_or(self.snapshot_index, |entry| entry.index)
+    }
+
+    pub fn last_term(&self) -> u64 {
+        self.entries
+            .back()
+            .map_or(self.snapshot_term, |entry| entry.term)
+    }
+
+    /// Index of the oldest entry held.
+    pub fn first_index(&self) -> u64 {
+        self.entries
+            .front()
+            .map_or(self.snapshot_index + 1, |entry| entry.index)
+    }
+
+    fn position(&self, index: u64) -> Option<usize> {
+        let first = self.entries.front()?.index;
+        usize::try_from(index.checked_sub(first)?).ok()
+    }
+
+    pub fn get(&self, index: u64) -> Option<&LogEntry> {
+        self.entries.get(self.position(index)?)
+    }
+
+    /// Term of the entry at `index`, when it is still known.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == 0 {
+            return Some(0);
+        }
+        if index == self.snapshot_index {
+            return Some(self.snapshot_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub fn append(&mut self, entry: LogEntry) {
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from `index` on.
+    pub fn truncate_from(&mut self, index: u64) {
+        while self
+            .entries
+            .back()
+            .is_some_and(|entry| entry.index >= index)
+        {
+            self.entries.pop_back();
+        }
+    }
+
+    /// Entries from `from` on, limited in number and size; always at least one when there is one.
+    pub fn batch(&self, from: u64, max_entries: usize, max_bytes: usize) -> Vec<LogEntry> {
+        let Some(start) = self.position(from) else {
+            return Vec::new();
+        };
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for entry in self.entries.iter().skip(start).take(max_entries) {
+            bytes += entry.command.len();
+            batch.push(entry.clone());
+            if bytes > max_bytes {
+                break;
+            }
+        }
+        batch
+    }
+
+    /// Entries in `from..=to`.
+    pub fn range(&self, from: u64, to: u64) -> Vec<LogEntry> {
+        let Some(start) = self.position(from) else {
+            return Vec::new();
+        };
+        self.entries
+            .iter()
+            .skip(start)
+            .take_while(|entry| entry.index <= to)
+            .cloned()
+            .collect()
+    }
+
+    /// Takes a snapshot as of `index` and drops the entries up to `keep_after`.
+    pub fn compact(
+        &mut self,
+        index: u64,
+        term: u64,
+        voters: Vec<Member>,
+        state: Vec<u8>,
+        keep_after: u64,
+    ) {
+        self.snapshot_index = index;
+        self.snapshot_term = term;
+        self.snapshot_voters = voters;
+        self.snapshot_state = state;
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= keep_after.min(index))
+        {
+            self.entries.pop_front();
+        }
+    }
+
+    /// Replaces everything by a snapshot received from the leader.
+    pub fn reset(&mut self, index: u64, term: u64, voters: Vec<Member>, state: Vec<u8>) {
+        self.entries.clear();
+        self.compact(index, term, voters, state, index);
+    }
+
+    /// Voters set by the last membership change at or before `index`.
+    pub fn voters_at(&self, index: u64) -> &[Member] {
+        self.entries
+            .iter()
+            .rev()
+            .find(|entry| entry.index <= index && !entry.voters.is_empty())
+            .map_or(&self.snapshot_voters, |entry| &entry.voters)
+    }
+
+    /// Index of the last membership change.
+    pub fn last_change(&self) -> u64 {
+        self.entries
+            .iter()
+            .rev()
+            .find(|entry| !entry.voters.is_empty())
+            .map_or(self.snapshot_index, |entry| entry.index)
+    }
+}
--- /dev/null
+++ b/crates/bh-membership/src/holdings.rs
@@ -0,0 +1,160 @@
+//! The targets an entry owns, and how long it may use them.
+
+use crate::claim::Claim;
+use crate::claim::Claims;
+use crate::grant::Grant;
+use bh_protocol::target::Announcement;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// One owned target.
+#[derive(Clone, Debug)]
+struct Held {
+    announcement: Announcement,
+    expires_ms: u64,
+    withheld: u32,
+    releasing: bool,
+    in_flight: u32,
+}
+
+impl Held {
+    fn admits(&self, now_ms: u64) -> bool {
+        !self.releasing && !self.announcement.leaving && now_ms < self.expires_ms
+    }
+
+    fn free(&self) -> u32 {
+        self.announcement
+            .slots
+            .saturating_sub(self.in_flight + self.withheld)
+    }
+}
+
+/// All targets this entry owns.
+///
+/// Work may be sent to a target only while its own lease, the entry's lease on it and its slots allow it.
+#[derive(Clone, Debug)]
+pub struct Holdings {
+    entry: Arc<str>,
+    incarnation: u64,
+    until_ms: u64,
+    held: BTreeMap<Arc<str>, Held>,
+    siblings: Vec<Arc<str>>,
+}
+
+impl Holdings {
+    /// No targets.
+    pub fn new(entry: impl Into<Arc<str>>, incarnation: u64) -> Self {
+        Self {
+            entry: entry.into(),
+            incarnation,
+            until_ms: 0,
+            held: BTreeMap::new(),
+            siblings: Vec::new(),
+        }
+    }
+
+    /// The renewal to send now.
+    pub fn claims(&self, now_ms: u64, draining: bool) -> Claims {
+        let lapsed = now_ms >= self.until_ms;
+        let claims = self
+            .held
+            .values()
+            // What was to be released is claimed only while requests are in progress there.
+            .filter(|held| !lapsed && (held.in_flight > 0 || !held.releasing))
+            .map(|held| Claim {
+                target: held.announcement.clone(),
+                remaining_ms: held.expires_ms.saturating_sub(now_ms),
+                in_flight: held.in_flight,
+            })
+            .collect();
+        Claims {
+            entry: self.entry.clone(),
+            incarnation: self.incarnation,
+            draining,
+            claims,
+        }
+    }
+
+    /// Takes the leader's answer over. The lease counts from `sent_ms`, when the renewal was sent: the leader counts
+    /// it from when the renewal arrived, so that it never ends there before it ends here.
+    pub fn accept(&mut self, now_ms: u64, sent_ms: u64, grant: Grant) {
+        self.until_ms = self.until_ms.max(sent_ms + grant.lease_ms);
+        self.siblings = grant.entries;
+        let mut next = BTreeMap::new();
+        for granted in grant.targets {
+            let name = granted.target.name.clone();
+            let in_flight = self.held.get(&name).map_or(0, |held| held.in_flight);
+            let held = Held {
+                expires_ms: now_ms + granted.remaining_ms,
+                announcement: granted.target,
+                withheld: granted.withheld,
+                releasing: granted.release,
+                in_flight,
+            };
+            next.insert(name, held);
+        }
+        // Requests in progress on a target that was taken away are still counted until they end.
+        for (name, mut held) in std::mem::take(&mut self.held) {
+            if held.in_flight > 0 {
+                held.releasing = true;
+                next.entry(name).or_insert(held);
+            }
+        }
+        self.held = next;
+    }
+
+    /// Whether the entry's lease holds.
+    pub fn is_valid(&self, now_ms: u64) -> bool {
+        now_ms < self.until_ms
+    }
+
+    /// Targets that may get a request now: name, address, free slots and slots.
+    pub fn usable(&self, now_ms: u64) -> impl Iterator<Item = (&Arc<str>, &Announcement, u32)> {
+        let valid = self.is_valid(now_ms);
+        self.held
+            .iter()
+            .filter(move |(_, held)| valid && held.admits(now_ms))
+            .map(|(name, held)| (name, &held.announcement, held.free()))
+    }
+
+    /// Free slots over all targets.
+    pub fn free_slots(&self, now_ms: u64) -> u32 {
+        self.usable(now_ms).map(|(_, _, free)| free).sum()
+    }
+
+    /// Slots over all usable targets, free or not.
+    pub fn slots(&self, now_ms: u64) -> u32 {
+        self.usable(now_ms).map(|(_, target, _)| target.slots).sum()
+    }
+
+    /// Takes a slot of a target; `false` when none may be taken.
+    pub fn take(&mut self, now_ms: u64, target: &str) -> bool {
+        let valid = self.is_valid(now_ms);
+        match self.held.get_mut(target) {
+            Some(held) if valid && held.admits(now_ms) && held.free() > 0 => {
+                held.in_flight += 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Gives a slot back.
+    pub fn give_back(&mut self, target: &str) {
+        if let Some(held) = self.held.get_mut(target) {
+            held.in_flight = held.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a target said it is leaving, without waiting for the leader's word.
+    pub fn note_leaving(&mut self, target: &str) {
+        if let Some(held) = self.held.get_mut(target) {
+            held.announcement.leaving = true;
+        }
+    }
+
+    /// Requests in progress over all targets.
+    pub fn in_flight(&self) -> u32 {
+        self.held.values().map(|held| held.in_flight).sum()
+    }
+}
--- /dev/null
+++ b/crates/bh-membership/src/registry.rs
@@ -0,0 +1,358 @@
+//! The leader's table of targets and their owners.
+
+use crate::claim::Claim;
+use crate::claim::Claims;
+use crate::grant::Grant;
+use crate::grant::GrantedTarget;
+use bh_protocol::target::Announcement;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Longest time that slots are withheld for requests of an earlier owner, in milliseconds.
+const WITHHOLD_MS: u64 = 60_000;
+
+#[derive(Clone, Debug)]
+struct Owner {
+    entry: Arc<str>,
+    releasing: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    announcement: Announcement,
+    expires_ms: u64,
+    announced_ms: u64,
+    owner: Option<Owner>,
+    /// No entry may use it before; and only after an announcement that is newer than this.
+    free_from_ms: u64,
+    withheld: u32,
+    withheld_until_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Renewal {
+    incarnation: u64,
+    until_ms: u64,
+    draining: bool,
+}
+
+/// A target as read back by operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TargetView {
+    /// The target as it last announced itself.
+    pub target: Announcement,
+    /// Time left of its lease, in milliseconds.
+    pub remaining_ms: u64,
+    /// Entry that owns it.
+    pub owner: Option<Arc<str>>,
+}
+
+/// All targets of a data centre, as its leader knows them.
+///
+/// It is kept in memory only: a new leader learns it from the owners' claims and the targets' announcements.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    target_lease_ms: u64,
+    owner_lease_ms: u64,
+    /// Until then entries may hold grants of an earlier leader, so that only their claims are honoured.
+    grace_until_ms: u64,
+    targets: BTreeMap<Arc<str>, Target>,
+    entries: BTreeMap<Arc<str>, Renewal>,
+}
+
+impl Registry {
+    /// The registry of a leader elected at `now_ms`.
+    pub fn new(now_ms: u64, target_lease_ms: u64, owner_lease_ms: u64) -> Self {
+        Self {
+            target_lease_ms,
+            owner_lease_ms,
+            grace_until_ms: now_ms + owner_lease_ms,
+            targets: BTreeMap::new(),
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a target's announcement into account.
+    pub fn announce(&mut self, now_ms: u64, announcement: Announcement) {
+        let expires_ms = now_ms + self.target_lease_ms;
+        let name = announcement.name.clone();
+        let grace_until_ms = self.grace_until_ms;
+        let target = self.targets.entry(name).or_insert_with(|| Target {
+            announcement: announcement.clone(),
+            expires_ms,
+            announced_ms: now_ms,
+            owner: None,
+            free_from_ms: grace_until_ms.min(now_ms + 1),
+            withheld: 0,
+            withheld_until_ms: 0,
+        });
+        let restarted = target.announcement.incarnation != announcement.incarnation;
+        if restarted {
+            target.withheld = 0;
+        }
+        target.announcement = announcement;
+        target.announced_ms = now_ms;
+        target.expires_ms = expires_ms;
+    }
+
+    /// Renews an entry's targets and grants it others.
+    pub fn renew(&mut self, now_ms: u64, claims: Claims) -> Grant {
+        let entry = claims.entry.clone();
+        self.note_entry(now_ms, &claims);
+        self.honour_claims(now_ms, &claims);
+        self.expire(now_ms);
+        self.assign(now_ms);
+        self.rebalance(now_ms);
+        let targets = self
+            .targets
+            .values_mut()
+            .filter(|target| {
+                target
+                    .owner
+                    .as_ref()
+                    .is_some_and(|owner| owner.entry == entry)
+            })
+            .map(|target| granted(now_ms, target))
+            .collect();
+        let entries = self
+            .entries
+            .keys()
+            .filter(|name| **name != entry)
+            .cloned()
+            .collect();
+        Grant {
+            lease_ms: self.owner_lease_ms,
+            targets,
+            entries,
+        }
+    }
+
+    fn note_entry(&mut self, now_ms: u64, claims: &Claims) {
+        let until_ms = now_ms + self.owner_lease_ms;
+        let restarted = self
+            .entries
+            .get(&claims.entry)
+            .is_some_and(|renewal| renewal.incarnation != claims.incarnation);
+        if restarted {
+            // The process before it is dead, and so are its connections: nothing of it is in progress that this
+            // entry answers for. What its requests still do on the targets is withheld.
+            self.drop_owner(now_ms, &claims.entry.clone());
+        }
+        let renewal = Renewal {
+            incarnation: claims.incarnation,
+            until_ms,
+            draining: claims.draining,
+        };
+        self.entries.insert(claims.entry.clone(), renewal);
+    }
+
+    /// Ends the ownership of an entry. Its targets go to others only after an announcement newer than now, whose busy
+    /// count covers all that the entry may have started.
+    fn drop_owner(&mut self, now_ms: u64, entry: &Arc<str>) {
+        for target in self.targets.values_mut() {
+            if target
+                .owner
+                .as_ref()
+                .is_some_and(|owner| owner.entry == *entry)
+            {
+                target.owner = None;
+                target.free_from_ms = now_ms + 1;
+                target.withheld = target.announcement.slots;
+                target.withheld_until_ms = now_ms + WITHHOLD_MS;
+            }
+        }
+    }
+
+    fn honour_claims(&mut self, now_ms: u64, claims: &Claims) {
+        let in_grace = now_ms < self.grace_until_ms;
+        for claim in &claims.claims {
+            if in_grace {
+                self.learn(now_ms, claim, &claims.entry);
+            }
+        }
+        // A target that the entry was asked to release and no longer claims is free.
+        for (name, target) in &mut self.targets {
+            let claimed = claims.claims.iter().any(|claim| claim.target.name == *name);
+            let releasing = target
+                .owner
+                .as_ref()
+                .is_some_and(|owner| owner.entry == claims.entry && owner.releasing);
+            if releasing && !claimed {
+                target.owner = None;
+                target.free_from_ms = now_ms;
+            }
+        }
+    }
+
+    /// A new leader takes an owner's word for what it owns.
+    fn learn(&mut self, now_ms: u64, claim: &Claim, entry: &Arc<str>) {
+        let name = claim.target.name.clone();
+        let target = self.targets.entry(name).or_insert_with(|| Target {
+            announcement: claim.target.clone(),
+            expires_ms: now_ms + claim.remaining_ms,
+            announced_ms: now_ms,
+            owner: None,
+            free_from_ms: now_ms,
+            withheld: 0,
+            withheld_until_ms: 0,
+        });
+        if target.owner.is_none() {
+            target.owner = Some(Owner {
+                entry: entry.clone(),
+                releasing: false,
+            });
+        }
+    }
+
+    /// Ends leases that have lapsed; returns the targets that are gone.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+        let silent: Vec<Arc<str>> = self
+            .entries
+            .iter()
+            .filter(|(_, renewal)| now_ms >= renewal.until_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for entry in silent {
+            self.drop_owner(now_ms, &entry);
+            self.entries.remove(&entry);
+        }
+        let gone: Vec<Arc<str>> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| now_ms >= target.expires_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &gone {
+            self.targets.remove(name);
+        }
+        gone
+    }
+
+    fn owned_by(&self, entry: &Arc<str>) -> usize {
+        self.targets
+            .values()
+            .filter(|target| {
+                target
+                    .owner
+                    .as_ref()
+                    .is_some_and(|owner| owner.entry == *entry)
+            })
+            .count()
+    }
+
+    /// Gives targets without an owner to the entries that own the fewest.
+    fn assign(&mut self, now_ms: u64) {
+        if now_ms < self.grace_until_ms {
+            return;
+        }
+        let mut counts: BTreeMap<Arc<str>, usize> = self
+            .entries
+            .iter()
+            .filter(|(_, renewal)| !renewal.draining)
+            .map(|(name, _)| (name.clone(), self.owned_by(name)))
+            .collect();
+        for target in self.targets.values_mut() {
+            let ready = target.owner.is_none() && target.announced_ms >= target.free_from_ms;
+            if !ready {
+                continue;
+            }
+            let Some((entry, count)) = counts.iter_mut().min_by_key(|(_, count)| **count) else {
+                return;
+            };
+            *count += 1;
+            if target.withheld > 0 {
+                target.withheld = target.withheld.min(target.announcement.busy_slots);
+            }
+            target.owner = Some(Owner {
+                entry: entry.clone(),
+                releasing: false,
+            });
+        }
+    }
+
+    /// Asks the entry that owns the most targets to release one, when another owns at least two fewer; and an entry
+    /// that shuts down to release all.
+    fn rebalance(&mut self, now_ms: u64) {
+        if now_ms < self.grace_until_ms {
+            return;
+        }
+        for target in self.targets.values_mut() {
+            if let Some(owner) = &mut target.owner {
+                let draining = self
+                    .entries
+                    .get(&owner.entry)
+                    .is_some_and(|renewal| renewal.draining);
+                owner.releasing |= draining;
+            }
+        }
+        let staying = self
+            .entries
+            .iter()
+            .filter(|(_, renewal)| !renewal.draining)
+            .map(|(name, _)| name);
+        let counts: Vec<(usize, Arc<str>)> = staying
+            .map(|name| (self.owned_by(name), name.clone()))
+            .collect();
+        let (Some((least, _)), Some((most, fullest))) = (counts.iter().min(), counts.iter().max())
+        else {
+            return;
+        };
+        let moving = self
+            .targets
+            .values()
+            .any(|target| target.owner.as_ref().is_some_and(|owner| owner.releasing));
+        if most - least < 2 || moving {
+            return;
+        }
+        let owned = |target: &&mut Target| {
+            target
+                .owner
+                .as_ref()
+                .is_some_and(|owner| owner.entry == *fullest)
+        };
+        if let Some(target) = self.targets.values_mut().find(owned)
+            && let Some(owner) = &mut target.owner
+        {
+            owner.releasing = true;
+        }
+    }
+
+    /// All targets, for operators.
+    pub fn views(&self, now_ms: u64) -> Vec<TargetView> {
+        self.targets
+            .values()
+            .map(|target| TargetView {
+                target: target.announcement.clone(),
+                remaining_ms: target.expires_ms.saturating_sub(now_ms),
+                owner: target.owner.as_ref().map(|owner| owner.entry.clone()),
+            })
+            .collect()
+    }
+
+    /// Address of a live target.
+    pub fn address_of(&self, name: &str) -> Option<Arc<str>> {
+        self.targets
+            .get(name)
+            .map(|target| target.announcement.address.clone())
+    }
+
+    /// Names of the entries that renew.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.entries.keys()
+    }
+}
+
+fn granted(now_ms: u64, target: &mut Target) -> GrantedTarget {
+    if now_ms >= target.withheld_until_ms {
+        target.withheld = 0;
+    }
+    target.withheld = target.withheld.min(target.announcement.busy_slots);
+    GrantedTarget {
+        target: target.announcement.clone(),
+        remaining_ms: target.expires_ms.saturating_sub(now_ms),
+        withheld: target.withheld,
+        release: target.owner.as_ref().is_some_and(|owner| owner.releasing),
+    }
+}
--- /dev/null
+++ b/crates/bh-net/src/http_client/connection.rs
@@ -0,0 +1,124 @@
+//! One connection to a target, with one request in progress at a time.
+
+use super::SendError;
+use crate::runtime::within_ms;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Request;
+use http::Response;
+use http::header;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::TcpStream;
+use monoio_http::common::body::Body;
+use monoio_http::common::body::HttpBody;
+use monoio_http::h1::codec::ClientCodec;
+use monoio_http::h1::payload::FixedPayload;
+use monoio_http::h1::payload::Payload;
+use std::net::SocketAddr;
+
+/// An open connection.
+pub struct Connection {
+    codec: ClientCodec<TcpStream>,
+    reusable: bool,
+}
+
+impl Connection {
+    /// Opens a connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotConnected`], also when it takes longer than `limit_ms`.
+    pub async fn open(address: SocketAddr, limit_ms: u64) -> Result<Connection, SendError> {
+        let connecting = TcpStream::connect_addr(address);
+        let stream = match within_ms(limit_ms, connecting).await {
+            Some(Ok(stream)) => stream,
+            _ => return Err(SendError::NotConnected),
+        };
+        let _ = stream.set_nodelay(true);
+        Ok(Connection {
+            codec: ClientCodec::new(stream),
+            reusable: true,
+        })
+    }
+
+    /// Whether the last answer was read whole and the other side keeps the connection open.
+    pub fn is_reusable(&self) -> bool {
+        self.reusable
+    }
+
+    /// Sends `request` and reads the whole answer, of at most `max_answer_bytes`.
+    ///
+    /// The connection must be dropped unless the answer came back whole: what is still to come on it belongs to
+    /// this request, and the next one would take it for its own.
+    ///
+    /// # Errors
+    ///
+    /// Any [`SendError`] but [`SendError::NotConnected`].
+    pub async fn send(
+        &mut self,
+        request: Request<Bytes>,
+        limit_ms: u64,
+        max_answer_bytes: u64,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.reusable = false;
+        match within_ms(limit_ms, self.exchange(request, max_answer_bytes)).await {
+            Some(result) => result,
+            None => Err(SendError::TimedOut),
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Bytes>,
+        max_answer_bytes: u64,
+    ) -> Result<Response<Bytes>, SendError> {
+        let (parts, body) = request.into_parts();
+        let payload = Payload::Fixed(FixedPayload::new(body));
+        let request = Request::from_parts(parts, HttpBody::from(payload));
+        self.codec
+            .send_and_flush(request)
+            .await
+            .map_err(|_| SendError::Broken)?;
+        let response = match self.codec.next().await {
+            Some(Ok(response)) => response,
+            _ => return Err(SendError::Broken),
+        };
+        let (parts, decoder) = response.into_parts();
+        check_length(&parts, max_answer_bytes)?;
+        let mut body = decoder.with_io(&mut self.codec);
+        let mut bytes = BytesMut::new();
+        while let Some(chunk) = body.next_data().await {
+            bytes.extend_from_slice(&chunk.map_err(|_| SendError::Broken)?);
+            if u64::try_from(bytes.len()).unwrap_or(u64::MAX) > max_answer_bytes {
+                return Err(SendError::TooLarge {
+                    limit: max_answer_bytes,
+                });
+            }
+        }
+        let says_close = parts
+            .headers
+            .get(header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        self.reusable = !says_close && parts.version == http::Version::HTTP_11;
+        Ok(Response::from_parts(parts, bytes.freeze()))
+    }
+}
+
+fn check_length(parts: &http::response::Parts, max_answer_bytes: u64) -> Result<(), SendError> {
+    if parts.headers.contains_key(header::TRANSFER_ENCODING) {
+        return Ok(());
+    }
+    let stated = parts
+        .headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    match stated {
+        Some(length) if length > max_answer_bytes => Err(SendError::TooLarge {
+            limit: max_answer_bytes,
+        }),
+        Some(_) => Ok(()),
+        None if parts.status == http::StatusCode::NO_CONTENT => Ok(()),
+        None => Err(SendError::NoLength),
+    }
+}
--- /dev/null
+++ b/crates/bh-net/src/http_client/send_error.rs
@@ -0,0 +1,31 @@
+//! Why an answer did not come back whole.
+
+/// What went wrong with one request on one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No connection could be opened; nothing was sent.
+    #[error("no connection could be opened")]
+    NotConnected,
+    /// The connection broke after the first byte of the request.
+    #[error("the connection broke before the whole answer was read")]
+    Broken,
+    /// The time ran out after the first byte of the request.
+    #[error("the whole answer did not arrive in time")]
+    TimedOut,
+    /// The answer is larger than the caller allows.
+    #[error("the answer is larger than {limit} bytes")]
+    TooLarge {
+        /// The limit in bytes.
+        limit: u64,
+    },
+    /// The answer does not say where it ends, so that a truncated one could not be told from a whole one.
+    #[error("the answer does not state its length")]
+    NoLength,
+}
+
+impl SendError {
+    /// Whether the request cannot have reached the other side.
+    pub fn nothing_sent(self) -> bool {
+        matches!(self, SendError::NotConnected)
+    }
+}
--- /dev/null
+++ b/crates/bh-net/src/http_server/guard.rs
@@ -0,0 +1,161 @@
+//! A reader that releases only checked heads and bounded bodies to the library's decoder.
+
+use super::Framing;
+use super::Limits;
+use super::framing::check_head;
+use bh_protocol::Code;
+use bytes::Buf;
+use bytes::BytesMut;
+use monoio::BufResult;
+use monoio::buf::IoBufMut;
+use monoio::buf::IoVecBufMut;
+use monoio::buf::IoVecWrapperMut;
+use monoio::io::AsyncReadRent;
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+const READ_BYTES: usize = 8 << 10;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// What the guard tells the connection beside the bytes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Verdict {
+    /// Why the last head or body was refused.
+    pub rejection: Rc<Cell<Option<Code>>>,
+    /// Whether the connection must close after the answer.
+    pub close: Rc<Cell<bool>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    Head,
+    Body { remaining: u64 },
+    Chunked { budget: u64 },
+}
+
+/// Reads from `inner`, checking each head before the decoder sees it.
+pub(super) struct Guard<R> {
+    inner: R,
+    buffer: BytesMut,
+    released: usize,
+    phase: Phase,
+    limits: Limits,
+    verdict: Verdict,
+}
+
+impl<R: AsyncReadRent> Guard<R> {
+    pub fn new(inner: R, limits: Limits, verdict: Verdict) -> Self {
+        Self {
+            inner,
+            buffer: BytesMut::new(),
+            released: 0,
+            phase: Phase::Head,
+            limits,
+            verdict,
+        }
+    }
+
+    fn reject(&self, code: Code) -> io::Error {
+        self.verdict.rejection.set(Some(code));
+        io::Error::new(io::ErrorKind::InvalidData, code.title())
+    }
+
+    /// Releases what may be released of the bytes at hand; `false` when more must be read first.
+    fn release(&mut self) -> io::Result<bool> {
+        let available = u64::try_from(self.buffer.len()).unwrap_or(u64::MAX);
+        if available == 0 {
+            return Ok(false);
+        }
+        match self.phase {
+            Phase::Head => self.release_head(),
+            Phase::Body { remaining } => {
+                let count = remaining.min(available);
+                self.released = usize::try_from(count).unwrap_or(usize::MAX);
+                self.phase = if count == remaining {
+                    Phase::Head
+                } else {
+                    Phase::Body {
+                        remaining: remaining - count,
+                    }
+                };
+                Ok(true)
+            }
+            Phase::Chunked { budget } => {
+                if available > budget {
+                    return Err(self.reject(Code::BodyTooLarge));
+                }
+                self.released = self.buffer.len();
+                self.phase = Phase::Chunked {
+                    budget: budget - available,
+                };
+                Ok(true)
+            }
+        }
+    }
+
+    fn release_head(&mut self) -> io::Result<bool> {
+        let window = &self.buffer[..self.buffer.len().min(self.limits.max_head_bytes)];
+        let Some(at) = window
+            .windows(HEAD_END.len())
+            .position(|bytes| bytes == HEAD_END)
+        else {
+            if self.buffer.len() >= self.limits.max_head_bytes {
+                return Err(self.reject(Code::HeadTooLarge));
+            }
+            return Ok(false);
+        };
+        let end = at + HEAD_END.len();
+        let framing =
+            check_head(&self.buffer[..end], &self.limits).map_err(|code| self.reject(code))?;
+        self.released = end;
+        self.phase = match framing {
+            Framing::Length(0) => Phase::Head,
+            Framing::Length(remaining) => Phase::Body { remaining },
+            Framing::Chunked => {
+                // Where the chunks end is not tracked here, so whatever follows them must not be read as a request.
+                self.verdict.close.set(true);
+                Phase::Chunked {
+                    budget: self.limits.max_body_bytes,
+                }
+            }
+        };
+        Ok(true)
+    }
+}
+
+impl<R: AsyncReadRent> AsyncReadRent for Guard<R> {
+    async fn read<T: IoBufMut>(&mut self, mut buf: T) -> BufResult<usize, T> {
+        while self.released == 0 {
+            match self.release() {
+                Ok(true) => break,
+                Ok(false) => {}
+                Err(error) => return (Err(error), buf),
+            }
+            let (result, chunk) = self.inner.read(Vec::with_capacity(READ_BYTES)).await;
+            match result {
+                Ok(0) => return (Ok(0), buf),
+                Ok(_) => self.buffer.extend_from_slice(&chunk),
+                Err(error) => return (Err(error), buf),
+            }
+        }
+        let mut released = &self.buffer[..self.released];
+        let (result, returned) = released.read(buf).await;
+        buf = returned;
+        if let Ok(count) = result {
+            self.buffer.advance(count);
+            self.released -= count;
+        }
+        (result, buf)
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        match IoVecWrapperMut::new(buf) {
+            Ok(wrapper) => {
+                let (result, wrapper) = self.read(wrapper).await;
+                (result, wrapper.into_inner())
+            }
+            Err(buf) => (Ok(0), buf),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-net/src/http_server/mod.rs
@@ -0,0 +1,12 @@
+//! HTTP/1.1 towards callers, targets and operators.
+
+mod connection;
+mod framing;
+mod guard;
+mod limits;
+mod shared;
+
+pub use connection::serve;
+pub use framing::Framing;
+pub use framing::check_head;
+pub use limits::Limits;
--- /dev/null
+++ b/crates/bh-net/src/lib.rs
@@ -0,0 +1,11 @@
+//! The loop, the clock, HTTP/1.1 and the keyed link between entries.
+//!
+//! Everything runs on one thread; only disk syncs go to a helper thread.
+
+pub mod clock;
+pub mod http_client;
+pub mod http_server;
+pub mod link;
+pub mod runtime;
+
+pub use clock::Clock;
--- /dev/null
+++ b/crates/bh-net/src/link/codec.rs
@@ -0,0 +1,49 @@
+//! Length-delimited frames, by the library's codec under both of the traits that are asked for.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use monoio_codec::Decoded;
+use std::io;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest frame in bytes; a snapshot travels in one.
+pub const MAX_FRAME_BYTES: usize = 64 << 20;
+
+/// Frames of bytes, each with its length in front.
+pub struct RawCodec {
+    inner: LengthDelimitedCodec,
+}
+
+impl RawCodec {
+    /// A codec that refuses frames over [`MAX_FRAME_BYTES`].
+    pub fn new() -> Self {
+        let inner = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { inner }
+    }
+}
+
+impl Default for RawCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl tokio_util::codec::Encoder<Bytes> for RawCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, item: Bytes, buffer: &mut BytesMut) -> io::Result<()> {
+        tokio_util::codec::Encoder::encode(&mut self.inner, item, buffer)
+    }
+}
+
+impl monoio_codec::Decoder for RawCodec {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Decoded<BytesMut>> {
+        let frame = tokio_util::codec::Decoder::decode(&mut self.inner, buffer)?;
+        Ok(frame.map_or(Decoded::Insufficient, Decoded::Some))
+    }
+}
--- /dev/null
+++ b/crates/bh-net/src/runtime.rs
@@ -0,0 +1,62 @@
+//! The one loop of a process.
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+use monoio::blocking::DefaultThreadPool;
+use std::future::Future;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// How often the loop looks whether a signal has arrived.
+const SIGNAL_POLL: Duration = Duration::from_millis(20);
+
+/// Runs `main` to its end on this thread, with `disk_threads` helper threads for disk syncs.
+///
+/// The driver is epoll by construction: the library's default would use io_uring, which these programs must not.
+///
+/// # Errors
+///
+/// When the system refuses an epoll descriptor.
+pub fn run<T>(disk_threads: usize, main: impl Future<Output = T>) -> io::Result<T> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .attach_thread_pool(Box::new(DefaultThreadPool::new(disk_threads)))
+        .build()?;
+    Ok(runtime.block_on(main))
+}
+
+/// Waits for `duration`.
+pub async fn sleep_ms(duration_ms: u64) {
+    monoio::time::sleep(Duration::from_millis(duration_ms)).await;
+}
+
+/// The result of `future`, or `None` when it takes longer than `limit_ms`.
+pub async fn within_ms<T>(limit_ms: u64, future: impl Future<Output = T>) -> Option<T> {
+    monoio::time::timeout(Duration::from_millis(limit_ms), future)
+        .await
+        .ok()
+}
+
+/// A token that is cancelled when SIGTERM or SIGINT arrives.
+///
+/// # Errors
+///
+/// When the handlers cannot be installed.
+pub fn stop_on_signal() -> io::Result<CancellationToken> {
+    let flag = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGTERM, flag.clone())?;
+    signal_hook::flag::register(signal_hook::consts::SIGINT, flag.clone())?;
+    let token = CancellationToken::new();
+    let stop = token.clone();
+    monoio::spawn(async move {
+        while !flag.load(Ordering::Relaxed) {
+            monoio::time::sleep(SIGNAL_POLL).await;
+        }
+        stop.cancel();
+    });
+    Ok(token)
+}
--- /dev/null
+++ b/crates/bh-protocol/src/failure.rs
@@ -0,0 +1,86 @@
+//! The error that every part of beechhollow reports: a numbered code and a label.
+
+use crate::Code;
+use miette::Diagnostic;
+use serde::Deserialize;
+use serde::Serialize;
+use std::fmt::Display;
+
+/// A numbered failure, with a label that names the place or the value at fault.
+#[derive(Clone, Debug, thiserror::Error, PartialEq, Eq)]
+#[error("{}: {label}", code.title())]
+pub struct Failure {
+    /// The numbered result.
+    pub code: Code,
+    /// What exactly is at fault, for the person who reads it.
+    pub label: String,
+    /// When a resend may succeed, in milliseconds from now.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Failure {
+    /// A failure with `code`, labelled with the value or place at fault.
+    pub fn new(code: Code, label: impl Into<String>) -> Self {
+        Self {
+            code,
+            label: label.into(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// Adds the time, in milliseconds, after which a resend may succeed.
+    pub fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
+        self
+    }
+
+    /// The form sent to callers.
+    pub fn to_answer(&self) -> FailureAnswer {
+        FailureAnswer {
+            code: self.code.number(),
+            title: self.code.title().to_owned(),
+            label: self.label.clone(),
+            help: self.code.help().to_owned(),
+            ran: self.code.ran().as_str().to_owned(),
+            retry_after_ms: self.retry_after_ms,
+        }
+    }
+}
+
+impl Diagnostic for Failure {
+    fn code<'a>(&'a self) -> Option<Box<dyn Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn Display + 'a>> {
+        Some(Box::new(self.code.help()))
+    }
+}
+
+/// A failure as JSON, the body of every answer that is not a success.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FailureAnswer {
+    /// Number of the result code.
+    pub code: u32,
+    /// What happened, in one clause.
+    pub title: String,
+    /// The value or place at fault.
+    pub label: String,
+    /// What the reader can do.
+    pub help: String,
+    /// `no`, `yes` or `unknown`: whether the work ran.
+    pub ran: String,
+    /// When a resend may succeed, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl From<FailureAnswer> for Failure {
+    fn from(answer: FailureAnswer) -> Self {
+        Failure {
+            code: Code::from_number(answer.code).unwrap_or(Code::Internal),
+            label: answer.label,
+            retry_after_ms: answer.retry_after_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-protocol/src/lib.rs
@@ -0,0 +1,17 @@
+//! Names, shapes, messages and result codes shared by every part of beechhollow.
+//!
+//! This is the bottom crate: it depends on nothing else of the project.
+
+pub mod code;
+pub mod failure;
+pub mod job;
+pub mod rendezvous;
+pub mod request;
+pub mod settings;
+pub mod shape;
+pub mod target;
+pub mod wire;
+
+pub use code::Code;
+pub use code::Ran;
+pub use failure::Failure;
--- /dev/null
+++ b/crates/bh-protocol/src/wire/mod.rs
@@ -0,0 +1,18 @@
+//! Messages between entry processes, encoded with `prost`.
+
+mod heartbeat;
+mod peer;
+mod raft;
+
+pub use heartbeat::Heartbeat;
+pub use peer::Frame;
+pub use peer::Hello;
+pub use peer::Payload;
+pub use peer::RpcKind;
+pub use peer::RpcReply;
+pub use peer::RpcRequest;
+pub use raft::LogEntry;
+pub use raft::Member;
+pub use raft::RaftBody;
+pub use raft::RaftKind;
+pub use raft::RaftMessage;
--- /dev/null
+++ b/crates/bh-router/src/queue.rs
@@ -0,0 +1,137 @@
+//! Waiting requests: priorities first, then the customers' shares.
+
+use crate::ticket::Ticket;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Units of virtual time that one request of weight 1 costs.
+const UNIT: u64 = 1_000_000;
+
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    waiting: VecDeque<Ticket>,
+    /// Virtual time at which the customer's next request is due.
+    due: u64,
+}
+
+/// Requests that wait for a slot.
+///
+/// Within a priority each customer has a lane; lanes take turns by weight (start-time fair queueing), so that one
+/// customer's burst delays its own requests and not another's.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queue {
+    priorities: BTreeMap<Reverse<u8>, BTreeMap<Arc<str>, Lane>>,
+    virtual_time: u64,
+    len: usize,
+}
+
+impl Queue {
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Adds a request at the end of its lane.
+    pub fn push(&mut self, ticket: Ticket) {
+        self.insert(ticket, false);
+    }
+
+    /// Puts a request back at the front of its lane.
+    pub fn push_front(&mut self, ticket: Ticket) {
+        self.insert(ticket, true);
+    }
+
+    fn insert(&mut self, ticket: Ticket, front: bool) {
+        let lanes = self.priorities.entry(Reverse(ticket.priority)).or_default();
+        let lane = lanes.entry(ticket.customer.clone()).or_default();
+        if lane.waiting.is_empty() {
+            // A lane that was empty gains nothing for the time it asked for nothing.
+            lane.due = lane.due.max(self.virtual_time);
+        }
+        if front {
+            lane.waiting.push_front(ticket);
+        } else {
+            lane.waiting.push_back(ticket);
+        }
+        self.len += 1;
+    }
+
+    /// Takes the next request.
+    pub fn pop(&mut self) -> Option<Ticket> {
+        for lanes in self.priorities.values_mut() {
+            let next = lanes
+                .values_mut()
+                .filter(|lane| !lane.waiting.is_empty())
+                .min_by_key(|lane| lane.due);
+            let Some(lane) = next else {
+                continue;
+            };
+            let Some(ticket) = lane.waiting.pop_front() else {
+                continue;
+            };
+            self.virtual_time = self.virtual_time.max(lane.due);
+            lane.due += UNIT / u64::from(ticket.weight.max(1));
+            self.len -= 1;
+            return Some(ticket);
+        }
+        None
+    }
+
+    /// Requests that would be served before a new one of `customer` with this priority and weight.
+    pub fn ahead_of(&self, customer: &str, priority: u8, weight: u32) -> usize {
+        let mut ahead = 0;
+        for (Reverse(level), lanes) in &self.priorities {
+            if *level < priority {
+                break;
+            }
+            if *level > priority {
+                ahead += lanes.values().map(|lane| lane.waiting.len()).sum::<usize>();
+                continue;
+            }
+            let own = lanes.get(customer).map_or(0, |lane| lane.waiting.len());
+            ahead += own;
+            // While this lane's requests are served, another gets as many turns as its weight allows.
+            for (name, lane) in lanes.iter().filter(|(name, _)| &***name != customer) {
+                let _ = name;
+                let other_weight = lane
+                    .waiting
+                    .front()
+                    .map_or(1, |ticket| ticket.weight.max(1));
+                let turns = (own + 1) * to_usize(other_weight) / to_usize(weight.max(1)).max(1);
+                ahead += lane.waiting.len().min(turns.max(1));
+            }
+        }
+        ahead
+    }
+
+    /// Takes out the requests that `dead` picks.
+    pub fn remove_where(&mut self, dead: impl Fn(&Ticket) -> bool) -> Vec<Ticket> {
+        let mut removed = Vec::new();
+        for lane in self
+            .priorities
+            .values_mut()
+            .flat_map(|lanes| lanes.values_mut())
+        {
+            let (gone, kept) = std::mem::take(&mut lane.waiting)
+                .into_iter()
+                .partition(|ticket| dead(ticket));
+            lane.waiting = kept;
+            let gone: VecDeque<Ticket> = gone;
+            removed.extend(gone);
+        }
+        self.len -= removed.len();
+        // Lanes of customers that have gone quiet are forgotten, so that the map does not grow with every name.
+        let now = self.virtual_time;
+        for lanes in self.priorities.values_mut() {
+            lanes.retain(|_, lane| !lane.waiting.is_empty() || lane.due > now);
+        }
+        removed
+    }
+}
+
+fn to_usize(count: u32) -> usize {
+    // Lossless on the 32- and 64-bit systems this is built for.
+    count as usize
+}
--- /dev/null
+++ b/crates/bh-router/src/router.rs
@@ -0,0 +1,392 @@
+//! The router of one entry: which request goes where, and when.
+
+use crate::budget::Budget;
+use crate::decision::Decision;
+use crate::decision::Outcome;
+use crate::estimate::Estimate;
+use crate::health::TargetHealth;
+use crate::queue::Queue;
+use crate::ticket::Ticket;
+use bh_membership::Holdings;
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Attempts of one request at most, the first one included.
+const MAX_ATTEMPTS: u32 = 3;
+/// Requests that wait at most, whatever their deadlines: a bound on memory.
+const MAX_QUEUED: usize = 20_000;
+/// Least time a caller is asked to wait before a resend, in milliseconds.
+const LEAST_RETRY_AFTER_MS: u64 = 100;
+/// Least time worth an attempt, in milliseconds.
+const LEAST_ATTEMPT_MS: u64 = 1;
+/// A type that fails more than this share of its attempts fails everywhere, in thousandths.
+const FAILS_EVERYWHERE: u64 = 500;
+
+/// How a request type fares over all targets.
+#[derive(Clone, Debug, Default)]
+struct TypeRecord {
+    /// Failures by target, forgotten by halves.
+    failed: BTreeMap<Arc<str>, u64>,
+    answered: u64,
+    attempts: u64,
+}
+
+impl TypeRecord {
+    const WINDOW: u64 = 64;
+
+    fn note(&mut self, target: &Arc<str>, outcome: Outcome) {
+        self.attempts += 1;
+        match outcome {
+            Outcome::Answered => self.answered += 1,
+            Outcome::Failed => *self.failed.entry(target.clone()).or_insert(0) += 1,
+            _ => {}
+        }
+        if self.attempts >= Self::WINDOW {
+            self.attempts /= 2;
+            self.answered /= 2;
+            for count in self.failed.values_mut() {
+                *count /= 2;
+            }
+            self.failed.retain(|_, count| *count > 0);
+        }
+    }
+
+    /// Whether the type fails on several targets other than `target`, and mostly.
+    fn fails_elsewhere(&self, target: &Arc<str>) -> bool {
+        let others = self.failed.iter().filter(|(name, _)| *name != target);
+        let (targets, failures) = others.fold((0, 0), |(targets, sum), (_, count)| {
+            (targets + 1, sum + count)
+        });
+        targets >= 2 && failures * 1_000 > (failures + self.answered) * FAILS_EVERYWHERE
+    }
+}
+
+/// Free slots of another entry, as it last said.
+#[derive(Clone, Copy, Debug)]
+struct Sibling {
+    free_slots: u32,
+}
+
+/// Decides where requests go.
+#[derive(Clone, Debug)]
+pub struct Router {
+    /// The targets this entry owns.
+    pub holdings: Holdings,
+    queue: Queue,
+    estimate: Estimate,
+    budget: Budget,
+    targets: BTreeMap<Arc<str>, TargetHealth>,
+    types: BTreeMap<Arc<str>, TypeRecord>,
+    siblings: BTreeMap<Arc<str>, Sibling>,
+    in_progress: BTreeMap<u64, Ticket>,
+    decisions: Vec<Decision>,
+}
+
+impl Router {
+    /// A router over these targets.
+    pub fn new(holdings: Holdings) -> Self {
+        Self {
+            holdings,
+            queue: Queue::default(),
+            estimate: Estimate::default(),
+            budget: Budget::new(),
+            targets: BTreeMap::new(),
+            types: BTreeMap::new(),
+            siblings: BTreeMap::new(),
+            in_progress: BTreeMap::new(),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Number of waiting requests.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Free slots for requests of other entries.
+    pub fn spare_slots(&self, now_ms: u64) -> u32 {
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        self.free_slots(now_ms).saturating_sub(waiting)
+    }
+
+    fn free_slots(&self, now_ms: u64) -> u32 {
+        self.holdings
+            .usable(now_ms)
+            .filter(|(name, _, _)| {
+                self.targets
+                    .get(*name)
+                    .is_none_or(|health| health.admits(now_ms))
+            })
+            .map(|(_, _, free)| free)
+            .sum()
+    }
+
+    /// Notes how many slots another entry has free; `None` when it is gone.
+    pub fn note_sibling(&mut self, entry: &Arc<str>, free_slots: Option<u32>) {
+        match free_slots {
+            Some(free_slots) => {
+                self.siblings.insert(entry.clone(), Sibling { free_slots });
+            }
+            None => {
+                self.siblings.remove(entry);
+            }
+        }
+    }
+
+    /// A request arrived.
+    pub fn arrive(&mut self, now_ms: u64, ticket: Ticket) -> Vec<Decision> {
+        self.budget.earn();
+        match self.admit(now_ms, &ticket) {
+            Ok(()) => self.queue.push(ticket),
+            Err(failure) => self.decisions.push(Decision::Refuse {
+                id: ticket.id,
+                failure,
+            }),
+        }
+        self.pump(now_ms)
+    }
+
+    /// Whether the request can be answered before its deadline, as far as is known now. Refusing at once leaves the
+    /// caller its time for a resend, and the slots for requests that can still be answered.
+    fn admit(&self, now_ms: u64, ticket: &Ticket) -> Result<(), Failure> {
+        let service_ms = self.estimate.mean_ms(&ticket.request_type);
+        let left_ms = ticket.deadline_ms.saturating_sub(now_ms);
+        if ticket.forwarded {
+            return if self.spare_slots(now_ms) > 0 {
+                Ok(())
+            } else {
+                Err(self.overloaded(LEAST_RETRY_AFTER_MS))
+            };
+        }
+        let slots = self.reachable_slots(now_ms);
+        if slots == 0 {
+            // Targets may be on their way: waits within the deadline.
+            return if self.queue.len() < MAX_QUEUED {
+                Ok(())
+            } else {
+                Err(self.overloaded(left_ms))
+            };
+        }
+        let ahead = self
+            .queue
+            .ahead_of(&ticket.customer, ticket.priority, ticket.weight);
+        // Counts are far below 2^52.
+        let wait_ms = ahead as f64 * service_ms / f64::from(slots);
+        let fits = wait_ms + service_ms <= left_ms as f64;
+        if fits && self.queue.len() < MAX_QUEUED {
+            return Ok(());
+        }
+        // Positive and far below 2^52.
+        Err(self.overloaded((wait_ms - left_ms as f64 + service_ms).max(0.0) as u64))
+    }
+
+    fn overloaded(&self, retry_after_ms: u64) -> Failure {
+        let label = format!("{} requests wait", self.queue.len());
+        Failure::new(Code::Overloaded, label)
+            .with_retry_after_ms(retry_after_ms.max(LEAST_RETRY_AFTER_MS))
+    }
+
+    fn reachable_slots(&self, now_ms: u64) -> u32 {
+        let own = self.holdings.slots(now_ms);
+        let others: u32 = self
+            .siblings
+            .values()
+            .map(|sibling| sibling.free_slots)
+            .sum();
+        own + others
+    }
+
+    /// An attempt on a target ended; `retry` says that the request shall be tried again if that is allowed.
+    /// Returns whether it will be.
+    pub fn finished(
+        &mut self,
+        now_ms: u64,
+        id: u64,
+        target: &Arc<str>,
+        outcome: Outcome,
+        took_ms: u64,
+    ) -> (bool, Vec<Decision>) {
+        self.holdings.give_back(target);
+        let Some(mut ticket) = self.in_progress.remove(&id) else {
+            return (false, self.pump(now_ms));
+        };
+        self.note_outcome(now_ms, &ticket, target, outcome, took_ms);
+        let again = self.may_retry(now_ms, &ticket, outcome);
+        if again {
+            if outcome.is_against_target() {
+                ticket.failed_on.insert(target.clone());
+            }
+            self.queue.push_front(ticket);
+        }
+        (again, self.pump(now_ms))
+    }
+
+    fn note_outcome(
+        &mut self,
+        now_ms: u64,
+        ticket: &Ticket,
+        target: &Arc<str>,
+        outcome: Outcome,
+        took_ms: u64,
+    ) {
+        let record = self.types.entry(ticket.request_type.clone()).or_default();
+        record.note(target, outcome);
+        let elsewhere_fails = record.fails_elsewhere(target);
+        self.targets
+            .entry(target.clone())
+            .or_default()
+            .note(now_ms, outcome, elsewhere_fails);
+        if outcome == Outcome::Answered {
+            self.estimate.add(&ticket.request_type, took_ms);
+        }
+    }
+
+    /// A request is tried again only if it cannot have run or may run twice, within its deadline and the budget.
+    fn may_retry(&mut self, now_ms: u64, ticket: &Ticket, outcome: Outcome) -> bool {
+        let harmless = match outcome {
+            Outcome::Answered | Outcome::Unused => false,
+            Outcome::NotConnected => true,
+            Outcome::Failed | Outcome::Lost => ticket.idempotent,
+        };
+        let in_time = now_ms + LEAST_ATTEMPT_MS < ticket.deadline_ms;
+        harmless && in_time && ticket.attempts < MAX_ATTEMPTS && self.budget.spend()
+    }
+
+    /// Another entry could not take a request that was handed to it; nothing was sent.
+    pub fn forward_refused(&mut self, now_ms: u64, id: u64, entry: &Arc<str>) -> Vec<Decision> {
+        if let Some(sibling) = self.siblings.get_mut(entry) {
+            sibling.free_slots = 0;
+        }
+        if let Some(mut ticket) = self.in_progress.remove(&id) {
+            ticket.refused_by.insert(entry.clone());
+            self.queue.push_front(ticket);
+        }
+        self.pump(now_ms)
+    }
+
+    /// Another entry has answered a request that was handed to it, or its outcome is unknown.
+    pub fn forward_ended(&mut self, id: u64) {
+        self.in_progress.remove(&id);
+    }
+
+    /// Time has passed, or targets have come or gone.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Decision> {
+        let late = self
+            .queue
+            .remove_where(|ticket| now_ms + LEAST_ATTEMPT_MS >= ticket.deadline_ms);
+        for ticket in late {
+            self.refuse_late(ticket);
+        }
+        self.pump(now_ms)
+    }
+
+    fn refuse_late(&mut self, ticket: Ticket) {
+        let label = format!(
+            "no slot came free in {} ms",
+            ticket.deadline_ms.saturating_sub(ticket.arrived_ms)
+        );
+        let failure = Failure::new(Code::NoTarget, label).with_retry_after_ms(LEAST_RETRY_AFTER_MS);
+        self.decisions.push(Decision::Refuse {
+            id: ticket.id,
+            failure,
+        });
+    }
+
+    /// Gives slots to waiting requests until either runs out.
+    fn pump(&mut self, now_ms: u64) -> Vec<Decision> {
+        let mut stuck = Vec::new();
+        while let Some(ticket) = self.queue.pop() {
+            if now_ms + LEAST_ATTEMPT_MS >= ticket.deadline_ms {
+                self.refuse_late(ticket);
+                continue;
+            }
+            if let Some(ticket) = self.dispatch(now_ms, ticket) {
+                let none_left = self.free_slots(now_ms) == 0;
+                stuck.push(ticket);
+                if none_left {
+                    break;
+                }
+            }
+        }
+        for ticket in stuck.into_iter().rev() {
+            self.queue.push_front(ticket);
+        }
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Sends or hands over the request; gives it back when neither is possible.
+    fn dispatch(&mut self, now_ms: u64, mut ticket: Ticket) -> Option<Ticket> {
+        if let Some((target, address)) = self.choose_target(now_ms, &ticket)
+            && self.holdings.take(now_ms, &target)
+        {
+            ticket.attempts += 1;
+            self.targets.entry(target.clone()).or_default().note_sent();
+            let limit_ms = self.attempt_limit_ms(now_ms, &ticket);
+            let id = ticket.id;
+            self.in_progress.insert(id, ticket);
+            self.decisions.push(Decision::Send {
+                id,
+                target,
+                address,
+                limit_ms,
+            });
+            return None;
+        }
+        if !ticket.forwarded
+            && let Some(entry) = self.choose_sibling(&ticket)
+        {
+            let id = ticket.id;
+            self.in_progress.insert(id, ticket);
+            self.decisions.push(Decision::Forward { id, entry });
+            return None;
+        }
+        Some(ticket)
+    }
+
+    fn attempt_limit_ms(&self, now_ms: u64, ticket: &Ticket) -> u64 {
+        let left_ms = ticket.deadline_ms.saturating_sub(now_ms);
+        if !ticket.idempotent || ticket.attempts >= MAX_ATTEMPTS {
+            return left_ms;
+        }
+        // Without a history half of the time is kept for a second attempt.
+        let limit_ms = self
+            .estimate
+            .attempt_limit_ms(&ticket.request_type)
+            .unwrap_or(left_ms / 2);
+        limit_ms.clamp(LEAST_ATTEMPT_MS, left_ms.max(LEAST_ATTEMPT_MS))
+    }
+
+    /// The target with the most free slots that has not failed this request; a suspect one only when no other is free.
+    fn choose_target(&self, now_ms: u64, ticket: &Ticket) -> Option<(Arc<str>, Arc<str>)> {
+        self.holdings
+            .usable(now_ms)
+            .filter(|(name, _, free)| *free > 0 && !ticket.failed_on.contains(*name))
+            .filter(|(name, _, _)| {
+                self.targets
+                    .get(*name)
+                    .is_none_or(|health| health.admits(now_ms))
+            })
+            .max_by_key(|(name, _, free)| {
+                let suspect = self
+                    .targets
+                    .get(*name)
+                    .is_some_and(TargetHealth::is_suspect);
+                // Probation is served by requests that may be repeated, before healthy targets are filled up.
+                let probe = suspect && ticket.idempotent && ticket.attempts == 0;
+                (probe || !suspect, *free)
+            })
+            .map(|(name, target, _)| (name.clone(), target.address.clone()))
+    }
+
+    fn choose_sibling(&mut self, ticket: &Ticket) -> Option<Arc<str>> {
+        let (name, sibling) = self
+            .siblings
+            .iter_mut()
+            .filter(|(name, sibling)| sibling.free_slots > 0 && !ticket.refused_by.contains(*name))
+            .max_by_key(|(_, sibling)| sibling.free_slots)?;
+        sibling.free_slots -= 1;
+        Some(name.clone())
+    }
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/cells.rs
@@ -0,0 +1,260 @@
+//! Accelerators of a data centre: workers in racks, what is used and what is bound to guarantees.
+
+use crate::health::Health;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Index of a worker in [`Cells`].
+pub type WorkerId = u32;
+/// Index of a rack in [`Cells`].
+pub type RackId = u32;
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct WorkerCell {
+    /// Name.
+    pub name: Arc<str>,
+    /// Rack it stands in.
+    pub rack: RackId,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Accelerators it has.
+    pub capacity: u32,
+    /// Accelerators given to jobs. More than `capacity` while a reclaim waits for the borrowers to leave.
+    pub used: u32,
+    /// Accelerators bound to guarantees, in use or not.
+    pub bound: u32,
+    /// Accelerators bound and in use by the guaranteed customer.
+    pub bound_used: u32,
+    /// Whether its lease holds.
+    pub alive: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// How its starts have ended.
+    pub health: Health,
+}
+
+impl WorkerCell {
+    /// Accelerators not given to any job.
+    pub fn free(&self) -> u32 {
+        self.capacity.saturating_sub(self.used)
+    }
+
+    /// Whether new tasks may be placed here.
+    pub fn admits(&self, now_ms: u64) -> bool {
+        self.alive && !self.leaving && !self.health.is_aside(now_ms)
+    }
+
+    /// Accelerators that a guarantee could still be bound to.
+    pub fn bindable(&self) -> u32 {
+        if self.alive && !self.leaving {
+            self.capacity.saturating_sub(self.bound)
+        } else {
+            0
+        }
+    }
+
+    /// Free accelerators that no unused guarantee is bound to.
+    pub fn free_unbound(&self) -> u32 {
+        let unused_bound = self.bound - self.bound_used;
+        self.free()
+            .min((self.capacity).saturating_sub(self.used + unused_bound))
+    }
+}
+
+/// One rack.
+#[derive(Clone, Debug)]
+pub struct RackCell {
+    /// Name.
+    pub name: Arc<str>,
+    /// Its workers.
+    pub workers: Vec<WorkerId>,
+    /// Accelerators of its live workers.
+    pub capacity: u32,
+    /// Accelerators of its live workers given to jobs.
+    pub used: u32,
+}
+
+impl RackCell {
+    /// Whether no accelerator of the rack is given to a job.
+    pub fn is_intact(&self) -> bool {
+        self.used == 0
+    }
+}
+
+/// All workers and racks of a data centre.
+#[derive(Clone, Debug, Default)]
+pub struct Cells {
+    workers: Vec<WorkerCell>,
+    racks: Vec<RackCell>,
+    worker_ids: BTreeMap<Arc<str>, WorkerId>,
+    rack_ids: BTreeMap<Arc<str>, RackId>,
+}
+
+fn index(id: u32) -> usize {
+    // Lossless on the 32- and 64-bit systems this is built for.
+    id as usize
+}
+
+impl Cells {
+    /// No workers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// All workers, in order of their first announcement.
+    pub fn workers(&self) -> &[WorkerCell] {
+        &self.workers
+    }
+
+    /// All racks, in order of their first announcement.
+    pub fn racks(&self) -> &[RackCell] {
+        &self.racks
+    }
+
+    /// The worker with this index.
+    pub fn worker(&self, id: WorkerId) -> &WorkerCell {
+        &self.workers[index(id)]
+    }
+
+    /// The rack with this index.
+    pub fn rack(&self, id: RackId) -> &RackCell {
+        &self.racks[index(id)]
+    }
+
+    /// Index of the worker with this name.
+    pub fn find(&self, name: &str) -> Option<WorkerId> {
+        self.worker_ids.get(name).copied()
+    }
+
+    pub(crate) fn health_mut(&mut self, id: WorkerId) -> &mut Health {
+        &mut self.workers[index(id)].health
+    }
+
+    /// Takes an announcement into account; returns the worker and whether anything that placement sees has changed.
+    pub(crate) fn announce(
+        &mut self,
+        name: &Arc<str>,
+        incarnation: u64,
+        rack: &Arc<str>,
+        accelerators: u32,
+        leaving: bool,
+    ) -> (WorkerId, bool) {
+        let rack_id = self.rack_id(rack);
+        let id = match self.worker_ids.get(name) {
+            Some(id) => *id,
+            None => self.add_worker(name, rack_id),
+        };
+        let old_rack = self.workers[index(id)].rack;
+        if old_rack != rack_id {
+            self.racks[index(old_rack)]
+                .workers
+                .retain(|other| *other != id);
+            self.racks[index(rack_id)].workers.push(id);
+        }
+        let worker = &mut self.workers[index(id)];
+        let changed = !worker.alive
+            || worker.leaving != leaving
+            || worker.capacity != accelerators
+            || old_rack != rack_id;
+        worker.rack = rack_id;
+        worker.incarnation = incarnation;
+        worker.capacity = accelerators;
+        worker.alive = true;
+        worker.leaving = leaving;
+        if changed {
+            self.recount_rack(old_rack);
+            self.recount_rack(rack_id);
+        }
+        (id, changed)
+    }
+
+    fn rack_id(&mut self, rack: &Arc<str>) -> RackId {
+        if let Some(id) = self.rack_ids.get(rack) {
+            return *id;
+        }
+        let id = RackId::try_from(self.racks.len()).unwrap_or(RackId::MAX);
+        self.racks.push(RackCell {
+            name: rack.clone(),
+            workers: Vec::new(),
+            capacity: 0,
+            used: 0,
+        });
+        self.rack_ids.insert(rack.clone(), id);
+        id
+    }
+
+    fn add_worker(&mut self, name: &Arc<str>, rack: RackId) -> WorkerId {
+        let id = WorkerId::try_from(self.workers.len()).unwrap_or(WorkerId::MAX);
+        self.workers.push(WorkerCell {
+            name: name.clone(),
+            rack,
+            incarnation: 0,
+            capacity: 0,
+            used: 0,
+            bound: 0,
+            bound_used: 0,
+            alive: false,
+            leaving: false,
+            health: Health::default(),
+        });
+        self.racks[index(rack)].workers.push(id);
+        self.worker_ids.insert(name.clone(), id);
+        id
+    }
+
+    /// Notes that a worker's lease lapsed.
+    pub(crate) fn lose(&mut self, id: WorkerId) {
+        self.workers[index(id)].alive = false;
+        self.recount_rack(self.workers[index(id)].rack);
+    }
+
+    fn recount_rack(&mut self, rack: RackId) {
+        let live = || {
+            self.racks[index(rack)]
+                .workers
+                .iter()
+                .map(|id| &self.workers[index(*id)])
+                .filter(|worker| worker.alive)
+        };
+        let capacity = live().map(|worker| worker.capacity).sum();
+        let used = live().map(|worker| worker.used).sum();
+        let cell = &mut self.racks[index(rack)];
+        cell.capacity = capacity;
+        cell.used = used;
+    }
+
+    /// Gives `count` accelerators of a worker to a job.
+    pub(crate) fn take(&mut self, id: WorkerId, count: u32) {
+        let worker = &mut self.workers[index(id)];
+        worker.used += count;
+        if worker.alive {
+            self.racks[index(worker.rack)].used += count;
+        }
+    }
+
+    /// Takes `count` accelerators of a worker back from a job.
+    pub(crate) fn give_back(&mut self, id: WorkerId, count: u32) {
+        let worker = &mut self.workers[index(id)];
+        worker.used -= count;
+        if worker.alive {
+            self.racks[index(worker.rack)].used -= count;
+        }
+    }
+
+    pub(crate) fn bind(&mut self, id: WorkerId, count: u32) {
+        self.workers[index(id)].bound += count;
+    }
+
+    pub(crate) fn unbind(&mut self, id: WorkerId, count: u32) {
+        self.workers[index(id)].bound -= count;
+    }
+
+    pub(crate) fn use_bound(&mut self, id: WorkerId, count: u32) {
+        self.workers[index(id)].bound_used += count;
+    }
+
+    pub(crate) fn release_bound(&mut self, id: WorkerId, count: u32) {
+        self.workers[index(id)].bound_used -= count;
+    }
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/fragmentation.rs
@@ -0,0 +1,78 @@
+//! How much of the free accelerators cannot serve the shapes that are wanted.
+
+use crate::cells::Cells;
+use bh_protocol::shape::Adjacency;
+use bh_protocol::shape::Shape;
+use serde::Serialize;
+
+/// Fragmentation for one shape.
+///
+/// `value = 1 - usable / free`, where `free` counts all free accelerators and `usable` those that whole copies of the
+/// shape could take, packed greedily. 0 means every free accelerator can serve the shape, 1 that none can.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fragmentation {
+    /// Free accelerators.
+    pub free: u32,
+    /// Free accelerators that whole copies of the shape could take.
+    pub usable: u32,
+}
+
+impl Fragmentation {
+    /// Fragmentation of the live workers of `cells` for `shape`.
+    pub fn new(cells: &Cells, shape: &Shape) -> Self {
+        let free = cells
+            .workers()
+            .iter()
+            .filter(|worker| worker.alive)
+            .map(|worker| worker.free())
+            .sum();
+        Self {
+            free,
+            usable: copies(cells, shape) * shape.accelerators(),
+        }
+    }
+
+    /// The share of free accelerators that cannot serve the shape, from 0 to 1.
+    pub fn value(&self) -> f64 {
+        if self.free == 0 {
+            0.0
+        } else {
+            1.0 - f64::from(self.usable) / f64::from(self.free)
+        }
+    }
+}
+
+/// Copies of the shape that fit into the free accelerators.
+fn copies(cells: &Cells, shape: &Shape) -> u32 {
+    let tasks_on = |id: &u32| {
+        let worker = cells.worker(*id);
+        if worker.alive {
+            worker.free() / shape.accelerators_per_task.max(1)
+        } else {
+            0
+        }
+    };
+    let in_rack = |workers: &[u32]| -> u32 { workers.iter().map(tasks_on).sum() };
+    let tasks = shape.tasks.max(1);
+    match shape.adjacent {
+        Adjacency::Worker => cells
+            .racks()
+            .iter()
+            .flat_map(|rack| &rack.workers)
+            .map(|id| tasks_on(id) / tasks)
+            .sum(),
+        Adjacency::Rack => cells
+            .racks()
+            .iter()
+            .map(|rack| in_rack(&rack.workers) / tasks)
+            .sum(),
+        Adjacency::DataCentre => {
+            cells
+                .racks()
+                .iter()
+                .map(|rack| in_rack(&rack.workers))
+                .sum::<u32>()
+                / tasks
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/lib.rs
@@ -0,0 +1,33 @@
+//! Gangs, guarantees, placement and reclaim, as pure decision code.
+//!
+//! [`Scheduler`] runs on the leader of a data centre's group: it takes the time and an [`Event`] and returns
+//! [`Action`]s. [`Table`] is the replicated record of the jobs: what is in it survives the leader.
+
+mod action;
+mod cells;
+mod event;
+mod fragmentation;
+mod guarantees;
+mod health;
+mod job;
+mod limits;
+mod placement;
+mod scheduler;
+mod table;
+
+pub use action::Action;
+pub use cells::Cells;
+pub use cells::WorkerCell;
+pub use event::Event;
+pub use event::RecordedJob;
+pub use fragmentation::Fragmentation;
+pub use guarantees::Cell;
+pub use guarantees::Guarantees;
+pub use job::State;
+pub use limits::Limits;
+pub use placement::Search;
+pub use scheduler::Scheduler;
+pub use table::Command;
+pub use table::Outcome;
+pub use table::Record;
+pub use table::Table;
--- /dev/null
+++ b/crates/bh-scheduler/src/scheduler/gang.rs
@@ -0,0 +1,187 @@
+//! From a placement to a running gang: prepare on all, decide, start on all.
+
+use super::Scheduler;
+use crate::action::Action;
+use crate::job::AfterStop;
+use crate::job::State;
+use bh_protocol::job::Phase;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// First wait after an attempt that came to nothing, in milliseconds; doubles with each.
+const FIRST_RETRY_MS: u64 = 100;
+/// Longest such wait, in milliseconds.
+const LONGEST_RETRY_MS: u64 = 10_000;
+
+impl Scheduler {
+    /// Asks the workers of a placed job to hold its accelerators. Nothing runs before all of them do.
+    pub(super) fn prepare(&mut self, number: u64) {
+        let epoch = self.next_epoch;
+        self.next_epoch += 1;
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        job.epoch = epoch;
+        job.state = State::Preparing;
+        job.reason = "being prepared".to_owned();
+        let placement = self.placement(&self.jobs[&number]);
+        self.actions.push(Action::Prepare {
+            job: number,
+            epoch,
+            placement,
+        });
+    }
+
+    pub(super) fn prepared(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        epoch: u64,
+        refused: &BTreeSet<Arc<str>>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.epoch != epoch || job.state != State::Preparing {
+            return;
+        }
+        if let Some(worker) = refused.first() {
+            job.failures += 1;
+            let not_before_ms = now_ms + retry_wait_ms(job.failures);
+            let reason = format!("worker {worker} refused or did not answer");
+            job.reason = reason;
+            self.note_refusals(now_ms, number, refused);
+            self.stop(now_ms, number, AfterStop::Retry { not_before_ms }, false);
+            return;
+        }
+        job.state = State::Deciding;
+        let placement = self.placement(&self.jobs[&number]);
+        self.actions.push(Action::RecordStart {
+            job: number,
+            epoch,
+            placement,
+        });
+    }
+
+    fn note_refusals(&mut self, now_ms: u64, number: u64, refused: &BTreeSet<Arc<str>>) {
+        for name in refused {
+            if let Some(id) = self.cells.find(name) {
+                self.cells.health_mut(id).failed(now_ms, number);
+            }
+        }
+    }
+
+    pub(super) fn start_recorded(&mut self, now_ms: u64, number: u64, epoch: u64, accepted: bool) {
+        let lease_ms = self.lease_ms;
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.epoch != epoch || job.state != State::Deciding {
+            return;
+        }
+        if !accepted {
+            self.stop(
+                now_ms,
+                number,
+                AfterStop::Retry {
+                    not_before_ms: now_ms + FIRST_RETRY_MS,
+                },
+                false,
+            );
+            return;
+        }
+        job.started_ms = now_ms;
+        job.reason = "starting".to_owned();
+        job.state = State::Running {
+            running: BTreeSet::new(),
+            done: BTreeSet::new(),
+            report_by_ms: now_ms + 2 * lease_ms,
+        };
+        let placement = self.placement(&self.jobs[&number]);
+        self.actions.push(Action::Start {
+            job: number,
+            epoch,
+            placement,
+        });
+    }
+
+    pub(super) fn start_sent(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        epoch: u64,
+        refused: &BTreeSet<Arc<str>>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.epoch != epoch {
+            return;
+        }
+        let State::Running { running, .. } = &mut job.state else {
+            return;
+        };
+        let Some(worker) = refused.first() else {
+            return;
+        };
+        // Some tasks may run already: the whole gang stops, so that no part of it runs alone.
+        let _ = running;
+        let reason = format!("worker {worker} did not start its tasks");
+        self.note_refusals(now_ms, number, refused);
+        self.stop(now_ms, number, AfterStop::Requeue { reason }, false);
+    }
+
+    /// Ends a job all of whose tasks are done.
+    pub(super) fn check_finished(&mut self, _now_ms: u64, number: u64) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let State::Running { running, done, .. } = &job.state else {
+            return;
+        };
+        if running.len() + done.len() == job.places.len() {
+            job.reason.clear();
+        }
+        if done.len() < job.places.len() {
+            return;
+        }
+        let epoch = job.epoch;
+        let places: BTreeSet<u32> = job.places.iter().copied().collect();
+        for id in places {
+            self.cells.health_mut(id).succeeded();
+        }
+        self.release(number);
+        self.jobs.remove(&number);
+        self.actions.push(Action::RecordEnd {
+            job: number,
+            epoch,
+            phase: Phase::Done,
+            reason: String::new(),
+        });
+    }
+
+    /// Gangs whose tasks have not all reported in time are stopped whole.
+    pub(super) fn tick_running(&mut self, now_ms: u64) {
+        let late: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| match &job.state {
+                State::Running {
+                    running,
+                    done,
+                    report_by_ms,
+                } => now_ms >= *report_by_ms && running.len() + done.len() < job.places.len(),
+                _ => false,
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in late {
+            let reason = "not every task reported itself in time".to_owned();
+            self.stop(now_ms, number, AfterStop::Requeue { reason }, false);
+        }
+    }
+}
+
+fn retry_wait_ms(failures: u32) -> u64 {
+    (FIRST_RETRY_MS << failures.min(16)).min(LONGEST_RETRY_MS)
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/scheduler/mod.rs
@@ -0,0 +1,446 @@
+//! The scheduler of one data centre.
+
+mod dispatch;
+mod gang;
+mod stop;
+mod workers;
+
+use crate::action::Action;
+use crate::cells::Cells;
+use crate::cells::WorkerId;
+use crate::event::Event;
+use crate::event::RecordedJob;
+use crate::guarantees::Guarantees;
+use crate::job::AfterStop;
+use crate::job::Job;
+use crate::job::State;
+use crate::limits::Limits;
+use bh_protocol::job::Phase;
+use bh_protocol::job::Placement;
+use bh_protocol::shape::Shape;
+use bh_protocol::target::TaskKey;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Bits of an epoch that count attempts within one leader's term.
+const EPOCH_TERM_SHIFT: u32 = 24;
+
+/// Order in the queue: priority, then age, then identity.
+type QueueKey = (Reverse<u8>, u64, u64);
+
+/// Places gangs on accelerators.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    limits: Limits,
+    cells: Cells,
+    guarantees: Guarantees,
+    jobs: BTreeMap<u64, Job>,
+    queue: BTreeSet<QueueKey>,
+    /// Accelerators held by each team and customer.
+    team_used: BTreeMap<Arc<str>, u32>,
+    customer_used: BTreeMap<Arc<str>, u32>,
+    next_epoch: u64,
+    /// Time a start may take to be reported, and a stop order to be confirmed, in milliseconds.
+    lease_ms: u64,
+    /// Jobs that run, by worker, so that a lost worker or a reclaim finds them without a scan.
+    on_worker: BTreeMap<WorkerId, BTreeSet<u64>>,
+    /// Largest shape class ever seen alive, to refuse what can never fit.
+    settled_ms: u64,
+    dirty: bool,
+    actions: Vec<Action>,
+}
+
+impl Scheduler {
+    /// A scheduler for the leader of `term`, elected at `now_ms`. Workers have `lease_ms` to announce themselves before
+    /// their tasks count as lost.
+    pub fn new(term: u64, limits: Limits, lease_ms: u64, now_ms: u64) -> Self {
+        Self {
+            limits,
+            cells: Cells::new(),
+            guarantees: Guarantees::new(),
+            jobs: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            team_used: BTreeMap::new(),
+            customer_used: BTreeMap::new(),
+            next_epoch: (term << EPOCH_TERM_SHIFT) + 1,
+            lease_ms,
+            on_worker: BTreeMap::new(),
+            settled_ms: now_ms + lease_ms,
+            dirty: true,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Reacts to `event` at `now_ms`.
+    pub fn step(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.tick(now_ms),
+            Event::LimitsChanged(limits) => self.change_limits(limits),
+            Event::WorkerAnnounced {
+                name,
+                incarnation,
+                rack,
+                accelerators,
+                leaving,
+                tasks,
+            } => {
+                self.worker_announced(now_ms, &name, incarnation, &rack, accelerators, leaving);
+                self.task_reports(now_ms, &name, &tasks);
+            }
+            Event::WorkerLost { name } => self.worker_lost(now_ms, &name),
+            Event::JobRecorded(recorded) => self.job_recorded(now_ms, recorded),
+            Event::JobsCancelled { jobs } => self.jobs_cancelled(now_ms, &jobs),
+            Event::Prepared {
+                job,
+                epoch,
+                refused,
+            } => self.prepared(now_ms, job, epoch, &refused),
+            Event::StartRecorded {
+                job,
+                epoch,
+                accepted,
+            } => self.start_recorded(now_ms, job, epoch, accepted),
+            Event::StartSent {
+                job,
+                epoch,
+                refused,
+            } => self.start_sent(now_ms, job, epoch, &refused),
+            Event::StopSent {
+                job,
+                epoch,
+                worker,
+                confirmed,
+            } => {
+                if confirmed {
+                    self.worker_stopped(now_ms, job, epoch, &worker);
+                }
+            }
+            Event::Requeued { job, epoch } => self.requeued(job, epoch),
+        }
+        if self.dirty {
+            self.dirty = false;
+            self.dispatch(now_ms);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The accelerators.
+    pub fn cells(&self) -> &Cells {
+        &self.cells
+    }
+
+    /// The guarantees.
+    pub fn guarantees(&self) -> &Guarantees {
+        &self.guarantees
+    }
+
+    /// Where `job` is on its way.
+    pub fn state_of(&self, job: u64) -> Option<&State> {
+        self.jobs.get(&job).map(|job| &job.state)
+    }
+
+    /// Why `job` waits, as far as the scheduler knows.
+    pub fn reason_of(&self, job: u64) -> &str {
+        self.jobs.get(&job).map_or("", |job| &job.reason)
+    }
+
+    /// Whether every task of `job` has reported itself running.
+    pub fn is_running(&self, job: u64) -> bool {
+        self.jobs.get(&job).is_some_and(|job| match &job.state {
+            State::Running { running, done, .. } => running.len() + done.len() == job.places.len(),
+            _ => false,
+        })
+    }
+
+    /// Placement of the attempt in progress.
+    pub fn placement_of(&self, job: u64) -> Placement {
+        self.jobs
+            .get(&job)
+            .map(|job| self.placement(job))
+            .unwrap_or_default()
+    }
+
+    /// Number of waiting jobs.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether `job` runs in a guaranteed cell.
+    pub fn is_guaranteed(&self, job: u64) -> bool {
+        self.jobs.get(&job).is_some_and(|job| job.cell.is_some())
+    }
+
+    /// Shapes that wait, for the fragmentation report.
+    pub fn queued_shapes(&self) -> BTreeSet<Shape> {
+        self.queue
+            .iter()
+            .filter_map(|(_, _, job)| self.jobs.get(job))
+            .map(|job| job.spec.shape)
+            .collect()
+    }
+
+    /// Whether the tasks of this attempt may go on: their lease is renewed.
+    pub fn wants(&self, key: &TaskKey) -> bool {
+        self.jobs.get(&key.job).is_some_and(|job| {
+            let holds = !matches!(
+                job.state,
+                State::Queued | State::Reclaiming { .. } | State::Recording
+            );
+            let stopping = matches!(
+                job.state,
+                State::Stopping {
+                    checkpoint_until_ms: None,
+                    ..
+                }
+            );
+            holds && !stopping && job.epoch == key.epoch
+        })
+    }
+
+    /// Whether the shape could be placed if nothing else ran. `None` while workers may still have to announce
+    /// themselves.
+    pub fn can_ever_fit(&self, shape: &Shape, now_ms: u64) -> Option<bool> {
+        if now_ms < self.settled_ms {
+            return None;
+        }
+        let search =
+            crate::placement::Search::new(&self.cells, |id| self.cells.worker(id).capacity);
+        Some(search.place(shape).is_some())
+    }
+
+    /// Checks what must hold after every step.
+    ///
+    /// # Errors
+    ///
+    /// The first rule that is broken, in words.
+    pub fn check_invariants(&self) -> Result<(), String> {
+        self.check_guarantees_reclaimable()?;
+        self.check_accounts()
+    }
+
+    /// Every unused guaranteed shape with hardware behind it can be freed by stopping borrowers only: on each worker
+    /// the unused bound accelerators and those that guaranteed jobs hold fit together.
+    fn check_guarantees_reclaimable(&self) -> Result<(), String> {
+        let mut firm: BTreeMap<WorkerId, u32> = BTreeMap::new();
+        for cell in self.guarantees.cells() {
+            for id in &cell.bound_to {
+                *firm.entry(*id).or_insert(0) += cell.shape.accelerators_per_task;
+            }
+        }
+        for (id, count) in firm {
+            let worker = self.cells.worker(id);
+            let in_use = worker.bound_used == worker.bound;
+            if worker.bound != count {
+                return Err(format!(
+                    "worker {} has {} bound, its cells say {count}",
+                    worker.name, worker.bound
+                ));
+            }
+            if worker.alive && !in_use && worker.bound > worker.capacity {
+                return Err(format!(
+                    "worker {} has {} bound over {}",
+                    worker.name, worker.bound, worker.capacity
+                ));
+            }
+        }
+        for (number, job) in &self.jobs {
+            if let Some(cell) = job.cell {
+                let cell = self.guarantees.cell(cell);
+                if cell.used_by != Some(*number) || cell.bound_to != job.places {
+                    return Err(format!(
+                        "job {number} does not stand in its guaranteed cell"
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_accounts(&self) -> Result<(), String> {
+        let mut used: BTreeMap<WorkerId, u32> = BTreeMap::new();
+        let mut settled: BTreeMap<WorkerId, u32> = BTreeMap::new();
+        for job in self.jobs.values() {
+            for (id, count) in job.held() {
+                *used.entry(id).or_insert(0) += count;
+                if !matches!(job.state, State::Reclaiming { .. }) {
+                    *settled.entry(id).or_insert(0) += count;
+                }
+            }
+        }
+        for (index, worker) in self.cells.workers().iter().enumerate() {
+            let id = WorkerId::try_from(index).unwrap_or(WorkerId::MAX);
+            let held = used.get(&id).copied().unwrap_or(0);
+            if worker.used != held {
+                return Err(format!(
+                    "worker {} counts {} in use, its jobs hold {held}",
+                    worker.name, worker.used
+                ));
+            }
+            let running = settled.get(&id).copied().unwrap_or(0);
+            if worker.alive && running > worker.capacity {
+                return Err(format!(
+                    "worker {} runs {running} accelerators of {}",
+                    worker.name, worker.capacity
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn placement(&self, job: &Job) -> Placement {
+        job.placement(|id| self.cells.worker(id).name.clone())
+    }
+
+    fn change_limits(&mut self, limits: Limits) {
+        if limits == self.limits {
+            return;
+        }
+        self.limits = limits;
+        let moved = self.guarantees.configure(&mut self.cells, &self.limits);
+        for (job, cell) in moved {
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.cell = cell;
+            }
+        }
+        self.guarantees.rebind(&mut self.cells);
+        self.dirty = true;
+    }
+
+    fn job_recorded(&mut self, now_ms: u64, recorded: RecordedJob) {
+        let number = recorded.job;
+        if recorded.phase.is_final() || self.jobs.contains_key(&number) {
+            return;
+        }
+        let mut job = Job::new(recorded.spec, recorded.submitted_ms);
+        job.epoch = recorded.epoch;
+        if recorded.phase == Phase::Started {
+            self.adopt(now_ms, number, job, &recorded.placement);
+        } else {
+            self.jobs.insert(number, job);
+            self.enqueue(number);
+        }
+    }
+
+    /// Takes over a job that an earlier leader started. Its decision is recorded, so it is carried out to the end:
+    /// the start orders are sent again, and tasks that do not report themselves in time count as lost.
+    fn adopt(&mut self, now_ms: u64, number: u64, mut job: Job, placement: &Placement) {
+        let incarnation = 0;
+        for place in &placement.tasks {
+            let id = match self.cells.find(&place.worker) {
+                Some(id) => id,
+                None => {
+                    // Not announced yet: known by name until it is, or until its time is over.
+                    let unknown = Arc::from("");
+                    let (id, _) =
+                        self.cells
+                            .announce(&place.worker, incarnation, &unknown, 0, true);
+                    self.cells.lose(id);
+                    id
+                }
+            };
+            job.places.push(id);
+        }
+        job.started_ms = now_ms;
+        job.state = State::Running {
+            running: BTreeSet::new(),
+            done: BTreeSet::new(),
+            report_by_ms: now_ms + 2 * self.lease_ms,
+        };
+        let epoch = job.epoch;
+        let placement = placement.clone();
+        self.jobs.insert(number, job);
+        self.hold(number);
+        self.actions.push(Action::Start {
+            job: number,
+            epoch,
+            placement,
+        });
+    }
+
+    fn queue_key(&self, number: u64) -> Option<QueueKey> {
+        let job = self.jobs.get(&number)?;
+        Some((Reverse(job.spec.priority), job.submitted_ms, number))
+    }
+
+    fn enqueue(&mut self, number: u64) {
+        if let Some(key) = self.queue_key(number) {
+            self.queue.insert(key);
+            self.dirty = true;
+        }
+    }
+
+    fn dequeue(&mut self, number: u64) {
+        if let Some(key) = self.queue_key(number) {
+            self.queue.remove(&key);
+        }
+    }
+
+    /// Notes that the attempt of a job holds its accelerators.
+    fn hold(&mut self, number: u64) {
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        for (id, count) in job.held() {
+            self.cells.take(id, count);
+            self.on_worker.entry(id).or_default().insert(number);
+        }
+        let total = job.spec.shape.accelerators();
+        *self.team_used.entry(job.spec.team.clone()).or_insert(0) += total;
+        *self
+            .customer_used
+            .entry(job.spec.customer.clone())
+            .or_insert(0) += total;
+    }
+
+    /// Takes back all that the attempt of a job holds.
+    fn release(&mut self, number: u64) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.places.is_empty() {
+            return;
+        }
+        let held = job.held();
+        let cell = job.cell.take();
+        job.places.clear();
+        let total = job.spec.shape.accelerators();
+        let (team, customer) = (job.spec.team.clone(), job.spec.customer.clone());
+        for (id, count) in held {
+            self.cells.give_back(id, count);
+            if let Some(jobs) = self.on_worker.get_mut(&id) {
+                jobs.remove(&number);
+            }
+        }
+        if let Some(cell) = cell {
+            self.guarantees.vacate(&mut self.cells, cell);
+            // The cell may stand on a worker that was lost or is leaving while it was in use.
+            self.guarantees.rebind(&mut self.cells);
+        }
+        sub(&mut self.team_used, &team, total);
+        sub(&mut self.customer_used, &customer, total);
+        self.dirty = true;
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        self.tick_running(now_ms);
+        self.tick_stopping(now_ms);
+        // Waits that end by time alone: retries, reservations, workers back from being set aside.
+        self.dirty |= !self.queue.is_empty();
+    }
+}
+
+fn sub(used: &mut BTreeMap<Arc<str>, u32>, name: &Arc<str>, count: u32) {
+    if let Some(value) = used.get_mut(name) {
+        *value = value.saturating_sub(count);
+    }
+}
+
+impl Scheduler {
+    fn end_with(&mut self, number: u64, phase: Phase, reason: String) {
+        if let Some(job) = self.jobs.get_mut(&number) {
+            job.after_stop = Some(AfterStop::End { phase, reason });
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/scheduler/stop.rs
@@ -0,0 +1,254 @@
+//! Stopping whole gangs: for a reclaim, a cancellation, a failure or a lost worker.
+
+use super::Scheduler;
+use crate::action::Action;
+use crate::job::AfterStop;
+use crate::job::State;
+use bh_protocol::job::Phase;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+impl Scheduler {
+    /// Stops the attempt of a job on all its workers, then does what `after` says. With `checkpoint` the tasks get the
+    /// time that the settings allow for one.
+    pub(super) fn stop(&mut self, now_ms: u64, number: u64, after: AfterStop, checkpoint: bool) {
+        let checkpoint_until_ms =
+            checkpoint.then(|| now_ms + self.limits.policy.checkpoint_wait_ms);
+        let retry_ms = now_ms + self.lease_ms;
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        match &mut job.state {
+            State::Queued | State::Recording => return,
+            State::Reclaiming { .. } => {
+                // Nothing was sent to any worker for this attempt.
+                job.after_stop = Some(after);
+                self.stopped(now_ms, number);
+                return;
+            }
+            State::Stopping {
+                checkpoint_until_ms: until,
+                ..
+            } => {
+                if checkpoint {
+                    return;
+                }
+                // An end outranks a requeue; a requeue of a recorded start outranks a plain retry.
+                if matches!(after, AfterStop::End { .. }) {
+                    job.after_stop = Some(after);
+                }
+                if until.is_some() {
+                    *until = Some(now_ms);
+                }
+                return;
+            }
+            State::Preparing | State::Deciding | State::Running { .. } => {}
+        }
+        let pending: BTreeSet<Arc<str>> = job
+            .held()
+            .keys()
+            .map(|id| self.cells.worker(*id).name.clone())
+            .collect();
+        // A decision that is on its way to the record may yet be taken: it must be taken back there, too.
+        let decided = matches!(job.state, State::Deciding | State::Running { .. });
+        job.after_stop = Some(match after {
+            AfterStop::Retry { .. } if decided => AfterStop::Requeue {
+                reason: job.reason.clone(),
+            },
+            other => other,
+        });
+        job.state = State::Stopping {
+            pending: pending.clone(),
+            checkpoint_until_ms,
+            retry_ms,
+        };
+        let epoch = job.epoch;
+        let action = if checkpoint {
+            Action::Checkpoint {
+                job: number,
+                epoch,
+                workers: pending,
+            }
+        } else {
+            Action::Stop {
+                job: number,
+                epoch,
+                workers: pending,
+            }
+        };
+        self.actions.push(action);
+    }
+
+    /// A worker no longer holds any task of this attempt.
+    pub(super) fn worker_stopped(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        epoch: u64,
+        worker: &Arc<str>,
+    ) {
+        if self.jobs.get(&number).is_some_and(|job| job.epoch == epoch) {
+            self.worker_stopped_any(now_ms, number, worker);
+        }
+    }
+
+    pub(super) fn worker_stopped_any(&mut self, now_ms: u64, number: u64, worker: &Arc<str>) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let State::Stopping { pending, .. } = &mut job.state else {
+            return;
+        };
+        pending.remove(worker);
+        if pending.is_empty() {
+            self.stopped(now_ms, number);
+        }
+    }
+
+    /// Every task of the attempt has stopped.
+    fn stopped(&mut self, now_ms: u64, number: u64) {
+        self.release(number);
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let epoch = job.epoch;
+        match job.after_stop.take() {
+            Some(AfterStop::End { phase, reason }) => {
+                self.jobs.remove(&number);
+                if phase != Phase::Cancelled {
+                    self.actions.push(Action::RecordEnd {
+                        job: number,
+                        epoch,
+                        phase,
+                        reason,
+                    });
+                }
+            }
+            Some(AfterStop::Requeue { reason }) => {
+                job.state = State::Recording;
+                job.reason = reason.clone();
+                self.actions.push(Action::RecordRequeue {
+                    job: number,
+                    epoch,
+                    reason,
+                });
+            }
+            Some(AfterStop::Retry { not_before_ms }) => {
+                job.state = State::Queued;
+                job.not_before_ms = not_before_ms;
+                self.enqueue(number);
+            }
+            None => {
+                job.state = State::Queued;
+                self.enqueue(number);
+            }
+        }
+        self.victim_gone(now_ms, number);
+    }
+
+    pub(super) fn requeued(&mut self, number: u64, epoch: u64) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.epoch == epoch && job.state == State::Recording {
+            job.state = State::Queued;
+            self.enqueue(number);
+        }
+    }
+
+    /// Cancels a wave of jobs in one pass: accelerators are given out again once, after the last of them.
+    pub(super) fn jobs_cancelled(&mut self, now_ms: u64, numbers: &[u64]) {
+        for number in numbers {
+            let Some(job) = self.jobs.get(number) else {
+                continue;
+            };
+            let reason = "cancelled by the caller".to_owned();
+            match job.state {
+                State::Queued => {
+                    self.dequeue(*number);
+                    self.jobs.remove(number);
+                }
+                State::Recording => {
+                    self.jobs.remove(number);
+                }
+                State::Stopping { .. } => {
+                    self.end_with(*number, Phase::Cancelled, reason);
+                    self.stop(
+                        now_ms,
+                        *number,
+                        AfterStop::End {
+                            phase: Phase::Cancelled,
+                            reason: String::new(),
+                        },
+                        false,
+                    );
+                }
+                _ => self.stop(
+                    now_ms,
+                    *number,
+                    AfterStop::End {
+                        phase: Phase::Cancelled,
+                        reason,
+                    },
+                    false,
+                ),
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Ends checkpoint waits and repeats stop orders that were not confirmed.
+    pub(super) fn tick_stopping(&mut self, now_ms: u64) {
+        self.forget_lost_workers(now_ms);
+        let lease_ms = self.lease_ms;
+        let mut orders = Vec::new();
+        for (number, job) in &mut self.jobs {
+            let State::Stopping {
+                pending,
+                checkpoint_until_ms,
+                retry_ms,
+            } = &mut job.state
+            else {
+                continue;
+            };
+            let checkpoint_over = checkpoint_until_ms.is_some_and(|until| now_ms >= until);
+            let unconfirmed = checkpoint_until_ms.is_none() && now_ms >= *retry_ms;
+            if checkpoint_over || unconfirmed {
+                *checkpoint_until_ms = None;
+                *retry_ms = now_ms + lease_ms;
+                orders.push(Action::Stop {
+                    job: *number,
+                    epoch: job.epoch,
+                    workers: pending.clone(),
+                });
+            }
+        }
+        self.actions.extend(orders);
+    }
+
+    /// A worker that never announced itself to this leader confirms nothing; its tasks have ended by their leases.
+    fn forget_lost_workers(&mut self, now_ms: u64) {
+        if now_ms < self.settled_ms {
+            return;
+        }
+        let mut gone = Vec::new();
+        for (number, job) in &self.jobs {
+            if let State::Stopping { pending, .. } = &job.state {
+                let lost = |name: &&Arc<str>| {
+                    self.cells
+                        .find(name)
+                        .is_none_or(|id| !self.cells.worker(id).alive)
+                };
+                gone.extend(
+                    pending
+                        .iter()
+                        .filter(lost)
+                        .map(|name| (*number, name.clone())),
+                );
+            }
+        }
+        for (number, name) in gone {
+            self.worker_stopped_any(now_ms, number, &name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/scheduler/workers.rs
@@ -0,0 +1,245 @@
+//! Workers that come, report, leave and are lost.
+
+use super::Scheduler;
+use crate::job::AfterStop;
+use crate::job::State;
+use bh_protocol::target::TaskPhase;
+use bh_protocol::target::TaskReport;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+impl Scheduler {
+    pub(super) fn worker_announced(
+        &mut self,
+        now_ms: u64,
+        name: &Arc<str>,
+        incarnation: u64,
+        rack: &Arc<str>,
+        accelerators: u32,
+        leaving: bool,
+    ) {
+        let known = self
+            .cells
+            .find(name)
+            .map(|id| self.cells.worker(id).clone());
+        let restarted = known.as_ref().is_some_and(|worker| {
+            worker.alive && worker.incarnation != incarnation && worker.incarnation != 0
+        });
+        if restarted {
+            // Its process died and came back within its lease: every task it held is gone.
+            self.worker_lost(now_ms, name);
+        }
+        let (_, changed) = self
+            .cells
+            .announce(name, incarnation, rack, accelerators, leaving);
+        if changed {
+            self.guarantees.rebind(&mut self.cells);
+            self.dirty = true;
+        }
+    }
+
+    pub(super) fn worker_lost(&mut self, now_ms: u64, name: &Arc<str>) {
+        let Some(id) = self.cells.find(name) else {
+            return;
+        };
+        self.cells.lose(id);
+        let jobs: Vec<u64> = self
+            .on_worker
+            .get(&id)
+            .map(|jobs| jobs.iter().copied().collect())
+            .unwrap_or_default();
+        for job in jobs {
+            self.stop(
+                now_ms,
+                job,
+                AfterStop::Requeue {
+                    reason: format!("worker {name} was lost"),
+                },
+                false,
+            );
+            self.worker_stopped_any(now_ms, job, name);
+        }
+        self.guarantees.rebind(&mut self.cells);
+        self.dirty = true;
+    }
+
+    /// Takes a worker's report on its tasks into account.
+    pub(super) fn task_reports(&mut self, now_ms: u64, name: &Arc<str>, reports: &[TaskReport]) {
+        let mut by_job: BTreeMap<u64, Vec<&TaskReport>> = BTreeMap::new();
+        for report in reports {
+            by_job.entry(report.job).or_default().push(report);
+        }
+        for (job, reports) in &by_job {
+            self.job_reports(now_ms, name, *job, reports);
+        }
+        self.missing_tasks(now_ms, name, &by_job);
+    }
+
+    fn job_reports(&mut self, now_ms: u64, name: &Arc<str>, number: u64, reports: &[&TaskReport]) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let epoch = job.epoch;
+        let current: Vec<&&TaskReport> = reports
+            .iter()
+            .filter(|report| report.epoch == epoch)
+            .collect();
+        if current.is_empty() {
+            return;
+        }
+        if let State::Running { running, done, .. } = &mut job.state {
+            for report in &current {
+                match report.phase {
+                    TaskPhase::Running => {
+                        running.insert(report.task);
+                    }
+                    TaskPhase::Done => {
+                        running.remove(&report.task);
+                        done.insert(report.task);
+                    }
+                    TaskPhase::Prepared | TaskPhase::Failed | TaskPhase::Stopped => {}
+                }
+            }
+            self.check_finished(now_ms, number);
+        }
+        let ended = |phase: TaskPhase| current.iter().any(|report| report.phase == phase);
+        if ended(TaskPhase::Failed) {
+            self.task_failed(now_ms, number, name);
+        } else if ended(TaskPhase::Stopped) {
+            self.stop(
+                now_ms,
+                number,
+                AfterStop::Requeue {
+                    reason: format!("worker {name} stopped its tasks"),
+                },
+                false,
+            );
+        }
+        let holds = current
+            .iter()
+            .any(|report| matches!(report.phase, TaskPhase::Prepared | TaskPhase::Running));
+        if !holds {
+            self.worker_stopped(now_ms, number, epoch, name);
+        }
+    }
+
+    /// Jobs that run on this worker as far as we know, but that it does not report: it has lost their tasks.
+    fn missing_tasks(
+        &mut self,
+        now_ms: u64,
+        name: &Arc<str>,
+        reported: &BTreeMap<u64, Vec<&TaskReport>>,
+    ) {
+        let Some(id) = self.cells.find(name) else {
+            return;
+        };
+        let jobs: BTreeSet<u64> = self.on_worker.get(&id).cloned().unwrap_or_default();
+        for number in jobs {
+            let Some(job) = self.jobs.get(&number) else {
+                continue;
+            };
+            let listed = reported
+                .get(&number)
+                .is_some_and(|reports| reports.iter().any(|report| report.epoch == job.epoch));
+            if listed {
+                continue;
+            }
+            match &job.state {
+                State::Stopping { .. } => {
+                    let epoch = job.epoch;
+                    self.worker_stopped(now_ms, number, epoch, name);
+                }
+                State::Running {
+                    running,
+                    report_by_ms,
+                    ..
+                } => {
+                    let own = |task: &u32| job.places.get(*task as usize) == Some(&id);
+                    let was_running = running.iter().any(own);
+                    if was_running || now_ms >= *report_by_ms {
+                        let unfinished = !self.all_done_on(number, id);
+                        if unfinished {
+                            self.stop(
+                                now_ms,
+                                number,
+                                AfterStop::Requeue {
+                                    reason: format!("worker {name} no longer has its tasks"),
+                                },
+                                false,
+                            );
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn all_done_on(&self, number: u64, id: u32) -> bool {
+        let Some(job) = self.jobs.get(&number) else {
+            return false;
+        };
+        let State::Running { done, .. } = &job.state else {
+            return false;
+        };
+        job.places
+            .iter()
+            .enumerate()
+            .all(|(task, place)| *place != id || done.contains(&(task as u32)))
+    }
+
+    /// A task ended in failure: the whole gang stops. Whether that counts against the job or the worker is decided by
+    /// what else fails where.
+    fn task_failed(&mut self, now_ms: u64, number: u64, name: &Arc<str>) {
+        let Some(id) = self.cells.find(name) else {
+            return;
+        };
+        let already = self
+            .jobs
+            .get(&number)
+            .is_some_and(|job| matches!(job.state, State::Stopping { .. } | State::Recording));
+        if already {
+            return;
+        }
+        let suspect = self.cells.worker(id).health.is_suspect();
+        self.cells.health_mut(id).failed(now_ms, number);
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if !suspect {
+            job.failed_on.insert(id);
+        }
+        job.failures += 1;
+        let failed_on = job.failed_on.len();
+        let limit = usize::try_from(self.limits.policy.max_attempts).unwrap_or(usize::MAX);
+        // Where there are fewer workers than attempts allowed, repeated failures on the same ones count too.
+        let everywhere =
+            failed_on >= limit || job.failures >= self.limits.policy.max_attempts.saturating_mul(3);
+        if everywhere {
+            let blamed: Vec<u32> = job.failed_on.iter().copied().collect();
+            for id in blamed {
+                self.cells.health_mut(id).forgive(number);
+            }
+            let reason = format!("failed on {failed_on} workers, last on {name}");
+            self.stop(
+                now_ms,
+                number,
+                AfterStop::End {
+                    phase: bh_protocol::job::Phase::Failed,
+                    reason,
+                },
+                false,
+            );
+        } else {
+            self.stop(
+                now_ms,
+                number,
+                AfterStop::Requeue {
+                    reason: format!("failed on worker {name}"),
+                },
+                false,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-scheduler/src/table.rs
@@ -0,0 +1,284 @@
+//! The replicated record of jobs: what survives the leader.
+
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_protocol::job::Phase;
+use bh_protocol::job::Placement;
+use bh_protocol::job::Spec;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Ended jobs that are kept for `job status` and for resends of their submission.
+pub const ENDED_KEPT: usize = 20_000;
+
+/// A change of the record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Record a new job.
+    Submit {
+        /// What it asks for.
+        spec: Spec,
+        /// Wall clock of the entry that took it, in milliseconds since 1970.
+        submitted_wall_ms: u64,
+    },
+    /// The decision to start: from here on every task is told to start, by this leader or the next.
+    Start {
+        /// Job.
+        job: u64,
+        /// Attempt.
+        epoch: u64,
+        /// Where.
+        placement: Placement,
+    },
+    /// The attempt was stopped; the job waits again.
+    Requeue {
+        /// Job.
+        job: u64,
+        /// Attempt.
+        epoch: u64,
+        /// Why.
+        reason: String,
+    },
+    /// The job ended.
+    End {
+        /// Job.
+        job: u64,
+        /// Attempt.
+        epoch: u64,
+        /// Final phase.
+        phase: Phase,
+        /// Why.
+        reason: String,
+    },
+    /// The caller cancelled jobs.
+    Cancel {
+        /// Customer that must own them.
+        customer: Arc<str>,
+        /// Identities.
+        jobs: Vec<u64>,
+    },
+}
+
+/// Answer to a [`Command`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The job the submission is recorded as, now or before.
+    Submitted {
+        /// Job.
+        job: u64,
+    },
+    /// The change is recorded.
+    Recorded,
+    /// The change does not fit the record any more and was left out.
+    Stale,
+    /// Jobs that were cancelled now.
+    Cancelled {
+        /// Identities.
+        jobs: Vec<u64>,
+    },
+    /// Refused.
+    Refused {
+        /// Number of the result code.
+        code: u32,
+        /// Label.
+        label: String,
+    },
+}
+
+impl Outcome {
+    /// The refusal, if it is one.
+    pub fn failure(&self) -> Option<Failure> {
+        match self {
+            Outcome::Refused { code, label } => Some(Failure::new(
+                Code::from_number(*code).unwrap_or(Code::Internal),
+                label.clone(),
+            )),
+            _ => None,
+        }
+    }
+}
+
+/// One job in the record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// What it asks for.
+    pub spec: Spec,
+    /// When it was submitted, in milliseconds since 1970.
+    pub submitted_wall_ms: u64,
+    /// Phase.
+    pub phase: Phase,
+    /// Last attempt that was started; 0 before the first.
+    pub epoch: u64,
+    /// Attempts started.
+    pub attempts: u64,
+    /// Placement of that attempt; empty unless started.
+    pub placement: Placement,
+    /// Why it waits or ended.
+    pub reason: String,
+}
+
+/// All jobs of a data centre.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Table {
+    next_job: u64,
+    jobs: BTreeMap<u64, Record>,
+    keys: BTreeMap<Arc<str>, u64>,
+    ended: VecDeque<u64>,
+}
+
+impl Table {
+    /// An empty record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The job, if it is known.
+    pub fn get(&self, job: u64) -> Option<&Record> {
+        self.jobs.get(&job)
+    }
+
+    /// All jobs in order of submission.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Record)> {
+        self.jobs.iter().map(|(job, record)| (*job, record))
+    }
+
+    /// Applies one change. Replicas that apply the same changes in the same order are equal.
+    pub fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::Submit {
+                spec,
+                submitted_wall_ms,
+            } => self.submit(spec, submitted_wall_ms),
+            Command::Start {
+                job,
+                epoch,
+                placement,
+            } => self.start(job, epoch, placement),
+            Command::Requeue { job, epoch, reason } => self.requeue(job, epoch, reason),
+            Command::End {
+                job,
+                epoch,
+                phase,
+                reason,
+            } => self.end(job, epoch, phase, reason),
+            Command::Cancel { customer, jobs } => self.cancel(&customer, jobs),
+        }
+    }
+
+    fn submit(&mut self, spec: Spec, submitted_wall_ms: u64) -> Outcome {
+        let key: Arc<str> = Arc::from(format!("{}/{}", spec.customer, spec.key));
+        if let Some(job) = self.keys.get(&key) {
+            let same = self.jobs.get(job).is_some_and(|record| record.spec == spec);
+            return if same {
+                Outcome::Submitted { job: *job }
+            } else {
+                Outcome::Refused {
+                    code: Code::KeyReused.number(),
+                    label: format!("key `{}`", spec.key),
+                }
+            };
+        }
+        self.next_job += 1;
+        let job = self.next_job;
+        self.keys.insert(key, job);
+        let record = Record {
+            spec,
+            submitted_wall_ms,
+            phase: Phase::Queued,
+            epoch: 0,
+            attempts: 0,
+            placement: Placement::default(),
+            reason: String::new(),
+        };
+        self.jobs.insert(job, record);
+        Outcome::Submitted { job }
+    }
+
+    /// A start is taken only for a waiting job and a newer attempt, so that a leader that was deposed between its
+    /// prepare and its decision cannot start a gang that its successor has placed elsewhere.
+    fn start(&mut self, job: u64, epoch: u64, placement: Placement) -> Outcome {
+        match self.jobs.get_mut(&job) {
+            Some(record) if record.phase == Phase::Queued && epoch > record.epoch => {
+                record.phase = Phase::Started;
+                record.epoch = epoch;
+                record.attempts += 1;
+                record.placement = placement;
+                record.reason.clear();
+                Outcome::Recorded
+            }
+            _ => Outcome::Stale,
+        }
+    }
+
+    fn requeue(&mut self, job: u64, epoch: u64, reason: String) -> Outcome {
+        match self.jobs.get_mut(&job) {
+            Some(record) if record.phase == Phase::Started && record.epoch == epoch => {
+                record.phase = Phase::Queued;
+                record.placement = Placement::default();
+                record.reason = reason;
+                Outcome::Recorded
+            }
+            _ => Outcome::Stale,
+        }
+    }
+
+    fn end(&mut self, job: u64, epoch: u64, phase: Phase, reason: String) -> Outcome {
+        match self.jobs.get_mut(&job) {
+            Some(record)
+                if !record.phase.is_final() && record.epoch <= epoch && phase.is_final() =>
+            {
+                record.phase = phase;
+                record.reason = reason;
+                self.note_ended(job);
+                Outcome::Recorded
+            }
+            _ => Outcome::Stale,
+        }
+    }
+
+    fn cancel(&mut self, customer: &str, jobs: Vec<u64>) -> Outcome {
+        // All or nothing: a wave that names a job of someone else cancels none.
+        let owned = |job: &u64| {
+            self.jobs
+                .get(job)
+                .is_some_and(|record| &*record.spec.customer == customer)
+        };
+        if let Some(other) = jobs.iter().find(|job| !owned(job)) {
+            let label = format!("job {other} of customer `{customer}`");
+            return Outcome::Refused {
+                code: Code::UnknownJob.number(),
+                label,
+            };
+        }
+        let mut cancelled = Vec::new();
+        for job in jobs {
+            if let Some(record) = self
+                .jobs
+                .get_mut(&job)
+                .filter(|record| !record.phase.is_final())
+            {
+                record.phase = Phase::Cancelled;
+                record.reason = "cancelled by the caller".to_owned();
+                cancelled.push(job);
+            }
+        }
+        for job in &cancelled {
+            self.note_ended(*job);
+        }
+        Outcome::Cancelled { jobs: cancelled }
+    }
+
+    fn note_ended(&mut self, job: u64) {
+        self.ended.push_back(job);
+        if self.ended.len() > ENDED_KEPT
+            && let Some(oldest) = self.ended.pop_front()
+            && let Some(record) = self.jobs.remove(&oldest)
+        {
+            self.keys
+                .remove(&*format!("{}/{}", record.spec.customer, record.spec.key));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-settings/src/lib.rs
@@ -0,0 +1,20 @@
+//! The settings tree: reading it from YAML, checking it, comparing it and changing it.
+//!
+//! Operators drive the whole system by changing this tree. Each team owns the subtree under its name; the
+//! replicated [`Machine`] decides which of two racing changes wins.
+
+pub mod check;
+pub mod diff;
+pub mod document;
+pub mod entry;
+pub mod key;
+pub mod machine;
+pub mod problem;
+pub mod section;
+pub mod token;
+pub mod tree;
+
+pub use entry::EntryConfig;
+pub use machine::Machine;
+pub use problem::Problem;
+pub use tree::Settings;
--- /dev/null
+++ b/crates/bh-settings/src/tree/policy.rs
@@ -0,0 +1,47 @@
+//! How placements are chosen.
+
+use crate::section::Section;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The operators' weights and waits for placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Policy {
+    /// How much job completion time counts.
+    pub completion_weight: u32,
+    /// How much accelerator fragmentation counts.
+    pub fragmentation_weight: u32,
+    /// How long a borrower may checkpoint before it is stopped, in milliseconds.
+    pub checkpoint_wait_ms: u64,
+    /// Wait after which a large job gets a reservation, in milliseconds.
+    pub starvation_ms: u64,
+    /// Failed starts on distinct workers before a job is given up.
+    pub max_attempts: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            completion_weight: 1,
+            fragmentation_weight: 1,
+            checkpoint_wait_ms: 2_000,
+            starvation_ms: 60_000,
+            max_attempts: 5,
+        }
+    }
+}
+
+impl Policy {
+    /// Reads the section `system.policy`.
+    pub fn read(mut section: Section<'_>) -> Self {
+        let policy = Self {
+            completion_weight: section.number_u32("completion_weight"),
+            fragmentation_weight: section.number_u32("fragmentation_weight"),
+            checkpoint_wait_ms: section.number("checkpoint_wait_ms"),
+            starvation_ms: section.number("starvation_ms"),
+            max_attempts: section.number_u32("max_attempts"),
+        };
+        section.finish();
+        policy
+    }
+}
