--- /dev/null
+++ b/crates/beechctl/src/commands/all.rs
@@ -0,0 +1,179 @@
+//! The tree of commands.
+
+use super::completion;
+use super::job_cancel;
+use super::job_list;
+use super::job_status;
+use super::job_submit;
+use super::report_burn;
+use super::report_fragmentation;
+use super::request;
+use super::settings_apply;
+use super::settings_check;
+use super::settings_diff;
+use super::settings_get;
+use super::settings_in_force;
+use super::status;
+use super::target_list;
+use super::token_hash;
+use crate::client::Client;
+use crate::output::Output;
+use bh_protocol::Failure;
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("beechctl")
+        .version(clap::crate_version!())
+        .about("Operates beechhollow and sends it work")
+        .after_help("Exit status: 0 when done; otherwise the class of the result code, see docs/RESULT-CODES.md.")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .global(true)
+                .env("BEECHHOLLOW_ENTRY")
+                .value_delimiter(',')
+                .action(ArgAction::Append)
+                .default_value("127.0.0.1:8080")
+                .value_name("IP:PORT")
+                .help("Entries to ask, in this order"),
+        )
+        .arg(
+            Arg::new("token")
+                .long("token")
+                .global(true)
+                .env("BEECHHOLLOW_TOKEN")
+                .hide_env_values(true)
+                .value_name("TOKEN")
+                .help("Token of the operator or caller; better given in the environment"),
+        )
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .global(true)
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("Form of the result"),
+        )
+        .arg(
+            Arg::new("timeout-ms")
+                .long("timeout-ms")
+                .global(true)
+                .value_parser(value_parser!(u64).range(1..))
+                .default_value("10000")
+                .value_name("MS")
+                .help("Longest wait for an answer"),
+        )
+        .subcommand(
+            Command::new("settings")
+                .about("Reads and changes the settings")
+                .subcommand_required(true)
+                .subcommand(settings_apply::command())
+                .subcommand(settings_check::command())
+                .subcommand(settings_diff::command())
+                .subcommand(settings_get::command())
+                .subcommand(settings_in_force::command()),
+        )
+        .subcommand(
+            Command::new("job")
+                .about("Submits, follows and cancels long jobs")
+                .subcommand_required(true)
+                .subcommand(job_submit::command())
+                .subcommand(job_status::command())
+                .subcommand(job_list::command())
+                .subcommand(job_cancel::command()),
+        )
+        .subcommand(request::command())
+        .subcommand(Command::new("target").about("Shows the targets").subcommand_required(true).subcommand(target_list::command()))
+        .subcommand(status::command())
+        .subcommand(
+            Command::new("report")
+                .about("Reports on service level and fragmentation")
+                .subcommand_required(true)
+                .subcommand(report_burn::command())
+                .subcommand(report_fragmentation::command()),
+        )
+        .subcommand(Command::new("token").about("Works on tokens").subcommand_required(true).subcommand(token_hash::command()))
+        .subcommand(completion::command())
+}
+
+/// Runs the command that was given; returns the exit status.
+///
+/// # Errors
+///
+/// The failure to print.
+pub async fn run(client: &Client, output: &Output, matches: &ArgMatches) -> Result<u8, Failure> {
+    match path(matches).as_slice() {
+        ["settings", "apply"] => settings_apply::run(client, output, leaf(matches)).await,
+        ["settings", "check"] => settings_check::run(output, leaf(matches)),
+        ["settings", "diff"] => settings_diff::run(client, output, leaf(matches)).await,
+        ["settings", "get"] => settings_get::run(client, output).await,
+        ["settings", "in-force"] => settings_in_force::run(client, output).await,
+        ["job", "submit"] => job_submit::run(client, output, leaf(matches)).await,
+        ["job", "status"] => job_status::run(client, output, leaf(matches)).await,
+        ["job", "list"] => job_list::run(client, output, leaf(matches)).await,
+        ["job", "cancel"] => job_cancel::run(client, output, leaf(matches)).await,
+        ["request"] => request::run(client, output, leaf(matches)).await,
+        ["target", "list"] => target_list::run(client, output, leaf(matches)).await,
+        ["status"] => status::run(client, output).await,
+        ["report", "burn"] => report_burn::run(client, output, leaf(matches)).await,
+        ["report", "fragmentation"] => report_fragmentation::run(client, output).await,
+        ["token", "hash"] => token_hash::run(),
+        ["completion"] => completion::run(leaf(matches)),
+        _ => unreachable!("clap requires one of the subcommands"),
+    }
+}
+
+fn path(matches: &ArgMatches) -> Vec<&str> {
+    let mut names = Vec::new();
+    let mut current = matches;
+    while let Some((name, inner)) = current.subcommand() {
+        names.push(name);
+        current = inner;
+    }
+    names
+}
+
+fn leaf(matches: &ArgMatches) -> &ArgMatches {
+    let mut current = matches;
+    while let Some((_, inner)) = current.subcommand() {
+        current = inner;
+    }
+    current
+}
+
+/// The text of a required argument.
+pub(super) fn text<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
+
+/// `?data_centre=` for a path, when the option is given.
+pub(super) fn data_centre_query(matches: &ArgMatches) -> String {
+    matches
+        .get_one::<String>("data-centre")
+        .map(|name| format!("?data_centre={name}"))
+        .unwrap_or_default()
+}
+
+/// The option that names a data centre.
+pub(super) fn data_centre_option() -> Arg {
+    Arg::new("data-centre")
+        .long("data-centre")
+        .value_name("NAME")
+        .help("Data centre; that of the entry when left out")
+}
+
+/// The option that names a customer.
+pub(super) fn customer_option() -> Arg {
+    Arg::new("customer")
+        .long("customer")
+        .required(true)
+        .value_name("NAME")
+        .help("Customer")
+}
--- /dev/null
+++ b/crates/beechctl/src/commands/mod.rs
@@ -0,0 +1,22 @@
+//! The commands: one a file, named after it.
+
+mod all;
+mod completion;
+mod job_cancel;
+mod job_list;
+mod job_status;
+mod job_submit;
+mod report_burn;
+mod report_fragmentation;
+mod request;
+mod settings_apply;
+mod settings_check;
+mod settings_diff;
+mod settings_get;
+mod settings_in_force;
+mod status;
+mod target_list;
+mod token_hash;
+
+pub use all::command;
+pub use all::run;
--- /dev/null
+++ b/crates/bh-node/src/http_api/reports.rs
@@ -0,0 +1,156 @@
+//! `/v1/reports`: service-level burn and fragmentation.
+
+use super::answer;
+use crate::leader::FragmentationReport;
+use crate::leader::LeaderAnswer;
+use crate::leader::LeaderCall;
+use crate::node::Node;
+use bh_net::http_client::Connection;
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_report::Counters;
+use bh_report::Objective;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Longest wait for another entry's counters, in milliseconds.
+const PEER_MS: u64 = 1_000;
+/// Largest counters of an entry, in bytes.
+const MAX_COUNTERS_BYTES: u64 = 64 << 20;
+/// Longest wait for a leader, in milliseconds.
+const LEADER_MS: u64 = 2_000;
+
+/// This entry's own counters, for the entry that makes the report.
+pub(super) fn counters(node: &Rc<Node>) -> Response<Bytes> {
+    answer::json(&*node.counters.borrow())
+}
+
+/// The burn report over all entries that answer, as JSON or, with `format=html`, as a page.
+pub(super) async fn burn(
+    node: &Rc<Node>,
+    request: &Request<Bytes>,
+) -> Result<Response<Bytes>, Failure> {
+    let mut sum = node.counters.borrow().clone();
+    let mut entries = vec![node.config.own.name.clone()];
+    let mut silent = Vec::new();
+    let mut asking = Vec::new();
+    for peer in node.peers.iter() {
+        let address = peer.vm.http_address;
+        asking.push((
+            peer.vm.name.clone(),
+            monoio::spawn(async move { fetch_counters(address).await }),
+        ));
+    }
+    for (name, task) in asking {
+        match task.await {
+            Some(counters) => {
+                sum.merge(&counters);
+                entries.push(name);
+            }
+            None => silent.push(name),
+        }
+    }
+    entries.sort();
+    let report = bh_report::report(
+        &sum,
+        node.clock.wall_ms(),
+        &objectives(node),
+        entries,
+        silent,
+    );
+    if answer::parameter(request, "format") == Some("html") {
+        return Ok(answer::text(
+            "text/html; charset=utf-8",
+            bh_report::to_html(&report),
+        ));
+    }
+    Ok(answer::json(&report))
+}
+
+fn objectives(node: &Node) -> BTreeMap<(Arc<str>, Arc<str>), Objective> {
+    let (_, settings) = node.settings_in_force();
+    let mut objectives = BTreeMap::new();
+    for team in settings.teams.values() {
+        for customer in team.customers.keys() {
+            for (name, kind) in &team.request_types {
+                let objective = Objective {
+                    objective_ppm: kind.objective_ppm,
+                    objective_ms: kind.objective_ms,
+                };
+                objectives.insert((customer.clone(), name.clone()), objective);
+            }
+        }
+    }
+    objectives
+}
+
+async fn fetch_counters(address: SocketAddr) -> Option<Counters> {
+    let mut connection = Connection::open(address, PEER_MS).await.ok()?;
+    let request = Request::builder()
+        .uri("/v1/reports/counters")
+        .header("host", address.to_string())
+        .body(Bytes::new())
+        .ok()?;
+    let response = connection
+        .send(request, PEER_MS, MAX_COUNTERS_BYTES)
+        .await
+        .ok()?;
+    serde_json::from_slice(response.body()).ok()
+}
+
+/// Fragmentation of one data centre, or of all whose leader answers.
+pub(super) async fn fragmentation(
+    node: &Rc<Node>,
+    request: &Request<Bytes>,
+) -> Result<Response<Bytes>, Failure> {
+    let asked = answer::parameter(request, "data_centre");
+    let mut reports: Vec<FragmentationReport> = Vec::new();
+    for data_centre in node.config.data_centres() {
+        if asked.is_some_and(|asked| asked != &*data_centre) {
+            continue;
+        }
+        match node
+            .ask_leader(&data_centre, &LeaderCall::Fragmentation, LEADER_MS)
+            .await
+        {
+            Ok(LeaderAnswer::Fragmentation(report)) => reports.push(report),
+            Ok(_) => {
+                return Err(Failure::new(
+                    Code::Internal,
+                    "the leader answered another question",
+                ));
+            }
+            Err(failure) if asked.is_some() => return Err(failure),
+            Err(_) => {}
+        }
+    }
+    Ok(answer::json(&reports))
+}
+
+/// Reads the counters kept at `path`; none when there are none or they cannot be read.
+pub fn load_counters(path: &Path) -> Counters {
+    std::fs::read(path)
+        .ok()
+        .and_then(|bytes| serde_json::from_slice(&bytes).ok())
+        .unwrap_or_default()
+}
+
+/// Writes the counters aside, syncs and renames them.
+///
+/// # Errors
+///
+/// When the disk refuses.
+pub fn save_counters(path: &Path, counters: &Counters) -> std::io::Result<()> {
+    let aside = path.with_extension("new");
+    let mut file = std::fs::File::create(&aside)?;
+    file.write_all(&serde_json::to_vec(counters)?)?;
+    file.sync_all()?;
+    std::fs::rename(&aside, path)
+}
--- /dev/null
+++ b/crates/bh-node/src/metrics.rs
@@ -0,0 +1,70 @@
+//! Metrics to a StatsD address. `docs/OPERATING.md` lists them with unit and type.
+
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::NopMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+use cadence::UdpMetricSink;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+const PREFIX: &str = "beechhollow";
+
+/// Sends counters, gauges and timers.
+pub struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Metrics of the entry `name` to `address`; to nowhere when there is none or no socket can be had.
+    pub fn new(name: &Arc<str>, address: Option<SocketAddr>) -> Self {
+        let sink = address.and_then(|address| {
+            let any = if address.is_ipv4() {
+                "0.0.0.0:0"
+            } else {
+                "[::]:0"
+            };
+            let socket = UdpSocket::bind(any).ok()?;
+            // A full socket buffer loses a metric; it must not stop the loop.
+            socket.set_nonblocking(true).ok()?;
+            UdpMetricSink::from(address, socket).ok()
+        });
+        let builder = match sink {
+            Some(sink) => StatsdClient::builder(PREFIX, sink),
+            None => StatsdClient::builder(PREFIX, NopMetricSink),
+        };
+        Self {
+            client: builder.with_tag("entry", name).build(),
+        }
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, name: &str, by: i64) {
+        let _ = self.client.count(name, by);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Notes the end of a short request.
+    pub fn request(&self, customer: &str, request_type: &str, code: u32, took_ms: u64) {
+        let code = code.to_string();
+        let _ = self
+            .client
+            .count_with_tags("requests", 1)
+            .with_tag("customer", customer)
+            .with_tag("type", request_type)
+            .with_tag("code", &code)
+            .try_send();
+        let _ = self
+            .client
+            .time_with_tags("request_ms", took_ms)
+            .with_tag("customer", customer)
+            .with_tag("type", request_type)
+            .try_send();
+    }
+}
--- /dev/null
+++ b/crates/bh-node/src/node/mod.rs
@@ -0,0 +1,14 @@
+//! One entry: its groups, peers, targets and requests in progress.
+
+mod calls;
+mod late;
+mod links;
+mod state;
+
+pub use calls::SETTINGS_GROUP;
+pub(crate) use calls::from_json;
+pub(crate) use calls::into_result;
+pub use calls::jobs_group;
+pub(crate) use calls::to_json;
+pub use late::Late;
+pub use state::Node;
--- /dev/null
+++ b/crates/bh-node/src/requests/final_answer.rs
@@ -0,0 +1,83 @@
+//! What became of a request: the one answer its caller gets.
+
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_protocol::Ran;
+use bh_protocol::request::StoredAnswer;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A final answer.
+#[derive(Clone, Debug)]
+pub enum FinalAnswer {
+    /// The target's whole answer.
+    Answered {
+        /// HTTP status of the target.
+        status: u16,
+        /// Content type of the body.
+        content_type: Option<String>,
+        /// Body.
+        body: Bytes,
+    },
+    /// No whole answer; the code says whether it ran.
+    Failed(Failure),
+}
+
+/// Head of an answer that travels between entries.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AnswerHead {
+    /// HTTP status of the target.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: Option<String>,
+}
+
+impl FinalAnswer {
+    /// The numbered code of the answer.
+    pub fn code(&self) -> Code {
+        match self {
+            FinalAnswer::Answered { .. } => Code::Done,
+            FinalAnswer::Failed(failure) => failure.code,
+        }
+    }
+
+    /// Whether nothing was sent to a target.
+    pub fn is_not_run(&self) -> bool {
+        self.code().ran() == Ran::No
+    }
+
+    /// The form that resends get.
+    pub fn to_stored(&self) -> StoredAnswer {
+        match self {
+            FinalAnswer::Answered { body, .. } => StoredAnswer {
+                code: Code::Done.number(),
+                body: Some(body.to_vec()),
+            },
+            FinalAnswer::Failed(failure) => StoredAnswer {
+                code: failure.code.number(),
+                body: Some(failure.label.clone().into_bytes()),
+            },
+        }
+    }
+
+    /// The answer kept for a request that ended earlier.
+    pub fn from_stored(stored: StoredAnswer) -> Self {
+        let code = Code::from_number(stored.code).unwrap_or(Code::Internal);
+        match (code, stored.body) {
+            (Code::Done, Some(body)) => FinalAnswer::Answered {
+                status: 200,
+                content_type: None,
+                body: Bytes::from(body),
+            },
+            (Code::Done, None) => FinalAnswer::Failed(Failure::new(
+                Code::AnswerNotKept,
+                "an earlier request with this key",
+            )),
+            (code, body) => {
+                let label = String::from_utf8_lossy(&body.unwrap_or_default()).into_owned();
+                FinalAnswer::Failed(Failure::new(code, label))
+            }
+        }
+    }
+}
--- a/crates/bh-protocol/src/wire/peer.rs
+++ b/crates/bh-protocol/src/wire/peer.rs
@@ -26,22 +26,14 @@
 pub enum RpcKind {
     /// Propose a command to a group; body: the command.
     Propose = 0,
-    /// A worker's announcement for the leader of the data centre; body: JSON.
-    Announce = 1,
-    /// A short request to run on a target the receiver owns; body: the request's own.
+    /// Ask the leader of a group; body: a call as JSON.
+    Leader = 1,
+    /// A short request to run on a target the receiver owns; head: its description as JSON; body: the request's own.
     RunRequest = 2,
-    /// Read jobs from the leader of the data centre; body: JSON.
-    ReadJobs = 3,
-    /// An entry's renewal of the targets it owns; body: JSON.
-    RenewOwnership = 4,
     /// What the receiver has in force; empty body.
-    InForce = 5,
+    InForce = 3,
     /// Whether a group has been formed and by whom; empty body.
-    Formation = 6,
-    /// Read the targets from the leader of the data centre; empty body.
-    ReadTargets = 7,
-    /// Confirmed read of a group's state: the body is empty, the answer is the leader's applied index.
-    ReadIndex = 8,
+    Formation = 4,
 }
 
 /// A call from one entry to another.
--- /dev/null
+++ b/crates/bh-report/src/lib.rs
@@ -0,0 +1,15 @@
+//! The service-level report: durable counters, error-budget burn over several windows, and a picture of it.
+
+mod burn;
+mod counters;
+mod picture;
+
+pub use burn::BurnReport;
+pub use burn::BurnRow;
+pub use burn::Objective;
+pub use burn::WINDOWS_MINUTES;
+pub use burn::WindowBurn;
+pub use burn::report;
+pub use counters::Counters;
+pub use counters::Tally;
+pub use picture::to_html;
--- /dev/null
+++ b/crates/bh-report/src/picture.rs
@@ -0,0 +1,120 @@
+//! The report as one HTML page with drawings in SVG, which needs nothing else to be shown.
+
+use crate::burn::BurnReport;
+use crate::burn::BurnRow;
+use crate::burn::WindowBurn;
+use std::fmt::Write;
+
+const BAR_WIDTH: f64 = 220.0;
+const BAR_HEIGHT: f64 = 16.0;
+/// Burn at which a bar is full. The scale is logarithmic from a hundredth to this.
+const FULL_BURN: f64 = 100.0;
+const LEAST_BURN: f64 = 0.01;
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2rem auto;max-width:72rem;padding:0 1rem;color:#1c2430;background:#fff}
+h1{font-size:1.5rem;margin:0 0 .25rem}p.note{color:#5b6675;margin:.25rem 0 1.5rem}
+section{border:1px solid #dde3ea;border-radius:8px;padding:1rem 1.25rem;margin:0 0 1rem}
+h2{font-size:1.05rem;margin:0 0 .5rem;display:flex;gap:.6rem;align-items:baseline;flex-wrap:wrap}
+h2 span.goal{font-weight:400;color:#5b6675;font-size:.9rem}
+.flag{font-size:.78rem;font-weight:600;border-radius:4px;padding:.1rem .45rem;color:#fff}
+.fast{background:#b3261e}.slow{background:#a15c00}.calm{background:#23704a}
+table{border-collapse:collapse;width:100%}td,th{text-align:left;padding:.2rem .75rem .2rem 0;font-weight:400}
+th{color:#5b6675;font-size:.85rem}td.n{text-align:right;font-variant-numeric:tabular-nums}";
+
+/// The report as a page.
+pub fn to_html(report: &BurnReport) -> String {
+    let mut page = String::new();
+    let _ = write!(
+        page,
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Error-budget burn</title><style>{STYLE}</style></head><body>"
+    );
+    let _ = write!(
+        page,
+        "<h1>Error-budget burn</h1><p class=\"note\">{}</p>",
+        escape(&coverage(report))
+    );
+    if report.rows.is_empty() {
+        page.push_str("<p>No request has been counted yet.</p>");
+    }
+    for row in &report.rows {
+        write_row(&mut page, row);
+    }
+    page.push_str("</body></html>\n");
+    page
+}
+
+fn coverage(report: &BurnReport) -> String {
+    let mut text = format!("Counters of {} entries.", report.entries.len());
+    if !report.silent.is_empty() {
+        let _ = write!(
+            text,
+            " No answer from {}: their requests are missing.",
+            report.silent.join(", ")
+        );
+    }
+    text.push_str(" A burn of 1 uses up exactly the budget of the window; bars are logarithmic, the mark is at 1.");
+    text
+}
+
+fn write_row(page: &mut String, row: &BurnRow) {
+    let (class, word) = match (row.fast_burn, row.slow_burn) {
+        (true, _) => ("fast", "fast burn"),
+        (false, true) => ("slow", "slow burn"),
+        (false, false) => ("calm", "within budget"),
+    };
+    let goal = f64::from(row.objective.objective_ppm) / 10_000.0;
+    let _ = write!(
+        page,
+        "<section><h2>{} / {} <span class=\"flag {class}\">{word}</span><span class=\"goal\">{goal}% within {} ms; {:.1}% of the thirty-day budget left</span></h2>",
+        escape(&row.customer),
+        escape(&row.request_type),
+        row.objective.objective_ms,
+        row.budget_left * 100.0
+    );
+    page.push_str("<table><tr><th>window</th><th>burn</th><th></th><th>good</th><th>bad</th></tr>");
+    for window in &row.windows {
+        write_window(page, window);
+    }
+    page.push_str("</table></section>");
+}
+
+fn write_window(page: &mut String, window: &WindowBurn) {
+    let scale = (FULL_BURN / LEAST_BURN).ln();
+    let place =
+        |burn: f64| ((burn.clamp(LEAST_BURN, FULL_BURN) / LEAST_BURN).ln() / scale) * BAR_WIDTH;
+    let color = if window.burn >= 14.4 {
+        "#b3261e"
+    } else if window.burn >= 1.0 {
+        "#c77700"
+    } else {
+        "#2f8f5f"
+    };
+    let _ = write!(
+        page,
+        "<tr><td>{}</td><td><svg width=\"{BAR_WIDTH}\" height=\"{BAR_HEIGHT}\" role=\"img\" aria-label=\"burn {:.2}\"><rect width=\"{BAR_WIDTH}\" height=\"{BAR_HEIGHT}\" rx=\"3\" fill=\"#edf0f4\"/><rect width=\"{:.1}\" height=\"{BAR_HEIGHT}\" rx=\"3\" fill=\"{color}\"/><line x1=\"{:.1}\" x2=\"{:.1}\" y1=\"0\" y2=\"{BAR_HEIGHT}\" stroke=\"#1c2430\"/></svg></td><td class=\"n\">{:.2}</td><td class=\"n\">{}</td><td class=\"n\">{}</td></tr>",
+        words(window.minutes),
+        window.burn,
+        place(window.burn),
+        place(1.0),
+        place(1.0),
+        window.burn,
+        window.good,
+        window.bad
+    );
+}
+
+/// A window's length in words.
+fn words(minutes: u64) -> String {
+    match minutes {
+        m if m < 60 => format!("{m} min"),
+        m if m < 1_440 => format!("{} h", m / 60),
+        m => format!("{} d", m / 1_440),
+    }
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
+}
--- a/crates/bh-storage/src/lib.rs
+++ b/crates/bh-storage/src/lib.rs
@@ -8,9 +8,12 @@
 mod recovered;
 
 pub use folder::Folder;
+pub use folder::random_replica;
 pub use journal::Journal;
 pub use record::Record;
 pub use record::RecordError;
+pub use record::Snapshot;
+pub use record::Vote;
 pub use record::decode_all;
 pub use record::encode;
 pub use recovered::Recovered;
--- /dev/null
+++ b/crates/bh-testkit/src/lib.rs
@@ -0,0 +1,14 @@
+//! Test only: a worker that takes faults to order, entries as real processes, a link that can be cut, and a checker of
+//! histories.
+
+pub mod cluster;
+pub mod http_raw;
+pub mod link;
+pub mod ports;
+pub mod worker;
+
+pub use cluster::Cluster;
+pub use cluster::EntryOptions;
+pub use link::Link;
+pub use worker::Faults;
+pub use worker::Worker;
--- /dev/null
+++ b/crates/bh-testkit/src/link.rs
@@ -0,0 +1,140 @@
+//! A link between two addresses that can be cut, delayed, or fall silent on open connections only.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+#[derive(Default)]
+struct Control {
+    cut: AtomicBool,
+    delay_us: AtomicU64,
+    /// Connections opened before this generation forward nothing any more, and stay open.
+    silent_before: AtomicU64,
+    generation: AtomicU64,
+    forwarded: AtomicU64,
+}
+
+/// Forwards connections to an address.
+pub struct Link {
+    address: SocketAddr,
+    control: Arc<Control>,
+}
+
+impl Link {
+    /// A link that listens on `from` and forwards to `to`.
+    ///
+    /// # Panics
+    ///
+    /// When `from` cannot be listened on.
+    pub fn start(from: SocketAddr, to: SocketAddr) -> Link {
+        let listener = TcpListener::bind(from).expect("the link's address is free");
+        let address = listener
+            .local_addr()
+            .expect("a bound listener has an address");
+        let control = Arc::new(Control::default());
+        let shared = control.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let control = shared.clone();
+                thread::spawn(move || forward(stream, to, &control));
+            }
+        });
+        Link { address, control }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts the link: nothing passes and new connections are closed; or mends it.
+    pub fn set_cut(&self, cut: bool) {
+        self.control.cut.store(cut, Ordering::SeqCst);
+    }
+
+    /// Delays everything by this long, one way.
+    pub fn set_delay(&self, delay: Duration) {
+        self.control.delay_us.store(
+            u64::try_from(delay.as_micros()).unwrap_or(u64::MAX),
+            Ordering::SeqCst,
+        );
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence_open_connections(&self) {
+        let next = self.control.generation.fetch_add(1, Ordering::SeqCst) + 1;
+        self.control.silent_before.store(next, Ordering::SeqCst);
+    }
+
+    /// Bytes forwarded so far, both ways.
+    pub fn forwarded(&self) -> u64 {
+        self.control.forwarded.load(Ordering::SeqCst)
+    }
+}
+
+fn forward(stream: TcpStream, to: SocketAddr, control: &Arc<Control>) {
+    if control.cut.load(Ordering::SeqCst) {
+        return;
+    }
+    let Ok(onward) = TcpStream::connect(to) else {
+        return;
+    };
+    let _ = stream.set_nodelay(true);
+    let _ = onward.set_nodelay(true);
+    let generation = control.generation.load(Ordering::SeqCst);
+    let (Ok(stream_back), Ok(onward_back)) = (stream.try_clone(), onward.try_clone()) else {
+        return;
+    };
+    let back = control.clone();
+    thread::spawn(move || pump(onward_back, stream_back, &back, generation));
+    pump(stream, onward, control, generation);
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, control: &Control, generation: u64) {
+    let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
+    let mut chunk = vec![0; 64 << 10];
+    loop {
+        if control.cut.load(Ordering::SeqCst) {
+            break;
+        }
+        let count = match from.read(&mut chunk) {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) =>
+            {
+                continue;
+            }
+            Err(_) => break,
+        };
+        if generation < control.silent_before.load(Ordering::SeqCst)
+            || control.cut.load(Ordering::SeqCst)
+        {
+            continue;
+        }
+        let delay_us = control.delay_us.load(Ordering::SeqCst);
+        if delay_us > 0 {
+            thread::sleep(Duration::from_micros(delay_us));
+        }
+        control
+            .forwarded
+            .fetch_add(u64::try_from(count).unwrap_or(0), Ordering::SeqCst);
+        if to.write_all(&chunk[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/crates/bh-testkit/src/worker/serve.rs
@@ -0,0 +1,416 @@
+//! The worker's own loop, on a thread of its own.
+
+use super::faults::Faults;
+use super::options::WorkerOptions;
+use super::state::Seen;
+use super::state::State;
+use super::tasks::Tasks;
+use bh_net::Clock;
+use bh_net::http_client::Connection;
+use bh_net::http_server;
+use bh_net::http_server::Limits;
+use bh_net::runtime;
+use bh_net::runtime::sleep_ms;
+use bh_net::runtime::within_ms;
+use bh_protocol::request;
+use bh_protocol::target::AnnounceReply;
+use bh_protocol::target::Announcement;
+use bh_protocol::target::TaskKey;
+use bh_protocol::target::TaskOrder;
+use bh_protocol::target::TaskOrderReply;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::thread;
+use std::thread::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Time between announcements before the first answer, in milliseconds.
+const FIRST_RENEW_MS: u64 = 100;
+const POLL_MS: u64 = 10;
+const ANNOUNCE_MS: u64 = 1_000;
+const MAX_ANSWER_BYTES: u64 = 4 << 20;
+
+static NEXT_INCARNATION: AtomicU64 = AtomicU64::new(1);
+
+/// A running stand-in worker. It ends when dropped.
+pub struct Worker {
+    address: SocketAddr,
+    state: Arc<State>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Worker {
+    /// Starts a worker on a free port.
+    ///
+    /// # Panics
+    ///
+    /// When no port or thread can be had.
+    pub fn start(options: WorkerOptions) -> Worker {
+        let base = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |since| since.as_secs());
+        let state = Arc::new(State {
+            options,
+            faults: Mutex::new(Faults::default()),
+            seen: Mutex::new(Seen::default()),
+            tasks: Mutex::new(Tasks::default()),
+            stop: AtomicBool::new(false),
+            incarnation: base * 1_000 + NEXT_INCARNATION.fetch_add(1, Ordering::SeqCst),
+        });
+        let (sender, receiver) = mpsc::channel();
+        let shared = state.clone();
+        let thread = thread::spawn(move || {
+            runtime::run(1, main(shared, sender)).expect("an event loop for the worker");
+        });
+        let address = receiver.recv().expect("the worker listens");
+        Worker {
+            address,
+            state,
+            thread: Some(thread),
+        }
+    }
+
+    /// Where it takes work.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Orders faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.state.faults.lock().expect("no panic under the lock") = faults;
+    }
+
+    /// What it has seen.
+    pub fn seen(&self) -> Seen {
+        self.state
+            .seen
+            .lock()
+            .expect("no panic under the lock")
+            .clone()
+    }
+
+    /// Tasks that run now.
+    pub fn running(&self) -> Vec<TaskKey> {
+        self.state
+            .tasks
+            .lock()
+            .expect("no panic under the lock")
+            .running()
+    }
+
+    /// Tasks that ever began to run, with the time on the worker's clock.
+    pub fn started(&self) -> Vec<TaskKey> {
+        self.state
+            .tasks
+            .lock()
+            .expect("no panic under the lock")
+            .started
+            .iter()
+            .map(|(key, _)| *key)
+            .collect()
+    }
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.state.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn main(state: Arc<State>, address: mpsc::Sender<SocketAddr>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port for the worker");
+    let own = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    address.send(own).expect("the test waits for the address");
+    let clock = Clock::new();
+    let stop = CancellationToken::new();
+    monoio::spawn(accept(state.clone(), listener, clock.clone(), stop.clone()));
+    monoio::spawn(announce(state.clone(), own, clock.clone()));
+    while !state.stop.load(Ordering::SeqCst) {
+        state
+            .tasks
+            .lock()
+            .expect("no panic under the lock")
+            .advance(clock.now_ms());
+        sleep_ms(POLL_MS).await;
+    }
+    stop.cancel();
+    sleep_ms(POLL_MS).await;
+}
+
+async fn accept(state: Arc<State>, listener: TcpListener, clock: Clock, stop: CancellationToken) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (state, clock, stop) = (state.clone(), clock.clone(), stop.clone());
+        monoio::spawn(async move {
+            let truncates = state
+                .faults
+                .lock()
+                .expect("no panic under the lock")
+                .truncates;
+            if truncates {
+                answer_half(stream).await;
+                return;
+            }
+            let handler = |request| serve(state.clone(), clock.clone(), request);
+            http_server::serve(stream, Limits::new(60_000), &stop, &stop, handler).await;
+        });
+    }
+}
+
+/// Promises more bytes than it sends, then closes.
+async fn answer_half(mut stream: TcpStream) {
+    use monoio::io::AsyncReadRent;
+    let (_, _) = stream.read(vec![0; 16 << 10]).await;
+    let text = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\nx-request-id: 1\r\n\r\nhalf of it";
+    let (_, _) = stream.write_all(text.as_bytes().to_vec()).await;
+}
+
+async fn serve(state: Arc<State>, clock: Clock, request: Request<Bytes>) -> Response<Bytes> {
+    match request.uri().path() {
+        "/v1/run" => run(&state, request).await,
+        "/v1/tasks" => order(&state, &clock, &request),
+        "/faults" => {
+            if let Ok(faults) = serde_json::from_slice(request.body()) {
+                *state.faults.lock().expect("no panic under the lock") = faults;
+            }
+            Response::new(Bytes::new())
+        }
+        _ => {
+            let mut response = Response::new(Bytes::new());
+            *response.status_mut() = http::StatusCode::NOT_FOUND;
+            response
+        }
+    }
+}
+
+/// Counts a request as in progress while it lives.
+struct InProgress(Arc<State>);
+
+impl InProgress {
+    fn new(state: &Arc<State>) -> Self {
+        let mut seen = state.seen.lock().expect("no panic under the lock");
+        seen.in_progress += 1;
+        seen.most_in_progress = seen.most_in_progress.max(seen.in_progress);
+        drop(seen);
+        Self(state.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        if let Ok(mut seen) = self.0.seen.lock() {
+            seen.in_progress -= 1;
+        }
+    }
+}
+
+async fn run(state: &Arc<State>, request: Request<Bytes>) -> Response<Bytes> {
+    let _in_progress = InProgress::new(state);
+    let faults = *state.faults.lock().expect("no panic under the lock");
+    note_run(state, &request);
+    if faults.hangs {
+        sleep_ms(3_600_000).await;
+    }
+    if faults.delay_ms > 0 {
+        sleep_ms(faults.delay_ms).await;
+    }
+    let id = request.headers().get(request::REQUEST_ID).cloned();
+    let mut body = format!("{} ran: ", state.options.name).into_bytes();
+    body.extend_from_slice(request.body());
+    let mut response = Response::new(Bytes::from(body));
+    if faults.fails_everything {
+        *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+    }
+    if let Some(id) = id {
+        let id = if faults.swaps_answers {
+            http::HeaderValue::from_static("0")
+        } else {
+            id
+        };
+        response.headers_mut().insert(request::REQUEST_ID, id);
+    }
+    response
+}
+
+fn note_run(state: &State, request: &Request<Bytes>) {
+    let mut seen = state.seen.lock().expect("no panic under the lock");
+    seen.runs += 1;
+    let body = String::from_utf8_lossy(request.body())
+        .chars()
+        .take(100)
+        .collect();
+    *seen.runs_by_body.entry(body).or_insert(0) += 1;
+    if let Some(key) = request
+        .headers()
+        .get(request::IDEMPOTENCY_KEY)
+        .and_then(|value| value.to_str().ok())
+    {
+        *seen.runs_by_key.entry(key.to_owned()).or_insert(0) += 1;
+    }
+}
+
+fn order(state: &State, clock: &Clock, request: &Request<Bytes>) -> Response<Bytes> {
+    use bh_protocol::target::TaskVerb;
+    let faults = *state.faults.lock().expect("no panic under the lock");
+    let result = match serde_json::from_slice::<TaskOrder>(request.body()) {
+        Err(error) => Err(error.to_string()),
+        Ok(order) if order.verb == TaskVerb::Prepare && faults.refuses_prepare => {
+            Err("ordered to refuse".to_owned())
+        }
+        Ok(order) if order.verb == TaskVerb::Start && faults.refuses_start => {
+            Err("ordered to refuse".to_owned())
+        }
+        Ok(order) => {
+            let mut tasks = state.tasks.lock().expect("no panic under the lock");
+            tasks.order(
+                clock.now_ms(),
+                &order,
+                state.options.accelerators,
+                faults.fails_everything,
+            )
+        }
+    };
+    if result
+        .as_ref()
+        .is_err_and(|reason| reason.ends_with("is known"))
+    {
+        state
+            .seen
+            .lock()
+            .expect("no panic under the lock")
+            .stale_orders += 1;
+    }
+    let reply = TaskOrderReply {
+        accepted: result.is_ok(),
+        reason: result.err().unwrap_or_default(),
+    };
+    Response::new(Bytes::from(serde_json::to_vec(&reply).unwrap_or_default()))
+}
+
+async fn announce(state: Arc<State>, own: SocketAddr, clock: Clock) {
+    let renew_ms = Rc::new(Cell::new(FIRST_RENEW_MS));
+    let mut next_entry = 0;
+    let mut last = None;
+    while !state.stop.load(Ordering::SeqCst) {
+        let faults = *state.faults.lock().expect("no panic under the lock");
+        if !faults.silent {
+            let reports = state
+                .tasks
+                .lock()
+                .expect("no panic under the lock")
+                .reports();
+            last = Some(reports.clone());
+            let entry = &state.options.entries[next_entry % state.options.entries.len()];
+            match within_ms(ANNOUNCE_MS, send(&state, own, &faults, reports, entry))
+                .await
+                .flatten()
+            {
+                Some(reply) => {
+                    renew_ms.set(reply.renew_ms.max(POLL_MS));
+                    let mut tasks = state.tasks.lock().expect("no panic under the lock");
+                    tasks.answered(
+                        clock.now_ms(),
+                        &reply.renewed,
+                        &reply.stop,
+                        &reply.acknowledged,
+                    );
+                }
+                None => {
+                    next_entry += 1;
+                    renew_ms.set(FIRST_RENEW_MS);
+                }
+            }
+        }
+        wait(&state, &clock, renew_ms.get(), &last, faults).await;
+    }
+}
+
+/// Waits for the next renewal, or until something is worth saying sooner.
+async fn wait(
+    state: &Arc<State>,
+    clock: &Clock,
+    renew_ms: u64,
+    last: &Option<Vec<bh_protocol::target::TaskReport>>,
+    faults: Faults,
+) {
+    let until_ms = clock.now_ms() + renew_ms;
+    while clock.now_ms() < until_ms && !state.stop.load(Ordering::SeqCst) {
+        sleep_ms(POLL_MS).await;
+        let changed = last.as_ref()
+            != Some(
+                &state
+                    .tasks
+                    .lock()
+                    .expect("no panic under the lock")
+                    .reports(),
+            );
+        let leaves = !faults.leaving
+            && state
+                .faults
+                .lock()
+                .expect("no panic under the lock")
+                .leaving;
+        if changed || leaves {
+            return;
+        }
+    }
+}
+
+async fn send(
+    state: &State,
+    own: SocketAddr,
+    faults: &Faults,
+    tasks: Vec<bh_protocol::target::TaskReport>,
+    entry: &str,
+) -> Option<AnnounceReply> {
+    let options = &state.options;
+    let announcement = Announcement {
+        name: Arc::from(options.name.as_str()),
+        incarnation: state.incarnation,
+        data_centre: Arc::from(options.data_centre.as_str()),
+        rack: Arc::from(options.rack.as_str()),
+        address: Arc::from(own.to_string()),
+        cores: 130,
+        memory_mib: 500 << 10,
+        accelerators: options.accelerators,
+        slots: options.slots,
+        connections: 64,
+        busy_slots: state
+            .seen
+            .lock()
+            .expect("no panic under the lock")
+            .in_progress,
+        leaving: faults.leaving,
+        tasks,
+    };
+    let address: SocketAddr = entry.parse().ok()?;
+    let mut connection = Connection::open(address, ANNOUNCE_MS).await.ok()?;
+    let request = Request::builder()
+        .method("POST")
+        .uri("/v1/targets/announce")
+        .header("host", entry)
+        .body(Bytes::from(serde_json::to_vec(&announcement).ok()?))
+        .ok()?;
+    let response = connection
+        .send(request, ANNOUNCE_MS, MAX_ANSWER_BYTES)
+        .await
+        .ok()?;
+    serde_json::from_slice(response.body()).ok()
+}
