--- a/crates/bh-consensus/src/config.rs
+++ b/crates/bh-consensus/src/config.rs
@@ -20,6 +20,8 @@
     pub heartbeat_ms: u64,
     /// Least silence before an election, in milliseconds; each replica adds up to as much again.
     pub election_ms: u64,
+    /// Added to that, in milliseconds: a replica that shall lead only when no other can waits longer.
+    pub election_delay_ms: u64,
     /// Seed of the election spread.
     pub seed: u64,
 }
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -470,8 +470,9 @@
     }
 
     pub(crate) fn restart_election_timer(&mut self, now_ms: u64) {
+        let spread_ms = self.next_random() % self.config.election_ms.max(1);
         self.election_at_ms =
-            now_ms + self.config.election_ms + self.next_random() % self.config.election_ms.max(1);
+            now_ms + self.config.election_ms + self.config.election_delay_ms + spread_ms;
     }
 
     /// Xorshift: spreads the elections of replicas; nothing depends on its quality.
--- /dev/null
+++ b/crates/bh-consensus/tests/fuzz.rs
@@ -0,0 +1,212 @@
+//! Random faults against the replicated log, with planted faults that the checks must catch.
+
+mod support;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRunner;
+use support::ELECTION_MS;
+use support::Group;
+use support::Planted;
+
+/// Cases in CI; `scripts/toolkit.sh fuzz` asks for more.
+const CASES: u32 = 300;
+const STEPS: usize = 400;
+const CALM_ROUNDS: usize = 200;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u64),
+    Deliver(usize),
+    Repeat(usize),
+    Drop(usize),
+    Propose(usize),
+    Kill(usize),
+    Start(usize),
+    LoseDisk(usize),
+    Cut(usize),
+    Mend(usize),
+    Snapshot(usize),
+}
+
+fn step(vms: usize) -> impl Strategy<Value = Step> {
+    prop_oneof![
+        12 => (1..ELECTION_MS).prop_map(Step::Advance),
+        40 => (0..64usize).prop_map(Step::Deliver),
+        3 => (0..64usize).prop_map(Step::Repeat),
+        6 => (0..64usize).prop_map(Step::Drop),
+        12 => (0..vms).prop_map(Step::Propose),
+        2 => (0..vms).prop_map(Step::Kill),
+        4 => (0..vms).prop_map(Step::Start),
+        1 => (0..vms).prop_map(Step::LoseDisk),
+        1 => (0..vms).prop_map(Step::Cut),
+        3 => (0..vms).prop_map(Step::Mend),
+        2 => (0..vms).prop_map(Step::Snapshot),
+    ]
+}
+
+/// Losing a disk is survivable only while the other voters are a majority: that is what is promised.
+fn may_lose_disk(group: &Group, vm: usize) -> bool {
+    let (voters, live) = group.live_voters();
+    group.is_running(vm) && group.running() > 1 && live > voters / 2 + 1 && voters >= 3
+}
+
+fn run(vms: usize, steps: &[Step], planted: Planted) -> Group {
+    let mut group = Group::new(vms, planted);
+    for step in steps {
+        match *step {
+            Step::Advance(by_ms) => group.advance(by_ms),
+            Step::Deliver(place) => group.deliver(place, false),
+            Step::Repeat(place) => group.deliver(place, true),
+            Step::Drop(place) => group.drop_message(place),
+            Step::Propose(vm) => {
+                let target = if vm % 2 == 0 {
+                    group.leader().unwrap_or(vm)
+                } else {
+                    vm
+                };
+                group.propose(target);
+            }
+            Step::Kill(vm) => group.kill(vm),
+            Step::Start(vm) => group.start(vm),
+            Step::LoseDisk(vm) if may_lose_disk(&group, vm) => {
+                group.lose_disk(vm);
+                group.start(vm);
+                // A repair needs the others: until it is done a second loss may take acknowledged entries along.
+                for other in 0..vms {
+                    group.set_cut(other, false);
+                    group.start(other);
+                }
+                group.calm(CALM_ROUNDS / 2);
+            }
+            Step::LoseDisk(_) => {}
+            Step::Cut(vm) => group.set_cut(vm, true),
+            Step::Mend(vm) => group.set_cut(vm, false),
+            Step::Snapshot(vm) if group.is_running(vm) => group.snapshot(vm),
+            Step::Snapshot(_) => {}
+        }
+    }
+    for vm in 0..vms {
+        group.set_cut(vm, false);
+        group.start(vm);
+    }
+    group.calm(CALM_ROUNDS);
+    let before = group.acknowledged.len();
+    if let Some(leader) = group.leader() {
+        group.propose(leader);
+        group.calm(CALM_ROUNDS / 4);
+    }
+    if group.acknowledged.len() == before {
+        group
+            .problems
+            .push("no progress after all faults were over".to_owned());
+    }
+    group.check_end();
+    group
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let from_environment = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let seed = std::env::var("PROPTEST_RNG_SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(20_261_202);
+    TestRunner::new(Config {
+        cases: from_environment.unwrap_or(cases),
+        rng_seed: RngSeed::Fixed(seed),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    })
+}
+
+fn holds(vms: usize) {
+    let strategy = proptest::collection::vec(step(vms), 1..STEPS);
+    let result = runner(CASES).run(&strategy, |steps| {
+        let group = run(vms, &steps, Planted::default());
+        if group.problems.is_empty() {
+            Ok(())
+        } else {
+            Err(TestCaseError::fail(group.problems.join("; ")))
+        }
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+/// Whether the checks catch a planted fault in some run.
+fn is_caught(vms: usize, planted: Planted) -> bool {
+    let strategy = proptest::collection::vec(step(vms), 100..STEPS * 2);
+    let runs = TestRunner::new(Config {
+        max_shrink_iters: 0,
+        ..runner(2_000).config().clone()
+    });
+    let mut runs = runs;
+    let result = runs.run(&strategy, |steps| {
+        let group = run(vms, &steps, planted);
+        if group.problems.is_empty() {
+            Ok(())
+        } else {
+            Err(TestCaseError::fail(group.problems.join("; ")))
+        }
+    });
+    result.is_err()
+}
+
+/// Three voters; messages are lost, repeated and reordered, VMs die, are cut off and lose their disks. What a
+/// proposer was told is committed must be in every state at the end, and all states must be equal.
+#[test]
+fn fuzz_three_voters() {
+    holds(3);
+}
+
+/// The same with five voters, where two may be away at a time.
+#[test]
+fn fuzz_five_voters() {
+    holds(5);
+}
+
+/// A voter that forgets its vote over a restart votes twice in a term, so that two leaders are elected.
+#[test]
+fn forgotten_votes_are_caught() {
+    assert!(is_caught(
+        3,
+        Planted {
+            forgets_votes: true,
+            ..Planted::default()
+        }
+    ));
+}
+
+/// A voter that acknowledges what it has not kept lets the leader commit what a majority does not hold; when the
+/// leader dies the entry is gone though its proposer was told otherwise.
+#[test]
+fn forgotten_entries_are_caught() {
+    assert!(is_caught(
+        3,
+        Planted {
+            forgets_entries: true,
+            ..Planted::default()
+        }
+    ));
+}
+
+/// A voter that lost its disk and votes on under its old identity elects a leader that lacks what it acknowledged
+/// before, so that acknowledged entries are lost.
+#[test]
+fn an_emptied_voter_under_its_old_identity_is_caught() {
+    assert!(is_caught(
+        3,
+        Planted {
+            keeps_identity: true,
+            ..Planted::default()
+        }
+    ));
+}
--- /dev/null
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -0,0 +1,465 @@
+//! A group of replicas in memory: a network that loses, delays, repeats and reorders, and disks that last what was
+//! synced.
+
+use bh_consensus::Config;
+use bh_consensus::Event;
+use bh_consensus::Output;
+use bh_consensus::Replica;
+use bh_consensus::Restored;
+use bh_protocol::wire::LogEntry;
+use bh_protocol::wire::Member;
+use bh_protocol::wire::RaftMessage;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+pub const ELECTION_MS: u64 = 100;
+pub const HEARTBEAT_MS: u64 = 20;
+const SEED: u64 = 7;
+
+/// A fault planted in the driver or the disk, to see the checks catch it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Planted {
+    /// Votes are not kept over a restart.
+    pub forgets_votes: bool,
+    /// Entries are acknowledged before they are kept.
+    pub forgets_entries: bool,
+    /// A VM whose disk was emptied comes back under its old identity.
+    pub keeps_identity: bool,
+}
+
+/// What a data folder holds.
+#[derive(Clone, Debug, Default)]
+struct Disk {
+    term: u64,
+    voted_for: u64,
+    snapshot: Option<(u64, u64, Vec<Member>, Vec<u8>)>,
+    entries: Vec<LogEntry>,
+}
+
+/// One VM.
+struct Vm {
+    name: Arc<str>,
+    id: u64,
+    disk: Disk,
+    replica: Option<Replica>,
+    /// The state machine: all commands applied, in order.
+    applied: Vec<u64>,
+    applied_index: u64,
+}
+
+/// A whole group.
+pub struct Group {
+    vms: Vec<Vm>,
+    pub now_ms: u64,
+    next_id: u64,
+    next_command: u64,
+    network: Vec<(usize, usize, RaftMessage)>,
+    cut: BTreeSet<usize>,
+    planted: Planted,
+    /// The command that was first applied at each index, by any replica.
+    chosen: BTreeMap<u64, (u64, u64)>,
+    /// Commands whose proposer was told that they are committed.
+    pub acknowledged: BTreeSet<u64>,
+    waiting: BTreeMap<(usize, u64), (u64, u64)>,
+    leaders: BTreeMap<u64, u64>,
+    pub problems: Vec<String>,
+    pub elections: u64,
+}
+
+impl Group {
+    pub fn new(count: usize, planted: Planted) -> Self {
+        let vms = (0..count)
+            .map(|index| Vm {
+                name: Arc::from(format!("vm{index}")),
+                id: 100 + index as u64,
+                disk: Disk::default(),
+                replica: None,
+                applied: Vec::new(),
+                applied_index: 0,
+            })
+            .collect();
+        let mut group = Self {
+            vms,
+            now_ms: 1,
+            next_id: 1_000,
+            next_command: 1,
+            network: Vec::new(),
+            cut: BTreeSet::new(),
+            planted,
+            chosen: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            problems: Vec::new(),
+            elections: 0,
+        };
+        let members: Vec<Member> = group
+            .vms
+            .iter()
+            .map(|vm| Member {
+                id: vm.id,
+                name: vm.name.to_string(),
+            })
+            .collect();
+        for index in 0..count {
+            group.start(index);
+            let outputs = group.vms[index]
+                .replica
+                .as_mut()
+                .map(|replica| replica.form(members.clone()))
+                .unwrap_or_default();
+            group.carry_out(index, outputs);
+        }
+        group
+    }
+
+    fn wanted(&self) -> BTreeSet<Arc<str>> {
+        self.vms.iter().map(|vm| vm.name.clone()).collect()
+    }
+
+    /// Starts a VM from what its disk holds.
+    pub fn start(&mut self, index: usize) {
+        if self.vms[index].replica.is_some() {
+            return;
+        }
+        let config = Config {
+            group: Arc::from("g"),
+            id: self.vms[index].id,
+            name: self.vms[index].name.clone(),
+            durable: true,
+            wanted_voters: self.wanted(),
+            heartbeat_ms: HEARTBEAT_MS,
+            election_ms: ELECTION_MS,
+            election_delay_ms: 0,
+            seed: SEED + index as u64,
+        };
+        let now_ms = self.now_ms;
+        let vm = &mut self.vms[index];
+        let disk = vm.disk.clone();
+        vm.applied = disk
+            .snapshot
+            .as_ref()
+            .map(|(_, _, _, state)| decode(state))
+            .unwrap_or_default();
+        vm.applied_index = disk.snapshot.as_ref().map_or(0, |(index, ..)| *index);
+        let restored = Restored {
+            term: disk.term,
+            voted_for: disk.voted_for,
+            snapshot: disk.snapshot,
+            entries: disk.entries,
+        };
+        vm.replica = Some(Replica::new(config, restored, now_ms));
+    }
+
+    /// Kills a VM; only what was synced stays.
+    pub fn kill(&mut self, index: usize) {
+        self.vms[index].replica = None;
+        self.network.retain(|(_, to, _)| *to != index);
+        self.waiting.retain(|(vm, _), _| *vm != index);
+    }
+
+    /// Kills a VM and empties its disk: it comes back with a new identity.
+    pub fn lose_disk(&mut self, index: usize) {
+        self.kill(index);
+        self.vms[index].disk = Disk::default();
+        if !self.planted.keeps_identity {
+            self.vms[index].id = self.next_id;
+            self.next_id += 1;
+        }
+    }
+
+    pub fn set_cut(&mut self, index: usize, cut: bool) {
+        if cut {
+            self.cut.insert(index);
+        } else {
+            self.cut.remove(&index);
+        }
+    }
+
+    pub fn is_running(&self, index: usize) -> bool {
+        self.vms[index].replica.is_some()
+    }
+
+    pub fn running(&self) -> usize {
+        self.vms.iter().filter(|vm| vm.replica.is_some()).count()
+    }
+
+    /// Voters as the leader with the newest term sees them, and which VMs of them run and hold that identity.
+    pub fn live_voters(&self) -> (usize, usize) {
+        let newest = self
+            .vms
+            .iter()
+            .filter_map(|vm| vm.replica.as_ref())
+            .max_by_key(|replica| (replica.term(), replica.commit()));
+        let members = newest.map(Replica::members).unwrap_or_default();
+        let live = members
+            .iter()
+            .filter(|member| {
+                self.vms
+                    .iter()
+                    .any(|vm| vm.replica.is_some() && vm.id == member.id)
+            })
+            .count();
+        (members.len(), live)
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.vms.len())
+            .filter(|index| !self.cut.contains(index))
+            .filter(|index| {
+                self.vms[*index]
+                    .replica
+                    .as_ref()
+                    .is_some_and(Replica::is_leader)
+            })
+            .max_by_key(|index| self.vms[*index].replica.as_ref().map_or(0, Replica::term))
+    }
+
+    /// Lets time pass and every VM tick.
+    pub fn advance(&mut self, by_ms: u64) {
+        self.now_ms += by_ms;
+        for index in 0..self.vms.len() {
+            self.step(index, Event::Tick);
+        }
+    }
+
+    /// Proposes a new command to a VM.
+    pub fn propose(&mut self, index: usize) {
+        let number = self.next_command;
+        self.next_command += 1;
+        self.step(
+            index,
+            Event::Propose {
+                ticket: number,
+                command: number.to_le_bytes().to_vec(),
+            },
+        );
+        self.step(index, Event::Flush);
+    }
+
+    /// Delivers the message at a place in the network; `repeat` leaves a copy there.
+    pub fn deliver(&mut self, place: usize, repeat: bool) {
+        if self.network.is_empty() {
+            return;
+        }
+        let place = place % self.network.len();
+        let (from, to, message) = if repeat {
+            self.network[place].clone()
+        } else {
+            self.network.swap_remove(place)
+        };
+        if self.cut.contains(&from) || self.cut.contains(&to) {
+            return;
+        }
+        self.step(to, Event::Receive(message));
+        self.step(to, Event::Flush);
+    }
+
+    pub fn drop_message(&mut self, place: usize) {
+        if !self.network.is_empty() {
+            let place = place % self.network.len();
+            self.network.swap_remove(place);
+        }
+    }
+
+    /// Delivers everything in order until nothing is on its way.
+    pub fn settle(&mut self) {
+        const MOST: usize = 20_000;
+        for _ in 0..MOST {
+            if self.network.is_empty() {
+                return;
+            }
+            let (from, to, message) = self.network.remove(0);
+            if !self.cut.contains(&from) && !self.cut.contains(&to) {
+                self.step(to, Event::Receive(message));
+            }
+        }
+        self.problems.push("messages without end".to_owned());
+    }
+
+    /// Runs without faults for a while.
+    pub fn calm(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.advance(HEARTBEAT_MS / 2);
+            self.settle();
+        }
+    }
+
+    /// Saves the state machine of a VM and compacts its log.
+    pub fn snapshot(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        let (at, state) = (vm.applied_index, encode(&vm.applied));
+        self.step(index, Event::Compact { index: at, state });
+    }
+
+    fn step(&mut self, index: usize, event: Event) {
+        let now_ms = self.now_ms;
+        let Some(replica) = self.vms[index].replica.as_mut() else {
+            return;
+        };
+        let was_leader = replica.is_leader();
+        let outputs = replica.step(now_ms, event);
+        let is_leader = replica.is_leader();
+        let (term, id) = (replica.term(), replica.id());
+        if is_leader && !was_leader {
+            self.elections += 1;
+            // Election safety: one leader a term.
+            if let Some(other) = self.leaders.insert(term, id)
+                && other != id
+            {
+                self.problems
+                    .push(format!("two leaders in term {term}: {other} and {id}"));
+            }
+        }
+        self.carry_out(index, outputs);
+    }
+
+    fn carry_out(&mut self, index: usize, outputs: Vec<Output>) {
+        for output in &outputs {
+            self.save(index, output);
+        }
+        for output in outputs {
+            self.release(index, output);
+        }
+    }
+
+    fn save(&mut self, index: usize, output: &Output) {
+        let planted = self.planted;
+        let disk = &mut self.vms[index].disk;
+        match output {
+            Output::SaveVote { term, voted_for } => {
+                disk.term = *term;
+                disk.voted_for = if planted.forgets_votes { 0 } else { *voted_for };
+            }
+            Output::SaveEntries(entries) if !planted.forgets_entries => {
+                if let Some(first) = entries.first() {
+                    disk.entries.retain(|entry| entry.index < first.index);
+                }
+                disk.entries.extend(entries.iter().cloned());
+            }
+            Output::SaveSnapshot {
+                index,
+                term,
+                voters,
+                state,
+                vote,
+                entries,
+            } => {
+                disk.snapshot = Some((*index, *term, voters.clone(), state.clone()));
+                disk.term = vote.0;
+                disk.voted_for = vote.1;
+                disk.entries = entries.clone();
+            }
+            _ => {}
+        }
+    }
+
+    fn release(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Send(message) => {
+                if let Some(to) = self.vms.iter().position(|vm| vm.id == message.to) {
+                    self.network.push((index, to, message));
+                }
+            }
+            Output::Broadcast(message) => {
+                for to in (0..self.vms.len()).filter(|to| *to != index) {
+                    self.network.push((index, to, message.clone()));
+                }
+            }
+            Output::Apply(entries) => {
+                for entry in entries {
+                    self.apply(index, &entry);
+                }
+            }
+            Output::Restore { index: at, state } => {
+                let vm = &mut self.vms[index];
+                vm.applied = decode(&state);
+                vm.applied_index = at;
+                self.waiting
+                    .retain(|(vm, waiting), _| *vm != index || *waiting > at);
+            }
+            Output::Appended {
+                ticket,
+                index: at,
+                term,
+            } => {
+                self.waiting.insert((index, at), (term, ticket));
+            }
+            _ => {}
+        }
+    }
+
+    /// Applies an entry, checking that every replica applies the same one at each index.
+    fn apply(&mut self, index: usize, entry: &LogEntry) {
+        let command = entry
+            .command
+            .as_slice()
+            .try_into()
+            .map_or(0, u64::from_le_bytes);
+        let seen = *self
+            .chosen
+            .entry(entry.index)
+            .or_insert((entry.term, command));
+        if seen != (entry.term, command) {
+            self.problems.push(format!(
+                "index {}: {seen:?} and {:?} were both applied",
+                entry.index,
+                (entry.term, command)
+            ));
+        }
+        let vm = &mut self.vms[index];
+        if entry.index != vm.applied_index + 1 {
+            self.problems.push(format!(
+                "{} applied {} after {}",
+                vm.name, entry.index, vm.applied_index
+            ));
+        }
+        vm.applied_index = entry.index;
+        if command != 0 {
+            vm.applied.push(command);
+        }
+        if let Some((term, ticket)) = self.waiting.remove(&(index, entry.index))
+            && term == entry.term
+        {
+            self.acknowledged.insert(ticket);
+        }
+    }
+
+    /// What must hold at the end of a run, after a calm time with every VM up: a leader, equal states, nothing
+    /// acknowledged lost.
+    pub fn check_end(&mut self) {
+        let longest = self
+            .vms
+            .iter()
+            .map(|vm| vm.applied.clone())
+            .max_by_key(Vec::len)
+            .unwrap_or_default();
+        let kept: BTreeSet<u64> = longest.iter().copied().collect();
+        let lost: Vec<u64> = self.acknowledged.difference(&kept).copied().collect();
+        if !lost.is_empty() {
+            self.problems
+                .push(format!("acknowledged and lost: {lost:?}"));
+        }
+        for vm in &self.vms {
+            if vm.applied[..] != longest[..vm.applied.len()] {
+                self.problems
+                    .push(format!("{} differs from the longest state", vm.name));
+            }
+        }
+    }
+}
+
+fn encode(applied: &[u64]) -> Vec<u8> {
+    applied
+        .iter()
+        .flat_map(|number| number.to_le_bytes())
+        .collect()
+}
+
+fn decode(state: &[u8]) -> Vec<u64> {
+    state
+        .chunks_exact(8)
+        .map(|chunk| u64::from_le_bytes(chunk.try_into().unwrap()))
+        .collect()
+}
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -215,6 +215,7 @@
         wanted_voters: wanted.clone(),
         heartbeat_ms: config.heartbeat_ms,
         election_ms: config.election_ms,
+        election_delay_ms: election_delay_ms(config, name),
         seed: replica,
     };
     let hooks = hooks(late, name);
@@ -229,6 +230,15 @@
     })
 }
 
+/// A voter made up from another data centre leads only when none of the data centre's own can: its orders to workers
+/// would cross the link that is cut first.
+fn election_delay_ms(config: &EntryConfig, group: &str) -> u64 {
+    match group.strip_prefix("jobs/") {
+        Some(data_centre) if data_centre != &*config.own.data_centre => config.election_ms,
+        _ => 0,
+    }
+}
+
 fn hooks(late: &Late, name: &str) -> crate::group::Hooks {
     let (sending, applying, changing) = (late.clone(), late.clone(), late.clone());
     let data_centre: Option<Arc<str>> = name.strip_prefix("jobs/").map(Arc::from);
--- a/crates/bh-scheduler/src/scheduler/dispatch.rs
+++ b/crates/bh-scheduler/src/scheduler/dispatch.rs
@@ -22,6 +22,8 @@
 /// What a pass has found out about shapes that do not fit, so that equal jobs are not tried again.
 #[derive(Default)]
 struct Tried {
+    /// Accelerators of the largest shape that waits.
+    largest_waiting: u32,
     free: BTreeSet<(Shape, bool)>,
     preempting: BTreeSet<(Shape, u8, bool)>,
     guaranteed: BTreeSet<(Arc<str>, Arc<str>)>,
@@ -30,7 +32,15 @@
 impl Scheduler {
     /// Gives accelerators to waiting jobs: guaranteed ones first, then by priority and age.
     pub(super) fn dispatch(&mut self, now_ms: u64) {
-        let mut tried = Tried::default();
+        let sizes = self
+            .queue
+            .iter()
+            .filter_map(|(_, _, number)| self.jobs.get(number))
+            .map(|job| job.spec.shape.accelerators());
+        let mut tried = Tried {
+            largest_waiting: sizes.max().unwrap_or(0),
+            ..Tried::default()
+        };
         let keys: Vec<QueueKey> = self.queue.iter().copied().collect();
         for (_, _, number) in &keys {
             self.dispatch_guaranteed(now_ms, *number, &mut tried);
@@ -319,7 +329,7 @@
             return;
         }
         let shape = job.spec.shape;
-        let may_break = self.may_break_intact(now_ms, job);
+        let may_break = self.may_break_intact(now_ms, job, tried.largest_waiting);
         if !tried.free.contains(&(shape, may_break)) {
             if let Some(places) = self.free_place(now_ms, &shape, may_break, reserved) {
                 self.place(now_ms, number, places, BTreeSet::new());
@@ -364,14 +374,19 @@
             })
     }
 
-    /// Whether a job may be placed on a rack that is wholly free. The more fragmentation counts against completion time,
-    /// the longer a small job waits for room on a rack that is already broken.
-    fn may_break_intact(&self, now_ms: u64, job: &Job) -> bool {
+    /// Whether a job may be placed on a rack that is wholly free. While a job at least twice as large waits, a small one
+    /// waits for room on a rack that is already broken: the longer, the more fragmentation counts against completion
+    /// time. Without this the next small job takes the rack that the large one waits for.
+    fn may_break_intact(&self, now_ms: u64, job: &Job, largest_waiting: u32) -> bool {
+        if job.spec.shape.accelerators() * 2 > largest_waiting
+            || job.spec.priority >= URGENT_PRIORITY
+        {
+            return true;
+        }
         let policy = &self.limits.policy;
         let weights = u64::from(policy.fragmentation_weight + policy.completion_weight).max(1);
-        let patience_ms =
-            policy.starvation_ms * u64::from(policy.fragmentation_weight) / weights / 2;
-        job.spec.priority >= URGENT_PRIORITY || now_ms >= job.submitted_ms + patience_ms
+        let patience_ms = policy.starvation_ms * u64::from(policy.fragmentation_weight) / weights;
+        now_ms >= job.submitted_ms + patience_ms
     }
 
     /// Stops others for an urgent or starving job.
--- a/crates/bh-testkit/src/main.rs
+++ b/crates/bh-testkit/src/main.rs
@@ -10,13 +10,18 @@
 fn main() {
     let matches = Command::new("bh-worker")
         .about("Stand-in for a worker; test only. Ends when standard input closes")
-        .arg(Arg::new("name").long("name").required(true))
-        .arg(Arg::new("data-centre").long("data-centre").required(true))
-        .arg(Arg::new("rack").long("rack").required(true))
+        .arg(
+            Arg::new("free-ports")
+                .long("free-ports")
+                .value_parser(value_parser!(usize))
+                .help("Print free ports and end"),
+        )
+        .arg(Arg::new("name").long("name"))
+        .arg(Arg::new("data-centre").long("data-centre"))
+        .arg(Arg::new("rack").long("rack"))
         .arg(
             Arg::new("entries")
                 .long("entries")
-                .required(true)
                 .value_delimiter(',')
                 .num_args(1..),
         )
@@ -27,6 +32,14 @@
                 .value_parser(value_parser!(u32)),
         )
         .get_matches();
+    if let Some(count) = matches.get_one::<usize>("free-ports") {
+        let ports: Vec<String> = bh_testkit::ports::free(*count)
+            .iter()
+            .map(|address| address.port().to_string())
+            .collect();
+        println!("{}", ports.join(" "));
+        return;
+    }
     let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
     let entries: Vec<String> = matches
         .get_many::<String>("entries")
