--- a/crates/bh-scheduler/benches/support/site.rs
+++ b/crates/bh-scheduler/benches/support/site.rs
@@ -439,14 +439,23 @@
         let now_ms = self.now_ms;
         if let Some(life) = self.lives.get_mut(&job) {
             let done = now_ms.saturating_sub(life.attempt_start_ms);
-            life.remaining_ms = life
-                .remaining_ms
-                .min(life.run_ms.saturating_sub(done))
-                .max(1);
+            life.remaining_ms = life.remaining_ms.saturating_sub(done).max(1);
             life.attempt_start_ms = now_ms;
         }
     }
 
+    /// Counts what the stopped attempt did since its last checkpoint.
+    fn note_lost(&mut self, job: u64) {
+        let now_ms = self.now_ms;
+        let accelerators = self
+            .table
+            .get(job)
+            .map_or(0, |record| u64::from(record.spec.shape.accelerators()));
+        if let Some(life) = self.lives.get_mut(&job) {
+            life.lost_work += now_ms.saturating_sub(life.attempt_start_ms) * accelerators;
+        }
+    }
+
     fn note_end(&mut self, job: u64) {
         let now_ms = self.now_ms;
         if let Some(life) = self.lives.get_mut(&job) {
@@ -531,6 +540,7 @@
                 }
             }
             Action::RecordRequeue { job, epoch, reason } => {
+                self.note_lost(job);
                 self.table.apply(Command::Requeue { job, epoch, reason });
                 self.feed(Event::Requeued { job, epoch });
             }
--- a/crates/bh-scheduler/src/lib.rs
+++ b/crates/bh-scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod job;
 mod limits;
 mod placement;
+mod runtimes;
 mod scheduler;
 mod table;
 
--- a/crates/bh-scheduler/src/placement.rs
+++ b/crates/bh-scheduler/src/placement.rs
@@ -10,7 +10,6 @@
 pub struct Search<'a, U: Fn(WorkerId) -> u32> {
     cells: &'a Cells,
     usable: U,
-    may_break_intact: bool,
 }
 
 /// Room in one rack for tasks of a shape.
@@ -24,17 +23,7 @@
 impl<'a, U: Fn(WorkerId) -> u32> Search<'a, U> {
     /// A search where `usable` says how many accelerators of each worker may be taken.
     pub fn new(cells: &'a Cells, usable: U) -> Self {
-        Self {
-            cells,
-            usable,
-            may_break_intact: true,
-        }
-    }
-
-    /// Whether a gang that needs only part of a rack may be placed on a rack that is wholly free.
-    pub fn with_may_break_intact(mut self, may: bool) -> Self {
-        self.may_break_intact = may;
-        self
+        Self { cells, usable }
     }
 
     /// One worker for each task, or `None` when the gang does not fit.
@@ -49,20 +38,11 @@
         }
     }
 
-    fn admits_rack(&self, rack: RackId, needed: u32) -> bool {
-        let cell = self.cells.rack(rack);
-        self.may_break_intact || !cell.is_intact() || needed >= cell.capacity
-    }
-
     /// Best fit: the worker that is left with the least, on the rack that is already most in use.
     fn place_on_worker(&self, shape: &Shape) -> Option<Vec<WorkerId>> {
         let needed = shape.accelerators();
         let mut best: Option<(u32, u32, WorkerId)> = None;
-        for (rack_index, rack) in self.cells.racks().iter().enumerate() {
-            let rack_id = RackId::try_from(rack_index).unwrap_or(RackId::MAX);
-            if !self.admits_rack(rack_id, needed) {
-                continue;
-            }
+        for rack in self.cells.racks() {
             let rack_free = rack.capacity.saturating_sub(rack.used);
             for id in &rack.workers {
                 let usable = (self.usable)(*id);
@@ -107,7 +87,7 @@
         let needed = shape.accelerators();
         let best = self
             .rooms(shape)
-            .filter(|room| room.tasks >= shape.tasks && self.admits_rack(room.rack, needed))
+            .filter(|room| room.tasks >= shape.tasks)
             .min_by_key(|room| (room.usable - needed, room.intact, room.rack))?;
         let mut placed = Vec::new();
         self.fill(best.rack, shape, shape.tasks, &mut placed);
@@ -116,10 +96,7 @@
 
     /// As few racks as possible, the last one a best fit.
     fn place_anywhere(&self, shape: &Shape) -> Option<Vec<WorkerId>> {
-        let mut rooms: Vec<RackRoom> = self
-            .rooms(shape)
-            .filter(|room| self.admits_rack(room.rack, shape.accelerators()))
-            .collect();
+        let mut rooms: Vec<RackRoom> = self.rooms(shape).collect();
         let total: u64 = rooms.iter().map(|room| u64::from(room.tasks)).sum();
         if total < u64::from(shape.tasks) {
             return None;
--- a/crates/bh-scheduler/src/scheduler/dispatch.rs
+++ b/crates/bh-scheduler/src/scheduler/dispatch.rs
@@ -1,6 +1,5 @@
 //! One pass over the queue: who gets which accelerators.
 
-use super::QueueKey;
 use super::Scheduler;
 use crate::cells::WorkerId;
 use crate::job::AfterStop;
@@ -8,6 +7,7 @@
 use crate::job::State;
 use crate::placement::Search;
 use bh_protocol::shape::Shape;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -22,9 +22,7 @@
 /// What a pass has found out about shapes that do not fit, so that equal jobs are not tried again.
 #[derive(Default)]
 struct Tried {
-    /// Accelerators of the largest shape that waits.
-    largest_waiting: u32,
-    free: BTreeSet<(Shape, bool)>,
+    free: BTreeSet<Shape>,
     preempting: BTreeSet<(Shape, u8, bool)>,
     guaranteed: BTreeSet<(Arc<str>, Arc<str>)>,
 }
@@ -32,25 +30,42 @@
 impl Scheduler {
     /// Gives accelerators to waiting jobs: guaranteed ones first, then by priority and age.
     pub(super) fn dispatch(&mut self, now_ms: u64) {
-        let sizes = self
-            .queue
-            .iter()
-            .filter_map(|(_, _, number)| self.jobs.get(number))
-            .map(|job| job.spec.shape.accelerators());
-        let mut tried = Tried {
-            largest_waiting: sizes.max().unwrap_or(0),
-            ..Tried::default()
-        };
-        let keys: Vec<QueueKey> = self.queue.iter().copied().collect();
-        for (_, _, number) in &keys {
+        let mut tried = Tried::default();
+        let keys = self.ordered_queue(now_ms);
+        for number in &keys {
             self.dispatch_guaranteed(now_ms, *number, &mut tried);
         }
         let mut reserved = BTreeSet::new();
-        for (_, _, number) in &keys {
+        for number in &keys {
             self.dispatch_plain(now_ms, *number, &mut tried, &mut reserved);
         }
     }
 
+    /// Waiting jobs: by priority, then by how long they have waited for their expected run time (highest response ratio
+    /// next). A short job behind long ones loses most by waiting; a long one comes to the front in time as well.
+    fn ordered_queue(&self, now_ms: u64) -> Vec<u64> {
+        let ratio = |number: &u64| -> u64 {
+            let Some(job) = self.jobs.get(number) else {
+                return 0;
+            };
+            let expected_ms = self
+                .runtimes
+                .expected_ms(&job.spec.shape_name, job.spec.declared_ms);
+            let waited_ms = now_ms.saturating_sub(job.submitted_ms);
+            // In millionths; far below 2^52.
+            (waited_ms as f64 / expected_ms * 1e6) as u64
+        };
+        let mut keyed: Vec<(Reverse<u8>, Reverse<u64>, u64, u64)> = self
+            .queue
+            .iter()
+            .map(|(priority, submitted_ms, number)| {
+                (*priority, Reverse(ratio(number)), *submitted_ms, *number)
+            })
+            .collect();
+        keyed.sort_unstable();
+        keyed.into_iter().map(|(_, _, _, number)| number).collect()
+    }
+
     fn is_due(&self, now_ms: u64, job: &Job) -> bool {
         job.state == State::Queued && now_ms >= job.not_before_ms
     }
@@ -182,12 +197,7 @@
                     coming += held.saturating_sub(over.min(held));
                     over = over.saturating_sub(held);
                 } else if job.is_stoppable() && may_stop(job) {
-                    candidates.push((
-                        job.spec.priority,
-                        std::cmp::Reverse(job.started_ms),
-                        number,
-                        held,
-                    ));
+                    candidates.push((job.spec.priority, Reverse(job.started_ms), number, held));
                 }
             }
             candidates.sort_unstable();
@@ -329,13 +339,12 @@
             return;
         }
         let shape = job.spec.shape;
-        let may_break = self.may_break_intact(now_ms, job, tried.largest_waiting);
-        if !tried.free.contains(&(shape, may_break)) {
-            if let Some(places) = self.free_place(now_ms, &shape, may_break, reserved) {
+        if !tried.free.contains(&shape) {
+            if let Some(places) = self.free_place(now_ms, &shape, reserved) {
                 self.place(now_ms, number, places, BTreeSet::new());
                 return;
             }
-            tried.free.insert((shape, may_break));
+            tried.free.insert(shape);
         }
         self.dispatch_by_force(now_ms, number, tried, reserved);
     }
@@ -346,7 +355,6 @@
         &self,
         now_ms: u64,
         shape: &Shape,
-        may_break: bool,
         reserved: &BTreeSet<WorkerId>,
     ) -> Option<Vec<WorkerId>> {
         let admits = |id: WorkerId| self.cells.worker(id).admits(now_ms) && !reserved.contains(&id);
@@ -365,28 +373,16 @@
             }
         };
         Search::new(&self.cells, unbound)
-            .with_may_break_intact(may_break)
             .place(shape)
-            .or_else(|| {
-                Search::new(&self.cells, free)
-                    .with_may_break_intact(may_break)
-                    .place(shape)
-            })
+            .or_else(|| Search::new(&self.cells, free).place(shape))
     }
 
-    /// Whether a job may be placed on a rack that is wholly free. While a job at least twice as large waits, a small one
-    /// waits for room on a rack that is already broken: the longer, the more fragmentation counts against completion
-    /// time. Without this the next small job takes the rack that the large one waits for.
-    fn may_break_intact(&self, now_ms: u64, job: &Job, largest_waiting: u32) -> bool {
-        if job.spec.shape.accelerators() * 2 > largest_waiting
-            || job.spec.priority >= URGENT_PRIORITY
-        {
-            return true;
-        }
+    /// Wait after which a gang counts as starving. The more fragmentation counts against completion time, the sooner small
+    /// jobs make room for it.
+    fn gang_patience_ms(&self) -> u64 {
         let policy = &self.limits.policy;
-        let weights = u64::from(policy.fragmentation_weight + policy.completion_weight).max(1);
-        let patience_ms = policy.starvation_ms * u64::from(policy.fragmentation_weight) / weights;
-        now_ms >= job.submitted_ms + patience_ms
+        let weights = u64::from(policy.completion_weight + policy.fragmentation_weight).max(1);
+        policy.starvation_ms * 2 * u64::from(policy.completion_weight) / weights
     }
 
     /// Stops others for an urgent or starving job.
@@ -399,7 +395,9 @@
     ) {
         let job = &self.jobs[&number];
         let urgent = job.spec.priority >= URGENT_PRIORITY;
-        let starving = now_ms >= job.submitted_ms + self.limits.policy.starvation_ms;
+        // A single task finds room as others end; a gang needs room in one place at one time, and may never find it.
+        let is_gang = job.spec.shape.tasks > 1;
+        let starving = is_gang && now_ms >= job.submitted_ms + self.gang_patience_ms();
         if !urgent && !starving {
             self.set_reason(number, "waits for free accelerators");
             return;
@@ -413,7 +411,9 @@
             Some((places, victims)) => self.place(now_ms, number, places, victims),
             None => {
                 tried.preempting.insert(key);
-                self.reserve(now_ms, number, reserved);
+                if starving && reserved.is_empty() {
+                    self.reserve(now_ms, number, reserved);
+                }
             }
         }
     }
--- a/crates/bh-scheduler/src/scheduler/gang.rs
+++ b/crates/bh-scheduler/src/scheduler/gang.rs
@@ -132,7 +132,7 @@
     }
 
     /// Ends a job all of whose tasks are done.
-    pub(super) fn check_finished(&mut self, _now_ms: u64, number: u64) {
+    pub(super) fn check_finished(&mut self, now_ms: u64, number: u64) {
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
@@ -146,6 +146,8 @@
             return;
         }
         let epoch = job.epoch;
+        let took_ms = now_ms.saturating_sub(job.started_ms);
+        self.runtimes.add(&job.spec.shape_name, took_ms);
         let places: BTreeSet<u32> = job.places.iter().copied().collect();
         for id in places {
             self.cells.health_mut(id).succeeded();
--- a/crates/bh-scheduler/src/scheduler/mod.rs
+++ b/crates/bh-scheduler/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 use crate::job::Job;
 use crate::job::State;
 use crate::limits::Limits;
+use crate::runtimes::Runtimes;
 use bh_protocol::job::Phase;
 use bh_protocol::job::Placement;
 use bh_protocol::shape::Shape;
@@ -41,12 +42,13 @@
     /// Accelerators held by each team and customer.
     team_used: BTreeMap<Arc<str>, u32>,
     customer_used: BTreeMap<Arc<str>, u32>,
+    runtimes: Runtimes,
     next_epoch: u64,
     /// Time a start may take to be reported, and a stop order to be confirmed, in milliseconds.
     lease_ms: u64,
     /// Jobs that run, by worker, so that a lost worker or a reclaim finds them without a scan.
     on_worker: BTreeMap<WorkerId, BTreeSet<u64>>,
-    /// Largest shape class ever seen alive, to refuse what can never fit.
+    /// Until then workers may still have to announce themselves to this leader.
     settled_ms: u64,
     dirty: bool,
     actions: Vec<Action>,
@@ -64,6 +66,7 @@
             queue: BTreeSet::new(),
             team_used: BTreeMap::new(),
             customer_used: BTreeMap::new(),
+            runtimes: Runtimes::default(),
             next_epoch: (term << EPOCH_TERM_SHIFT) + 1,
             lease_ms,
             on_worker: BTreeMap::new(),
