--- a/crates/bh-scheduler/src/scheduler/dispatch.rs
+++ b/crates/bh-scheduler/src/scheduler/dispatch.rs
@@ -16,6 +16,8 @@
 const URGENT_PRIORITY: u8 = 8;
 /// Times a job is stopped for others before it is left alone by all but guarantees.
 const MAX_PREEMPTIONS: u32 = 3;
+/// How much longer than a gang a single task waits before others make room for it.
+const SINGLE_TASK_PATIENCE: u64 = 4;
 /// Racks of victims looked at for one job; more would only find slightly cheaper ones.
 const MAX_CANDIDATES: usize = 64;
 
@@ -377,6 +379,18 @@
             .or_else(|| Search::new(&self.cells, free).place(shape))
     }
 
+    /// Whether the job has waited so long that smaller ones make room. A gang needs room in one place at one time and may
+    /// never find it; a single task finds it sooner or later as others end, and one accelerator always.
+    fn is_starving(&self, now_ms: u64, job: &Job) -> bool {
+        let shape = &job.spec.shape;
+        let patience_ms = match (shape.tasks, shape.accelerators_per_task) {
+            (1, 1) => return false,
+            (1, _) => self.gang_patience_ms() * SINGLE_TASK_PATIENCE,
+            _ => self.gang_patience_ms(),
+        };
+        now_ms >= job.submitted_ms + patience_ms
+    }
+
     /// Wait after which a gang counts as starving. The more fragmentation counts against completion time, the sooner small
     /// jobs make room for it.
     fn gang_patience_ms(&self) -> u64 {
@@ -395,9 +409,7 @@
     ) {
         let job = &self.jobs[&number];
         let urgent = job.spec.priority >= URGENT_PRIORITY;
-        // A single task finds room as others end; a gang needs room in one place at one time, and may never find it.
-        let is_gang = job.spec.shape.tasks > 1;
-        let starving = is_gang && now_ms >= job.submitted_ms + self.gang_patience_ms();
+        let starving = self.is_starving(now_ms, job);
         if !urgent && !starving {
             self.set_reason(number, "waits for free accelerators");
             return;
--- a/crates/bh-settings/src/key.rs
+++ b/crates/bh-settings/src/key.rs
@@ -126,8 +126,8 @@
         "ms",
         100,
         86_400_000,
-        Some(60_000),
-        "Wait after which a large job gets a reservation.",
+        Some(300_000),
+        "Wait after which a gang makes smaller jobs move; scaled by the two weights.",
     ),
     number(
         "system.policy.max_attempts",
@@ -135,7 +135,7 @@
         1,
         100,
         Some(5),
-        "Starts on distinct workers that may fail before a job is given up.",
+        "Distinct workers a job may fail on before it is given up.",
     ),
     other(
         "teams",
--- a/crates/bh-settings/src/tree/policy.rs
+++ b/crates/bh-settings/src/tree/policy.rs
@@ -13,9 +13,9 @@
     pub fragmentation_weight: u32,
     /// How long a borrower may checkpoint before it is stopped, in milliseconds.
     pub checkpoint_wait_ms: u64,
-    /// Wait after which a large job gets a reservation, in milliseconds.
+    /// Wait after which a gang makes smaller jobs move, in milliseconds; scaled by the two weights.
     pub starvation_ms: u64,
-    /// Failed starts on distinct workers before a job is given up.
+    /// Distinct workers a job may fail on before it is given up.
     pub max_attempts: u32,
 }
 
@@ -25,7 +25,7 @@
             completion_weight: 1,
             fragmentation_weight: 1,
             checkpoint_wait_ms: 2_000,
-            starvation_ms: 60_000,
+            starvation_ms: 300_000,
             max_attempts: 5,
         }
     }
