--- /dev/null
+++ b/crates/beechhollow/benches/control.rs
@@ -0,0 +1,348 @@
+//! What replication costs and how fast it recovers: eight entries as processes.
+//!
+//! `cargo bench -p beechhollow --bench control [-- PART]`, PART one of failover, in-force, sync, restart, idle.
+
+use bh_testkit::Cluster;
+use bh_testkit::EntryOptions;
+use bh_testkit::Worker;
+use bh_testkit::cluster::ADMINISTRATOR_SHA256;
+use bh_testkit::http_raw;
+use bh_testkit::worker::WorkerOptions;
+use std::fmt::Write;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_beechhollow");
+const SOON: Duration = Duration::from_secs(30);
+const OPERATORS: usize = 32;
+
+fn settings(weight: u64) -> String {
+    let mut yaml =
+        format!("system: {{administrator_tokens_sha256: [{ADMINISTRATOR_SHA256}]}}\nteams:\n");
+    for team in 0..OPERATORS {
+        let _ = writeln!(
+            yaml,
+            "  team{team}: {{request_types: {{read: {{idempotent: true}}}}, customers: {{c{team}: {{weight: {weight}}}}}}}"
+        );
+    }
+    yaml
+}
+
+/// Eight entries over three data centres; five of them have a disk.
+fn eight(links: bool, extra: &str) -> Cluster {
+    let place = [
+        ("k1", "kadaka"),
+        ("k2", "kadaka"),
+        ("k3", "kadaka"),
+        ("m1", "mustamae"),
+        ("m2", "mustamae"),
+        ("u1", "ulemiste"),
+        ("u2", "ulemiste"),
+        ("u3", "ulemiste"),
+    ];
+    let options = place.iter().map(|(name, centre)| {
+        let options = EntryOptions::new(name, centre);
+        if matches!(*name, "k3" | "m2" | "u3") {
+            options.with_no_disk()
+        } else {
+            options
+        }
+    });
+    let mut cluster = Cluster::new(BINARY, options.collect()).with_extra(extra);
+    if links {
+        cluster = cluster.with_links();
+    }
+    cluster.start_all();
+    cluster.wait_ready();
+    cluster.wait_until("the first settings", SOON, || {
+        cluster.apply("k1", "first", 0, &settings(1)).code() == Some(0)
+    });
+    for name in cluster.names() {
+        cluster.wait_until("in force", SOON, || cluster.revision(&name) == Some(1));
+    }
+    cluster
+}
+
+fn percentile(values: &mut [f64], share: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[((values.len() - 1) as f64 * share).round() as usize]
+}
+
+/// Time from the loss of the settings leader to the next accepted change, through an entry that lives.
+fn failover() {
+    for signal in ["KILL", "STOP"] {
+        let mut times = Vec::new();
+        let mut cluster = eight(false, "");
+        let mut revision = 1;
+        let mut lost = 0;
+        for round in 0..8 {
+            let Some(leader) = cluster.leader_seen_by("m2", "settings") else {
+                continue;
+            };
+            cluster.signal(&leader, signal);
+            let start = Instant::now();
+            let mut attempt = 0;
+            loop {
+                attempt += 1;
+                let answer = cluster.apply(
+                    "m2",
+                    &format!("{signal}{round}"),
+                    revision,
+                    &settings(round + 2),
+                );
+                if answer.code() == Some(0) {
+                    revision = answer.json()["revision"].as_u64().unwrap_or(revision + 1);
+                    break;
+                }
+                assert!(attempt < 200, "{}", cluster.logs());
+            }
+            times.push(start.elapsed().as_secs_f64() * 1e3);
+            if signal == "KILL" {
+                cluster.kill(&leader);
+                cluster.start(&leader);
+            } else {
+                cluster.signal(&leader, "CONT");
+            }
+            cluster.wait_until("the lost one is back", SOON, || {
+                cluster.revision(&leader) == Some(revision)
+            });
+            lost += u64::from(cluster.revision("m2") < Some(revision));
+        }
+        println!(
+            "SIG{signal} of the settings leader, {} times: next accepted change after p50 {:.0} ms, longest {:.0} ms; acknowledged changes lost: {lost}",
+            times.len(),
+            percentile(&mut times, 0.5),
+            percentile(&mut times, 1.0)
+        );
+    }
+}
+
+/// Time from sending a change to its being in force on all eight entries.
+fn in_force() {
+    for delay_us in [0u64, 1_500] {
+        let cluster = eight(delay_us > 0, "");
+        for link in cluster.links() {
+            link.set_delay(Duration::from_micros(delay_us));
+        }
+        let names = cluster.names();
+        let (mut accepted, mut everywhere) = (Vec::new(), Vec::new());
+        for change in 0..100u64 {
+            let revision = change + 1;
+            let start = Instant::now();
+            let answer = cluster.apply(
+                "m2",
+                &format!("c{change}"),
+                revision,
+                &settings(change % 900 + 2),
+            );
+            assert_eq!(answer.code(), Some(0), "{}", answer.text());
+            accepted.push(start.elapsed().as_secs_f64() * 1e3);
+            let slowest = thread::scope(|scope| {
+                let waits: Vec<_> = names
+                    .iter()
+                    .map(|name| {
+                        let cluster = &cluster;
+                        scope.spawn(move || {
+                            while cluster.revision(name) < Some(revision + 1) {}
+                            start.elapsed().as_secs_f64() * 1e3
+                        })
+                    })
+                    .collect();
+                waits
+                    .into_iter()
+                    .map(|wait| wait.join().unwrap_or(f64::NAN))
+                    .fold(0.0, f64::max)
+            });
+            everywhere.push(slowest);
+        }
+        println!(
+            "{:.1} ms one way between entries, 100 changes: accepted p50 {:.1} p99 {:.1} ms; in force on all eight p50 {:.1} p99 {:.1} ms",
+            delay_us as f64 / 1e3,
+            percentile(&mut accepted, 0.5),
+            percentile(&mut accepted, 0.99),
+            percentile(&mut everywhere, 0.5),
+            percentile(&mut everywhere, 0.99)
+        );
+    }
+}
+
+/// Accepted changes a second by operators of different teams, each after its own last one.
+fn changes_a_second(cluster: &Cluster, length: Duration) -> f64 {
+    let (until, count) = (AtomicBool::new(false), AtomicU64::new(0));
+    let base = cluster.revision("k1").unwrap_or(1);
+    thread::scope(|scope| {
+        for team in 0..OPERATORS {
+            let (until, count) = (&until, &count);
+            scope.spawn(move || {
+                let scope = serde_json::json!({ "team": format!("team{team}") });
+                let mut revision = base;
+                let mut number = 0u64;
+                while !until.load(Ordering::Relaxed) {
+                    number += 1;
+                    let yaml = format!(
+                        "teams: {{team{team}: {{customers: {{c{team}: {{weight: {}}}}}}}}}",
+                        number % 900 + 1
+                    );
+                    let id = format!("t{team}-{base}-{number}");
+                    let entry = ["k1", "k2", "u1", "u2", "m1"][team % 5];
+                    let answer = cluster.apply_scoped(
+                        entry,
+                        &id,
+                        revision,
+                        &scope,
+                        &yaml,
+                        bh_testkit::cluster::ADMINISTRATOR,
+                    );
+                    if let Some(accepted) = answer.json()["revision"].as_u64() {
+                        revision = accepted;
+                        count.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+        thread::sleep(length);
+        until.store(true, Ordering::Relaxed);
+    });
+    count.load(Ordering::Relaxed) as f64 / length.as_secs_f64()
+}
+
+fn sync() {
+    for group_sync in [true, false] {
+        let cluster = eight(
+            false,
+            &format!("group_sync: {group_sync}\nsnapshot_entries: 100000\n"),
+        );
+        let rate = changes_a_second(&cluster, Duration::from_secs(5));
+        println!(
+            "group sync {group_sync}, {OPERATORS} operators: {rate:.0} accepted changes a second"
+        );
+    }
+}
+
+/// Time from the start of an entry to its having everything in force again.
+fn restart() {
+    for (wanted, snapshot) in [(1_000u64, 4_096u64), (10_000, 4_096), (10_000, 100_000)] {
+        let mut cluster = eight(false, &format!("snapshot_entries: {snapshot}\n"));
+        while cluster.revision("k1") < Some(wanted) {
+            changes_a_second(&cluster, Duration::from_millis(500));
+        }
+        thread::sleep(Duration::from_millis(500));
+        let newest = cluster.revision("k1");
+        for (name, kind) in [("u1", "with its disk"), ("u3", "without a disk")] {
+            cluster.kill(name);
+            let start = Instant::now();
+            cluster.start(name);
+            cluster.wait_until("in force again", SOON, || cluster.revision(name) >= newest);
+            println!(
+                "restart after {} changes, snapshot every {snapshot}, {kind}: in force after {:.0} ms",
+                newest.unwrap_or(0),
+                start.elapsed().as_secs_f64() * 1e3
+            );
+        }
+    }
+}
+
+fn cpu_ms(pid: u32) -> f64 {
+    const TICKS_A_SECOND: f64 = 100.0;
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|text| text.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(11) + ticks(12)) / TICKS_A_SECOND * 1e3
+}
+
+fn resident_mib(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    text.split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<f64>().ok())
+        .unwrap_or(0.0)
+        * 4_096.0
+        / f64::from(1 << 20)
+}
+
+/// Bytes and processor time of idle entries, without workers and with some.
+fn idle() {
+    for count in [0usize, 25, 50, 100] {
+        let cluster = eight(false, "");
+        let _workers: Vec<Worker> = (0..count)
+            .map(|n| {
+                let centre = ["kadaka", "mustamae", "ulemiste"][n % 3];
+                Worker::start(WorkerOptions::new(
+                    &format!("w{n}"),
+                    centre,
+                    &format!("r{}", n / 24),
+                    cluster.entries_of(centre),
+                ))
+            })
+            .collect();
+        thread::sleep(Duration::from_secs(5));
+        let names = cluster.names();
+        let bytes = |name: &str| {
+            http_raw::get(cluster.http(name), "/v1/status").json()["link_bytes"]
+                .as_f64()
+                .unwrap_or(0.0)
+        };
+        let before: Vec<(f64, f64)> = names
+            .iter()
+            .map(|name| (bytes(name), cpu_ms(cluster.pid(name).unwrap_or(0))))
+            .collect();
+        let length = Duration::from_secs(10);
+        thread::sleep(length);
+        let rows: Vec<(f64, f64, f64)> = names
+            .iter()
+            .zip(&before)
+            .map(|(name, (bytes_before, cpu_before))| {
+                let pid = cluster.pid(name).unwrap_or(0);
+                let sent = (bytes(name) - bytes_before) / length.as_secs_f64();
+                let cpu = (cpu_ms(pid) - cpu_before) / length.as_secs_f64() / 10.0;
+                (sent, cpu, resident_mib(pid))
+            })
+            .collect();
+        let mean = |pick: fn(&(f64, f64, f64)) -> f64| {
+            rows.iter().map(pick).sum::<f64>() / rows.len() as f64
+        };
+        let most = |pick: fn(&(f64, f64, f64)) -> f64| rows.iter().map(pick).fold(0.0, f64::max);
+        println!(
+            "idle, {count} workers: an entry sends {:.0} bytes a second to its peers (most {:.0}), uses {:.2} % of a core (most {:.2}) and {:.1} MiB (most {:.1})",
+            mean(|row| row.0),
+            most(|row| row.0),
+            mean(|row| row.1),
+            most(|row| row.1),
+            mean(|row| row.2),
+            most(|row| row.2)
+        );
+    }
+}
+
+fn main() {
+    let asked: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|text| !text.starts_with('-'))
+        .collect();
+    let parts: [(&str, fn()); 5] = [
+        ("failover", failover),
+        ("in-force", in_force),
+        ("sync", sync),
+        ("restart", restart),
+        ("idle", idle),
+    ];
+    for (name, part) in parts {
+        if asked.is_empty() || asked.iter().any(|text| text == name) {
+            part();
+        }
+    }
+}
