A request needs its likely service time left when it is sent

Cause: slots went to requests too near their deadline to end in time. Ruled out: the estimate of the wait (refusals came early enough at load 2) and hand-overs (waste was the same without siblings' slots). Change: admission and dispatch ask for mean plus three deviations, at most half of the deadline.

--- a/crates/bh-router/src/estimate.rs
+++ b/crates/bh-router/src/estimate.rs
@@ -51,6 +51,15 @@
             .map_or(UNKNOWN_MS, |history| history.mean_ms.max(0.1))
     }
 
+    /// Time within which nearly all requests of the type are answered once sent, in milliseconds.
+    pub fn likely_ms(&self, request_type: &str) -> f64 {
+        const LIKELY_DEVIATIONS: f64 = 3.0;
+        match self.types.get(request_type) {
+            Some(history) => history.mean_ms + LIKELY_DEVIATIONS * history.deviation_ms,
+            None => UNKNOWN_MS,
+        }
+    }
+
     /// How long an attempt that may be repeated is waited for, in milliseconds: a target that went silent must not
     /// take the caller's whole time while others are free.
     pub fn attempt_limit_ms(&self, request_type: &str) -> Option<u64> {
--- a/crates/bh-router/src/router.rs
+++ b/crates/bh-router/src/router.rs
@@ -174,7 +174,8 @@
             .ahead_of(&ticket.customer, ticket.priority, ticket.weight);
         // Counts are far below 2^52.
         let wait_ms = ahead as f64 * service_ms / f64::from(slots);
-        let fits = wait_ms + service_ms <= left_ms as f64;
+        let needed_ms = self.needed_ms(ticket);
+        let fits = wait_ms + needed_ms <= left_ms as f64;
         if fits && self.queue.len() < MAX_QUEUED {
             return Ok(());
         }
@@ -182,6 +183,22 @@
         Err(self.overloaded((wait_ms - left_ms as f64 + service_ms).max(0.0) as u64))
     }
 
+    /// Time that a request must have left when it is sent, in milliseconds. A slot given to one that cannot end before its
+    /// deadline is lost to one that can: under overload that starves everyone. A type whose deadline is short for
+    /// what it takes is still tried, in the first half of its time.
+    fn needed_ms(&self, ticket: &Ticket) -> f64 {
+        let whole_ms = ticket.deadline_ms.saturating_sub(ticket.arrived_ms) as f64;
+        self.estimate
+            .likely_ms(&ticket.request_type)
+            .min(whole_ms / 2.0)
+    }
+
+    /// Whether the request can still be sent in time.
+    fn is_too_late(&self, now_ms: u64, ticket: &Ticket) -> bool {
+        let left_ms = ticket.deadline_ms.saturating_sub(now_ms) as f64;
+        left_ms < self.needed_ms(ticket).max(LEAST_ATTEMPT_MS as f64)
+    }
+
     fn overloaded(&self, retry_after_ms: u64) -> Failure {
         let label = format!("{} requests wait", self.queue.len());
         Failure::new(Code::Overloaded, label)
@@ -273,21 +290,25 @@
 
     /// Time has passed, or targets have come or gone.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Decision> {
-        let late = self
-            .queue
-            .remove_where(|ticket| now_ms + LEAST_ATTEMPT_MS >= ticket.deadline_ms);
+        let late = {
+            let mut queue = std::mem::take(&mut self.queue);
+            let late = queue.remove_where(|ticket| self.is_too_late(now_ms, ticket));
+            self.queue = queue;
+            late
+        };
         for ticket in late {
-            self.refuse_late(ticket);
+            self.refuse_late(now_ms, ticket);
         }
         self.pump(now_ms)
     }
 
-    fn refuse_late(&mut self, ticket: Ticket) {
-        let label = format!(
-            "no slot came free in {} ms",
-            ticket.deadline_ms.saturating_sub(ticket.arrived_ms)
+    fn refuse_late(&mut self, now_ms: u64, ticket: Ticket) {
+        let waited_ms = now_ms.saturating_sub(ticket.arrived_ms);
+        let failure = Failure::new(
+            Code::NoTarget,
+            format!("no slot came free in {waited_ms} ms"),
         );
-        let failure = Failure::new(Code::NoTarget, label).with_retry_after_ms(LEAST_RETRY_AFTER_MS);
+        let failure = failure.with_retry_after_ms(LEAST_RETRY_AFTER_MS);
         self.decisions.push(Decision::Refuse {
             id: ticket.id,
             failure,
@@ -298,8 +319,8 @@
     fn pump(&mut self, now_ms: u64) -> Vec<Decision> {
         let mut stuck = Vec::new();
         while let Some(ticket) = self.queue.pop() {
-            if now_ms + LEAST_ATTEMPT_MS >= ticket.deadline_ms {
-                self.refuse_late(ticket);
+            if self.is_too_late(now_ms, &ticket) {
+                self.refuse_late(now_ms, ticket);
                 continue;
             }
             if let Some(ticket) = self.dispatch(now_ms, ticket) {
