Renewals that do not grow with targets; attempts unique over restarts; commits pushed at once

Now a renewal names a version and gets targets only when they changed; a new leader asks for all claims once. Workers are told the leader's address first, so that announcements need no call between entries. Ruled out: link heartbeats (constant). Two new tests were wrong themselves: text wrapped by miette, and a request sent before the worker had an owner.

--- a/crates/beechhollow/tests/operating.rs
+++ b/crates/beechhollow/tests/operating.rs
@@ -13,7 +13,6 @@
 use support::SOON;
 use support::request;
 use support::settings;
-use support::workers;
 
 /// Metrics arrive at the StatsD address, with the request's customer, type and code.
 #[test]
@@ -30,7 +29,7 @@
     cluster.start_all();
     cluster.wait_ready();
     assert_eq!(cluster.apply("a1", "one", 0, &settings("")).code(), Some(0));
-    let _workers = workers_of_one(&cluster);
+    let _worker = worker_of_one(&cluster);
     cluster.wait_until("a request is answered", SOON, || {
         request(&cluster, "a1", "read", None, "x").code() == Some(0)
     });
@@ -58,9 +57,14 @@
     );
 }
 
-fn workers_of_one(cluster: &Cluster) -> Vec<bh_testkit::Worker> {
+/// One worker, owned by the entry.
+fn worker_of_one(cluster: &Cluster) -> bh_testkit::Worker {
     let options = bh_testkit::worker::WorkerOptions::new("w0", "a", "r0", cluster.entries_of("a"));
-    vec![bh_testkit::Worker::start(options)]
+    let worker = bh_testkit::Worker::start(options);
+    cluster.wait_until("its slots", SOON, || {
+        http_raw::get(cluster.http("a1"), "/v1/status").json()["slots"] == 8
+    });
+    worker
 }
 
 /// The counters of the service-level report are kept over a restart, and the page shows each row.
@@ -71,7 +75,7 @@
     cluster.start_all();
     cluster.wait_ready();
     assert_eq!(cluster.apply("a1", "one", 0, &settings("")).code(), Some(0));
-    let _workers = workers_of_one(&cluster);
+    let _worker = worker_of_one(&cluster);
     cluster.wait_until("a request is answered", SOON, || {
         request(&cluster, "a1", "read", None, "x").code() == Some(0)
     });
@@ -80,7 +84,11 @@
         report["rows"][0]["windows"][0]["good"].as_u64()
     };
     let before = good(&cluster);
-    assert!(before >= Some(1));
+    assert!(
+        before >= Some(1),
+        "{}",
+        http_raw::get(cluster.http("a1"), "/v1/reports/burn").text()
+    );
     cluster.signal("a1", "TERM");
     assert_eq!(cluster.wait_for_exit("a1", SOON), Some(0));
     cluster.start("a1");
@@ -109,7 +117,9 @@
         .output()
         .unwrap();
     std::fs::remove_dir_all(&folder).unwrap();
-    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    // Long lines are wrapped for the terminal.
+    let text = String::from_utf8_lossy(&output.stderr).replace('│', " ");
+    let text = text.split_whitespace().collect::<Vec<_>>().join(" ");
     assert_eq!(output.status.code(), Some(8), "{text}");
     for part in ["BH500", "entry.yaml:4", "not an IP number", "write it like"] {
         assert!(text.contains(part), "no {part} in {text}");
@@ -138,5 +148,4 @@
         !logs.contains(bh_testkit::cluster::ADMINISTRATOR),
         "a token is in the log"
     );
-    let _ = workers;
 }
--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -337,3 +337,50 @@
     );
     wait_owned(&cluster, 2);
 }
+
+/// An entry dies while a non-idempotent request is on a worker, and starts again with its data. The first request that
+/// its new process gets is the resend: it is answered "in progress" or "unknown", and is not sent a second time.
+#[test]
+fn a_resend_after_a_restart_does_not_run_again() {
+    let mut cluster = Cluster::new(BINARY, vec![bh_testkit::EntryOptions::new("a1", "a")])
+        .with_extra("target_lease_ms: 1500\n");
+    cluster.start_all();
+    cluster.wait_ready();
+    assert_eq!(
+        cluster.apply("a1", "one", 0, &support::settings("")).code(),
+        Some(0)
+    );
+    let worker = bh_testkit::Worker::start(bh_testkit::worker::WorkerOptions::new(
+        "w0",
+        "a",
+        "r0",
+        cluster.entries_of("a"),
+    ));
+    let address = cluster.http("a1");
+    let has_slots = |cluster: &Cluster| {
+        bh_testkit::http_raw::get(cluster.http("a1"), "/v1/status").json()["slots"].as_u64()
+            == Some(8)
+    };
+    cluster.wait_until("slots", SOON, || has_slots(&cluster));
+    worker.set_faults(fault(|f| f.hangs = true));
+    let first = thread::spawn(move || {
+        bh_testkit::http_raw::post(
+            address,
+            "/v1/customers/lumen/requests/book",
+            &[("idempotency-key", "k")],
+            b"x",
+        )
+    });
+    cluster.wait_until("the request is on the worker", SOON, || {
+        worker.seen().runs == 1
+    });
+    cluster.kill("a1");
+    assert_eq!(first.join().map(|answer| answer.status).ok(), Some(0));
+    worker.set_faults(fault(|_| {}));
+    cluster.start("a1");
+    cluster.wait_ready();
+    cluster.wait_until("slots again", SOON, || has_slots(&cluster));
+    let again = request(&cluster, "a1", "book", Some("k"), "x");
+    assert!(matches!(again.code(), Some(400 | 401)), "{again:?}");
+    assert_eq!(worker.seen().runs_by_key.get("k"), Some(&1));
+}
--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -319,6 +319,10 @@
         });
         if reached > self.commit && self.log.term_at(reached) == Some(self.term) {
             self.advance_commit(reached);
+            // Followers and observers learn of the commit with the next flush, not only with the next heartbeat.
+            if let Some(leadership) = self.leadership() {
+                leadership.unsent = true;
+            }
         }
     }
 
--- a/crates/bh-membership/src/grant.rs
+++ b/crates/bh-membership/src/grant.rs
@@ -3,18 +3,15 @@
 use bh_protocol::target::Announcement;
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// One target granted to an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantedTarget {
-    /// The target as it last announced itself.
+    /// The target as it last announced itself, without its tasks and load.
     pub target: Announcement,
-    /// Time left of the target's own lease, in milliseconds.
-    pub remaining_ms: u64,
     /// Slots that may still be taken by requests of the owner before; they must stay free.
     pub withheld: u32,
-    /// Whether the entry shall stop using it and no longer claim it once its requests there are done.
+    /// Whether the entry shall stop using it, and say so once its requests there are done.
     pub release: bool,
 }
 
@@ -23,8 +20,13 @@
 pub struct Grant {
     /// The grant counts for this long from the moment the renewal was sent, in milliseconds.
     pub lease_ms: u64,
-    /// The targets; what is not among them must not be used any more.
-    pub targets: Vec<GrantedTarget>,
-    /// Names of the other entries of the data centre that renew.
-    pub entries: Vec<Arc<str>>,
+    /// The leader's registry.
+    pub registry: u64,
+    /// Version of the targets.
+    pub version: u64,
+    /// The targets; what is not among them must not be used any more. `None` when they are as in the version the
+    /// renewal named.
+    pub targets: Option<Vec<GrantedTarget>>,
+    /// Whether the leader is new and asks for all claims first. Such an answer extends no lease.
+    pub wants_claims: bool,
 }
--- a/crates/bh-membership/src/holdings.rs
+++ b/crates/bh-membership/src/holdings.rs
@@ -3,6 +3,7 @@
 use crate::claim::Claim;
 use crate::claim::Claims;
 use crate::grant::Grant;
+use crate::grant::GrantedTarget;
 use bh_protocol::target::Announcement;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -11,15 +12,14 @@
 #[derive(Clone, Debug)]
 struct Held {
     announcement: Announcement,
-    expires_ms: u64,
     withheld: u32,
     releasing: bool,
     in_flight: u32,
 }
 
 impl Held {
-    fn admits(&self, now_ms: u64) -> bool {
-        !self.releasing && !self.announcement.leaving && now_ms < self.expires_ms
+    fn admits(&self) -> bool {
+        !self.releasing && !self.announcement.leaving
     }
 
     fn free(&self) -> u32 {
@@ -31,14 +31,17 @@
 
 /// All targets this entry owns.
 ///
-/// Work may be sent to a target only while its own lease, the entry's lease on it and its slots allow it.
+/// Work may be sent to a target only while the entry's lease and the target's slots allow it. A target whose own lease
+/// lapses is taken away by the leader with the next renewal.
 #[derive(Clone, Debug)]
 pub struct Holdings {
     entry: Arc<str>,
     incarnation: u64,
     until_ms: u64,
+    registry: u64,
+    version: u64,
+    wants_claims: bool,
     held: BTreeMap<Arc<str>, Held>,
-    siblings: Vec<Arc<str>>,
 }
 
 impl Holdings {
@@ -48,44 +51,66 @@
             entry: entry.into(),
             incarnation,
             until_ms: 0,
+            registry: 0,
+            version: 0,
+            wants_claims: false,
             held: BTreeMap::new(),
-            siblings: Vec::new(),
         }
     }
 
     /// The renewal to send now.
     pub fn claims(&self, now_ms: u64, draining: bool) -> Claims {
-        let lapsed = now_ms >= self.until_ms;
-        let claims = self
+        let released = self
             .held
-            .values()
-            // What was to be released is claimed only while requests are in progress there.
-            .filter(|held| !lapsed && (held.in_flight > 0 || !held.releasing))
-            .map(|held| Claim {
-                target: held.announcement.clone(),
-                remaining_ms: held.expires_ms.saturating_sub(now_ms),
-                in_flight: held.in_flight,
-            })
-            .collect();
+            .iter()
+            .filter(|(_, held)| held.releasing && held.in_flight == 0)
+            .map(|(name, _)| name.clone());
         Claims {
             entry: self.entry.clone(),
             incarnation: self.incarnation,
             draining,
-            claims,
+            registry: self.registry,
+            version: self.version,
+            released: released.collect(),
+            claims: self.wants_claims.then(|| self.all_claims(now_ms)),
         }
     }
 
+    fn all_claims(&self, now_ms: u64) -> Vec<Claim> {
+        let remaining_ms = self.until_ms.saturating_sub(now_ms);
+        let still_held = self
+            .held
+            .values()
+            .filter(|held| remaining_ms > 0 && (held.in_flight > 0 || !held.releasing));
+        still_held
+            .map(|held| Claim {
+                target: held.announcement.clone(),
+                remaining_ms,
+            })
+            .collect()
+    }
+
     /// Takes the leader's answer over. The lease counts from `sent_ms`, when the renewal was sent: the leader counts
     /// it from when the renewal arrived, so that it never ends there before it ends here.
-    pub fn accept(&mut self, now_ms: u64, sent_ms: u64, grant: Grant) {
+    pub fn accept(&mut self, sent_ms: u64, grant: Grant) {
+        self.wants_claims = grant.wants_claims;
+        if grant.wants_claims {
+            return;
+        }
         self.until_ms = self.until_ms.max(sent_ms + grant.lease_ms);
-        self.siblings = grant.entries;
+        self.registry = grant.registry;
+        self.version = grant.version;
+        if let Some(targets) = grant.targets {
+            self.replace(targets);
+        }
+    }
+
+    fn replace(&mut self, targets: Vec<GrantedTarget>) {
         let mut next = BTreeMap::new();
-        for granted in grant.targets {
+        for granted in targets {
             let name = granted.target.name.clone();
             let in_flight = self.held.get(&name).map_or(0, |held| held.in_flight);
             let held = Held {
-                expires_ms: now_ms + granted.remaining_ms,
                 announcement: granted.target,
                 withheld: granted.withheld,
                 releasing: granted.release,
@@ -113,7 +138,7 @@
         let valid = self.is_valid(now_ms);
         self.held
             .iter()
-            .filter(move |(_, held)| valid && held.admits(now_ms))
+            .filter(move |(_, held)| valid && held.admits())
             .map(|(name, held)| (name, &held.announcement, held.free()))
     }
 
@@ -131,7 +156,7 @@
     pub fn take(&mut self, now_ms: u64, target: &str) -> bool {
         let valid = self.is_valid(now_ms);
         match self.held.get_mut(target) {
-            Some(held) if valid && held.admits(now_ms) && held.free() > 0 => {
+            Some(held) if valid && held.admits() && held.free() > 0 => {
                 held.in_flight += 1;
                 true
             }
--- a/crates/bh-membership/src/registry.rs
+++ b/crates/bh-membership/src/registry.rs
@@ -58,26 +58,37 @@
 /// It is kept in memory only: a new leader learns it from the owners' claims and the targets' announcements.
 #[derive(Clone, Debug)]
 pub struct Registry {
+    id: u64,
     target_lease_ms: u64,
     owner_lease_ms: u64,
     /// Until then entries may hold grants of an earlier leader, so that only their claims are honoured.
     grace_until_ms: u64,
     targets: BTreeMap<Arc<str>, Target>,
     entries: BTreeMap<Arc<str>, Renewal>,
+    /// What each entry was last granted, and the version of it.
+    granted: BTreeMap<Arc<str>, (u64, Vec<GrantedTarget>)>,
     /// Targets whose lease lapsed and that were not told of yet.
     gone: Vec<Arc<str>>,
 }
 
 impl Registry {
-    /// The registry of a leader elected at `now_ms`. A leader before it may still have granted for `overlap_ms` after
+    /// The registry `id` of a leader elected at `now_ms`; no two leaders have the same id. A leader before it may still have granted for `overlap_ms` after
     /// that, until it noticed that it leads no more.
-    pub fn new(now_ms: u64, target_lease_ms: u64, owner_lease_ms: u64, overlap_ms: u64) -> Self {
+    pub fn new(
+        id: u64,
+        now_ms: u64,
+        target_lease_ms: u64,
+        owner_lease_ms: u64,
+        overlap_ms: u64,
+    ) -> Self {
         Self {
+            id,
             target_lease_ms,
             owner_lease_ms,
             grace_until_ms: now_ms + owner_lease_ms + overlap_ms,
             targets: BTreeMap::new(),
             entries: BTreeMap::new(),
+            granted: BTreeMap::new(),
             gone: Vec::new(),
         }
     }
@@ -108,33 +119,49 @@
     /// Renews an entry's targets and grants it others.
     pub fn renew(&mut self, now_ms: u64, claims: Claims) -> Grant {
         let entry = claims.entry.clone();
+        let is_stranger = claims.registry != self.id && claims.claims.is_none();
+        if is_stranger && now_ms < self.grace_until_ms {
+            return Grant {
+                registry: self.id,
+                wants_claims: true,
+                ..Grant::default()
+            };
+        }
         self.note_entry(now_ms, &claims);
         self.honour_claims(now_ms, &claims);
         self.expire(now_ms);
         self.assign(now_ms);
         self.rebalance(now_ms);
-        let targets = self
+        let (version, targets) = self.granted_to(now_ms, &entry);
+        let known = claims.registry == self.id && claims.version == version;
+        Grant {
+            lease_ms: self.owner_lease_ms,
+            registry: self.id,
+            version,
+            targets: (!known).then_some(targets),
+            wants_claims: false,
+        }
+    }
+
+    /// What an entry is granted now, under a version that changes with it.
+    fn granted_to(&mut self, now_ms: u64, entry: &Arc<str>) -> (u64, Vec<GrantedTarget>) {
+        let targets: Vec<GrantedTarget> = self
             .targets
             .values_mut()
             .filter(|target| {
                 target
                     .owner
                     .as_ref()
-                    .is_some_and(|owner| owner.entry == entry)
+                    .is_some_and(|owner| owner.entry == *entry)
             })
             .map(|target| granted(now_ms, target))
             .collect();
-        let entries = self
-            .entries
-            .keys()
-            .filter(|name| **name != entry)
-            .cloned()
-            .collect();
-        Grant {
-            lease_ms: self.owner_lease_ms,
-            targets,
-            entries,
+        let (version, last) = self.granted.entry(entry.clone()).or_default();
+        if *version == 0 || *last != targets {
+            *version += 1;
+            last.clone_from(&targets);
         }
+        (*version, targets)
     }
 
     fn note_entry(&mut self, now_ms: u64, claims: &Claims) {
@@ -175,19 +202,18 @@
 
     fn honour_claims(&mut self, now_ms: u64, claims: &Claims) {
         let in_grace = now_ms < self.grace_until_ms;
-        for claim in &claims.claims {
-            if in_grace {
-                self.learn(now_ms, claim, &claims.entry);
-            }
+        for claim in claims.claims.iter().flatten().filter(|_| in_grace) {
+            self.learn(now_ms, claim, &claims.entry);
         }
-        // A target that the entry was asked to release and no longer claims is free.
-        for (name, target) in &mut self.targets {
-            let claimed = claims.claims.iter().any(|claim| claim.target.name == *name);
+        for name in &claims.released {
+            let Some(target) = self.targets.get_mut(name) else {
+                continue;
+            };
             let releasing = target
                 .owner
                 .as_ref()
                 .is_some_and(|owner| owner.entry == claims.entry && owner.releasing);
-            if releasing && !claimed {
+            if releasing {
                 target.owner = None;
                 target.free_from_ms = now_ms;
             }
@@ -362,9 +388,13 @@
         target.withheld = 0;
     }
     target.withheld = target.withheld.min(target.announcement.busy_slots);
+    let announcement = Announcement {
+        tasks: Vec::new(),
+        busy_slots: 0,
+        ..target.announcement.clone()
+    };
     GrantedTarget {
-        target: target.announcement.clone(),
-        remaining_ms: target.expires_ms.saturating_sub(now_ms),
+        target: announcement,
         withheld: target.withheld,
         release: target.owner.as_ref().is_some_and(|owner| owner.releasing),
     }
--- a/crates/bh-membership/tests/fuzz.rs
+++ b/crates/bh-membership/tests/fuzz.rs
@@ -65,6 +65,7 @@
 
 struct System {
     now_ms: u64,
+    terms: u64,
     registry: Registry,
     entries: Vec<Holdings>,
     incarnations: Vec<u64>,
@@ -87,7 +88,8 @@
     fn new(planted: Planted) -> Self {
         let mut system = Self {
             now_ms: 10_000,
-            registry: Registry::new(0, LEASE_MS, LEASE_MS, OVERLAP_MS),
+            terms: 1,
+            registry: Registry::new(1, 0, LEASE_MS, LEASE_MS, OVERLAP_MS),
             entries: (0..ENTRIES)
                 .map(|index| Holdings::new(entry_name(index), 1))
                 .collect(),
@@ -154,7 +156,7 @@
         } else {
             sent_ms
         };
-        self.entries[entry].accept(self.now_ms, counted_from, grant);
+        self.entries[entry].accept(counted_from, grant);
     }
 
     fn send(&mut self, entry: usize, target: usize) {
@@ -200,14 +202,16 @@
 
     fn change_leader(&mut self) {
         self.now_ms += 300;
+        self.terms += 1;
         let (lease_ms, overlap_ms) = if self.planted.no_grace {
             (0, 0)
         } else {
             (LEASE_MS, OVERLAP_MS)
         };
-        self.registry = Registry::new(self.now_ms, LEASE_MS, lease_ms, overlap_ms);
+        self.registry = Registry::new(self.terms, self.now_ms, LEASE_MS, lease_ms, overlap_ms);
         if self.planted.no_grace {
             self.registry = Registry::new(
+                self.terms,
                 self.now_ms.saturating_sub(LEASE_MS + OVERLAP_MS),
                 LEASE_MS,
                 LEASE_MS,
--- a/crates/bh-node/src/leader/duties.rs
+++ b/crates/bh-node/src/leader/duties.rs
@@ -50,6 +50,7 @@
         scheduler.step(now_ms, Event::LimitsChanged(limits));
         Self {
             registry: Registry::new(
+                term,
                 now_ms,
                 target_lease_ms,
                 target_lease_ms,
@@ -225,9 +226,14 @@
 }
 
 fn entry_addresses(node: &Node, data_centre: &str) -> Vec<std::sync::Arc<str>> {
-    node.config
+    // The leader itself comes first: a worker that announces itself here costs no call between entries.
+    let others = node
+        .config
         .entries
         .values()
+        .filter(|vm| vm.name != node.config.own.name);
+    std::iter::once(&node.config.own)
+        .chain(others)
         .filter(|vm| &*vm.data_centre == data_centre)
         .map(|vm| std::sync::Arc::from(vm.http_address.to_string()))
         .collect()
--- a/crates/bh-node/src/node/state.rs
+++ b/crates/bh-node/src/node/state.rs
@@ -32,6 +32,8 @@
     pub clock: Clock,
     /// Identity of its replicas.
     pub replica: u64,
+    /// Drawn anew at each start of the process.
+    pub incarnation: u64,
     /// The settings.
     pub settings: Group,
     /// Groups of data centres that this entry votes in or observes, by data centre.
--- a/crates/bh-node/src/requests/record.rs
+++ b/crates/bh-node/src/requests/record.rs
@@ -62,7 +62,7 @@
             customer: work.customer.clone(),
             key: work.key.clone(),
         },
-        attempt: node.replica ^ xxh3_64(&node.request_number().to_le_bytes()),
+        attempt: attempt_number(node),
     };
     let command = LedgerCommand::Begin {
         key: begun.key.clone(),
@@ -93,6 +93,14 @@
     }
 }
 
+/// A number that no other attempt has, of this process or any other. It must differ between two lives of an entry: the
+/// record would take the resend of a request that the earlier life sent for a repeated proposal, and grant it again.
+fn attempt_number(node: &Node) -> u64 {
+    let mut bytes = node.incarnation.to_le_bytes().to_vec();
+    bytes.extend_from_slice(&node.request_number().to_le_bytes());
+    xxh3_64(&bytes)
+}
+
 fn in_progress(node: &Rc<Node>, work: &Work, expires_wall_ms: u64) -> Failure {
     let left_ms = expires_wall_ms.saturating_sub(node.clock.wall_ms());
     let label = format!("key `{}`", work.key);
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -105,7 +105,15 @@
         )?;
         jobs.insert(data_centre, spawned);
     }
-    let node = build(config, clock, replica, &settings.group, &jobs, &folder);
+    let incarnation = bh_storage::random_replica()?;
+    let node = build(
+        config,
+        clock,
+        (replica, incarnation),
+        &settings.group,
+        &jobs,
+        &folder,
+    );
     late.fill(&node);
     log::info!(entry = &*node.config.own.name, replica = format!("{replica:016x}"), address = node.config.own.http_address.to_string(); "entry starts");
     let (failed, failure) = oneshot::channel();
@@ -271,7 +279,7 @@
 fn build(
     config: EntryConfig,
     clock: Clock,
-    replica: u64,
+    (replica, incarnation): (u64, u64),
     settings: &Group,
     jobs: &BTreeMap<Arc<str>, Spawned>,
     folder: &Option<Folder>,
@@ -289,15 +297,13 @@
         .as_ref()
         .map(|folder| http_api::load_counters(&counters_path(folder)))
         .unwrap_or_default();
-    let router = Router::new(Holdings::new(
-        config.own.name.clone(),
-        replica ^ clock.wall_ms(),
-    ));
+    let router = Router::new(Holdings::new(config.own.name.clone(), incarnation));
     Rc::new_cyclic(|own| Node {
         peers: Peers::new(config.entries.values(), &config.own.name),
         metrics: Metrics::new(&config.own.name, config.statsd_address),
         clock,
         replica,
+        incarnation,
         settings: settings.clone(),
         jobs,
         router: RefCell::new(router),
@@ -413,7 +419,7 @@
             let now_ms = node.clock.now_ms();
             let decisions = {
                 let mut router = node.router.borrow_mut();
-                router.holdings.accept(now_ms, sent_ms, grant);
+                router.holdings.accept(sent_ms, grant);
                 router.tick(now_ms)
             };
             node.carry_out(decisions);
--- a/crates/bh-router/benches/overload.rs
+++ b/crates/bh-router/benches/overload.rs
@@ -13,7 +13,6 @@
 use bh_router::Ticket;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 const ENTRIES: usize = 8;
@@ -134,14 +133,13 @@
             leaving: false,
             tasks: Vec::new(),
         },
-        remaining_ms: 1_000_000,
         withheld: 0,
         release: false,
     };
     Grant {
         lease_ms: 1_000_000,
-        targets: targets.iter().map(granted).collect(),
-        entries: Vec::new(),
+        targets: Some(targets.iter().map(granted).collect()),
+        ..Grant::default()
     }
 }
 
@@ -157,7 +155,7 @@
         let mut routers = Vec::new();
         for (entry, targets) in owned.iter().enumerate() {
             let mut holdings = Holdings::new(entry_name(entry), 1);
-            holdings.accept(1, 1, grant(targets));
+            holdings.accept(1, grant(targets));
             routers.push(Router::new(holdings));
         }
         let mut bench = Self {
@@ -288,9 +286,7 @@
                 }
                 for entry in 0..ENTRIES - 1 {
                     let targets = grant(&self.owned[entry]);
-                    self.routers[entry]
-                        .holdings
-                        .accept(self.now_ms, self.now_ms, targets);
+                    self.routers[entry].holdings.accept(self.now_ms, targets);
                 }
             }
         }
@@ -367,9 +363,7 @@
                         },
                     );
                 }
-                Decision::Refuse { id, failure } => {
-                    self.refused(entry, id, failure.retry_after_ms.is_some())
-                }
+                Decision::Refuse { id, .. } => self.refused(entry, id),
             }
         }
     }
@@ -413,7 +407,7 @@
         }
     }
 
-    fn refused(&mut self, entry: usize, id: u64, _told_when: bool) {
+    fn refused(&mut self, entry: usize, id: u64) {
         let home = self
             .requests
             .get(&id)
@@ -489,13 +483,12 @@
 /// One queue, first come first served, every request run to its end whatever its deadline.
 fn first_come(load: f64) -> f64 {
     let mut random = Random(0x1234_5678_9abc_def1);
-    let mut free: VecDeque<f64> = VecDeque::new();
-    let mut ends: BTreeMap<u64, u32> = BTreeMap::new();
     let capacity_per_ms = TARGETS as f64 * f64::from(SLOTS) / SERVICE_MS;
     let (mut at, mut good) = (1.0, 0u64);
-    let mut slots: Vec<f64> = vec![0.0; TARGETS * SLOTS as usize];
-    let mut heap: std::collections::BinaryHeap<std::cmp::Reverse<u64>> =
-        slots.drain(..).map(|_| std::cmp::Reverse(0)).collect();
+    let mut heap: std::collections::BinaryHeap<std::cmp::Reverse<u64>> = (0..TARGETS
+        * SLOTS as usize)
+        .map(|_| std::cmp::Reverse(0))
+        .collect();
     while at < LENGTH_MS as f64 {
         at += -(1.0 - random.unit()).ln() / (capacity_per_ms * load);
         let service = -(1.0 - random.unit()).ln() * SERVICE_MS;
@@ -507,8 +500,6 @@
             good += 1;
         }
     }
-    free.clear();
-    ends.clear();
     good as f64 / (LENGTH_MS as f64 / 1_000.0)
 }
 
--- a/crates/bh-router/src/queue.rs
+++ b/crates/bh-router/src/queue.rs
@@ -93,8 +93,7 @@
             let own = lanes.get(customer).map_or(0, |lane| lane.waiting.len());
             ahead += own;
             // While this lane's requests are served, another gets as many turns as its weight allows.
-            for (name, lane) in lanes.iter().filter(|(name, _)| &***name != customer) {
-                let _ = name;
+            for (_, lane) in lanes.iter().filter(|(name, _)| &***name != customer) {
                 let other_weight = lane
                     .waiting
                     .front()
--- a/crates/bh-scheduler/benches/cost.rs
+++ b/crates/bh-scheduler/benches/cost.rs
@@ -160,12 +160,7 @@
                     3
                 ],
             };
-            let start = Instant::now();
-            let _ = scheduler
-                .step(20_000, Event::JobsCancelled { jobs: vec![number] })
-                .len();
-            let cancelled = start.elapsed();
-            let _ = cancelled;
+            scheduler.step(20_000, Event::JobsCancelled { jobs: vec![number] });
             let start = Instant::now();
             let actions = if decision < 8 {
                 scheduler.step(20_000, report)
--- a/crates/bh-scheduler/benches/support/baseline.rs
+++ b/crates/bh-scheduler/benches/support/baseline.rs
@@ -29,9 +29,8 @@
     pub ended_ms: u64,
 }
 
-pub struct Baseline<'a> {
+pub struct Baseline {
     mode: Mode,
-    profile: &'a Profile,
     workers: Vec<Worker>,
     racks: Vec<Vec<usize>>,
     queue: Vec<usize>,
@@ -41,8 +40,8 @@
     started: BTreeMap<usize, u64>,
 }
 
-impl<'a> Baseline<'a> {
-    pub fn new(mode: Mode, profile: &'a Profile) -> Self {
+impl Baseline {
+    pub fn new(mode: Mode, profile: &Profile) -> Self {
         let racks_count = profile.workers.div_ceil(profile.per_rack) as usize;
         let workers: Vec<Worker> = (0..profile.workers)
             .map(|index| Worker {
@@ -73,7 +72,6 @@
             .collect();
         Self {
             mode,
-            profile,
             workers,
             racks,
             queue: Vec::new(),
@@ -250,7 +248,6 @@
             }
             self.dispatch(now_ms, arrivals);
         }
-        let _ = self.profile;
         samples.0 / f64::from(samples.1.max(1))
     }
 }
--- a/crates/bh-scheduler/src/scheduler/gang.rs
+++ b/crates/bh-scheduler/src/scheduler/gang.rs
@@ -112,20 +112,14 @@
         epoch: u64,
         refused: &BTreeSet<Arc<str>>,
     ) {
-        let Some(job) = self.jobs.get_mut(&number) else {
-            return;
-        };
-        if job.epoch != epoch {
-            return;
-        }
-        let State::Running { running, .. } = &mut job.state else {
+        let Some(job) = self.jobs.get(&number).filter(|job| job.epoch == epoch) else {
             return;
         };
-        let Some(worker) = refused.first() else {
+        let is_running = matches!(job.state, State::Running { .. });
+        let Some(worker) = refused.first().filter(|_| is_running) else {
             return;
         };
         // Some tasks may run already: the whole gang stops, so that no part of it runs alone.
-        let _ = running;
         let reason = format!("worker {worker} did not start its tasks");
         self.note_refusals(now_ms, number, refused);
         self.stop(now_ms, number, AfterStop::Requeue { reason }, false);
--- a/crates/bh-settings/src/entry.rs
+++ b/crates/bh-settings/src/entry.rs
@@ -149,7 +149,7 @@
     let name = root.name("name");
     let entries = read_entries(&mut root);
     let own = entries.get(&name).cloned();
-    if own.is_none() && !name.is_empty() {
+    if own.is_none() && !name.is_empty() && !entries.is_empty() {
         let known: Vec<&str> = entries.keys().map(|name| &**name).collect();
         root.note(
             format!("`name` is `{name}`, which is not among `entries`"),
@@ -229,7 +229,9 @@
 fn read_entries(root: &mut Section<'_>) -> BTreeMap<Arc<str>, EntryVm> {
     let mut entries = BTreeMap::new();
     let mut addresses = BTreeSet::new();
-    for mut section in root.list("entries") {
+    let sections = root.list("entries");
+    let names_none = sections.is_empty();
+    for mut section in sections {
         let name = section.name("name");
         let data_centre = section.name("data_centre");
         let http_address = read_address(&mut section, "http_address");
@@ -260,7 +262,7 @@
         }
         section.finish();
     }
-    if entries.is_empty() {
+    if names_none {
         root.note(
             "`entries` names no VM",
             "list every entry VM, this one among them",
--- a/crates/bh-testkit/src/worker/serve.rs
+++ b/crates/bh-testkit/src/worker/serve.rs
@@ -308,6 +308,7 @@
     let renew_ms = Rc::new(Cell::new(FIRST_RENEW_MS));
     let mut next_entry = 0;
     let mut last = None;
+    let mut entries = state.options.entries.clone();
     while !state.stop.load(Ordering::SeqCst) {
         let faults = *state.faults.lock().expect("no panic under the lock");
         if !faults.silent {
@@ -317,12 +318,21 @@
                 .expect("no panic under the lock")
                 .reports();
             last = Some(reports.clone());
-            let entry = &state.options.entries[next_entry % state.options.entries.len()];
+            let entry = &entries[next_entry % entries.len()];
             match within_ms(ANNOUNCE_MS, send(&state, own, &faults, reports, entry))
                 .await
                 .flatten()
             {
                 Some(reply) => {
+                    if !reply.entries.is_empty() {
+                        // The first one is the leader: no other entry has to pass announcements on.
+                        entries = reply
+                            .entries
+                            .iter()
+                            .map(|address| address.to_string())
+                            .collect();
+                        next_entry = 0;
+                    }
                     renew_ms.set(reply.renew_ms.max(POLL_MS));
                     let mut tasks = state.tasks.lock().expect("no panic under the lock");
                     tasks.answered(
