Smaller files, passes by need, heartbeats of 150 ms

The leader makes its limits anew only when the settings changed, and looks at a waiting queue every 200 ms in place of every tick: a pass sorts the whole queue. Behaviour of placement is unchanged but for the time between passes.

--- a/crates/bh-consensus/src/lib.rs
+++ b/crates/bh-consensus/src/lib.rs
@@ -7,6 +7,7 @@
 mod config;
 mod election;
 mod event;
+mod follower;
 mod leader;
 mod log;
 mod output;
--- a/crates/bh-node/src/group/mod.rs
+++ b/crates/bh-node/src/group/mod.rs
@@ -6,6 +6,7 @@
 mod input;
 mod machine;
 mod persist;
+mod spawn;
 
 pub use driver::Driver;
 pub use driver::Hooks;
@@ -16,3 +17,7 @@
 pub use input::Input;
 pub use machine::Machine;
 pub use machine::MachineState;
+pub(crate) use spawn::Spawned;
+pub(crate) use spawn::Spawner;
+pub(crate) use spawn::drive;
+pub(crate) use spawn::hosted;
--- a/crates/bh-node/src/leader/jobs_group.rs
+++ b/crates/bh-node/src/leader/jobs_group.rs
@@ -33,6 +33,8 @@
     pub group: Group,
     duties: RefCell<Option<Duties>>,
     term_on_duty: Cell<u64>,
+    /// Settings revision that the scheduler's limits were made from.
+    limits_revision: Cell<u64>,
 }
 
 impl JobsGroup {
@@ -43,6 +45,7 @@
             group,
             duties: RefCell::new(None),
             term_on_duty: Cell::new(0),
+            limits_revision: Cell::new(0),
         }
     }
 
@@ -103,7 +106,9 @@
 
     fn take_up(&self, node: &Node, term: u64) {
         let now_ms = node.clock.now_ms();
-        let limits = Limits::new(&node.settings_in_force().1, &self.data_centre);
+        let (revision, settings) = node.settings_in_force();
+        self.limits_revision.set(revision);
+        let limits = Limits::new(&settings, &self.data_centre);
         let duties = Duties::new(term, limits, node.config.target_lease_ms, now_ms);
         *self.duties.borrow_mut() = Some(duties);
         let recorded = self.group.machine.jobs(|machine| {
@@ -130,7 +135,6 @@
 
     fn tick(&self, node: &Node) {
         let now_ms = node.clock.now_ms();
-        let limits = Limits::new(&node.settings_in_force().1, &self.data_centre);
         let lost = match self.duties.borrow_mut().as_mut() {
             Some(duties) => {
                 let gone = duties.registry.take_gone(now_ms);
@@ -138,7 +142,7 @@
             }
             None => return,
         };
-        self.feed(node, Event::LimitsChanged(limits));
+        self.take_new_limits(node);
         for name in lost {
             log::warn!(target_name = &*name, data_centre = &*self.data_centre; "target lost: its leases lapsed");
             self.feed(node, Event::WorkerLost { name });
@@ -146,6 +150,15 @@
         self.feed(node, Event::Tick);
     }
 
+    /// Hands changed settings to the scheduler.
+    fn take_new_limits(&self, node: &Node) {
+        let (revision, settings) = node.settings_in_force();
+        if self.limits_revision.replace(revision) != revision {
+            let limits = Limits::new(&settings, &self.data_centre);
+            self.feed(node, Event::LimitsChanged(limits));
+        }
+    }
+
     /// A command was applied to the record: the scheduler hears of new and cancelled jobs.
     pub fn applied(&self, node: &Node, command: &[u8], answer: &[u8]) {
         if self.duties.borrow().is_none() {
--- a/crates/bh-node/src/lib.rs
+++ b/crates/bh-node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions are made by the pure crates; this one carries them out on one loop.
 
+mod background;
 pub mod group;
 pub mod http_api;
 pub mod jobs_machine;
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -1,36 +1,31 @@
 //! Starts an entry, keeps it running, and ends it gracefully.
 
-use crate::group::Driver;
-use crate::group::Formation;
+use crate::background;
 use crate::group::Group;
 use crate::group::Machine;
 use crate::group::MachineState;
-use crate::group::form;
+use crate::group::Spawned;
+use crate::group::Spawner;
+use crate::group::drive;
+use crate::group::hosted;
 use crate::http_api;
 use crate::jobs_machine::JobsMachine;
 use crate::leader::JobsGroup;
-use crate::leader::LeaderAnswer;
-use crate::leader::LeaderCall;
 use crate::metrics::Metrics;
 use crate::node::Late;
 use crate::node::Node;
 use crate::node::SETTINGS_GROUP;
-use crate::node::from_json;
 use crate::node::jobs_group;
 use crate::peers;
 use crate::peers::Peers;
-use bh_consensus::Config;
 use bh_membership::Holdings;
 use bh_net::Clock;
 use bh_net::http_client::Pool;
-use bh_net::http_server;
-use bh_net::http_server::Limits;
 use bh_net::link::LinkKey;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
 use bh_protocol::Code;
 use bh_protocol::Failure;
-use bh_protocol::wire::RpcKind;
 use bh_router::Router;
 use bh_settings::EntryConfig;
 use bh_storage::Folder;
@@ -40,30 +35,14 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
-/// Time between looks at the router's queue and the idle connections, in milliseconds.
-const ROUTER_TICK_MS: u64 = 20;
-/// Renewals of targets within a target's lease.
-const RENEWALS_PER_LEASE: u64 = 10;
-/// Time between writes of the service-level counters, in milliseconds.
-const COUNTERS_MS: u64 = 5_000;
 /// Time between looks at the requests in progress at shutdown, in milliseconds.
 const DRAIN_POLL_MS: u64 = 10;
-/// Wait for a formation's answer, in milliseconds.
-const FORMATION_MS: u64 = 1_000;
-
-/// What is needed to run one group.
-struct Spawned {
-    driver: Driver,
-    group: Group,
-    wanted: BTreeSet<Arc<str>>,
-}
 
 /// Runs the entry until it is told to stop.
 ///
@@ -84,25 +63,20 @@
     let peer_listener = bind(config.own.peer_address)?;
     let clock = Clock::new();
     let late = Late::new();
-    let settings_machine = Machine::new(MachineState::Settings(bh_settings::Machine::new()));
-    let settings = spawn_group(
-        &config,
-        &folder,
-        &clock,
-        &late,
+    let spawner = Spawner {
+        config: &config,
+        folder: &folder,
+        clock: &clock,
+        late: &late,
         replica,
-        SETTINGS_GROUP,
-        settings_machine,
-        config.settings_voters(),
-    )?;
+    };
+    let settings_machine = Machine::new(MachineState::Settings(bh_settings::Machine::new()));
+    let settings = spawner.spawn(SETTINGS_GROUP, settings_machine, config.settings_voters())?;
     let mut jobs = BTreeMap::new();
     for data_centre in hosted(&config) {
         let machine = Machine::new(MachineState::Jobs(JobsMachine::new()));
         let wanted = config.jobs_voters(&data_centre);
-        let name = jobs_group(&data_centre);
-        let spawned = spawn_group(
-            &config, &folder, &clock, &late, replica, &name, machine, wanted,
-        )?;
+        let spawned = spawner.spawn(&jobs_group(&data_centre), machine, wanted)?;
         jobs.insert(data_centre, spawned);
     }
     let incarnation = bh_storage::random_replica()?;
@@ -125,10 +99,10 @@
     for peer in node.peers.iter() {
         monoio::spawn(peers::dial(node.clone(), peer.clone(), key.clone()));
     }
-    monoio::spawn(accept_callers(node.clone(), http_listener));
-    monoio::spawn(renew_targets(node.clone()));
-    monoio::spawn(tick_router(node.clone()));
-    monoio::spawn(keep_counters(
+    monoio::spawn(background::accept_callers(node.clone(), http_listener));
+    monoio::spawn(background::renew_targets(node.clone()));
+    monoio::spawn(background::tick_router(node.clone()));
+    monoio::spawn(background::keep_counters(
         node.clone(),
         folder.as_ref().map(counters_path),
     ));
@@ -185,97 +159,6 @@
     })
 }
 
-/// Data centres whose group this entry takes part in: its own, and those it votes in.
-fn hosted(config: &EntryConfig) -> Vec<Arc<str>> {
-    config
-        .data_centres()
-        .into_iter()
-        .filter(|data_centre| {
-            *data_centre == config.own.data_centre
-                || config.jobs_voters(data_centre).contains(&config.own.name)
-        })
-        .collect()
-}
-
-#[expect(
-    clippy::too_many_arguments,
-    reason = "each is a different part of the entry, used once at the start"
-)]
-fn spawn_group(
-    config: &EntryConfig,
-    folder: &Option<Folder>,
-    clock: &Clock,
-    late: &Late,
-    replica: u64,
-    name: &str,
-    machine: Machine,
-    wanted: BTreeSet<Arc<str>>,
-) -> Result<Spawned, Failure> {
-    let storage = match folder {
-        Some(folder) => Some(folder.journal(name)?),
-        None => None,
-    };
-    let group_config = Config {
-        group: Arc::from(name),
-        id: replica,
-        name: config.own.name.clone(),
-        durable: folder.is_some(),
-        wanted_voters: wanted.clone(),
-        heartbeat_ms: config.heartbeat_ms,
-        election_ms: config.election_ms,
-        election_delay_ms: election_delay_ms(config, name),
-        seed: replica,
-    };
-    let hooks = hooks(late, name);
-    let (driver, group) = Driver::new(group_config, machine, storage, clock.clone(), hooks)?;
-    let driver = driver
-        .with_snapshot_entries(config.snapshot_entries)
-        .with_group_sync(config.group_sync);
-    Ok(Spawned {
-        driver,
-        group,
-        wanted,
-    })
-}
-
-/// A voter made up from another data centre leads only when none of the data centre's own can: its orders to workers
-/// would cross the link that is cut first.
-fn election_delay_ms(config: &EntryConfig, group: &str) -> u64 {
-    match group.strip_prefix("jobs/") {
-        Some(data_centre) if data_centre != &*config.own.data_centre => config.election_ms,
-        _ => 0,
-    }
-}
-
-fn hooks(late: &Late, name: &str) -> crate::group::Hooks {
-    let (sending, applying, changing) = (late.clone(), late.clone(), late.clone());
-    let data_centre: Option<Arc<str>> = name.strip_prefix("jobs/").map(Arc::from);
-    let of_change = data_centre.clone();
-    crate::group::Hooks {
-        send: Box::new(move |message| {
-            if let Some(node) = sending.get() {
-                node.send_raft(message);
-            }
-        }),
-        applied: Box::new(move |command, answer| {
-            let jobs = applying
-                .get()
-                .and_then(|node| node.rc_of(data_centre.as_deref()?));
-            if let Some((node, jobs)) = jobs {
-                jobs.applied(&node, command, answer);
-            }
-        }),
-        changed: Box::new(move || {
-            let jobs = changing
-                .get()
-                .and_then(|node| node.rc_of(of_change.as_deref()?));
-            if let Some((node, jobs)) = jobs {
-                jobs.role_changed(&node);
-            }
-        }),
-    }
-}
-
 fn build(
     config: EntryConfig,
     clock: Clock,
@@ -322,155 +205,6 @@
     })
 }
 
-/// Runs a group's driver and takes part in its formation.
-fn drive(node: &Rc<Node>, spawned: Spawned, failed: Rc<Cell<Option<oneshot::Sender<Failure>>>>) {
-    let Spawned {
-        driver,
-        group,
-        wanted,
-    } = spawned;
-    let (asking, name) = (node.clone(), group.name.clone());
-    let ask = move |vm: Arc<str>| {
-        let (node, name) = (asking.clone(), name.clone());
-        async move {
-            let peer = node.peers.get(&vm)?.clone();
-            let reply = peer
-                .call(
-                    RpcKind::Formation,
-                    &name,
-                    String::new(),
-                    Vec::new(),
-                    FORMATION_MS,
-                )
-                .await
-                .ok()?;
-            from_json::<Formation>(&reply.body).ok()
-        }
-    };
-    monoio::spawn(form(
-        group,
-        node.config.own.name.clone(),
-        node.replica,
-        wanted,
-        ask,
-    ));
-    monoio::spawn(async move {
-        if let Err(failure) = driver.run().await
-            && let Some(failed) = failed.take()
-        {
-            let _ = failed.send(failure);
-        }
-    });
-}
-
-async fn accept_callers(node: Rc<Node>, listener: TcpListener) {
-    let limits = Limits::new(node.config.idle_connection_ms);
-    loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = node.closing.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            // Out of descriptors, most likely: those that close free some.
-            sleep_ms(DRAIN_POLL_MS).await;
-            continue;
-        };
-        if node.connections.get() >= node.config.max_connections {
-            node.metrics.count("connections_refused", 1);
-            continue;
-        }
-        node.connections.set(node.connections.get() + 1);
-        let node = node.clone();
-        monoio::spawn(async move {
-            let handler = |request| {
-                let node = node.clone();
-                async move {
-                    node.in_progress.set(node.in_progress.get() + 1);
-                    let response = http_api::route(&node, request).await;
-                    node.in_progress.set(node.in_progress.get() - 1);
-                    response
-                }
-            };
-            http_server::serve(stream, limits, &node.draining, &node.closing, handler).await;
-            node.connections.set(node.connections.get() - 1);
-        });
-    }
-}
-
-/// Keeps this entry's share of the targets.
-async fn renew_targets(node: Rc<Node>) {
-    let wait_ms = (node.config.target_lease_ms / RENEWALS_PER_LEASE).max(1);
-    let data_centre = node.config.own.data_centre.clone();
-    while !node.stop.is_cancelled() {
-        let sent_ms = node.clock.now_ms();
-        let claims = node
-            .router
-            .borrow()
-            .holdings
-            .claims(sent_ms, node.draining.is_cancelled());
-        let answer = node
-            .ask_leader(
-                &data_centre,
-                &LeaderCall::Renew(claims),
-                wait_ms.max(ROUTER_TICK_MS),
-            )
-            .await;
-        if let Ok(LeaderAnswer::Renewed(grant)) = answer {
-            let now_ms = node.clock.now_ms();
-            let decisions = {
-                let mut router = node.router.borrow_mut();
-                router.holdings.accept(sent_ms, grant);
-                router.tick(now_ms)
-            };
-            node.carry_out(decisions);
-        }
-        sleep_ms(wait_ms).await;
-    }
-}
-
-async fn tick_router(node: Rc<Node>) {
-    while !node.stop.is_cancelled() {
-        let now_ms = node.clock.now_ms();
-        let decisions = node.router.borrow_mut().tick(now_ms);
-        node.carry_out(decisions);
-        node.pool.age_out(now_ms);
-        sleep_ms(ROUTER_TICK_MS).await;
-    }
-}
-
-async fn keep_counters(node: Rc<Node>, path: Option<PathBuf>) {
-    while !node.stop.is_cancelled() {
-        sleep_ms(COUNTERS_MS).await;
-        let wall_ms = node.clock.wall_ms();
-        node.counters.borrow_mut().compact(wall_ms);
-        report_gauges(&node);
-        if let Some(path) = path.clone() {
-            let counters = node.counters.borrow().clone();
-            let _ = monoio::spawn_blocking(move || http_api::save_counters(&path, &counters)).await;
-        }
-    }
-}
-
-fn report_gauges(node: &Node) {
-    let now_ms = node.clock.now_ms();
-    let router = node.router.borrow();
-    node.metrics
-        .gauge("queued", u64::try_from(router.queued()).unwrap_or(u64::MAX));
-    node.metrics
-        .gauge("slots", u64::from(router.holdings.slots(now_ms)));
-    node.metrics
-        .gauge("free_slots", u64::from(router.spare_slots(now_ms)));
-    node.metrics
-        .gauge("in_progress", u64::from(node.in_progress.get()));
-    node.metrics.gauge(
-        "connections",
-        u64::try_from(node.connections.get()).unwrap_or(u64::MAX),
-    );
-    node.metrics
-        .gauge("settings_revision", node.settings_in_force().0);
-    node.metrics.gauge("link_bytes", node.link_bytes.get());
-}
-
 /// Ends gracefully: not ready, then no new connections, then the requests in progress to their end.
 async fn drain(node: &Rc<Node>) {
     let config = &node.config;
--- a/crates/bh-scheduler/src/scheduler/mod.rs
+++ b/crates/bh-scheduler/src/scheduler/mod.rs
@@ -1,8 +1,10 @@
 //! The scheduler of one data centre.
 
 mod dispatch;
+mod force;
 mod gang;
 mod stop;
+mod tried;
 mod workers;
 
 use crate::action::Action;
@@ -28,6 +30,9 @@
 /// Bits of an epoch that count attempts within one leader's term.
 const EPOCH_TERM_SHIFT: u32 = 24;
 
+/// Time between passes over the queue when nothing else asks for one, in milliseconds: a pass sorts the whole queue.
+const PASS_MS: u64 = 200;
+
 /// Order in the queue: priority, then age, then identity.
 type QueueKey = (Reverse<u8>, u64, u64);
 
@@ -51,6 +56,8 @@
     /// Until then workers may still have to announce themselves to this leader.
     settled_ms: u64,
     dirty: bool,
+    /// When waits that end by time alone are looked at again.
+    next_pass_ms: u64,
     actions: Vec<Action>,
 }
 
@@ -72,6 +79,7 @@
             on_worker: BTreeMap::new(),
             settled_ms: now_ms + lease_ms,
             dirty: true,
+            next_pass_ms: 0,
             actions: Vec::new(),
         }
     }
@@ -423,8 +431,11 @@
     fn tick(&mut self, now_ms: u64) {
         self.tick_running(now_ms);
         self.tick_stopping(now_ms);
-        // Waits that end by time alone: retries, reservations, workers back from being set aside.
-        self.dirty |= !self.queue.is_empty();
+        // Waits that end by time alone: retries, patience, workers back from being set aside.
+        if now_ms >= self.next_pass_ms {
+            self.next_pass_ms = now_ms + PASS_MS;
+            self.dirty |= !self.queue.is_empty();
+        }
     }
 }
 
--- a/crates/bh-settings/src/key.rs
+++ b/crates/bh-settings/src/key.rs
@@ -355,7 +355,7 @@
         "ms",
         10,
         10_000,
-        Some(100),
+        Some(150),
         "Time between heartbeats of leaders and peer links.",
     ),
     number(
--- a/crates/bh-settings/tests/problems.rs
+++ b/crates/bh-settings/tests/problems.rs
@@ -125,7 +125,7 @@
             config.election_ms,
             config.drain_delay_ms
         ),
-        (100, 600, 500)
+        (150, 600, 500)
     );
     assert_eq!(config.settings_voters().len(), 1);
 }
