--- a/crates/beechhollow/tests/settings.rs
+++ b/crates/beechhollow/tests/settings.rs
@@ -308,3 +308,99 @@
             .to_owned(),
     )
 }
+
+/// Two data centres are cut off from each other. Each goes on placing jobs and answering requests on its own targets; the
+/// one with the majority of the settings' voters accepts changes, the other keeps what it had and refuses them as not
+/// run, as it refuses non-idempotent requests whose record is kept on the other side. When the cut is mended the
+/// newest settings are in force everywhere.
+#[test]
+fn a_data_centre_that_is_cut_off_serves_on() {
+    let names = [
+        ("a1", "a"),
+        ("a2", "a"),
+        ("a3", "a"),
+        ("b1", "b"),
+        ("b2", "b"),
+    ];
+    let options = names
+        .iter()
+        .map(|(name, centre)| bh_testkit::EntryOptions::new(name, centre))
+        .collect();
+    let mut cluster = Cluster::new(BINARY, options)
+        .with_links()
+        .with_extra("target_lease_ms: 1500\n");
+    cluster.start_all();
+    prepare(&cluster);
+    let start = |name: &str, centre: &str| {
+        let options =
+            bh_testkit::worker::WorkerOptions::new(name, centre, "r", cluster.entries_of(centre));
+        bh_testkit::Worker::start(options)
+    };
+    let _workers = [start("wa", "a"), start("wb", "b")];
+    let slots = |name: &str| {
+        bh_testkit::http_raw::get(cluster.http(name), "/v1/status").json()["slots"].as_u64()
+    };
+    cluster.wait_until("owners on both sides", SOON, || {
+        slots("a1").max(slots("a2")).max(slots("a3")) == Some(8)
+            && slots("b1").max(slots("b2")) == Some(8)
+    });
+    let cut = |on: bool| {
+        for (from, _) in names.iter().filter(|(_, centre)| *centre == "a") {
+            for (to, _) in names.iter().filter(|(_, centre)| *centre == "b") {
+                cluster.link(from, to).set_cut(on);
+                cluster.link(to, from).set_cut(on);
+            }
+        }
+    };
+    cut(true);
+    cluster.wait_until("b says it is cut off", SOON, || {
+        bh_testkit::http_raw::get(cluster.http("b1"), "/v1/status").json()["in_force"]["cut_off"]
+            == true
+    });
+    cluster.wait_until("a accepts a change", SOON, || {
+        cluster.apply("a1", "during", 1, &settings("x: {}")).code() == Some(0)
+    });
+    let refused = cluster.apply("b2", "refused", 1, &settings("y: {}"));
+    assert_eq!(
+        (refused.code(), refused.header("x-ran")),
+        (Some(203), Some("no")),
+        "{refused:?}"
+    );
+    for entry in ["a2", "b1", "b2"] {
+        cluster.wait_until("requests are served on both sides", SOON, || {
+            support::request(&cluster, entry, "read", None, "x").code() == Some(0)
+        });
+    }
+    let path = "/v1/customers/crumb/jobs?data_centre=b";
+    let body = serde_json::json!({ "key": "cut", "shape": "one", "request_type": "train", "declared_ms": 10, "payload": "run_ms=100" });
+    cluster.wait_until("a job is taken in b", SOON, || {
+        bh_testkit::http_raw::post(cluster.http("b1"), path, &[], body.to_string().as_bytes())
+            .code()
+            == Some(0)
+    });
+    cluster.wait_until("and runs to its end", SOON, || {
+        bh_testkit::http_raw::get(
+            cluster.http("b2"),
+            "/v1/customers/crumb/jobs/1?data_centre=b",
+        )
+        .json()["phase"]
+            == "done"
+    });
+    let booked: Vec<Option<u32>> = (0..8)
+        .map(|n| support::request(&cluster, "b1", "book", Some(&format!("cut{n}")), "x").code())
+        .collect();
+    assert!(
+        booked.iter().all(|code| matches!(code, Some(0 | 203))),
+        "{booked:?}"
+    );
+    assert!(
+        booked.contains(&Some(0)) && booked.contains(&Some(203)),
+        "{booked:?}"
+    );
+    cut(false);
+    for (name, _) in names {
+        cluster.wait_until("the newest settings everywhere", SOON, || {
+            cluster.revision(name) == Some(2)
+        });
+    }
+}
