Pictures of burn and fragmentation

Both pages were rendered and looked at: the burn page had its figures far from their bars and said '-1900 % of the budget left'; it now says 'used 20.0 times over', with aligned columns. Fragmentation has a page of its own.

--- a/crates/beechctl/src/commands/all.rs
+++ b/crates/beechctl/src/commands/all.rs
@@ -123,7 +123,9 @@
         ["target", "list"] => target_list::run(client, output, leaf(matches)).await,
         ["status"] => status::run(client, output).await,
         ["report", "burn"] => report_burn::run(client, output, leaf(matches)).await,
-        ["report", "fragmentation"] => report_fragmentation::run(client, output).await,
+        ["report", "fragmentation"] => {
+            report_fragmentation::run(client, output, leaf(matches)).await
+        }
         ["token", "hash"] => token_hash::run(),
         ["completion"] => completion::run(leaf(matches)),
         _ => unreachable!("clap requires one of the subcommands"),
--- a/crates/beechctl/src/commands/report_burn.rs
+++ b/crates/beechctl/src/commands/report_burn.rs
@@ -13,26 +13,37 @@
 pub fn command() -> Command {
     Command::new("burn")
         .about("Shows the burn of the error budgets over several windows")
-        .arg(
-            Arg::new("html")
-                .long("html")
-                .value_name("FILE")
-                .help("Write the report as a page with a picture"),
-        )
+        .arg(html_option())
         .after_help("Example:\n  beechctl report burn --html burn.html")
 }
 
 pub async fn run(client: &Client, output: &Output, matches: &ArgMatches) -> Result<u8, Failure> {
     let report: BurnReport = client.get("/v1/reports/burn").await?;
-    if let Some(path) = matches.get_one::<String>("html") {
-        let page = bh_report::to_html(&report);
-        std::fs::write(path, page)
-            .map_err(|error| Failure::new(Code::UnreadableFile, format!("{path}: {error}")))?;
-    }
+    write_page(matches, || bh_report::to_html(&report))?;
     output.show(&report, text);
     Ok(0)
 }
 
+/// The option that names a file for the picture.
+pub(super) fn html_option() -> Arg {
+    Arg::new("html")
+        .long("html")
+        .value_name("FILE")
+        .help("Write the report as a page with a picture")
+}
+
+/// Writes the page when the option is given.
+pub(super) fn write_page(
+    matches: &ArgMatches,
+    page: impl FnOnce() -> String,
+) -> Result<(), Failure> {
+    let Some(path) = matches.get_one::<String>("html") else {
+        return Ok(());
+    };
+    std::fs::write(path, page())
+        .map_err(|error| Failure::new(Code::UnreadableFile, format!("{path}: {error}")))
+}
+
 fn text(report: &BurnReport) -> String {
     let rows: Vec<Vec<String>> = report
         .rows
--- a/crates/beechctl/src/commands/report_fragmentation.rs
+++ b/crates/beechctl/src/commands/report_fragmentation.rs
@@ -1,20 +1,26 @@
 //! `beechctl report fragmentation`: which free accelerators cannot serve which shape.
 
+use super::report_burn::html_option;
+use super::report_burn::write_page;
 use crate::client::Client;
 use crate::output::Output;
 use crate::output::table;
-use bh_node::leader::FragmentationReport;
 use bh_protocol::Failure;
+use bh_report::FragmentationReport;
+use bh_report::shape_words;
+use clap::ArgMatches;
 use clap::Command;
 
 pub fn command() -> Command {
     Command::new("fragmentation")
         .about("Shows the fragmentation of the accelerators of every data centre")
-        .after_help("Example:\n  beechctl report fragmentation --output json")
+        .arg(html_option())
+        .after_help("Example:\n  beechctl report fragmentation --html fragmentation.html")
 }
 
-pub async fn run(client: &Client, output: &Output) -> Result<u8, Failure> {
+pub async fn run(client: &Client, output: &Output, matches: &ArgMatches) -> Result<u8, Failure> {
     let reports: Vec<FragmentationReport> = client.get("/v1/reports/fragmentation").await?;
+    write_page(matches, || bh_report::fragmentation_to_html(&reports))?;
     output.show(&reports, |reports| text(reports));
     Ok(0)
 }
@@ -26,12 +32,8 @@
             .shapes
             .iter()
             .map(|row| {
-                let shape = format!(
-                    "{} x {} in one {:?}",
-                    row.shape.tasks, row.shape.accelerators_per_task, row.shape.adjacent
-                );
                 vec![
-                    shape,
+                    shape_words(&row.shape),
                     row.usable.to_string(),
                     format!("{:.2}", row.fragmentation),
                 ]
--- a/crates/bh-node/src/http_api/reports.rs
+++ b/crates/bh-node/src/http_api/reports.rs
@@ -1,7 +1,6 @@
 //! `/v1/reports`: service-level burn and fragmentation.
 
 use super::answer;
-use crate::leader::FragmentationReport;
 use crate::leader::LeaderAnswer;
 use crate::leader::LeaderCall;
 use crate::node::Node;
@@ -9,6 +8,7 @@
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_report::Counters;
+use bh_report::FragmentationReport;
 use bh_report::Objective;
 use bytes::Bytes;
 use http::Request;
@@ -105,7 +105,7 @@
     serde_json::from_slice(response.body()).ok()
 }
 
-/// Fragmentation of one data centre, or of all whose leader answers.
+/// Fragmentation of one data centre, or of all whose leader answers, as JSON or, with `format=html`, as a page.
 pub(super) async fn fragmentation(
     node: &Rc<Node>,
     request: &Request<Bytes>,
@@ -131,6 +131,12 @@
             Err(_) => {}
         }
     }
+    if answer::parameter(request, "format") == Some("html") {
+        return Ok(answer::text(
+            "text/html; charset=utf-8",
+            bh_report::fragmentation_to_html(&reports),
+        ));
+    }
     Ok(answer::json(&reports))
 }
 
--- a/crates/bh-node/src/leader/call.rs
+++ b/crates/bh-node/src/leader/call.rs
@@ -7,6 +7,7 @@
 use bh_protocol::shape::Shape;
 use bh_protocol::target::AnnounceReply;
 use bh_protocol::target::Announcement;
+use bh_report::FragmentationReport;
 use serde::Deserialize;
 use serde::Serialize;
 use std::sync::Arc;
@@ -49,31 +50,3 @@
     /// To [`LeaderCall::Fragmentation`].
     Fragmentation(FragmentationReport),
 }
-
-/// Fragmentation of one data centre.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct FragmentationReport {
-    /// Data centre.
-    pub data_centre: Arc<str>,
-    /// Accelerators of all live workers.
-    pub accelerators: u32,
-    /// Free ones among them.
-    pub free: u32,
-    /// Guaranteed shapes.
-    pub guaranteed: usize,
-    /// Guaranteed shapes without hardware behind them.
-    pub uncovered: usize,
-    /// One row for each shape that waits or is guaranteed.
-    pub shapes: Vec<ShapeFragmentation>,
-}
-
-/// Fragmentation for one shape.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ShapeFragmentation {
-    /// The shape.
-    pub shape: Shape,
-    /// Free accelerators that whole copies of it could take.
-    pub usable: u32,
-    /// The share of free accelerators that cannot serve it, from 0 to 1.
-    pub fragmentation: f64,
-}
--- a/crates/bh-node/src/leader/duties.rs
+++ b/crates/bh-node/src/leader/duties.rs
@@ -1,9 +1,7 @@
 //! The leader's own state: targets and scheduler, kept in memory and learnt anew in each term.
 
-use super::call::FragmentationReport;
 use super::call::LeaderAnswer;
 use super::call::LeaderCall;
-use super::call::ShapeFragmentation;
 use super::jobs_group::JobsGroup;
 use crate::node::Node;
 use bh_membership::Registry;
@@ -16,6 +14,8 @@
 use bh_protocol::target::TaskKey;
 use bh_protocol::target::TaskPhase;
 use bh_protocol::target::TaskReport;
+use bh_report::FragmentationReport;
+use bh_report::ShapeFragmentation;
 use bh_scheduler::Action;
 use bh_scheduler::Event;
 use bh_scheduler::Fragmentation;
--- a/crates/bh-node/src/leader/mod.rs
+++ b/crates/bh-node/src/leader/mod.rs
@@ -6,9 +6,7 @@
 mod jobs_group;
 mod orders;
 
-pub use call::FragmentationReport;
 pub use call::LeaderAnswer;
 pub use call::LeaderCall;
-pub use call::ShapeFragmentation;
 pub use duties::Duties;
 pub use jobs_group::JobsGroup;
--- a/crates/bh-report/src/lib.rs
+++ b/crates/bh-report/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod burn;
 mod counters;
+mod fragmentation;
 mod picture;
 
 pub use burn::BurnReport;
@@ -12,4 +13,8 @@
 pub use burn::report;
 pub use counters::Counters;
 pub use counters::Tally;
+pub use fragmentation::FragmentationReport;
+pub use fragmentation::ShapeFragmentation;
+pub use fragmentation::fragmentation_to_html;
+pub use fragmentation::shape_words;
 pub use picture::to_html;
--- a/crates/bh-report/src/picture.rs
+++ b/crates/bh-report/src/picture.rs
@@ -18,33 +18,34 @@
 h2 span.goal{font-weight:400;color:#5b6675;font-size:.9rem}
 .flag{font-size:.78rem;font-weight:600;border-radius:4px;padding:.1rem .45rem;color:#fff}
 .fast{background:#b3261e}.slow{background:#a15c00}.calm{background:#23704a}
-table{border-collapse:collapse;width:100%}td,th{text-align:left;padding:.2rem .75rem .2rem 0;font-weight:400}
-th{color:#5b6675;font-size:.85rem}td.n{text-align:right;font-variant-numeric:tabular-nums}";
+table{border-collapse:collapse}td,th{text-align:left;padding:.2rem 1.1rem .2rem 0;font-weight:400}td svg{display:block}
+th{color:#5b6675;font-size:.85rem}th.n,td.n{text-align:right;font-variant-numeric:tabular-nums}";
 
 /// The report as a page.
 pub fn to_html(report: &BurnReport) -> String {
-    let mut page = String::new();
-    let _ = write!(
-        page,
-        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Error-budget burn</title><style>{STYLE}</style></head><body>"
-    );
-    let _ = write!(
-        page,
-        "<h1>Error-budget burn</h1><p class=\"note\">{}</p>",
-        escape(&coverage(report))
-    );
+    let mut body = String::new();
     if report.rows.is_empty() {
-        page.push_str("<p>No request has been counted yet.</p>");
+        body.push_str("<p>No request has been counted yet.</p>");
     }
     for row in &report.rows {
-        write_row(&mut page, row);
+        write_row(&mut body, row);
     }
-    page.push_str("</body></html>\n");
-    page
+    page("Error-budget burn", &coverage(report), &body)
+}
+
+/// A whole page that needs nothing else to be shown.
+pub(crate) fn page(title: &str, note: &str, body: &str) -> String {
+    let note = escape(note);
+    format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title><style>{STYLE}</style></head><body><h1>{title}</h1><p class=\"note\">{note}</p>{body}</body></html>\n"
+    )
 }
 
 fn coverage(report: &BurnReport) -> String {
-    let mut text = format!("Counters of {} entries.", report.entries.len());
+    let mut text = match report.entries.len() {
+        1 => "Counters of one entry.".to_owned(),
+        count => format!("Counters of {count} entries."),
+    };
     if !report.silent.is_empty() {
         let _ = write!(
             text,
@@ -65,13 +66,13 @@
     let goal = f64::from(row.objective.objective_ppm) / 10_000.0;
     let _ = write!(
         page,
-        "<section><h2>{} / {} <span class=\"flag {class}\">{word}</span><span class=\"goal\">{goal}% within {} ms; {:.1}% of the thirty-day budget left</span></h2>",
+        "<section><h2>{} / {} <span class=\"flag {class}\">{word}</span><span class=\"goal\">{goal}% within {} ms; {}</span></h2>",
         escape(&row.customer),
         escape(&row.request_type),
         row.objective.objective_ms,
-        row.budget_left * 100.0
+        budget(row.budget_left)
     );
-    page.push_str("<table><tr><th>window</th><th>burn</th><th></th><th>good</th><th>bad</th></tr>");
+    page.push_str("<table><tr><th>window</th><th></th><th class=\"n\">burn</th><th class=\"n\">good</th><th class=\"n\">bad</th></tr>");
     for window in &row.windows {
         write_window(page, window);
     }
@@ -103,6 +104,15 @@
     );
 }
 
+/// What is left of the thirty days' budget, in words.
+fn budget(left: f64) -> String {
+    if left >= 0.0 {
+        format!("{:.1}% of the thirty-day budget left", left * 100.0)
+    } else {
+        format!("thirty-day budget used {:.1} times over", 1.0 - left)
+    }
+}
+
 /// A window's length in words.
 fn words(minutes: u64) -> String {
     match minutes {
