--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -306,6 +306,76 @@
     });
 }
 
+/// Open connections to a worker, and those of a caller, go silent for good while new ones work. A request that is sent into
+/// a silent one is tried elsewhere well before its deadline, and the worker gets requests again over new connections;
+/// the caller's next connection is served at once.
+#[test]
+fn silent_connections_of_targets_and_callers() {
+    let cluster = small_system();
+    let addresses = bh_testkit::ports::free(1);
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = bh_testkit::Link::start(any, addresses[0]);
+    let mut options =
+        bh_testkit::worker::WorkerOptions::new("linked", "a", "r0", cluster.entries_of("a"));
+    options.listen = Some(addresses[0]);
+    options.announced = Some(link.address());
+    let linked = bh_testkit::Worker::start(options);
+    let plain = bh_testkit::Worker::start(bh_testkit::worker::WorkerOptions::new(
+        "plain",
+        "a",
+        "r0",
+        cluster.entries_of("a"),
+    ));
+    wait_owned(&cluster, 2);
+    for number in 0..60 {
+        assert_eq!(
+            request(
+                &cluster,
+                ["a1", "a2", "a3"][number % 3],
+                "read",
+                None,
+                "warm"
+            )
+            .code(),
+            Some(0)
+        );
+    }
+    assert!(linked.seen().runs > 0 && plain.seen().runs > 0);
+    let before = linked.seen().runs;
+    link.silence_open_connections();
+    for number in 0..30 {
+        let start = Instant::now();
+        let answer = request(&cluster, ["a1", "a2", "a3"][number % 3], "read", None, "x");
+        assert_eq!(answer.code(), Some(0), "{answer:?}");
+        assert!(
+            start.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            start.elapsed()
+        );
+    }
+    cluster.wait_until(
+        "the worker gets requests over new connections",
+        SOON,
+        || {
+            request(&cluster, "a1", "read", None, "y");
+            linked.seen().runs > before
+        },
+    );
+    let caller = bh_testkit::Link::start(any, cluster.http("a1"));
+    let path = "/v1/customers/lumen/requests/read";
+    assert_eq!(
+        bh_testkit::http_raw::post(caller.address(), path, &[], b"z").code(),
+        Some(0)
+    );
+    let open = std::net::TcpStream::connect(caller.address());
+    caller.silence_open_connections();
+    assert_eq!(
+        bh_testkit::http_raw::post(caller.address(), path, &[], b"z").code(),
+        Some(0)
+    );
+    drop(open);
+}
+
 /// A worker takes requests and never answers. An idempotent request is tried on another worker well before its deadline;
 /// after a few, the silent worker is set aside and callers no longer wait for it.
 #[test]
--- a/crates/bh-node/src/peers/accept.rs
+++ b/crates/bh-node/src/peers/accept.rs
@@ -1,5 +1,6 @@
 //! The links that other entries dial here.
 
+use super::write_frames::write_frames;
 use crate::node::Node;
 use bh_net::link;
 use bh_net::link::LinkKey;
@@ -11,7 +12,6 @@
 use bh_protocol::wire::RpcRequest;
 use local_sync::mpsc::unbounded;
 use monoio::io::OwnedReadHalf;
-use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpListener;
 use monoio::net::TcpStream;
 use std::rc::Rc;
@@ -48,7 +48,7 @@
     }
     monoio::select! {
         () = read(&node, reader, sender) => {}
-        () = write(&node, writer, receiver) => {}
+        () = write_frames(&node, writer, receiver, |_| {}) => {}
     }
 }
 
@@ -103,23 +103,3 @@
         });
     });
 }
-
-async fn write(
-    node: &Rc<Node>,
-    mut writer: link::Writer<OwnedWriteHalf<TcpStream>>,
-    mut queue: unbounded::Rx<Frame>,
-) {
-    while let Some(frame) = queue.recv().await {
-        let mut next = Some(frame);
-        while let Some(frame) = next {
-            match writer.feed(&frame).await {
-                Ok(bytes) => node.note_link_bytes(bytes),
-                Err(_) => return,
-            }
-            next = queue.try_recv().ok();
-        }
-        if writer.flush().await.is_err() {
-            return;
-        }
-    }
-}
--- a/crates/bh-node/src/peers/dial.rs
+++ b/crates/bh-node/src/peers/dial.rs
@@ -1,17 +1,16 @@
 //! The link this entry dials to another one.
 
 use super::Peer;
+use super::write_frames::write_frames;
 use crate::node::Node;
 use bh_net::link;
 use bh_net::link::LinkKey;
 use bh_net::link::Opened;
 use bh_net::runtime::sleep_ms;
 use bh_net::runtime::within_ms;
-use bh_protocol::wire::Frame;
 use bh_protocol::wire::Payload;
 use local_sync::mpsc::unbounded;
 use monoio::io::OwnedReadHalf;
-use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
 use std::io;
 use std::rc::Rc;
@@ -67,7 +66,7 @@
     let Opened { reader, writer, .. } = opened;
     monoio::select! {
         () = read(node, peer, reader) => "the other end closed it or fell silent",
-        () = write(node, peer, writer, receiver) => "writing failed",
+        () = write_frames(node, writer, receiver, |_| peer.note_sent()) => "writing failed",
         () = beat(node, peer) => "the node stops",
     }
 }
@@ -92,36 +91,9 @@
     }
 }
 
-async fn write(
-    node: &Rc<Node>,
-    peer: &Rc<Peer>,
-    mut writer: link::Writer<OwnedWriteHalf<TcpStream>>,
-    mut queue: unbounded::Rx<Frame>,
-) {
-    while let Some(frame) = queue.recv().await {
-        let mut next = Some(frame);
-        while let Some(frame) = next {
-            peer.waiting.set(peer.waiting.get().saturating_sub(1));
-            match writer.feed(&frame).await {
-                Ok(bytes) => node.note_link_bytes(bytes),
-                Err(_) => return,
-            }
-            next = queue.try_recv().ok();
-        }
-        if writer.flush().await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn beat(node: &Rc<Node>, peer: &Rc<Peer>) {
     while !node.stop.is_cancelled() {
-        let heartbeat = node.heartbeat();
-        if let Some(queue) = peer.queue.borrow().as_ref() {
-            let _ = queue.send(Frame {
-                payload: Some(Payload::Heartbeat(heartbeat)),
-            });
-        }
+        peer.send_heartbeat(node.heartbeat());
         sleep_ms(node.link_heartbeat_ms()).await;
     }
 }
--- a/crates/bh-node/src/peers/mod.rs
+++ b/crates/bh-node/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod dial;
 mod peer;
 mod table;
+mod write_frames;
 
 pub use accept::accept;
 pub use call_error::CallError;
--- a/crates/bh-node/src/peers/peer.rs
+++ b/crates/bh-node/src/peers/peer.rs
@@ -55,6 +55,11 @@
         self.queue.borrow().is_some()
     }
 
+    /// Notes that a frame that waited was sent.
+    pub(super) fn note_sent(&self) {
+        self.waiting.set(self.waiting.get().saturating_sub(1));
+    }
+
     fn send(&self, payload: Payload) -> bool {
         let queue = self.queue.borrow();
         let Some(queue) = queue.as_ref() else {
@@ -68,6 +73,11 @@
             .is_ok()
     }
 
+    /// Sends a heartbeat, if the link is open.
+    pub(super) fn send_heartbeat(&self, heartbeat: Heartbeat) {
+        self.send(Payload::Heartbeat(heartbeat));
+    }
+
     /// Sends a replication message, if the link is open and not clogged.
     pub fn send_raft(&self, message: RaftMessage) {
         if self.waiting.get() < MAX_WAITING {
--- a/crates/bh-testkit/src/worker/options.rs
+++ b/crates/bh-testkit/src/worker/options.rs
@@ -1,5 +1,7 @@
 //! What a stand-in worker is told at its start.
 
+use std::net::SocketAddr;
+
 /// Name, place and size of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerOptions {
@@ -15,6 +17,10 @@
     pub accelerators: u32,
     /// Slots for short requests.
     pub slots: u32,
+    /// Where it listens; a free port when `None`.
+    pub listen: Option<SocketAddr>,
+    /// The address it announces; its own when `None`. A test puts a link there.
+    pub announced: Option<SocketAddr>,
 }
 
 impl WorkerOptions {
@@ -27,6 +33,8 @@
             entries,
             accelerators: 8,
             slots: 8,
+            listen: None,
+            announced: None,
         }
     }
 }
--- a/crates/bh-testkit/src/worker/serve.rs
+++ b/crates/bh-testkit/src/worker/serve.rs
@@ -134,7 +134,9 @@
 }
 
 async fn main(state: Arc<State>, address: mpsc::Sender<SocketAddr>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port for the worker");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener =
+        TcpListener::bind(state.options.listen.unwrap_or(any)).expect("a free port for the worker");
     let own = listener
         .local_addr()
         .expect("a bound listener has an address");
@@ -396,7 +398,7 @@
         incarnation: state.incarnation,
         data_centre: Arc::from(options.data_centre.as_str()),
         rack: Arc::from(options.rack.as_str()),
-        address: Arc::from(own.to_string()),
+        address: Arc::from(options.announced.unwrap_or(own).to_string()),
         cores: 130,
         memory_mib: 500 << 10,
         accelerators: options.accelerators,
