--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -448,3 +448,52 @@
     assert!(matches!(again.code(), Some(400 | 401)), "{again:?}");
     assert_eq!(worker.seen().runs_by_key.get("k"), Some(&1));
 }
+
+/// Two of a data centre's three entries die, so that it has no quorum. The one that is left goes on: after the leases of
+/// the old owners it answers idempotent requests on the workers that announce themselves to it, within their slots, and
+/// refuses non-idempotent ones and changes as not run. When the others are back everything is served again.
+#[test]
+fn an_entry_without_a_quorum_serves_what_it_can() {
+    let mut cluster = small_system();
+    let workers = workers(&cluster, 2);
+    let leader = cluster
+        .leader_seen_by("b1", "jobs/a")
+        .unwrap_or("a1".to_owned());
+    let left = if leader == "a1" { "a2" } else { "a1" };
+    let gone: Vec<String> = ["a1", "a2", "a3"]
+        .iter()
+        .filter(|name| **name != left)
+        .map(|name| (*name).to_owned())
+        .collect();
+    for name in &gone {
+        cluster.kill(name);
+    }
+    cluster.wait_until("requests are answered without a quorum", SOON, || {
+        request(&cluster, left, "read", None, "x").code() == Some(0)
+    });
+    thread::scope(|scope| {
+        for _ in 0..32 {
+            scope.spawn(|| request(&cluster, left, "read", None, "y"));
+        }
+    });
+    for worker in &workers {
+        assert!(worker.seen().most_in_progress <= 8);
+    }
+    let refused = cluster.apply(left, "refused", 1, &support::settings("y: {}"));
+    assert_eq!(
+        (refused.code(), refused.header("x-ran")),
+        (Some(203), Some("no")),
+        "{refused:?}"
+    );
+    for name in &gone {
+        cluster.start(name);
+    }
+    cluster.wait_until("non-idempotent requests are answered again", SOON, || {
+        request(&cluster, left, "book", Some("back"), "z").code() == Some(0)
+    });
+    wait_owned(&cluster, 2);
+    cluster.wait_until("and through all entries", SOON, || {
+        gone.iter()
+            .all(|name| request(&cluster, name, "read", None, "x").code() == Some(0))
+    });
+}
--- a/crates/bh-membership/src/holdings.rs
+++ b/crates/bh-membership/src/holdings.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Takes over the targets that the entry owns without a leader, for `lease_ms`.
+    pub fn accept_alone(&mut self, now_ms: u64, lease_ms: u64, targets: Vec<GrantedTarget>) {
+        self.until_ms = now_ms + lease_ms;
+        self.replace(targets);
+    }
+
     fn replace(&mut self, targets: Vec<GrantedTarget>) {
         let mut next = BTreeMap::new();
         for granted in targets {
--- a/crates/bh-membership/src/registry.rs
+++ b/crates/bh-membership/src/registry.rs
@@ -104,8 +104,9 @@
             announced_ms: now_ms,
             owner: None,
             free_from_ms: grace_until_ms.min(now_ms + 1),
-            withheld: 0,
-            withheld_until_ms: 0,
+            // Whoever used it before this leader knew it may still have requests there.
+            withheld: announcement.busy_slots,
+            withheld_until_ms: now_ms + WITHHOLD_MS,
         });
         let restarted = target.announcement.incarnation != announcement.incarnation;
         if restarted {
@@ -233,6 +234,8 @@
             withheld_until_ms: 0,
         });
         if target.owner.is_none() {
+            // What it is busy with are the owner's own requests.
+            target.withheld = 0;
             target.owner = Some(Owner {
                 entry: entry.clone(),
                 releasing: false,
--- a/crates/bh-node/src/background.rs
+++ b/crates/bh-node/src/background.rs
@@ -54,6 +54,21 @@
     }
 }
 
+/// Without a leader, takes the targets that announce themselves to this entry alone; returns whether it did.
+fn renew_alone(node: &Node, now_ms: u64) -> bool {
+    let mut alone = node.alone.borrow_mut();
+    if !alone.is_alone(now_ms) {
+        return false;
+    }
+    let targets = alone.usable(now_ms);
+    node.router.borrow_mut().holdings.accept_alone(
+        now_ms,
+        node.config.target_lease_ms / 2,
+        targets,
+    );
+    true
+}
+
 /// Keeps this entry's share of the targets.
 pub(crate) async fn renew_targets(node: Rc<Node>) {
     let wait_ms = (node.config.target_lease_ms / RENEWALS_PER_LEASE).max(1);
@@ -72,13 +87,17 @@
                 wait_ms.max(ROUTER_TICK_MS),
             )
             .await;
-        if let Ok(LeaderAnswer::Renewed(grant)) = answer {
-            let now_ms = node.clock.now_ms();
-            let decisions = {
-                let mut router = node.router.borrow_mut();
-                router.holdings.accept(sent_ms, grant);
-                router.tick(now_ms)
-            };
+        let now_ms = node.clock.now_ms();
+        let has_changed = match answer {
+            Ok(LeaderAnswer::Renewed(grant)) => {
+                node.alone.borrow_mut().note_leader(now_ms);
+                node.router.borrow_mut().holdings.accept(sent_ms, grant);
+                true
+            }
+            _ => renew_alone(&node, now_ms),
+        };
+        if has_changed {
+            let decisions = node.router.borrow_mut().tick(now_ms);
             node.carry_out(decisions);
         }
         sleep_ms(wait_ms).await;
--- a/crates/bh-node/src/http_api/announce.rs
+++ b/crates/bh-node/src/http_api/announce.rs
@@ -6,13 +6,17 @@
 use crate::node::Node;
 use bh_protocol::Code;
 use bh_protocol::Failure;
+use bh_protocol::target::AnnounceReply;
 use bh_protocol::target::Announcement;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
+/// Announcements within a target's lease while there is no leader.
+const RENEWALS_PER_LEASE: u64 = 4;
 /// Longest wait for the leader, in milliseconds: within a worker's own time for renewing.
 const LEADER_MS: u64 = 1_000;
 
@@ -29,6 +33,9 @@
             .holdings
             .note_leaving(&announcement.name);
     }
+    if let Some(reply) = answer_alone(node, &announcement) {
+        return Ok(answer::json(&reply));
+    }
     let data_centre = announcement.data_centre.clone();
     let call = LeaderCall::Announce(announcement);
     match node.ask_leader(&data_centre, &call, LEADER_MS).await? {
@@ -40,6 +47,26 @@
     }
 }
 
+/// While this entry reaches no leader it answers for itself, and names only itself: the worker stays with it, and nobody
+/// else uses the worker's slots. No task's lease is renewed, since no leader wants it.
+///
+/// That ends with the next renewal a leader answers, not sooner: an announcement passed on before that would let the
+/// leader give the target away while this entry still uses it.
+fn answer_alone(node: &Node, announcement: &Announcement) -> Option<AnnounceReply> {
+    let now_ms = node.clock.now_ms();
+    let mut alone = node.alone.borrow_mut();
+    if !alone.is_alone(now_ms) || announcement.data_centre != node.config.own.data_centre {
+        return None;
+    }
+    alone.announce(now_ms, announcement.clone());
+    Some(AnnounceReply {
+        lease_ms: node.config.target_lease_ms,
+        renew_ms: node.config.target_lease_ms / RENEWALS_PER_LEASE,
+        entries: vec![Arc::from(node.config.own.http_address.to_string())],
+        ..AnnounceReply::default()
+    })
+}
+
 fn check(node: &Node, announcement: &Announcement) -> Result<(), Failure> {
     let malformed = |label: String| Err(Failure::new(Code::MalformedBody, label));
     if announcement.address.parse::<SocketAddr>().is_err() {
--- a/crates/bh-node/src/node/state.rs
+++ b/crates/bh-node/src/node/state.rs
@@ -4,6 +4,7 @@
 use crate::leader::JobsGroup;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use bh_membership::Alone;
 use bh_net::Clock;
 use bh_net::http_client::Pool;
 use bh_protocol::settings::InForce;
@@ -42,6 +43,8 @@
     pub peers: Peers,
     /// Decisions about short requests.
     pub router: RefCell<Router>,
+    /// What the entry does while it reaches no leader.
+    pub alone: RefCell<Alone>,
     /// Connections to targets.
     pub pool: Pool,
     /// Metrics.
@@ -93,7 +96,8 @@
         let own = self.jobs.get(&self.config.own.data_centre);
         let has_heard =
             own.is_some_and(|jobs| jobs.group.confirmed_ms(self.clock.now_ms()).is_some());
-        has_heard && !self.draining.is_cancelled()
+        let serves_alone = self.alone.borrow().is_alone(self.clock.now_ms());
+        (has_heard || serves_alone) && !self.draining.is_cancelled()
     }
 
     /// The group of this entry's own data centre.
--- a/crates/bh-testkit/src/worker/serve.rs
+++ b/crates/bh-testkit/src/worker/serve.rs
@@ -345,6 +345,8 @@
                     );
                 }
                 None => {
+                    // The named entries may all be gone: back to the configured ones.
+                    entries = state.options.entries.clone();
                     next_entry += 1;
                     renew_ms.set(FIRST_RENEW_MS);
                 }
