No last attempt that is too short to be refused

Cause: under load (8 fuzzers beside it) an_entry_without_a_quorum_serves_what_it_can failed once in three runs: a change was answered unknown (BH400) in place of not run (BH203). The last attempt of a proposal had what was left of five seconds, down to a few milliseconds, in which the refusal of the own replica did not come back. Ruled out: a leader that had not noticed its loss (the change came seconds later). Change: no further attempt with less than 300 ms left.

--- a/crates/bh-node/src/node/calls.rs
+++ b/crates/bh-node/src/node/calls.rs
@@ -21,6 +21,9 @@
 const PASSED_ON: &str = "passed-on";
 /// Time between attempts to reach a leader, in milliseconds.
 const RETRY_MS: u64 = 30;
+/// Least time worth another attempt, in milliseconds. A proposal that is given up on before its refusal could come back
+/// counts as perhaps recorded, so that a change that nobody took would be answered "unknown" in place of "not run".
+const LEAST_ATTEMPT_MS: u64 = 300;
 /// Longest wait for one attempt, in milliseconds.
 const ATTEMPT_MS: u64 = 1_500;
 
@@ -104,7 +107,7 @@
                 Code::OutcomeUnknown => may_be_recorded = Some(failure.clone()),
                 _ => return Err(failure),
             }
-            if self.clock.now_ms() + RETRY_MS >= until_ms {
+            if self.clock.now_ms() + RETRY_MS + LEAST_ATTEMPT_MS >= until_ms {
                 return Err(may_be_recorded.unwrap_or(failure));
             }
             sleep_ms(RETRY_MS).await;
