Ownership of targets over changes of leader and lapsed leases

Change: unknown targets wait for the end of the grace and one more announcement; lapsed ones are remembered until their owner's lease is over; claims carry what is withheld and leave out what was taken away.

--- a/crates/bh-membership/src/claim.rs
+++ b/crates/bh-membership/src/claim.rs
@@ -13,6 +13,8 @@
     pub target: Announcement,
     /// Time left of the entry's lease on it, in milliseconds.
     pub remaining_ms: u64,
+    /// Slots that requests of the owner before this one may still take.
+    pub withheld: u32,
 }
 
 /// An entry's renewal. In the steady state it names no target: its size does not grow with them.
--- a/crates/bh-membership/src/holdings.rs
+++ b/crates/bh-membership/src/holdings.rs
@@ -14,12 +14,14 @@
     announcement: Announcement,
     withheld: u32,
     releasing: bool,
+    /// Another entry may own it by now; only this entry's requests in progress there are still counted.
+    taken_away: bool,
     in_flight: u32,
 }
 
 impl Held {
     fn admits(&self) -> bool {
-        !self.releasing && !self.announcement.leaving
+        !self.releasing && !self.taken_away && !self.announcement.leaving
     }
 
     fn free(&self) -> u32 {
@@ -63,7 +65,7 @@
         let released = self
             .held
             .iter()
-            .filter(|(_, held)| held.releasing && held.in_flight == 0)
+            .filter(|(_, held)| held.releasing && !held.taken_away && held.in_flight == 0)
             .map(|(name, _)| name.clone());
         Claims {
             entry: self.entry.clone(),
@@ -78,14 +80,15 @@
 
     fn all_claims(&self, now_ms: u64) -> Vec<Claim> {
         let remaining_ms = self.until_ms.saturating_sub(now_ms);
-        let still_held = self
-            .held
+        self.held
             .values()
-            .filter(|held| remaining_ms > 0 && (held.in_flight > 0 || !held.releasing));
-        still_held
+            .filter(|held| {
+                remaining_ms > 0 && !held.taken_away && (held.in_flight > 0 || !held.releasing)
+            })
             .map(|held| Claim {
                 target: held.announcement.clone(),
                 remaining_ms,
+                withheld: held.withheld,
             })
             .collect()
     }
@@ -120,6 +123,7 @@
                 announcement: granted.target,
                 withheld: granted.withheld,
                 releasing: granted.release,
+                taken_away: false,
                 in_flight,
             };
             next.insert(name, held);
@@ -127,7 +131,7 @@
         // Requests in progress on a target that was taken away are still counted until they end.
         for (name, mut held) in std::mem::take(&mut self.held) {
             if held.in_flight > 0 {
-                held.releasing = true;
+                held.taken_away = true;
                 next.entry(name).or_insert(held);
             }
         }
--- a/crates/bh-membership/src/registry.rs
+++ b/crates/bh-membership/src/registry.rs
@@ -29,6 +29,8 @@
     expires_ms: u64,
     announced_ms: u64,
     owner: Option<Owner>,
+    /// Its lease lapsed. It is still remembered while its owner may not have heard of that.
+    lapsed: bool,
     /// No entry may use it before; and only after an announcement that is newer than this.
     free_from_ms: u64,
     withheld: u32,
@@ -97,24 +99,34 @@
     pub fn announce(&mut self, now_ms: u64, announcement: Announcement) {
         let expires_ms = now_ms + self.target_lease_ms;
         let name = announcement.name.clone();
-        let grace_until_ms = self.grace_until_ms;
-        let target = self.targets.entry(name).or_insert_with(|| Target {
+        let unknown = self.unknown_target(now_ms, &announcement, expires_ms);
+        let target = self.targets.entry(name).or_insert(unknown);
+        target.lapsed = false;
+        target.announcement = announcement;
+        target.announced_ms = now_ms;
+        target.expires_ms = expires_ms;
+    }
+
+    /// A target that this leader did not know. While grants of an earlier leader may hold, an entry that cannot be reached
+    /// may own it: it is nobody's until they are over and it has announced itself once more, and what it is busy with by
+    /// then stays withheld.
+    fn unknown_target(&self, now_ms: u64, announcement: &Announcement, expires_ms: u64) -> Target {
+        let in_grace = now_ms < self.grace_until_ms;
+        let (free_from_ms, withheld) = if in_grace {
+            (self.grace_until_ms + REPORT_LAG_MS, announcement.slots)
+        } else {
+            (now_ms, announcement.busy_slots)
+        };
+        Target {
             announcement: announcement.clone(),
             expires_ms,
             announced_ms: now_ms,
             owner: None,
-            free_from_ms: grace_until_ms.min(now_ms + 1),
-            // Whoever used it before this leader knew it may still have requests there.
-            withheld: announcement.busy_slots,
-            withheld_until_ms: now_ms + WITHHOLD_MS,
-        });
-        let restarted = target.announcement.incarnation != announcement.incarnation;
-        if restarted {
-            target.withheld = 0;
+            lapsed: false,
+            free_from_ms,
+            withheld,
+            withheld_until_ms: free_from_ms + WITHHOLD_MS,
         }
-        target.announcement = announcement;
-        target.announced_ms = now_ms;
-        target.expires_ms = expires_ms;
     }
 
     /// Renews an entry's targets and grants it others.
@@ -229,13 +241,15 @@
             expires_ms: now_ms + claim.remaining_ms,
             announced_ms: now_ms,
             owner: None,
+            lapsed: false,
             free_from_ms: now_ms,
             withheld: 0,
             withheld_until_ms: 0,
         });
         if target.owner.is_none() {
-            // What it is busy with are the owner's own requests.
-            target.withheld = 0;
+            // What else it is busy with are the owner's own requests.
+            target.withheld = claim.withheld;
+            target.withheld_until_ms = now_ms + WITHHOLD_MS;
             target.owner = Some(Owner {
                 entry: entry.clone(),
                 releasing: false,
@@ -260,16 +274,27 @@
             self.drop_owner(now_ms, &entry);
             self.entries.remove(&entry);
         }
-        let gone: Vec<Arc<str>> = self
-            .targets
-            .iter()
-            .filter(|(_, target)| now_ms >= target.expires_ms)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &gone {
-            self.targets.remove(name);
+        self.lapse_targets(now_ms);
+        self.targets
+            .retain(|_, target| !target.lapsed || now_ms < target.free_from_ms);
+    }
+
+    /// Ends the leases of targets that fell silent. The owner of one hears of it with its next renewal at the latest, and
+    /// uses it no longer than its own lease; a target that comes back before that must not go to another entry.
+    fn lapse_targets(&mut self, now_ms: u64) {
+        let owner_until_ms = now_ms + self.owner_lease_ms + REPORT_LAG_MS;
+        for (name, target) in &mut self.targets {
+            if target.lapsed || now_ms < target.expires_ms {
+                continue;
+            }
+            target.lapsed = true;
+            self.gone.push(name.clone());
+            if target.owner.take().is_some() {
+                target.free_from_ms = owner_until_ms;
+                target.withheld = target.announcement.slots;
+                target.withheld_until_ms = owner_until_ms + WITHHOLD_MS;
+            }
         }
-        self.gone.extend(gone);
     }
 
     fn owned_by(&self, entry: &Arc<str>) -> usize {
@@ -296,7 +321,9 @@
             .map(|(name, _)| (name.clone(), self.owned_by(name)))
             .collect();
         for target in self.targets.values_mut() {
-            let ready = target.owner.is_none() && target.announced_ms >= target.free_from_ms;
+            let ready = target.owner.is_none()
+                && !target.lapsed
+                && target.announced_ms >= target.free_from_ms;
             if !ready {
                 continue;
             }
@@ -365,6 +392,7 @@
     pub fn views(&self, now_ms: u64) -> Vec<TargetView> {
         self.targets
             .values()
+            .filter(|target| !target.lapsed)
             .map(|target| TargetView {
                 target: target.announcement.clone(),
                 remaining_ms: target.expires_ms.saturating_sub(now_ms),
@@ -377,6 +405,7 @@
     pub fn address_of(&self, name: &str) -> Option<Arc<str>> {
         self.targets
             .get(name)
+            .filter(|target| !target.lapsed)
             .map(|target| target.announcement.address.clone())
     }
 
--- a/crates/bh-membership/tests/fuzz.rs
+++ b/crates/bh-membership/tests/fuzz.rs
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-const CASES: u32 = 400;
+const CASES: u32 = 5_000;
 const ENTRIES: usize = 3;
 const TARGETS: usize = 3;
 const SLOTS: u32 = 2;
