Without any target a request is refused after half a second, not at its deadline

Cause: with no slot known anywhere a request waited out its deadline for a target to come (3.99 s of 4 s in without_any_target_the_refusal_comes_soon, which failed first), though the answer was known: the users do not accept that. Change: it waits 500 ms, enough for owners to change, then BH200 with Retry-After.

--- a/crates/beechhollow/tests/refusals.rs
+++ b/crates/beechhollow/tests/refusals.rs
@@ -144,6 +144,26 @@
     assert!(matches!(closed, Ok(0)), "{closed:?}");
 }
 
+/// There is no target at all. The caller hears so by number, with the time for a resend, long before its deadline of four
+/// seconds: holding the answer back would only keep it from asking elsewhere.
+#[test]
+fn without_any_target_the_refusal_comes_soon() {
+    let cluster = small_system();
+    let start = std::time::Instant::now();
+    let answer = request(&cluster, "a1", "read", None, "x");
+    assert_eq!(
+        (answer.code(), answer.header("x-ran")),
+        (Some(200), Some("no")),
+        "{answer:?}"
+    );
+    assert!(answer.header("retry-after").is_some());
+    assert!(
+        start.elapsed() < std::time::Duration::from_millis(2_000),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
 /// The entry must hold no io_uring descriptor and start no process: the machines it runs on forbid both.
 #[test]
 fn the_entry_uses_epoll_and_has_no_child() {
--- a/crates/bh-router/src/router.rs
+++ b/crates/bh-router/src/router.rs
@@ -20,6 +20,9 @@
 const MAX_QUEUED: usize = 20_000;
 /// Least time a caller is asked to wait before a resend, in milliseconds.
 const LEAST_RETRY_AFTER_MS: u64 = 100;
+/// Longest wait while no target at all is known, in milliseconds: enough for a change of owners or a first announcement.
+/// Waiting on to the deadline would hold back an answer that is known.
+const NO_TARGET_WAIT_MS: u64 = 500;
 /// Least time worth an attempt, in milliseconds.
 const LEAST_ATTEMPT_MS: u64 = 1;
 
@@ -252,7 +255,11 @@
     pub fn tick(&mut self, now_ms: u64) -> Vec<Decision> {
         let late = {
             let mut queue = std::mem::take(&mut self.queue);
-            let late = queue.remove_where(|ticket| self.is_too_late(now_ms, ticket));
+            let no_target = self.reachable_slots(now_ms) == 0;
+            let late = queue.remove_where(|ticket| {
+                let waits_in_vain = no_target && now_ms >= ticket.arrived_ms + NO_TARGET_WAIT_MS;
+                waits_in_vain || self.is_too_late(now_ms, ticket)
+            });
             self.queue = queue;
             late
         };
