Read once more: one piece where logic stood twice, dead code out

Found by reading the whole change. Tasks by worker stood in the orders and in the scheduler's bench site: now a method of Placement. The filter for due jobs stood twice in dispatch, process memory twice in the benches. Dead: four methods that nobody called, a revision of the system subtree that was kept and never read, the time handed through five functions of stopping that did not use it, and a branch of cancelling that did what the general one does. Behaviour is as it was, no assertion was touched.

--- a/crates/beechhollow/benches/control.rs
+++ b/crates/beechhollow/benches/control.rs
@@ -7,6 +7,8 @@
 use bh_testkit::Worker;
 use bh_testkit::cluster::ADMINISTRATOR_SHA256;
 use bh_testkit::http_raw;
+use bh_testkit::process::cpu_ms;
+use bh_testkit::process::resident_mib;
 use bh_testkit::worker::WorkerOptions;
 use std::fmt::Write;
 use std::sync::atomic::AtomicBool;
@@ -246,34 +248,6 @@
     }
 }
 
-fn cpu_ms(pid: u32) -> f64 {
-    const TICKS_A_SECOND: f64 = 100.0;
-    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<&str> = text
-        .rsplit(')')
-        .next()
-        .unwrap_or("")
-        .split_whitespace()
-        .collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|text| text.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    };
-    (ticks(11) + ticks(12)) / TICKS_A_SECOND * 1e3
-}
-
-fn resident_mib(pid: u32) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
-    text.split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<f64>().ok())
-        .unwrap_or(0.0)
-        * 4_096.0
-        / f64::from(1 << 20)
-}
-
 /// Bytes and processor time of idle entries, without workers and with some.
 fn idle() {
     for count in [0usize, 25, 50, 100] {
--- a/crates/beechhollow/benches/path.rs
+++ b/crates/beechhollow/benches/path.rs
@@ -7,6 +7,7 @@
 use bh_testkit::Worker;
 use bh_testkit::cluster::ADMINISTRATOR_SHA256;
 use bh_testkit::http_raw;
+use bh_testkit::process::resident_mib;
 use bh_testkit::worker::WorkerOptions;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -74,16 +75,6 @@
     count.load(Ordering::Relaxed) as f64 / LENGTH.as_secs_f64()
 }
 
-fn resident_mib(pid: u32) -> f64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
-    text.split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<f64>().ok())
-        .unwrap_or(0.0)
-        * 4_096.0
-        / f64::from(1 << 20)
-}
-
 fn main() {
     let mut cluster = Cluster::new(BINARY, vec![EntryOptions::new("a1", "a")]);
     cluster.start_all();
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -132,11 +132,6 @@
         self.log.snapshot_index
     }
 
-    /// State machine of the snapshot this replica started from; empty when there was none.
-    pub fn snapshot_state(&self) -> &[u8] {
-        &self.log.snapshot_state
-    }
-
     /// Role in the current term.
     pub fn role(&self) -> &Role {
         &self.role
@@ -162,11 +157,6 @@
         self.voters.to_members()
     }
 
-    /// The voters of the last committed membership and whether a change is on its way.
-    pub fn change_in_progress(&self) -> bool {
-        self.log.last_change() > self.commit
-    }
-
     /// Milliseconds since this replica last heard from a leader, or since it led itself; `None` before that.
     pub fn confirmed_ms(&self, now_ms: u64) -> Option<u64> {
         if self.is_leader() {
--- a/crates/bh-membership/src/holdings.rs
+++ b/crates/bh-membership/src/holdings.rs
@@ -187,9 +187,4 @@
             held.announcement.leaving = true;
         }
     }
-
-    /// Requests in progress over all targets.
-    pub fn in_flight(&self) -> u32 {
-        self.held.values().map(|held| held.in_flight).sum()
-    }
 }
--- a/crates/bh-node/src/leader/carry_out.rs
+++ b/crates/bh-node/src/leader/carry_out.rs
@@ -172,7 +172,8 @@
     let Some(template) = template(node, jobs, verb, job, epoch) else {
         return placement.per_worker().into_keys().collect();
     };
-    let workers = orders::by_worker(placement)
+    let workers = placement
+        .tasks_by_worker()
         .into_iter()
         .map(|(worker, tasks)| {
             (
--- a/crates/bh-node/src/leader/orders.rs
+++ b/crates/bh-node/src/leader/orders.rs
@@ -2,7 +2,6 @@
 
 use crate::node::Node;
 use bh_net::http_client::Connection;
-use bh_protocol::job::Placement;
 use bh_protocol::target::TaskOrder;
 use bh_protocol::target::TaskOrderReply;
 use bh_protocol::target::TaskVerb;
@@ -37,18 +36,6 @@
     pub tasks: Vec<u32>,
 }
 
-/// Task indices by worker.
-pub(super) fn by_worker(placement: &Placement) -> BTreeMap<Arc<str>, Vec<u32>> {
-    let mut tasks: BTreeMap<Arc<str>, Vec<u32>> = BTreeMap::new();
-    for place in &placement.tasks {
-        tasks
-            .entry(place.worker.clone())
-            .or_default()
-            .push(place.task);
-    }
-    tasks
-}
-
 /// Sends the orders to all workers at once; returns for each whether it carried its order out.
 pub(super) async fn send_all(
     node: &Rc<Node>,
--- a/crates/bh-protocol/src/job.rs
+++ b/crates/bh-protocol/src/job.rs
@@ -84,6 +84,18 @@
 }
 
 impl Placement {
+    /// Indices of the tasks on each worker, in order of worker name.
+    pub fn tasks_by_worker(&self) -> BTreeMap<Arc<str>, Vec<u32>> {
+        let mut tasks: BTreeMap<Arc<str>, Vec<u32>> = BTreeMap::new();
+        for place in &self.tasks {
+            tasks
+                .entry(place.worker.clone())
+                .or_default()
+                .push(place.task);
+        }
+        tasks
+    }
+
     /// Number of tasks on each worker, in order of worker name.
     pub fn per_worker(&self) -> BTreeMap<Arc<str>, u32> {
         let mut counts = BTreeMap::new();
--- a/crates/bh-scheduler/benches/support/site.rs
+++ b/crates/bh-scheduler/benches/support/site.rs
@@ -578,17 +578,6 @@
         }
     }
 
-    fn tasks_by_worker(placement: &Placement) -> BTreeMap<Arc<str>, Vec<u32>> {
-        let mut tasks: BTreeMap<Arc<str>, Vec<u32>> = BTreeMap::new();
-        for place in &placement.tasks {
-            tasks
-                .entry(place.worker.clone())
-                .or_default()
-                .push(place.task);
-        }
-        tasks
-    }
-
     fn prepare(&mut self, job: u64, epoch: u64, placement: &Placement) {
         let Some(per_task) = self
             .table
@@ -598,7 +587,7 @@
             return;
         };
         let mut refused = BTreeSet::new();
-        for (name, tasks) in Self::tasks_by_worker(placement) {
+        for (name, tasks) in placement.tasks_by_worker() {
             let reaches = self.reaches(&name);
             let Some(worker) = self.workers.get_mut(&name).filter(|_| reaches) else {
                 refused.insert(name);
@@ -646,7 +635,7 @@
         }
         let remaining_ms = self.lives.get(&job).map_or(1, |life| life.remaining_ms);
         let mut refused = BTreeSet::new();
-        for name in Self::tasks_by_worker(placement).into_keys() {
+        for name in placement.tasks_by_worker().into_keys() {
             let reaches = self.reaches(&name);
             let held = self
                 .workers
--- a/crates/bh-scheduler/src/scheduler/dispatch.rs
+++ b/crates/bh-scheduler/src/scheduler/dispatch.rs
@@ -55,17 +55,15 @@
         keyed.into_iter().map(|(_, _, _, number)| number).collect()
     }
 
-    fn is_due(&self, now_ms: u64, job: &Job) -> bool {
-        job.state == State::Queued && now_ms >= job.not_before_ms
+    /// The job, if it waits and may be placed now.
+    fn due_job(&self, now_ms: u64, number: u64) -> Option<&Job> {
+        let is_due = |job: &&Job| job.state == State::Queued && now_ms >= job.not_before_ms;
+        self.jobs.get(&number).filter(is_due)
     }
 
     /// Starts a job in an unused guaranteed cell of its customer, stopping borrowers if need be.
     fn dispatch_guaranteed(&mut self, now_ms: u64, number: u64, tried: &mut Tried) {
-        let Some(job) = self
-            .jobs
-            .get(&number)
-            .filter(|job| self.is_due(now_ms, job))
-        else {
+        let Some(job) = self.due_job(now_ms, number) else {
             return;
         };
         let key = (job.spec.customer.clone(), job.spec.shape_name.clone());
@@ -227,7 +225,7 @@
     }
 
     /// A job has left its accelerators: those that waited for it may go on.
-    pub(super) fn victim_gone(&mut self, _now_ms: u64, gone: u64) {
+    pub(super) fn victim_gone(&mut self, gone: u64) {
         let mut ready = Vec::new();
         for (number, job) in &mut self.jobs {
             if let State::Reclaiming { victims } = &mut job.state
@@ -265,11 +263,7 @@
         tried: &mut Tried,
         reserved: &mut BTreeSet<WorkerId>,
     ) {
-        let Some(job) = self
-            .jobs
-            .get(&number)
-            .filter(|job| self.is_due(now_ms, job))
-        else {
+        let Some(job) = self.due_job(now_ms, number) else {
             return;
         };
         if !self.within_quota(job) {
--- a/crates/bh-scheduler/src/scheduler/mod.rs
+++ b/crates/bh-scheduler/src/scheduler/mod.rs
@@ -13,7 +13,6 @@
 use crate::event::Event;
 use crate::event::RecordedJob;
 use crate::guarantees::Guarantees;
-use crate::job::AfterStop;
 use crate::job::Job;
 use crate::job::State;
 use crate::limits::Limits;
@@ -125,7 +124,7 @@
                 confirmed,
             } => {
                 if confirmed {
-                    self.worker_stopped(now_ms, job, epoch, &worker);
+                    self.worker_stopped(job, epoch, &worker);
                 }
             }
             Event::Requeued { job, epoch } => self.requeued(job, epoch),
@@ -178,11 +177,6 @@
         self.queue.len()
     }
 
-    /// Whether `job` runs in a guaranteed cell.
-    pub fn is_guaranteed(&self, job: u64) -> bool {
-        self.jobs.get(&job).is_some_and(|job| job.cell.is_some())
-    }
-
     /// Shapes that wait, for the fragmentation report.
     pub fn queued_shapes(&self) -> BTreeSet<Shape> {
         self.queue
@@ -444,11 +438,3 @@
         *value = value.saturating_sub(count);
     }
 }
-
-impl Scheduler {
-    fn end_with(&mut self, number: u64, phase: Phase, reason: String) {
-        if let Some(job) = self.jobs.get_mut(&number) {
-            job.after_stop = Some(AfterStop::End { phase, reason });
-        }
-    }
-}
--- a/crates/bh-scheduler/src/scheduler/stop.rs
+++ b/crates/bh-scheduler/src/scheduler/stop.rs
@@ -23,7 +23,7 @@
             State::Reclaiming { .. } => {
                 // Nothing was sent to any worker for this attempt.
                 job.after_stop = Some(after);
-                self.stopped(now_ms, number);
+                self.stopped(number);
                 return;
             }
             State::Stopping {
@@ -80,19 +80,13 @@
     }
 
     /// A worker no longer holds any task of this attempt.
-    pub(super) fn worker_stopped(
-        &mut self,
-        now_ms: u64,
-        number: u64,
-        epoch: u64,
-        worker: &Arc<str>,
-    ) {
+    pub(super) fn worker_stopped(&mut self, number: u64, epoch: u64, worker: &Arc<str>) {
         if self.jobs.get(&number).is_some_and(|job| job.epoch == epoch) {
-            self.worker_stopped_any(now_ms, number, worker);
+            self.worker_stopped_any(number, worker);
         }
     }
 
-    pub(super) fn worker_stopped_any(&mut self, now_ms: u64, number: u64, worker: &Arc<str>) {
+    pub(super) fn worker_stopped_any(&mut self, number: u64, worker: &Arc<str>) {
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
@@ -101,12 +95,12 @@
         };
         pending.remove(worker);
         if pending.is_empty() {
-            self.stopped(now_ms, number);
+            self.stopped(number);
         }
     }
 
     /// Every task of the attempt has stopped.
-    fn stopped(&mut self, now_ms: u64, number: u64) {
+    fn stopped(&mut self, number: u64) {
         self.release(number);
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
@@ -143,7 +137,7 @@
                 self.enqueue(number);
             }
         }
-        self.victim_gone(now_ms, number);
+        self.victim_gone(number);
     }
 
     pub(super) fn requeued(&mut self, number: u64, epoch: u64) {
@@ -171,18 +165,6 @@
                 State::Recording => {
                     self.jobs.remove(number);
                 }
-                State::Stopping { .. } => {
-                    self.end_with(*number, Phase::Cancelled, reason);
-                    self.stop(
-                        now_ms,
-                        *number,
-                        AfterStop::End {
-                            phase: Phase::Cancelled,
-                            reason: String::new(),
-                        },
-                        false,
-                    );
-                }
                 _ => self.stop(
                     now_ms,
                     *number,
@@ -248,7 +230,7 @@
             }
         }
         for (number, name) in gone {
-            self.worker_stopped_any(now_ms, number, &name);
+            self.worker_stopped_any(number, &name);
         }
     }
 }
--- a/crates/bh-scheduler/src/scheduler/workers.rs
+++ b/crates/bh-scheduler/src/scheduler/workers.rs
@@ -61,7 +61,7 @@
                 },
                 false,
             );
-            self.worker_stopped_any(now_ms, job, name);
+            self.worker_stopped_any(job, name);
         }
         self.guarantees.rebind(&mut self.cells);
         self.dirty = true;
@@ -129,7 +129,7 @@
             .iter()
             .any(|report| matches!(report.phase, TaskPhase::Prepared | TaskPhase::Running));
         if !holds {
-            self.worker_stopped(now_ms, number, epoch, name);
+            self.worker_stopped(number, epoch, name);
         }
     }
 
@@ -183,7 +183,7 @@
             match &job.state {
                 State::Stopping { .. } => {
                     let epoch = job.epoch;
-                    self.worker_stopped(now_ms, number, epoch, name);
+                    self.worker_stopped(number, epoch, name);
                 }
                 State::Running {
                     running,
--- a/crates/bh-settings/src/machine.rs
+++ b/crates/bh-settings/src/machine.rs
@@ -76,7 +76,6 @@
     pub revision: u64,
     /// The tree in force.
     pub settings: Arc<Settings>,
-    system_changed_at: u64,
     team_changed_at: BTreeMap<Arc<str>, u64>,
     answers: BTreeMap<Arc<str>, Kept>,
     answer_order: VecDeque<Arc<str>>,
@@ -235,7 +234,6 @@
                 self.team_changed_at.insert(name.clone(), self.revision);
             }
             Scope::All => {
-                self.system_changed_at = self.revision;
                 let old: Vec<Arc<str>> = self.settings.teams.keys().cloned().collect();
                 let new: Vec<Arc<str>> = command.settings.teams.keys().cloned().collect();
                 for name in old.into_iter().chain(new) {
--- a/crates/bh-testkit/src/lib.rs
+++ b/crates/bh-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http_raw;
 pub mod link;
 pub mod ports;
+pub mod process;
 pub mod worker;
 
 pub use cluster::Cluster;
