--- a/crates/beechhollow/src/main.rs
+++ b/crates/beechhollow/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check_config;
 mod run;
+mod serve;
 
 use clap::Command;
 use std::process::ExitCode;
@@ -10,6 +11,7 @@
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("run", arguments)) => run::main(arguments),
+        Some(("serve", arguments)) => serve::main(arguments),
         Some(("check-config", arguments)) => check_config::main(arguments),
         _ => unreachable!("clap requires one of the subcommands"),
     }
@@ -22,5 +24,6 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(run::command())
+        .subcommand(serve::command())
         .subcommand(check_config::command())
 }
--- a/crates/bh-consensus/src/config.rs
+++ b/crates/bh-consensus/src/config.rs
@@ -3,6 +3,30 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+/// Which replicas shall vote.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// Those on the VMs with these names.
+    Names(BTreeSet<Arc<str>>),
+    /// Any that keep their log on a disk, up to a number. A voter that has been silent makes room for one that is there.
+    Count {
+        /// Number of voters; odd.
+        count: usize,
+        /// Silence after which a voter is replaced when another replica can take its place, in milliseconds.
+        replace_after_ms: u64,
+    },
+}
+
+impl Wanted {
+    /// Whether the VM `name` may vote at all.
+    pub(crate) fn admits(&self, name: &str) -> bool {
+        match self {
+            Wanted::Names(names) => names.contains(name),
+            Wanted::Count { .. } => true,
+        }
+    }
+}
+
 /// Identity and timing of one replica.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -14,8 +38,8 @@
     pub name: Arc<str>,
     /// Whether it keeps its log on a disk. Without one it observes and never votes.
     pub durable: bool,
-    /// Names of the VMs that shall vote. The leader moves the group towards this set, one change at a time.
-    pub wanted_voters: BTreeSet<Arc<str>>,
+    /// Who shall vote. The leader moves the group there, one change at a time.
+    pub wanted_voters: Wanted,
     /// Time between heartbeats, in milliseconds.
     pub heartbeat_ms: u64,
     /// Least silence before an election, in milliseconds; each replica adds up to as much again.
--- a/crates/bh-consensus/src/membership.rs
+++ b/crates/bh-consensus/src/membership.rs
@@ -1,11 +1,13 @@
 //! Moves a group towards its wanted voters, one change at a time.
 
+use crate::config::Wanted;
 use crate::progress::Progress;
 use crate::replica::Replica;
 use crate::role::Leadership;
 use crate::role::Role;
 use crate::voters::Voters;
 use bh_protocol::wire::Member;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 impl Replica {
@@ -44,18 +46,35 @@
         let recent_ms = now_ms.saturating_sub(self.config.election_ms * 2);
         let caught_up =
             |p: &Progress| p.durable && p.heard_ms >= recent_ms && p.matched >= self.commit;
-        let newcomer = leadership.progress.iter().find(|(id, p)| {
-            !self.voters.contains(**id)
-                && self.config.wanted_voters.contains(&p.name)
-                && caught_up(p)
+        let mut newcomers = leadership.progress.iter().filter(|(id, p)| {
+            !self.voters.contains(**id) && self.config.wanted_voters.admits(&p.name) && caught_up(p)
         });
+        match &self.config.wanted_voters {
+            Wanted::Names(names) => self.towards_names(names, newcomers.next()),
+            Wanted::Count {
+                count,
+                replace_after_ms,
+            } => {
+                let silent_ms = now_ms.saturating_sub(*replace_after_ms);
+                let silent = |id: u64| {
+                    leadership
+                        .progress
+                        .get(&id)
+                        .is_some_and(|p| p.heard_ms < silent_ms)
+                };
+                let newcomers: Vec<(u64, &Progress)> = newcomers.map(|(id, p)| (*id, p)).collect();
+                self.towards_count(*count, &newcomers, silent)
+            }
+        }
+    }
+
+    fn towards_names(
+        &self,
+        names: &BTreeSet<Arc<str>>,
+        newcomer: Option<(&u64, &Progress)>,
+    ) -> Option<Voters> {
         if let Some((id, p)) = newcomer {
-            let replaced = self
-                .voters
-                .iter()
-                .find(|(_, name)| **name == p.name)
-                .map(|(old, _)| old);
-            return Some(match replaced {
+            return Some(match self.voter_named(&p.name) {
                 Some(old) => self.without(old),
                 None => self.with(*id, &p.name),
             });
@@ -64,20 +83,53 @@
         let present = self
             .voters
             .iter()
-            .filter(|(_, name)| self.config.wanted_voters.contains(*name))
+            .filter(|(_, name)| names.contains(*name))
             .count();
-        if present < self.config.wanted_voters.len() {
+        if present < names.len() {
             return None;
         }
         let unwanted = self
             .voters
             .iter()
-            .find(|(id, name)| *id != self.config.id && !self.config.wanted_voters.contains(*name));
+            .find(|(id, name)| *id != self.config.id && !names.contains(*name));
         unwanted
             .filter(|_| self.voters.len() > 1)
             .map(|(id, _)| self.without(id))
     }
 
+    /// The identity a VM had before its disk was emptied leaves at once. Any other voter leaves only when it has been silent and
+    /// a replica that has caught up can take its place: a group with one voter fewer stands one loss nearer to its end.
+    fn towards_count(
+        &self,
+        count: usize,
+        newcomers: &[(u64, &Progress)],
+        silent: impl Fn(u64) -> bool,
+    ) -> Option<Voters> {
+        let emptied = newcomers
+            .iter()
+            .find_map(|(_, p)| self.voter_named(&p.name));
+        if let Some(old) = emptied {
+            return Some(self.without(old));
+        }
+        let (id, p) = newcomers.first()?;
+        if self.voters.len() < count {
+            return Some(self.with(*id, &p.name));
+        }
+        let gone = self
+            .voters
+            .iter()
+            .map(|(id, _)| id)
+            .find(|id| *id != self.config.id && silent(*id));
+        gone.map(|id| self.without(id))
+    }
+
+    fn voter_named(&self, name: &str) -> Option<u64> {
+        self.voters
+            .iter()
+            .find(|(_, voter)| ***voter == *name)
+            .map(|(id, _)| id)
+    }
+
     fn without(&self, id: u64) -> Voters {
         let members: Vec<Member> = self
             .voters
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -165,6 +165,21 @@
         self.heard_ms.map(|heard| now_ms.saturating_sub(heard))
     }
 
+    /// Time at which a majority of the voters, this one among them, had last been heard; `None` when it does not lead.
+    pub fn quorum_heard_ms(&self, now_ms: u64) -> Option<u64> {
+        let Role::Leader(leadership) = &self.role else {
+            return None;
+        };
+        let heard = |id: u64| leadership.progress.get(&id).map_or(0, |p| p.heard_ms);
+        Some(self.voters.reached_by_majority(|id| {
+            if id == self.config.id {
+                now_ms
+            } else {
+                heard(id)
+            }
+        }))
+    }
+
     fn tick(&mut self, now_ms: u64) {
         if self.is_leader() {
             self.tick_leader(now_ms);
--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use bh_consensus::Output;
 use bh_consensus::Replica;
 use bh_consensus::Restored;
+use bh_consensus::Wanted;
 use bh_protocol::wire::LogEntry;
 use bh_protocol::wire::Member;
 use bh_protocol::wire::RaftMessage;
@@ -129,7 +130,7 @@
             id: self.vms[index].id,
             name: self.vms[index].name.clone(),
             durable: true,
-            wanted_voters: self.wanted(),
+            wanted_voters: Wanted::Names(self.wanted()),
             heartbeat_ms: HEARTBEAT_MS,
             election_ms: ELECTION_MS,
             election_delay_ms: 0,
--- /dev/null
+++ b/crates/bh-control/src/calls/call.rs
@@ -0,0 +1,55 @@
+//! What callers, workers and operators ask for.
+
+use bh_workload::job::JobSpec;
+use bh_workload::rules::Rules;
+use bh_workload::state::Place;
+use bh_workload::state::WorkerInfo;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// One call. Every kind may be made again without doing anything twice, so a call without an answer is simply repeated.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    /// A caller hands in a job.
+    Submit {
+        /// Queue and job.
+        place: Place,
+        /// What it asks for, or why that cannot be read.
+        spec: Result<JobSpec, String>,
+    },
+    /// A caller asks for the state of a job, or for the jobs of a queue that wait.
+    Read {
+        /// Queue, and job unless the whole queue is meant.
+        place: Place,
+    },
+    /// A caller takes a job back.
+    Cancel {
+        /// Queue and job.
+        place: Place,
+    },
+    /// A worker says that it is there.
+    Heartbeat(WorkerHeartbeat),
+    /// A worker says that it ends now.
+    Leave {
+        /// The worker.
+        worker: Arc<str>,
+    },
+    /// An operator sets the rules, or something that cannot be read as rules.
+    SetRules(Result<Box<Rules>, String>),
+    /// An operator reads the rules.
+    GetRules,
+}
+
+/// What a worker says of itself from time to time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkerHeartbeat {
+    /// What does not change during its life.
+    pub info: WorkerInfo,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Its clock in milliseconds.
+    pub clock_ms: Option<u64>,
+    /// Grows with each heartbeat of one life; a lower one after a higher one was held up on its way.
+    pub sequence: u64,
+}
--- /dev/null
+++ b/crates/bh-control/src/calls/mod.rs
@@ -0,0 +1,11 @@
+//! Calls and answers, in the product's own words.
+
+mod answer;
+mod call;
+mod forward;
+
+pub use answer::Answer;
+pub use call::Call;
+pub use call::WorkerHeartbeat;
+pub use forward::RETRY_AFTER_MS;
+pub use forward::forward;
--- /dev/null
+++ b/crates/bh-control/src/config/local_config.rs
@@ -0,0 +1,221 @@
+//! A process's own file: who it is, where it listens, whom it may ask for the others.
+
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_workload::dispatch::Timing;
+use serde::Deserialize;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes callers and hands their calls to the leader.
+    Entry,
+    /// Keeps the record and may lead.
+    Core,
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LocalConfig {
+    /// Name of the VM.
+    pub name: Arc<str>,
+    /// What the process does.
+    pub role: Role,
+    /// Data centre of the VM.
+    pub data_centre: Arc<str>,
+    /// Where an entry takes callers.
+    #[serde(default)]
+    pub callers_address: Option<SocketAddr>,
+    /// Where an entry answers whether it is ready.
+    #[serde(default)]
+    pub readiness_address: Option<SocketAddr>,
+    /// Where a core takes workers and operators.
+    #[serde(default)]
+    pub control_address: Option<SocketAddr>,
+    /// Where metrics are served.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Address of the VM towards other processes of the system.
+    pub ip: IpAddr,
+    /// Port on which cores take links from cores and entries; the same on every VM.
+    pub peer_port: u16,
+    /// Addresses of some cores, any port; more are learnt from them.
+    #[serde(default, deserialize_with = "separated")]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether this may be the first start of the whole system, with empty disks.
+    #[serde(default)]
+    pub may_form: bool,
+    /// Cores that may be lost at the same time; twice as many and one vote.
+    #[serde(default)]
+    pub tolerated_losses: Option<usize>,
+    /// Folder of a core on its disk.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// Time from the signal to stop until the process is ended by force, in seconds.
+    #[serde(default)]
+    pub grace_s: Option<f64>,
+    /// Bounds that workers and callers were promised.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// Whether logs are JSON rather than text.
+    #[serde(default)]
+    pub log_json: bool,
+}
+
+/// Bounds of the deployment; what is not said keeps its default.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Longest lease that a worker grants, in milliseconds.
+    #[serde(default)]
+    pub longest_lease_ms: Option<u64>,
+    /// Longest time a worker takes to stop a run, in milliseconds.
+    #[serde(default)]
+    pub stop_timeout_ms: Option<u64>,
+    /// Longest time a gang member waits for the others, in milliseconds.
+    #[serde(default)]
+    pub gang_timeout_ms: Option<u64>,
+    /// How many times as long tasks take away from their data.
+    #[serde(default)]
+    pub remote_factor: Option<f64>,
+    /// How early a timed occurrence may begin, in milliseconds.
+    #[serde(default)]
+    pub early_ms: Option<u64>,
+    /// Time between a worker's heartbeats, in milliseconds.
+    #[serde(default)]
+    pub heartbeat_ms: Option<u64>,
+    /// How long the state of an ended job can be asked for, in seconds.
+    #[serde(default)]
+    pub retention_s: Option<f64>,
+    /// Work between two checkpoints of a task, in seconds.
+    #[serde(default)]
+    pub checkpoint_interval_s: Option<f64>,
+}
+
+/// Addresses in one text, separated by commas.
+fn separated<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<SocketAddr>, D::Error> {
+    let text = Option::<String>::deserialize(deserializer)?.unwrap_or_default();
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+        .map(|part| part.parse().map_err(serde::de::Error::custom))
+        .collect()
+}
+
+/// Share of the longest lease that is asked for, in percent: the rest is for the time an order is on its way.
+const LEASE_PERCENT: u64 = 95;
+/// Cores that may be lost when the file does not say.
+const DEFAULT_LOSSES: usize = 1;
+/// Grace when the file does not say, in milliseconds.
+const DEFAULT_GRACE_MS: u64 = 6_000;
+
+/// A figure from the file as a whole number, negative ones as 0.
+fn whole(value: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a range that fits"
+    )]
+    let whole = value.clamp(0.0, 1e12) as u64;
+    whole
+}
+
+/// Seconds as whole milliseconds.
+fn whole_ms(seconds: f64) -> u64 {
+    const MS_PER_S: f64 = 1_000.0;
+    whole(seconds * MS_PER_S)
+}
+
+impl LocalConfig {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::UnreadableFile`], [`Code::BadConfigFile`].
+    pub fn load(path: &str) -> Result<LocalConfig, Failure> {
+        let bytes = std::fs::read(path)
+            .map_err(|error| Failure::new(Code::UnreadableFile, format!("{path}: {error}")))?;
+        LocalConfig::parse(&bytes)
+            .map_err(|failure| Failure::new(failure.code, format!("{path}: {}", failure.label)))
+    }
+
+    /// Reads and checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadConfigFile`].
+    pub fn parse(bytes: &[u8]) -> Result<LocalConfig, Failure> {
+        let bad = |label: String| Failure::new(Code::BadConfigFile, label);
+        let config: LocalConfig =
+            serde_yaml_ng::from_slice(bytes).map_err(|error| bad(error.to_string()))?;
+        let missing = match config.role {
+            Role::Entry if config.callers_address.is_none() => Some("callers_address"),
+            Role::Entry if config.readiness_address.is_none() => Some("readiness_address"),
+            Role::Core if config.control_address.is_none() => Some("control_address"),
+            Role::Core if config.data_folder.is_none() => Some("data_folder"),
+            _ => None,
+        };
+        match missing {
+            Some(key) => Err(bad(format!("`{key}` is missing for this role"))),
+            None if config.seeds.is_empty() => Err(bad("`seeds` names no core".to_owned())),
+            None => Ok(config),
+        }
+    }
+
+    /// Where this process takes links from others.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peer_port)
+    }
+
+    /// Where the seeds take links.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let mut peers: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), self.peer_port))
+            .collect();
+        peers.sort();
+        peers.dedup();
+        peers
+    }
+
+    /// Number of cores that vote.
+    pub fn voters(&self) -> usize {
+        2 * self.tolerated_losses.unwrap_or(DEFAULT_LOSSES).max(1) + 1
+    }
+
+    /// Time for a graceful end, in milliseconds.
+    pub fn grace_ms(&self) -> u64 {
+        self.grace_s.map_or(DEFAULT_GRACE_MS, whole_ms)
+    }
+
+    /// The bounds with defaults filled in.
+    pub fn timing(&self) -> Timing {
+        let default = Timing::DEFAULT;
+        let bounds = &self.bounds;
+        Timing {
+            lease_ms: bounds
+                .longest_lease_ms
+                .map_or(default.lease_ms, |longest| longest * LEASE_PERCENT / 100),
+            stop_timeout_ms: bounds.stop_timeout_ms.unwrap_or(default.stop_timeout_ms),
+            gang_timeout_ms: bounds.gang_timeout_ms.unwrap_or(default.gang_timeout_ms),
+            remote_percent: bounds
+                .remote_factor
+                .map_or(default.remote_percent, |factor| whole(factor * 100.0)),
+            early_ms: bounds.early_ms.unwrap_or(default.early_ms),
+            heartbeat_ms: bounds.heartbeat_ms.unwrap_or(default.heartbeat_ms),
+            retention_ms: bounds.retention_s.map_or(default.retention_ms, whole_ms),
+            checkpoint_interval_ms: bounds
+                .checkpoint_interval_s
+                .map_or(default.checkpoint_interval_ms, whole_ms),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -0,0 +1,176 @@
+//! Answers calls as the leader.
+
+use super::core_node::CoreNode;
+use super::leader_loop::propose;
+use crate::calls::Answer;
+use crate::calls::Call;
+use crate::calls::RETRY_AFTER_MS;
+use crate::calls::WorkerHeartbeat;
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_workload::state::Command;
+use bh_workload::state::Place;
+use bh_workload::state::Refusal;
+use bh_workload::state::Reply;
+use bh_workload::state::WorkerChange;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Wait until a read is known to be of the newest state, in milliseconds: one round between the cores, with room for a slow one.
+const READ_MS: u64 = 1_000;
+
+/// Answers `call`, or says that this core does not lead.
+///
+/// Every call is decided here, on the newest applied rules, and never by an entry: no process can act on an older version after
+/// another has shown a newer one.
+pub async fn answer_call(core: &Rc<CoreNode>, call: Call) -> Answer {
+    if core.leadership.borrow().is_none() || !core.group.is_leader() {
+        return Answer::NotLeader;
+    }
+    match call {
+        Call::Submit {
+            place,
+            spec: Ok(spec),
+        } => {
+            let command = Command::Accept {
+                place,
+                spec,
+                now_ms: 0,
+            };
+            change(core, command).await
+        }
+        Call::Submit {
+            place,
+            spec: Err(problem),
+        } => match newest(core).await {
+            Err(answer) => answer,
+            Ok(()) => match core.group.machine.read().find(&place) {
+                Ok(_) => Answer::Refused(Refusal::BadJob(problem)),
+                Err(refusal) => refused(refusal),
+            },
+        },
+        Call::Cancel { place } => change(core, Command::Cancel { place, now_ms: 0 }).await,
+        Call::Read { place } => match newest(core).await {
+            Err(answer) => answer,
+            Ok(()) => read(core, &place),
+        },
+        Call::Heartbeat(heartbeat) => hear(core, heartbeat).await,
+        Call::Leave { worker } => {
+            let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
+            change(core, gone).await
+        }
+        Call::SetRules(Ok(rules)) => change(core, Command::SetRules(rules)).await,
+        Call::SetRules(Err(problem)) => Answer::Refused(Refusal::BadRules(problem)),
+        Call::GetRules => match newest(core).await {
+            Err(answer) => answer,
+            Ok(()) => match &core.group.machine.read().rules {
+                Some(rules) => Answer::Rules(rules.document.clone()),
+                None => unavailable(),
+            },
+        },
+    }
+}
+
+fn unavailable() -> Answer {
+    Answer::Unavailable {
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
+
+/// Without rules nothing can be said of a queue; it may exist a moment later.
+fn refused(refusal: Refusal) -> Answer {
+    match refusal {
+        Refusal::NoRules => unavailable(),
+        refusal => Answer::Refused(refusal),
+    }
+}
+
+async fn newest(core: &Rc<CoreNode>) -> Result<(), Answer> {
+    core.group
+        .read(READ_MS)
+        .await
+        .map_err(|_| Answer::NotLeader)
+}
+
+async fn change(core: &Rc<CoreNode>, command: Command) -> Answer {
+    let reply = propose(core, command).await;
+    core.wake();
+    match reply {
+        Ok(Reply::Refused(refusal)) => refused(refusal),
+        Ok(_) => Answer::Done,
+        Err(failure) => failed(&failure),
+    }
+}
+
+fn failed(failure: &Failure) -> Answer {
+    match failure.code {
+        Code::NoQuorum => Answer::NotLeader,
+        _ => Answer::Unknown,
+    }
+}
+
+fn read(core: &Rc<CoreNode>, place: &Place) -> Answer {
+    let workload = core.group.machine.read();
+    let found = match workload.find(place) {
+        Ok(found) => found,
+        Err(refusal) => return refused(refusal),
+    };
+    if found.rest.is_empty() {
+        return Answer::Pending(workload.pending(&found.queue.name));
+    }
+    match workload.find_job(place) {
+        Ok((_, job)) => Answer::State(job.state()),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+/// Takes a worker's heartbeat. What changes what may run there is recorded before the worker is answered: whoever leads next must not
+/// give work to a worker whose leaving was acknowledged.
+async fn hear(core: &Rc<CoreNode>, heartbeat: WorkerHeartbeat) -> Answer {
+    let now_ms = core.clock.now_ms();
+    let id = heartbeat.info.id.clone();
+    let changes = {
+        let mut held = core.leadership.borrow_mut();
+        let Some(leadership) = held.as_mut() else {
+            return Answer::NotLeader;
+        };
+        let newest = leadership.sequences.entry(id.clone()).or_default();
+        let held_up = heartbeat.sequence < *newest;
+        *newest = (*newest).max(heartbeat.sequence);
+        let alive = leadership
+            .dispatcher
+            .note_heartbeat(now_ms, &id, heartbeat.clock_ms);
+        if held_up || !alive {
+            Vec::new()
+        } else {
+            leadership.plan_due = true;
+            changes(core, &heartbeat)
+        }
+    };
+    if !changes.is_empty() {
+        for change in &changes {
+            log::info!(worker = &*id, sequence = heartbeat.sequence, change:? = change; "worker changed");
+        }
+        let answer = change(core, Command::Workers(changes)).await;
+        if answer != Answer::Done {
+            return answer;
+        }
+    }
+    Answer::Heard {
+        next_address: core.config.control_address,
+    }
+}
+
+fn changes(core: &Rc<CoreNode>, heartbeat: &WorkerHeartbeat) -> Vec<WorkerChange> {
+    let id: &Arc<str> = &heartbeat.info.id;
+    let workload = core.group.machine.read();
+    let known = workload.worker(id);
+    let mut changes = Vec::new();
+    if known.is_none_or(|worker| worker.info != heartbeat.info) {
+        changes.push(WorkerChange::Known(heartbeat.info.clone()));
+    }
+    if heartbeat.draining && known.is_none_or(|worker| !worker.draining) {
+        changes.push(WorkerChange::Draining(id.clone()));
+    }
+    changes
+}
--- /dev/null
+++ b/crates/bh-control/src/core/mod.rs
@@ -0,0 +1,14 @@
+//! Cores: the replicated record and its leader.
+
+mod answer_call;
+mod core_node;
+mod formation;
+mod leader_loop;
+mod leadership;
+mod serve;
+mod worker_calls;
+
+pub use core_node::CoreNode;
+pub use leadership::Leadership;
+pub use serve::serve;
+pub use worker_calls::WorkerCalls;
--- /dev/null
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -0,0 +1,77 @@
+//! Calls to workers over connections that are kept open.
+
+use bh_net::Clock;
+use bh_net::http_client::Connection;
+use bh_net::http_client::Pool;
+use bh_net::http_client::SendError;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use std::net::SocketAddr;
+
+/// Time to open a connection, in milliseconds. Within a region it takes a few; a VM without power never answers.
+const CONNECT_MS: u64 = 600;
+/// Largest answer of a worker in bytes: some hundred ends with their checkpoints.
+const MAX_ANSWER_BYTES: u64 = 4 << 20;
+/// Time after which an unused connection is closed, in milliseconds. Opening one costs the worker more than keeping it.
+const KEEP_MS: u64 = 60_000;
+
+/// Connections to workers.
+pub struct WorkerCalls {
+    pool: Pool,
+    clock: Clock,
+}
+
+impl WorkerCalls {
+    /// No connections yet.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            pool: Pool::new().with_max_idle_ms(KEEP_MS),
+            clock,
+        }
+    }
+
+    /// Sends a request and waits for the whole answer, for `limit_ms` at most.
+    ///
+    /// A kept connection that turns out closed is replaced at once: orders may be sent twice. After a silent one all kept
+    /// connections to the worker are dropped, since whatever lost track of one has likely lost the others too.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit_ms: u64,
+    ) -> Result<Response<Bytes>, SendError> {
+        if let Some(mut connection) = self.pool.take(address, self.clock.now_ms()) {
+            let copy = copy(&request);
+            match connection.send(copy, limit_ms, MAX_ANSWER_BYTES).await {
+                Err(SendError::Broken) => {}
+                Err(error) => {
+                    self.pool.forget(address);
+                    return Err(error);
+                }
+                Ok(response) => {
+                    self.pool
+                        .give_back(address, connection, self.clock.now_ms());
+                    return Ok(response);
+                }
+            }
+        }
+        let mut connection = Connection::open(address, CONNECT_MS).await?;
+        let response = connection.send(request, limit_ms, MAX_ANSWER_BYTES).await?;
+        self.pool
+            .give_back(address, connection, self.clock.now_ms());
+        Ok(response)
+    }
+}
+
+fn copy(request: &Request<Bytes>) -> Request<Bytes> {
+    let mut copy = Request::new(request.body().clone());
+    *copy.method_mut() = request.method().clone();
+    *copy.uri_mut() = request.uri().clone();
+    *copy.headers_mut() = request.headers().clone();
+    copy
+}
--- /dev/null
+++ b/crates/bh-control/src/entry/mod.rs
@@ -0,0 +1,6 @@
+//! Entries: callers' side of a deployment.
+
+mod serve;
+
+pub use serve::Entry;
+pub use serve::serve;
--- /dev/null
+++ b/crates/bh-control/src/entry/serve.rs
@@ -0,0 +1,195 @@
+//! An entry process.
+
+use crate::calls::Answer;
+use crate::calls::Call;
+use crate::calls::forward;
+use crate::config::LocalConfig;
+use crate::dialect::Dialect;
+use crate::mesh::Mesh;
+use crate::mesh::SILENCE_MS;
+use crate::server;
+use bh_net::Clock;
+use bh_net::runtime;
+use bh_net::runtime::sleep_ms;
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_protocol::wire::Hello;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio_util::sync::CancellationToken;
+
+/// Longest time that a call is worked on when its sender does not say how long it waits, in milliseconds.
+const DEFAULT_PATIENCE_MS: u64 = 2_500;
+/// Longest time that a call is worked on whatever its sender says, in milliseconds: past two elections waiting does not help.
+const LONGEST_PATIENCE_MS: u64 = 4_000;
+/// Kept back for the answer's way, in milliseconds: an answer that comes after the sender has left tells nobody anything.
+const ANSWER_WAY_MS: u64 = 250;
+/// Share of the grace after which a stopping entry asks callers to leave, in percent. Until then the balancer learns that the entry is
+/// not ready, and connections that it still hands over are served.
+const LAME_PERCENT: u64 = 40;
+/// Share of the grace within which requests in progress must end, in percent.
+const FINISH_PERCENT: u64 = 85;
+/// Time between looks at the requests in progress at the end, in milliseconds.
+const POLL_MS: u64 = 20;
+
+/// An entry.
+pub struct Entry {
+    config: LocalConfig,
+    dialect: Dialect,
+    mesh: Rc<Mesh>,
+    /// Cancelled when the entry is told to stop: it is not ready any more.
+    draining: CancellationToken,
+    /// Cancelled when callers are asked to leave.
+    closing: CancellationToken,
+    connections: Rc<Cell<usize>>,
+    leader_seen_ms: Cell<u64>,
+}
+
+impl Entry {
+    /// Whether the balancer may send callers here: a leader with rules was heard lately.
+    fn is_ready(&self) -> bool {
+        if self.draining.is_cancelled() {
+            return false;
+        }
+        let now_ms = self.mesh.now_ms();
+        let leads = self
+            .mesh
+            .leader()
+            .is_some_and(|leader| leader.status.borrow().rules_version > 0);
+        if leads {
+            self.leader_seen_ms.set(now_ms);
+        }
+        let seen_ms = self.leader_seen_ms.get();
+        // An election ends within this time; to leave the rotation for each would press all callers onto fewer entries.
+        seen_ms > 0 && now_ms < seen_ms + 2 * SILENCE_MS
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Bytes> {
+        let started_ms = self.mesh.now_ms();
+        let received = match (self.dialect.read_caller)(&request) {
+            Ok(received) => received,
+            Err(response) => return response,
+        };
+        let patience_ms = received
+            .patience_ms
+            .unwrap_or(DEFAULT_PATIENCE_MS)
+            .min(LONGEST_PATIENCE_MS)
+            .saturating_sub(ANSWER_WAY_MS)
+            .max(1);
+        let answer = forward(&self.mesh, &received.call, patience_ms).await;
+        let took_ms = self.mesh.now_ms().saturating_sub(started_ms);
+        log_call(&received.call, &answer, took_ms);
+        (self.dialect.write_answer)(&received.call, &answer)
+    }
+
+    fn readiness(&self) -> Response<Bytes> {
+        let mut response = Response::new(Bytes::new());
+        if !self.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+}
+
+/// One line for each call that changes something or was not served; reads that were are only counted.
+fn log_call(call: &Call, answer: &Answer, took_ms: u64) {
+    match (call, answer) {
+        (Call::Read { .. }, Answer::State(_) | Answer::Pending(_)) => {}
+        (Call::Submit { place, .. }, answer) => {
+            log::info!(path = &*place.path, took_ms, answer:? = answer; "job handed in");
+        }
+        (Call::Cancel { place }, answer) => {
+            log::info!(path = &*place.path, took_ms, answer:? = answer; "job taken back");
+        }
+        (Call::Read { place }, answer) => {
+            log::info!(path = &*place.path, took_ms, answer:? = answer; "read not served");
+        }
+        _ => {}
+    }
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// When it cannot listen.
+pub async fn serve(config: LocalConfig, dialect: Dialect) -> Result<(), Failure> {
+    let stop = CancellationToken::new();
+    let hello = Hello {
+        name: config.name.to_string(),
+        data_centre: config.data_centre.to_string(),
+        ..Hello::default()
+    };
+    let mesh = Mesh::new(hello, Clock::new(), stop.clone());
+    mesh.learn(config.seed_peers());
+    let missing = |key: &str| Failure::new(Code::BadConfigFile, format!("`{key}` is missing"));
+    let callers = config
+        .callers_address
+        .ok_or_else(|| missing("callers_address"))?;
+    let readiness = config
+        .readiness_address
+        .ok_or_else(|| missing("readiness_address"))?;
+    let callers = server::bind(callers)?;
+    let readiness = server::bind(readiness)?;
+    let entry = Rc::new(Entry {
+        config,
+        dialect,
+        mesh,
+        draining: CancellationToken::new(),
+        closing: CancellationToken::new(),
+        connections: Rc::new(Cell::new(0)),
+        leader_seen_ms: Cell::new(0),
+    });
+    log::info!(entry = &*entry.config.name, address = entry.config.ip.to_string(); "entry starts");
+    let serving = entry.clone();
+    monoio::spawn(server::serve(
+        callers,
+        entry.closing.clone(),
+        entry.connections.clone(),
+        move |request| serving.clone().handle(request),
+    ));
+    let answering = entry.clone();
+    monoio::spawn(server::serve(
+        readiness,
+        stop.clone(),
+        Rc::new(Cell::new(0)),
+        move |request| {
+            let entry = answering.clone();
+            async move {
+                if (entry.dialect.asks_readiness)(&request) {
+                    entry.readiness()
+                } else {
+                    server::status(StatusCode::NOT_FOUND)
+                }
+            }
+        },
+    ));
+    let signal = runtime::stop_on_signal()
+        .map_err(|error| Failure::new(Code::Internal, error.to_string()))?;
+    signal.cancelled().await;
+    drain(&entry).await;
+    stop.cancel();
+    log::info!(entry = &*entry.config.name; "entry ends");
+    Ok(())
+}
+
+/// Ends gracefully: not ready first, then idle connections close, and each request that was read is answered.
+async fn drain(entry: &Rc<Entry>) {
+    let grace_ms = entry.config.grace_ms();
+    let now_ms = entry.mesh.now_ms();
+    log::info!(entry = &*entry.config.name, connections = entry.connections.get(); "entry drains");
+    entry.draining.cancel();
+    let close_ms = now_ms + grace_ms * LAME_PERCENT / 100;
+    let finish_ms = now_ms + grace_ms * FINISH_PERCENT / 100;
+    while entry.mesh.now_ms() < close_ms {
+        sleep_ms(POLL_MS).await;
+    }
+    entry.closing.cancel();
+    while entry.connections.get() > 0 && entry.mesh.now_ms() < finish_ms {
+        sleep_ms(POLL_MS).await;
+    }
+}
--- /dev/null
+++ b/crates/bh-control/src/mesh/accept.rs
@@ -0,0 +1,144 @@
+//! The links that others dial to this core.
+
+use super::Mesh;
+use super::mesh::SILENCE_MS;
+use super::write_frames;
+use bh_net::link;
+use bh_net::link::Opened;
+use bh_net::runtime::sleep_ms;
+use bh_net::runtime::within_ms;
+use bh_protocol::wire::CoreStatus;
+use bh_protocol::wire::Frame;
+use bh_protocol::wire::Payload;
+use bh_protocol::wire::RaftMessage;
+use bh_protocol::wire::RpcReply;
+use bh_protocol::wire::RpcRequest;
+use local_sync::mpsc::unbounded;
+use monoio::io::OwnedReadHalf;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+/// Wait after a connection could not be taken, in milliseconds: out of descriptors, most likely, and those that close free some.
+const ACCEPT_RETRY_MS: u64 = 10;
+
+/// Answer to a call, to come.
+pub type Reply = Pin<Box<dyn Future<Output = Vec<u8>>>>;
+
+/// What a core does with what comes over its links.
+pub struct Service {
+    /// Takes a replication message.
+    pub deliver: Box<dyn Fn(RaftMessage)>,
+    /// Answers a call.
+    pub answer: Box<dyn Fn(RpcRequest) -> Reply>,
+    /// What the core says of itself.
+    pub status: Box<dyn Fn() -> CoreStatus>,
+}
+
+/// The open links, to tell all of them at once when the leader changes.
+#[derive(Default)]
+pub struct Inbound {
+    queues: RefCell<Vec<unbounded::Tx<Frame>>>,
+}
+
+impl Inbound {
+    /// Tells everyone linked to this core what it says of itself now.
+    pub fn tell_all(&self, status: &CoreStatus) {
+        let frame = Frame {
+            payload: Some(Payload::Core(status.clone())),
+        };
+        self.queues
+            .borrow_mut()
+            .retain(|queue| queue.send(frame.clone()).is_ok());
+    }
+}
+
+/// Takes links until the process ends.
+pub async fn accept(
+    mesh: Rc<Mesh>,
+    listener: TcpListener,
+    service: Rc<Service>,
+    inbound: Rc<Inbound>,
+) {
+    while !mesh.stop.is_cancelled() {
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep_ms(ACCEPT_RETRY_MS).await;
+            continue;
+        };
+        let (mesh, service, inbound) = (mesh.clone(), service.clone(), inbound.clone());
+        monoio::spawn(async move {
+            let opening = link::handshake(stream, mesh.hello(), &mesh.key, false);
+            match within_ms(SILENCE_MS, opening).await {
+                Some(Ok(opened)) => serve(mesh, opened, service, inbound).await,
+                _ => {
+                    log::warn!(from = from.to_string(); "a link was not opened: no valid greeting")
+                }
+            }
+        });
+    }
+}
+
+async fn serve(mesh: Rc<Mesh>, opened: Opened, service: Rc<Service>, inbound: Rc<Inbound>) {
+    let Opened {
+        hello,
+        reader,
+        writer,
+    } = opened;
+    // A core that dials is worth dialling back.
+    if let Ok(address) = hello.address.parse() {
+        mesh.learn([address]);
+    }
+    let (sender, receiver) = unbounded::channel();
+    let first = Frame {
+        payload: Some(Payload::Core((service.status)())),
+    };
+    // The receiver is held below, so this cannot fail.
+    let _ = sender.send(first);
+    inbound.queues.borrow_mut().push(sender.clone());
+    monoio::select! {
+        () = read(reader, sender, &service) => {}
+        () = write_frames(writer, receiver, || {}) => {}
+    }
+}
+
+async fn read(
+    mut reader: link::Reader<OwnedReadHalf<TcpStream>>,
+    queue: unbounded::Tx<Frame>,
+    service: &Rc<Service>,
+) {
+    while let Some(Ok(Some(frame))) = within_ms(SILENCE_MS, reader.next()).await {
+        match frame.payload {
+            Some(Payload::Heartbeat(_)) => {
+                let status = Frame {
+                    payload: Some(Payload::Core((service.status)())),
+                };
+                if queue.send(status).is_err() {
+                    return;
+                }
+            }
+            Some(Payload::Raft(message)) => (service.deliver)(message),
+            Some(Payload::Request(request)) => answer(request, queue.clone(), service.clone()),
+            _ => {}
+        }
+    }
+}
+
+/// Answers a call in a task of its own, so that one that takes long delays no other.
+fn answer(request: RpcRequest, queue: unbounded::Tx<Frame>, service: Rc<Service>) {
+    monoio::spawn(async move {
+        let id = request.id;
+        let body = (service.answer)(request).await;
+        let reply = RpcReply {
+            id,
+            body,
+            ..RpcReply::default()
+        };
+        // The link may have closed meanwhile; the caller then counts the call as lost.
+        let _ = queue.send(Frame {
+            payload: Some(Payload::Reply(reply)),
+        });
+    });
+}
--- /dev/null
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -0,0 +1,104 @@
+//! Keeps a link to one core.
+
+use super::Mesh;
+use super::Peer;
+use super::mesh::SIGN_OF_LIFE_MS;
+use super::mesh::SILENCE_MS;
+use super::write_frames;
+use bh_net::link;
+use bh_net::link::Opened;
+use bh_net::runtime::sleep_ms;
+use bh_net::runtime::within_ms;
+use bh_protocol::wire::CoreStatus;
+use bh_protocol::wire::Heartbeat;
+use bh_protocol::wire::Payload;
+use local_sync::mpsc::unbounded;
+use monoio::io::OwnedReadHalf;
+use monoio::net::TcpStream;
+use std::io;
+use std::rc::Rc;
+
+/// First wait before dialling again, in milliseconds; doubles up to the longest.
+const FIRST_WAIT_MS: u64 = 50;
+/// Longest such wait in milliseconds: a core that comes back shall be found well within the time it is given to catch up.
+const LONGEST_WAIT_MS: u64 = 400;
+/// Time for a connection to open, in milliseconds. A VM without power answers nothing, not even a refusal.
+const OPEN_MS: u64 = 800;
+
+/// Keeps a link to `peer` until the process ends.
+pub(super) async fn keep_link(mesh: Rc<Mesh>, peer: Rc<Peer>) {
+    let mut wait_ms = FIRST_WAIT_MS;
+    while !mesh.stop.is_cancelled() {
+        if let Ok(opened) = open(&mesh, &peer).await {
+            wait_ms = FIRST_WAIT_MS;
+            log::info!(core = peer.address.to_string(), replica = opened.hello.replica; "link opened");
+            let why = serve(&mesh, &peer, opened).await;
+            close(&peer);
+            log::info!(core = peer.address.to_string(); "link lost: {why}");
+        }
+        sleep_ms(wait_ms).await;
+        wait_ms = (wait_ms * 2).min(LONGEST_WAIT_MS);
+    }
+}
+
+async fn open(mesh: &Rc<Mesh>, peer: &Rc<Peer>) -> io::Result<Opened> {
+    let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
+    let stream = within_ms(OPEN_MS, TcpStream::connect_addr(peer.address))
+        .await
+        .ok_or_else(timed_out)??;
+    let handshake = link::handshake(stream, mesh.hello(), &mesh.key, true);
+    let opened = within_ms(OPEN_MS, handshake)
+        .await
+        .ok_or_else(timed_out)??;
+    peer.replica.set(opened.hello.replica);
+    Ok(opened)
+}
+
+async fn serve(mesh: &Rc<Mesh>, peer: &Rc<Peer>, opened: Opened) -> &'static str {
+    let (sender, receiver) = unbounded::channel();
+    *peer.queue.borrow_mut() = Some(sender);
+    peer.waiting.set(0);
+    let Opened { reader, writer, .. } = opened;
+    monoio::select! {
+        () = read(mesh, peer, reader) => "the core closed it or fell silent",
+        () = write_frames(writer, receiver, || peer.waiting.set(peer.waiting.get().saturating_sub(1))) => "writing failed",
+        () = show_life(mesh, peer) => "the process ends",
+    }
+}
+
+async fn read(
+    mesh: &Rc<Mesh>,
+    peer: &Rc<Peer>,
+    mut reader: link::Reader<OwnedReadHalf<TcpStream>>,
+) {
+    while let Some(Ok(Some(frame))) = within_ms(SILENCE_MS, reader.next()).await {
+        peer.heard_ms.set(mesh.now_ms());
+        match frame.payload {
+            Some(Payload::Core(status)) => {
+                mesh.learn(status.cores.iter().filter_map(|core| core.parse().ok()));
+                *peer.status.borrow_mut() = status;
+            }
+            Some(Payload::Reply(reply)) => {
+                if let Some(call) = peer.calls.borrow_mut().remove(&reply.id) {
+                    // Whoever waited may have given up.
+                    let _ = call.send(reply);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+async fn show_life(mesh: &Rc<Mesh>, peer: &Rc<Peer>) {
+    while !mesh.stop.is_cancelled() {
+        peer.send(Payload::Heartbeat(Heartbeat::default()));
+        sleep_ms(SIGN_OF_LIFE_MS).await;
+    }
+}
+
+/// Ends the link: calls without an answer are lost.
+fn close(peer: &Rc<Peer>) {
+    peer.queue.borrow_mut().take();
+    peer.calls.borrow_mut().clear();
+    *peer.status.borrow_mut() = CoreStatus::default();
+}
--- /dev/null
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -0,0 +1,117 @@
+//! The links of a process to the cores.
+
+use super::Peer;
+use super::dial;
+use bh_net::Clock;
+use bh_net::link::LinkKey;
+use bh_protocol::wire::Hello;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio_util::sync::CancellationToken;
+
+/// Time between signs of life on a link, in milliseconds: three fit into the silence after which a link is given up.
+pub const SIGN_OF_LIFE_MS: u64 = 400;
+/// Silence after which a link is given up and dialled anew, in milliseconds. A connection can go silent for good while new ones
+/// work; callers wait about three seconds, so half of that is left for another try.
+pub const SILENCE_MS: u64 = 1_300;
+
+/// Links to all cores that are known.
+pub struct Mesh {
+    /// What this process says of itself.
+    hello: Hello,
+    /// Key of the links.
+    pub(super) key: LinkKey,
+    /// The process's clock.
+    pub(super) clock: Clock,
+    /// Cancelled when the process ends.
+    pub(super) stop: CancellationToken,
+    peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
+    learnt: RefCell<Box<dyn Fn(&[SocketAddr])>>,
+}
+
+impl Mesh {
+    /// A mesh without links.
+    pub fn new(hello: Hello, clock: Clock, stop: CancellationToken) -> Rc<Self> {
+        // The platform gives its processes no secret; the code of each frame then only guards against damage.
+        let key = LinkKey::new(*b"beechhollow links without secret");
+        Rc::new(Self {
+            hello,
+            key,
+            clock,
+            stop,
+            peers: RefCell::new(BTreeMap::new()),
+            learnt: RefCell::new(Box::new(|_| {})),
+        })
+    }
+
+    /// Calls `learnt` with all known cores whenever another one is learnt of.
+    pub fn on_learnt(&self, learnt: impl Fn(&[SocketAddr]) + 'static) {
+        *self.learnt.borrow_mut() = Box::new(learnt);
+    }
+
+    /// What this process says of itself.
+    pub fn hello(&self) -> Hello {
+        self.hello.clone()
+    }
+
+    /// Milliseconds on the process's clock.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Learns of cores, and dials those that were not known.
+    pub fn learn(self: &Rc<Self>, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut grown = false;
+        for address in addresses {
+            if address.to_string() == self.hello.address
+                || self.peers.borrow().contains_key(&address)
+            {
+                continue;
+            }
+            let peer = Rc::new(Peer::new(address));
+            self.peers.borrow_mut().insert(address, peer.clone());
+            monoio::spawn(dial::keep_link(self.clone(), peer));
+            grown = true;
+        }
+        if grown {
+            (self.learnt.borrow())(&self.known());
+        }
+    }
+
+    /// All known cores but this one.
+    pub fn known(&self) -> Vec<SocketAddr> {
+        self.peers.borrow().keys().copied().collect()
+    }
+
+    /// The cores.
+    pub fn peers(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// The core with this address.
+    pub fn peer(&self, address: SocketAddr) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(&address).cloned()
+    }
+
+    /// The core whose replica has this identity.
+    pub fn by_replica(&self, replica: u64) -> Option<Rc<Peer>> {
+        self.peers
+            .borrow()
+            .values()
+            .filter(|peer| peer.replica.get() == replica)
+            .max_by_key(|peer| peer.is_linked())
+            .cloned()
+    }
+
+    /// The core that leads, as far as is known: of several that say so the one with the highest term.
+    pub fn leader(&self) -> Option<Rc<Peer>> {
+        self.peers
+            .borrow()
+            .values()
+            .filter(|peer| peer.is_linked() && peer.status.borrow().leads)
+            .max_by_key(|peer| peer.status.borrow().term)
+            .cloned()
+    }
+}
--- /dev/null
+++ b/crates/bh-control/src/observe/mod.rs
@@ -0,0 +1,3 @@
+//! Logs and metrics.
+
+pub mod logging;
--- a/crates/bh-node/src/group/driver.rs
+++ b/crates/bh-group/src/driver.rs
@@ -1,10 +1,10 @@
 //! Runs one replica: takes inputs in batches, syncs once for each batch, then releases what the batch produced.
 
-use super::handle::Group;
-use super::handle::GroupStatus;
-use super::input::Input;
-use super::machine::Machine;
-use super::persist::persist;
+use crate::handle::Group;
+use crate::handle::GroupStatus;
+use crate::input::Input;
+use crate::machine::Machine;
+use crate::persist::persist;
 use bh_consensus::Config;
 use bh_consensus::Event;
 use bh_consensus::Output;
@@ -50,9 +50,9 @@
 }
 
 /// Drives one replica.
-pub struct Driver {
+pub struct Driver<S> {
     replica: Replica,
-    machine: Machine,
+    machine: Machine<S>,
     journal: Option<Journal>,
     clock: Clock,
     tick_ms: u64,
@@ -69,7 +69,7 @@
     ready_reads: Vec<(u64, ReadReply)>,
 }
 
-impl Driver {
+impl<S> Driver<S> {
     /// A driver for the replica `config`, with what its journal held, and the handle to it.
     ///
     /// # Errors
@@ -77,11 +77,11 @@
     /// [`Code::Internal`] when the snapshot cannot be read.
     pub fn new(
         config: Config,
-        machine: Machine,
+        machine: Machine<S>,
         storage: Option<(Journal, Recovered)>,
         clock: Clock,
         hooks: Hooks,
-    ) -> Result<(Driver, Group), Failure> {
+    ) -> Result<(Driver<S>, Group<S>), Failure> {
         let (journal, recovered) = match storage {
             Some((journal, recovered)) => (Some(journal), recovered),
             None => (None, Recovered::default()),
@@ -326,6 +326,7 @@
         status.last_index = self.replica.last_index();
         status.snapshot_index = self.replica.snapshot_index();
         status.members = self.replica.members();
+        status.quorum_heard_ms = self.replica.quorum_heard_ms(now_ms);
         status.heard_ms = self
             .replica
             .confirmed_ms(now_ms)
--- a/crates/bh-node/src/group/formation.rs
+++ b/crates/bh-group/src/formation.rs
@@ -1,6 +1,6 @@
 //! How a group comes to be: one founder names the first voters, and only while all of them are new.
 
-use super::handle::Group;
+use crate::handle::Group;
 use bh_net::runtime::sleep_ms;
 use bh_protocol::wire::Member;
 use serde::Deserialize;
@@ -24,7 +24,7 @@
 
 impl Formation {
     /// What this VM says.
-    pub fn of(group: &Group, replica: u64) -> Self {
+    pub fn of<S>(group: &Group<S>, replica: u64) -> Self {
         let members = group
             .status()
             .members
@@ -41,8 +41,8 @@
 /// otherwise: a voter that lost its disk looks new, and if it and another could form a second group beside the first,
 /// both would accept changes. The others take part when a formed replica names their identity. A VM with another
 /// identity than the one named waits to be let in as an observer.
-pub async fn form<F: Future<Output = Option<Formation>>>(
-    group: Group,
+pub async fn form<S, F: Future<Output = Option<Formation>>>(
+    group: Group<S>,
     own_name: Arc<str>,
     own_replica: u64,
     wanted: BTreeSet<Arc<str>>,
--- a/crates/bh-node/src/group/handle.rs
+++ b/crates/bh-group/src/handle.rs
@@ -1,7 +1,7 @@
 //! A group as the rest of the process sees it.
 
-use super::input::Input;
-use super::machine::Machine;
+use crate::input::Input;
+use crate::machine::Machine;
 use bh_net::runtime::within_ms;
 use bh_protocol::Code;
 use bh_protocol::Failure;
@@ -32,22 +32,34 @@
     pub snapshot_index: u64,
     /// The voters.
     pub members: Vec<Member>,
+    /// When a majority had last been heard, on the process's clock; `None` unless this replica leads.
+    pub quorum_heard_ms: Option<u64>,
     /// When a leader was last heard, on the process's clock; `None` before the first.
     pub heard_ms: Option<u64>,
 }
 
 /// A handle to a group's driver.
-#[derive(Clone)]
-pub struct Group {
+pub struct Group<S> {
     /// Name of the group.
     pub name: Arc<str>,
     /// The state machine.
-    pub machine: Machine,
-    pub(super) inbox: unbounded::Tx<Input>,
-    pub(super) status: Rc<RefCell<GroupStatus>>,
+    pub machine: Machine<S>,
+    pub(crate) inbox: unbounded::Tx<Input>,
+    pub(crate) status: Rc<RefCell<GroupStatus>>,
 }
 
-impl Group {
+impl<S> Clone for Group<S> {
+    fn clone(&self) -> Self {
+        Self {
+            name: self.name.clone(),
+            machine: self.machine.clone(),
+            inbox: self.inbox.clone(),
+            status: self.status.clone(),
+        }
+    }
+}
+
+impl<S> Group<S> {
     /// What is known of the replication.
     pub fn status(&self) -> GroupStatus {
         self.status.borrow().clone()
--- /dev/null
+++ b/crates/bh-group/src/lib.rs
@@ -0,0 +1,20 @@
+//! One replica of a replicated log as a task of a process: batches, disk syncs, proposals and reads.
+
+mod driver;
+mod formation;
+mod handle;
+mod input;
+mod machine;
+mod persist;
+
+pub use driver::Driver;
+pub use driver::Hooks;
+pub use formation::Formation;
+pub use formation::form;
+pub use handle::Group;
+pub use handle::GroupStatus;
+pub use input::Input;
+pub use machine::Codec;
+pub use machine::Machine;
+pub use machine::decode;
+pub use machine::encode;
--- a/crates/bh-node/src/group/persist.rs
+++ b/crates/bh-group/src/persist.rs
@@ -19,7 +19,7 @@
 /// # Errors
 ///
 /// [`Code::DiskFailed`]: the process must stop, since it can no longer keep what it promises.
-pub(super) async fn persist(
+pub(crate) async fn persist(
     journal: &mut Option<Journal>,
     outputs: Vec<Output>,
 ) -> Result<Vec<Output>, Failure> {
--- a/crates/bh-net/src/clock.rs
+++ b/crates/bh-net/src/clock.rs
@@ -5,7 +5,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -17,7 +16,7 @@
 
 #[derive(Clone, Debug)]
 enum Source {
-    Running { start: Instant },
+    Running { start_ms: u64 },
     Manual { now_ms: Rc<Cell<u64>> },
 }
 
@@ -26,7 +25,7 @@
     pub fn new() -> Self {
         Self {
             source: Source::Running {
-                start: Instant::now(),
+                start_ms: boot_ms(),
             },
         }
     }
@@ -41,9 +40,7 @@
     /// Milliseconds on this clock; never goes back.
     pub fn now_ms(&self) -> u64 {
         match &self.source {
-            Source::Running { start } => u64::try_from(start.elapsed().as_millis())
-                .unwrap_or(u64::MAX)
-                .saturating_add(1),
+            Source::Running { start_ms } => boot_ms().saturating_sub(*start_ms).saturating_add(1),
             Source::Manual { now_ms } => now_ms.get(),
         }
     }
@@ -61,6 +58,17 @@
     }
 }
 
+/// Milliseconds since the VM was started, suspensions included. A VM that was suspended while it held a lease must find the
+/// lease expired when it wakes: the ordinary monotonic clock stands still meanwhile.
+fn boot_ms() -> u64 {
+    const MS_PER_S: u64 = 1_000;
+    const NS_PER_MS: u64 = 1_000_000;
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * MS_PER_S + nanos / NS_PER_MS
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Self::new()
--- a/crates/bh-net/src/http_client/pool.rs
+++ b/crates/bh-net/src/http_client/pool.rs
@@ -18,9 +18,18 @@
 }
 
 /// Idle connections.
-#[derive(Default)]
 pub struct Pool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    max_idle_ms: u64,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::new(BTreeMap::new()),
+            max_idle_ms: MAX_IDLE_MS,
+        }
+    }
 }
 
 impl Pool {
@@ -29,11 +38,17 @@
         Self::default()
     }
 
+    /// Keeps idle connections for `max_idle_ms`.
+    pub fn with_max_idle_ms(mut self, max_idle_ms: u64) -> Self {
+        self.max_idle_ms = max_idle_ms;
+        self
+    }
+
     /// Takes the connection to `address` that was used last, if it is fresh enough.
     pub fn take(&self, address: SocketAddr, now_ms: u64) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let last = idle.get_mut(&address)?.pop()?;
-        if now_ms > last.since_ms + MAX_IDLE_MS {
+        if now_ms > last.since_ms + self.max_idle_ms {
             idle.remove(&address);
             return None;
         }
@@ -64,7 +79,7 @@
     pub fn age_out(&self, now_ms: u64) {
         let mut idle = self.idle.borrow_mut();
         for list in idle.values_mut() {
-            list.retain(|entry| now_ms <= entry.since_ms + MAX_IDLE_MS);
+            list.retain(|entry| now_ms <= entry.since_ms + self.max_idle_ms);
         }
         idle.retain(|_, list| !list.is_empty());
     }
--- a/crates/bh-node/src/group/mod.rs
+++ b/crates/bh-node/src/group/mod.rs
@@ -1,23 +1,19 @@
 //! Replication groups of this process.
 
-mod driver;
-mod formation;
-mod handle;
-mod input;
 mod machine;
-mod persist;
 mod spawn;
 
-pub use driver::Driver;
-pub use driver::Hooks;
-pub use formation::Formation;
-pub use formation::form;
-pub use handle::Group;
-pub use handle::GroupStatus;
-pub use input::Input;
+pub use bh_group::Formation;
+pub use bh_group::Hooks;
+pub use bh_group::form;
 pub use machine::Machine;
 pub use machine::MachineState;
 pub(crate) use spawn::Spawned;
 pub(crate) use spawn::Spawner;
 pub(crate) use spawn::drive;
 pub(crate) use spawn::hosted;
+
+/// A group of the entry.
+pub type Group = bh_group::Group<MachineState>;
+/// The driver of a group of the entry.
+pub type Driver = bh_group::Driver<MachineState>;
--- a/crates/bh-node/src/leader/carry_out.rs
+++ b/crates/bh-node/src/leader/carry_out.rs
@@ -58,7 +58,9 @@
     fn record_phase(&self, job: u64) -> Option<(Phase, u64)> {
         self.group
             .machine
-            .jobs(|machine| {
+            .read()
+            .jobs()
+            .map(|machine| {
                 machine
                     .table
                     .get(job)
@@ -234,7 +236,7 @@
     epoch: u64,
 ) -> Option<Template> {
     let lease_ms = task_lease_ms(node.config.target_lease_ms);
-    jobs.group.machine.jobs(|machine| {
+    jobs.group.machine.read().jobs().map(|machine| {
         machine.table.get(job).map(|record| Template {
             verb,
             job,
--- a/crates/bh-node/src/leader/duties.rs
+++ b/crates/bh-node/src/leader/duties.rs
@@ -145,7 +145,9 @@
         let settled = jobs
             .group
             .machine
-            .jobs(|machine| {
+            .read()
+            .jobs()
+            .map(|machine| {
                 machine.table.get(report.job).is_none_or(|record| {
                     record.phase.is_final()
                         || record.epoch != report.epoch
@@ -159,7 +161,7 @@
     }
 
     fn jobs(&self, node: &Node, jobs: &JobsGroup, customer: &str, one: Option<u64>) -> Vec<Status> {
-        let statuses = jobs.group.machine.jobs(|machine| {
+        let statuses = jobs.group.machine.read().jobs().map(|machine| {
             machine
                 .table
                 .iter()
--- a/crates/bh-node/src/leader/jobs_group.rs
+++ b/crates/bh-node/src/leader/jobs_group.rs
@@ -111,7 +111,7 @@
         let limits = Limits::new(&settings, &self.data_centre);
         let duties = Duties::new(term, limits, node.config.target_lease_ms, now_ms);
         *self.duties.borrow_mut() = Some(duties);
-        let recorded = self.group.machine.jobs(|machine| {
+        let recorded = self.group.machine.read().jobs().map(|machine| {
             let open = machine
                 .table
                 .iter()
@@ -178,7 +178,9 @@
                 let recorded = self
                     .group
                     .machine
-                    .jobs(|machine| {
+                    .read()
+                    .jobs()
+                    .map(|machine| {
                         machine
                             .table
                             .get(job)
--- a/crates/bh-node/src/node/calls.rs
+++ b/crates/bh-node/src/node/calls.rs
@@ -233,6 +233,10 @@
                 .await
                 .map(|body| (String::new(), body)),
             RpcKind::RunRequest => requests::serve_forwarded(self, request).await,
+            RpcKind::Workload => Err(Failure::new(
+                Code::Internal,
+                "an entry with jobs of its own keeps no workload",
+            )),
             RpcKind::InForce => to_json(&self.in_force()).map(|body| (String::new(), body)),
             RpcKind::Formation => {
                 let group = self
--- a/crates/bh-node/src/node/links.rs
+++ b/crates/bh-node/src/node/links.rs
@@ -16,8 +16,8 @@
         Hello {
             name: self.config.own.name.to_string(),
             data_centre: self.config.own.data_centre.to_string(),
-            nonce: Vec::new(),
             replica: self.replica,
+            ..Hello::default()
         }
     }
 
--- a/crates/bh-node/src/node/state.rs
+++ b/crates/bh-node/src/node/state.rs
@@ -74,7 +74,9 @@
     pub fn settings_in_force(&self) -> (u64, Arc<Settings>) {
         self.settings
             .machine
-            .settings(|machine| (machine.revision, machine.settings.clone()))
+            .read()
+            .settings()
+            .map(|machine| (machine.revision, machine.settings.clone()))
             .unwrap_or_default()
     }
 
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -71,11 +71,14 @@
         late: &late,
         replica,
     };
-    let settings_machine = Machine::new(MachineState::Settings(bh_settings::Machine::new()));
+    let settings_machine = Machine::new(
+        MachineState::Settings(bh_settings::Machine::new()),
+        MachineState::CODEC,
+    );
     let settings = spawner.spawn(SETTINGS_GROUP, settings_machine, config.settings_voters())?;
     let mut jobs = BTreeMap::new();
     for data_centre in hosted(&config) {
-        let machine = Machine::new(MachineState::Jobs(JobsMachine::new()));
+        let machine = Machine::new(MachineState::Jobs(JobsMachine::new()), MachineState::CODEC);
         let wanted = config.jobs_voters(&data_centre);
         let spawned = spawner.spawn(&jobs_group(&data_centre), machine, wanted)?;
         jobs.insert(data_centre, spawned);
--- /dev/null
+++ b/crates/bh-protocol/src/wire/core_status.rs
@@ -0,0 +1,21 @@
+//! What a core VM tells those who are linked to it.
+
+/// Leadership and membership as one core knows them. A core keeps part of the replicated state on its disk.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CoreStatus {
+    /// Whether the sender leads and may answer calls.
+    #[prost(bool, tag = "1")]
+    pub leads: bool,
+    /// The sender's current term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Version of the rules that the sender has applied; 0 before the first.
+    #[prost(uint64, tag = "3")]
+    pub rules_version: u64,
+    /// Peer addresses of the cores that the sender knows.
+    #[prost(string, repeated, tag = "4")]
+    pub cores: Vec<String>,
+    /// Whether the sender is shutting down.
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
+}
--- a/crates/bh-protocol/src/wire/mod.rs
+++ b/crates/bh-protocol/src/wire/mod.rs
@@ -1,9 +1,11 @@
 //! Messages between entry processes, encoded with `prost`.
 
+mod core_status;
 mod heartbeat;
 mod peer;
 mod raft;
 
+pub use core_status::CoreStatus;
 pub use heartbeat::Heartbeat;
 pub use peer::Frame;
 pub use peer::Hello;
--- a/crates/bh-protocol/src/wire/peer.rs
+++ b/crates/bh-protocol/src/wire/peer.rs
@@ -1,5 +1,6 @@
 //! The envelope of the link between two entries.
 
+use super::CoreStatus;
 use super::Heartbeat;
 use super::RaftMessage;
 
@@ -18,6 +19,9 @@
     /// Identity of the sender's replicas.
     #[prost(uint64, tag = "4")]
     pub replica: u64,
+    /// Where the sender takes links, when others may dial it.
+    #[prost(string, tag = "5")]
+    pub address: String,
 }
 
 /// What a forwarded call asks for.
@@ -34,6 +38,8 @@
     InForce = 3,
     /// Whether a group has been formed and by whom; empty body.
     Formation = 4,
+    /// A call for the leader of the workload; body: the call as JSON.
+    Workload = 5,
 }
 
 /// A call from one entry to another.
@@ -80,7 +86,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// Content.
-    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6")]
     pub payload: Option<Payload>,
 }
 
@@ -102,4 +108,7 @@
     /// An answer.
     #[prost(message, tag = "5")]
     Reply(RpcReply),
+    /// What a core knows of the leader and of other cores.
+    #[prost(message, tag = "6")]
+    Core(CoreStatus),
 }
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -0,0 +1,23 @@
+//! The leader's orders to workers.
+
+mod dispatcher;
+mod order;
+mod run_watch;
+mod target;
+mod timing;
+
+pub use dispatcher::Dispatcher;
+pub use order::Answer;
+pub use order::Denial;
+pub use order::Ended;
+pub use order::Order;
+pub use order::OrderBody;
+pub use order::Recipient;
+pub use order::Report;
+pub use order::Running;
+pub use run_watch::RunWatch;
+pub use run_watch::StartPhase;
+pub use run_watch::StopPhase;
+pub use target::ClockReading;
+pub use target::Target;
+pub use timing::Timing;
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -0,0 +1,137 @@
+//! What the leader asks of workers, and what they answer.
+
+use super::super::job::RunId;
+use crate::state::EndKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The worker incarnation an order is meant for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Recipient {
+    /// Identity; any other incarnation at the address refuses.
+    pub worker: Arc<str>,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+}
+
+/// One order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Who shall carry it out.
+    pub to: Recipient,
+    /// Fencing token: grows with the leader's term, so that a deposed leader's orders are refused.
+    pub token: u64,
+    /// When it was made, on the leader's clock in milliseconds.
+    pub sent_ms: u64,
+    /// What to do.
+    pub body: OrderBody,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderBody {
+    /// Begin a run.
+    Start {
+        /// The run.
+        run: RunId,
+        /// The caller's text.
+        text: Arc<str>,
+        /// End of the lease on the worker's clock, in milliseconds.
+        lease_until_ms: u64,
+        /// Saved progress to go on from.
+        checkpoint: Option<Arc<str>>,
+        /// The adviser's permission.
+        permission: Option<Arc<str>>,
+    },
+    /// End a run.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// Renew the lease and report.
+    Look {
+        /// End of the lease on the worker's clock, in milliseconds; `None` leaves it as it is.
+        lease_until_ms: Option<u64>,
+        /// Ends up to this number are recorded and may be forgotten.
+        recorded_to: u64,
+        /// How long the worker may wait for an end before it answers, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+/// Why a worker did not do as ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// It has seen a higher fencing token.
+    Fenced,
+    /// This run or a later one has ended there or was stopped.
+    Outdated,
+    /// The order arrived after its lease had run out.
+    Late,
+    /// It has no room.
+    NoRoom,
+    /// The adviser's permission is missing or no longer valid.
+    NoPermission,
+    /// It could not read the order.
+    Malformed,
+    /// It says that it is overloaded or unhealthy and has done nothing.
+    Unhealthy,
+}
+
+/// What came back for an order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Done. The report is there for a look only.
+    Done {
+        /// The worker's clock in milliseconds.
+        clock_ms: Option<u64>,
+        /// What runs and what has ended.
+        report: Option<Report>,
+    },
+    /// Not done.
+    Denied {
+        /// The worker's clock in milliseconds.
+        clock_ms: Option<u64>,
+        /// Why.
+        denial: Denial,
+    },
+    /// Another incarnation lives at the address.
+    OtherIncarnation,
+    /// No whole answer: it may have been carried out, or may still be.
+    Lost,
+}
+
+/// What a worker says of its runs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and was not recorded yet, in order; the oldest ones only when there are very many.
+    pub ended: Vec<Ended>,
+    /// Whether more ends follow once these are recorded.
+    pub more: bool,
+}
+
+/// A run in progress.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Running {
+    /// The run.
+    pub run: RunId,
+    /// Progress it has saved, if any.
+    pub checkpoint: Option<Arc<str>>,
+    /// Progress in percent.
+    pub percent: u64,
+}
+
+/// A run that has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    /// Number of the end, growing within a worker's life.
+    pub number: u64,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Progress it saved, if any.
+    pub checkpoint: Option<Arc<str>>,
+}
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/run_watch.rs
@@ -0,0 +1,81 @@
+//! What the leader knows of one recorded run beyond the record.
+
+use std::sync::Arc;
+
+/// How far the start order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartPhase {
+    /// This leader has not sent it, and no other can have.
+    Unsent,
+    /// It is on its way.
+    InFlight,
+    /// It may have been carried out, or may still be; it is sent again from this time on.
+    Unsure {
+        /// On the leader's clock, in milliseconds.
+        retry_ms: u64,
+    },
+    /// The worker has the run, or has had it.
+    Confirmed {
+        /// When it was confirmed, on the leader's clock in milliseconds.
+        at_ms: u64,
+    },
+}
+
+/// How far a stop order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopPhase {
+    /// None was sent.
+    None,
+    /// It is on its way.
+    InFlight,
+    /// It is sent again from this time on.
+    Retry {
+        /// On the leader's clock, in milliseconds.
+        retry_ms: u64,
+    },
+    /// The worker has it: the run ends, or will never begin.
+    Confirmed {
+        /// When it was confirmed, on the leader's clock in milliseconds.
+        at_ms: u64,
+    },
+}
+
+/// The leader's view of one recorded run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunWatch {
+    /// The start order.
+    pub start: StartPhase,
+    /// The stop order.
+    pub stop: StopPhase,
+    /// Whether an earlier send of the start order had no answer, so that a refusal of a later one proves nothing.
+    pub was_unsure: bool,
+    /// Whether the leader wants the run to end though the record would let it go on.
+    pub give_up: bool,
+    /// Whether its end is being recorded.
+    pub settled: bool,
+    /// When the leader first knew of the run, on its clock in milliseconds.
+    pub since_ms: u64,
+    /// Last progress that the worker reported, in percent.
+    pub percent: u64,
+    /// When that progress last changed, on the leader's clock in milliseconds.
+    pub progress_ms: u64,
+    /// Last saved progress that the worker reported.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+impl RunWatch {
+    /// A run recorded by this leader (`Unsent`) or found in the record (`Unsure`).
+    pub fn new(start: StartPhase, now_ms: u64) -> Self {
+        Self {
+            start,
+            stop: StopPhase::None,
+            was_unsure: matches!(start, StartPhase::Unsure { .. }),
+            give_up: false,
+            settled: false,
+            since_ms: now_ms,
+            percent: 0,
+            progress_ms: now_ms,
+            checkpoint: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -0,0 +1,129 @@
+//! What the leader knows of one worker beyond the record.
+
+use super::RunWatch;
+use super::Timing;
+use crate::job::JobId;
+use crate::job::RunId;
+use std::collections::BTreeMap;
+
+/// Reading of a worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// What the worker's clock showed, in milliseconds.
+    pub worker_ms: u64,
+    /// When that was, on the leader's clock in milliseconds.
+    pub at_ms: u64,
+}
+
+/// Failed runs in a row, of different jobs, after which a worker gets no work for a while. One may be the job's own fault; two
+/// jobs that both fail on the worker, with no success between, make the worker the likelier cause.
+const FAILURES_IN_A_ROW: usize = 2;
+/// First time without work, in milliseconds; doubles each time.
+const SET_ASIDE_MS: u64 = 4_000;
+/// Doublings at most.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// The leader's view of one worker.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Target {
+    /// Newest reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// When its last heartbeat came, on the leader's clock in milliseconds.
+    pub heard_ms: Option<u64>,
+    /// Since when orders to it have had no answer.
+    pub failing_since_ms: Option<u64>,
+    /// End of the longest lease granted, on the worker's clock in milliseconds.
+    pub granted_ms: u64,
+    /// When everything that runs there has surely ended unless it is granted more, on the leader's clock in milliseconds.
+    pub lapse_ms: u64,
+    /// Whether a look is on its way.
+    pub looking: bool,
+    /// Earliest time of the next look, on the leader's clock in milliseconds.
+    pub next_look_ms: u64,
+    /// Highest number of an end that is recorded.
+    pub recorded_to: u64,
+    /// Highest number of an end that the worker knows to be recorded.
+    pub acknowledged_to: u64,
+    /// While ends it reported are being recorded: the highest of their numbers.
+    pub recording_to: Option<u64>,
+    /// Its runs.
+    pub runs: BTreeMap<RunId, RunWatch>,
+    /// Jobs that failed there since the last success.
+    pub failed_jobs: Vec<JobId>,
+    /// No new work before this time, on the leader's clock in milliseconds.
+    pub set_aside_until_ms: u64,
+    /// Times it was set aside in a row.
+    pub set_aside_count: u32,
+}
+
+impl Target {
+    /// Notes an answer: the worker is there, and its clock shows `clock_ms`.
+    pub fn note_answer(&mut self, now_ms: u64, clock_ms: Option<u64>) {
+        self.failing_since_ms = None;
+        if let Some(worker_ms) = clock_ms {
+            self.note_clock(now_ms, worker_ms);
+        }
+    }
+
+    /// Notes a reading of the worker's clock; an older one that came late is left out.
+    pub fn note_clock(&mut self, now_ms: u64, worker_ms: u64) {
+        if self
+            .clock
+            .is_none_or(|reading| worker_ms >= reading.worker_ms)
+        {
+            self.clock = Some(ClockReading {
+                worker_ms,
+                at_ms: now_ms,
+            });
+        }
+    }
+
+    /// Notes that an order had no answer.
+    pub fn note_silence(&mut self, now_ms: u64) {
+        self.failing_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Whether orders to it have had no answer lately.
+    pub fn is_failing(&self) -> bool {
+        self.failing_since_ms.is_some()
+    }
+
+    /// Grants a lease from `now_ms` on; returns its end on the worker's clock. While the worker does not answer nothing more is
+    /// granted: it may hear us without our hearing it, and a lease renewed so would never run out.
+    pub fn grant(&mut self, now_ms: u64, timing: &Timing) -> Option<u64> {
+        if self.is_failing() {
+            return (self.granted_ms > 0).then_some(self.granted_ms);
+        }
+        let reading = self.clock?;
+        let age_ms = now_ms.saturating_sub(reading.at_ms);
+        let until_ms = reading.worker_ms + age_ms + timing.lease_ms;
+        self.granted_ms = self.granted_ms.max(until_ms);
+        self.lapse_ms = self.lapse_ms.max(now_ms + timing.lapse_after_ms(age_ms));
+        Some(self.granted_ms)
+    }
+
+    /// Notes a run that succeeded.
+    pub fn note_success(&mut self) {
+        self.failed_jobs.clear();
+        self.set_aside_count = 0;
+    }
+
+    /// Notes a run of `job` that failed; sets the worker aside when it seems to fail whatever it is given. A worker that fails
+    /// everything is always free and would draw all work, and use up the few attempts of every job.
+    pub fn note_failure(&mut self, now_ms: u64, job: JobId) {
+        if !self.failed_jobs.contains(&job) {
+            self.failed_jobs.push(job);
+        }
+        if self.failed_jobs.len() >= FAILURES_IN_A_ROW {
+            self.set_aside(now_ms);
+        }
+    }
+
+    /// Gives the worker no new work for a while, longer each time.
+    pub fn set_aside(&mut self, now_ms: u64) {
+        let doublings = self.set_aside_count.min(MAX_DOUBLINGS);
+        self.set_aside_until_ms = now_ms + (SET_ASIDE_MS << doublings);
+        self.set_aside_count += 1;
+        self.failed_jobs.clear();
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/timing.rs
@@ -0,0 +1,50 @@
+//! Time bounds that workers and callers were promised.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Bounds of a deployment, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Timing {
+    /// Time for which a worker keeps what it runs without hearing from the leader. Long enough to outlast a change of leader, short
+    /// enough that a lost worker's tasks begin again soon.
+    pub lease_ms: u64,
+    /// Longest time a worker takes to stop a run.
+    pub stop_timeout_ms: u64,
+    /// Longest time a gang member waits for the others.
+    pub gang_timeout_ms: u64,
+    /// How many times as long tasks take away from their data, or when a rack-local gang is spread; in percent.
+    pub remote_percent: u64,
+    /// How early a timed occurrence may begin.
+    pub early_ms: u64,
+    /// Time between a worker's heartbeats.
+    pub heartbeat_ms: u64,
+    /// How long the state of an ended job can be asked for.
+    pub retention_ms: u64,
+    /// Work between two checkpoints of a task.
+    pub checkpoint_interval_ms: u64,
+}
+
+impl Timing {
+    /// The defaults, for workers of which nothing else is known.
+    pub const DEFAULT: Timing = Timing {
+        lease_ms: 9_000,
+        stop_timeout_ms: 1_000,
+        gang_timeout_ms: 3_000,
+        remote_percent: 300,
+        early_ms: 250,
+        heartbeat_ms: 1_500,
+        retention_ms: 120_000,
+        checkpoint_interval_ms: 1_000,
+    };
+
+    /// Longest time after a grant that anything under it may run, given that the worker's clock was read `age_ms` ago. A worker's
+    /// clock may be two percent slow, and so is what it shows now behind what was reckoned from the last reading.
+    pub fn lapse_after_ms(&self, age_ms: u64) -> u64 {
+        const SLOW_CLOCK_PERCENT: u64 = 2;
+        /// Rounding of the two clocks to whole milliseconds.
+        const ROUNDING_MS: u64 = 20;
+        let behind_ms = age_ms * SLOW_CLOCK_PERCENT / 100;
+        (self.lease_ms + behind_ms) * 100 / (100 - SLOW_CLOCK_PERCENT) + ROUNDING_MS
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/job/mod.rs
@@ -0,0 +1,20 @@
+//! Jobs as callers describe them, and the names of their parts.
+
+mod job_id;
+mod job_spec;
+mod needs;
+mod step_spec;
+mod task_id;
+
+pub use job_id::JobId;
+pub use job_spec::JobSpec;
+pub use job_spec::MAX_OCCURRENCES;
+pub use job_spec::MAX_STEPS;
+pub use job_spec::MAX_TASKS;
+pub use job_spec::Schedule;
+pub use needs::CORES_PER_ACCELERATOR;
+pub use needs::Needs;
+pub use step_spec::StepSpec;
+pub use task_id::RunId;
+pub use task_id::StepId;
+pub use task_id::TaskId;
--- /dev/null
+++ b/crates/bh-workload/src/job/task_id.rs
@@ -0,0 +1,72 @@
+//! Names of steps and tasks within a job.
+
+use super::JobId;
+use serde::Deserialize;
+use serde::Serialize;
+use std::fmt;
+
+/// One step of one occurrence of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, from 0; 0 for a job without repetitions.
+    pub occurrence: u32,
+    /// Position of the step in the job, from 0.
+    pub step: u32,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// One task of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The step.
+    pub step: StepId,
+    /// Position in the step, from 0.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Reads `JOB.OCCURRENCE.STEP.INDEX`.
+    pub fn parse(text: &str) -> Option<TaskId> {
+        let mut parts = text.split('.');
+        let job = JobId::parse(parts.next()?)?;
+        let occurrence = parts.next()?.parse().ok()?;
+        let step = parts.next()?.parse().ok()?;
+        let index = parts.next()?.parse().ok()?;
+        parts.next().is_none().then_some(TaskId {
+            step: StepId {
+                job,
+                occurrence,
+                step,
+            },
+            index,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+/// One execution of a task on one worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RunId {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the execution, from 1.
+    pub attempt: u32,
+}
+
+impl fmt::Display for RunId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.attempt)
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -0,0 +1,212 @@
+//! The work that waits to be placed, in the order in which it shall be.
+
+use super::Runtimes;
+use super::Unit;
+use super::entitled_jobs;
+use crate::job::JobId;
+use crate::job::StepId;
+use crate::job::StepSpec;
+use crate::rules::Queue;
+use crate::state::Job;
+use crate::state::Step;
+use crate::state::TaskState;
+use crate::state::Workload;
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Share of a job's value that does not grow with its work; the users value a job at 0.3 of its kind's mean whatever its size.
+const FIXED_VALUE: f64 = 0.3;
+/// Value of a job that can only be late, against one on time; the users credit between a fifth and a third.
+const LATE_VALUE: f64 = 0.25;
+/// Value of a job that is later than callers credit; above nothing, so that it is still done.
+const HOPELESS_VALUE: f64 = 0.01;
+/// Times the objective after which a late job earns nothing.
+const LATE_FACTOR: u64 = 3;
+
+/// What is known of one job when its steps are collected.
+struct Context<'a> {
+    id: JobId,
+    job: &'a Job,
+    queue: &'a Arc<Queue>,
+    entitled: bool,
+    mean_work: f64,
+}
+
+/// Work of a whole occurrence of a job, in thousandths of core-milliseconds.
+pub fn work(job: &Job, queue: &Arc<str>, runtimes: &Runtimes) -> f64 {
+    let step_work = |spec: &StepSpec| {
+        let tasks = f64::from(spec.count);
+        // Precise to one part in 2^53, far finer than the estimates.
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let each = spec.needs.weight() as f64 * runtimes.expected_ms(queue, spec) as f64;
+        tasks * each
+    };
+    job.spec.steps.iter().map(step_work).sum::<f64>().max(1.0)
+}
+
+/// Expected time of the longest chain of steps, in milliseconds.
+pub fn chain_ms(job: &Job, queue: &Arc<str>, runtimes: &Runtimes) -> u64 {
+    let mut until: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
+    for spec in &job.spec.steps {
+        let before = spec
+            .after
+            .iter()
+            .filter_map(|step| until.get(usize::try_from(*step).ok()?).copied())
+            .max()
+            .unwrap_or(0);
+        until.push(before + runtimes.expected_ms(queue, spec));
+    }
+    until.into_iter().max().unwrap_or(0)
+}
+
+/// All units that may begin at `wall_ms`, best first.
+pub fn collect(workload: &Workload, runtimes: &Runtimes, wall_ms: u64) -> Vec<Unit> {
+    let entitled = entitled_jobs(workload);
+    let mean_work = mean_work(workload, runtimes);
+    let mut units = Vec::new();
+    for (id, job) in workload.active_jobs() {
+        // Without its queue nothing says where the job may run or how often.
+        let Some(queue) = workload.queue_of(job) else {
+            continue;
+        };
+        let context = Context {
+            id,
+            job,
+            queue,
+            entitled: entitled.contains(&id),
+            mean_work: mean_work.get(&queue.name).copied().unwrap_or(1.0),
+        };
+        collect_job(&context, runtimes, wall_ms, &mut units);
+    }
+    sort(&mut units);
+    units
+}
+
+fn mean_work(workload: &Workload, runtimes: &Runtimes) -> BTreeMap<Arc<str>, f64> {
+    let mut sums: BTreeMap<Arc<str>, (f64, f64)> = BTreeMap::new();
+    for (_, job) in workload.active_jobs() {
+        let (sum, count) = sums.entry(job.queue.clone()).or_default();
+        *sum += work(job, &job.queue, runtimes);
+        *count += 1.0;
+    }
+    sums.into_iter()
+        .map(|(queue, (sum, count))| (queue, sum / count))
+        .collect()
+}
+
+fn collect_job(context: &Context, runtimes: &Runtimes, wall_ms: u64, units: &mut Vec<Unit>) {
+    let Context { id, job, queue, .. } = context;
+    let own_work = work(job, &queue.name, runtimes);
+    let chain_ms = chain_ms(job, &queue.name, runtimes);
+    for occurrence in 0..job.spec.occurrences() {
+        let due_ms = job.spec.due_ms(occurrence);
+        if due_ms.is_some_and(|due_ms| wall_ms < due_ms) {
+            // Later occurrences are due later still.
+            break;
+        }
+        let ready_ms = due_ms.unwrap_or(job.accepted_ms);
+        let slack_ms = scaled(chain_ms, queue.slack_factor) + queue.target_latency_ms;
+        let objective_ms = ready_ms + slack_ms;
+        for (index, spec) in job.spec.steps.iter().enumerate() {
+            let step = StepId {
+                job: *id,
+                occurrence,
+                step: u32::try_from(index).unwrap_or(u32::MAX),
+            };
+            let Some(progress) = job.step(step) else {
+                continue;
+            };
+            if progress.is_done() || !job.is_unblocked(step) {
+                continue;
+            }
+            let expected_ms = runtimes.expected_ms(&queue.name, spec);
+            let value = lateness_value(wall_ms + expected_ms, ready_ms, slack_ms);
+            let size = (1.0 - FIXED_VALUE) + FIXED_VALUE * context.mean_work / own_work;
+            let rank = f64::from(queue.priority + 1);
+            let (indices, attempts) = waiting(progress, spec);
+            if indices.is_empty() {
+                continue;
+            }
+            units.push(Unit {
+                step,
+                indices,
+                attempts,
+                spec: spec.clone(),
+                pool: job.pool.clone(),
+                needs: spec.reserved(),
+                priority: queue.priority,
+                entitled: context.entitled,
+                ready_ms,
+                objective_ms,
+                expected_ms,
+                density: value * size / (rank * rank),
+            });
+        }
+    }
+}
+
+/// `ms` times a factor from the settings, within what a time can be.
+fn scaled(ms: u64, factor: f64) -> u64 {
+    const LONGEST_MS: f64 = 1e12;
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "times here are far below 2^53 ms"
+    )]
+    let scaled = (ms as f64 * factor).clamp(0.0, LONGEST_MS);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a range that fits"
+    )]
+    let whole = scaled as u64;
+    whole
+}
+
+fn lateness_value(end_ms: u64, ready_ms: u64, slack_ms: u64) -> f64 {
+    if end_ms <= ready_ms + slack_ms {
+        1.0
+    } else if end_ms <= ready_ms + slack_ms * LATE_FACTOR {
+        LATE_VALUE
+    } else {
+        HOPELESS_VALUE
+    }
+}
+
+fn waiting(progress: &Step, spec: &StepSpec) -> (Vec<u32>, Vec<u32>) {
+    if spec.gang {
+        if !progress.gang_waits() {
+            return (Vec::new(), Vec::new());
+        }
+        let attempt = progress.next_gang_attempt();
+        let indices: Vec<u32> = (0..spec.count).collect();
+        let attempts = vec![attempt; indices.len()];
+        return (indices, attempts);
+    }
+    let waits = progress
+        .tasks
+        .iter()
+        .zip(0..)
+        .filter(|(task, _)| task.state == TaskState::Waiting);
+    waits
+        .map(|(task, index): (_, u32)| (index, task.attempt + 1))
+        .unzip()
+}
+
+/// What a guarantee covers comes first, then what still earns most for the room it takes, then what could have begun first.
+fn sort(units: &mut [Unit]) {
+    let order = |a: &Unit, b: &Unit| {
+        b.entitled
+            .cmp(&a.entitled)
+            .then(b.density.partial_cmp(&a.density).unwrap_or(Ordering::Equal))
+            .then(a.ready_ms.cmp(&b.ready_ms))
+            .then(a.step.cmp(&b.step))
+    };
+    units.sort_by(order);
+}
+
+/// Steps whose units are in `units`.
+pub fn steps(units: &[Unit]) -> BTreeSet<StepId> {
+    units.iter().map(|unit| unit.step).collect()
+}
--- /dev/null
+++ b/crates/bh-workload/src/plan/entitled.rs
@@ -0,0 +1,44 @@
+//! Which jobs a customer's guarantee covers.
+
+use crate::job::JobId;
+use crate::job::StepSpec;
+use crate::state::Job;
+use crate::state::Workload;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Accelerators that a job takes at its widest.
+pub fn widest(job: &Job) -> u64 {
+    let width = |step: &StepSpec| u64::from(step.count) * step.needs.accelerators;
+    job.spec.steps.iter().map(width).max().unwrap_or(0)
+}
+
+/// Jobs of priority 0 that fit into their customers' guarantees, the earliest accepted first.
+pub fn entitled_jobs(workload: &Workload) -> BTreeSet<JobId> {
+    let Some(rules) = &workload.rules else {
+        return BTreeSet::new();
+    };
+    let mut jobs: Vec<(u64, JobId, &Arc<str>, u64)> = workload
+        .active_jobs()
+        .filter(|(_, job)| {
+            workload
+                .queue_of(job)
+                .is_some_and(|queue| queue.priority == 0)
+        })
+        .filter_map(|(id, job)| Some((job.accepted_ms, id, job.customer.as_ref()?, widest(job))))
+        .collect();
+    jobs.sort();
+    let mut left: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+    let mut entitled = BTreeSet::new();
+    for (_, id, customer, width) in jobs {
+        let left = left
+            .entry(customer)
+            .or_insert_with(|| rules.guaranteed(customer));
+        if width <= *left {
+            *left -= width;
+            entitled.insert(id);
+        }
+    }
+    entitled
+}
--- /dev/null
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -0,0 +1,191 @@
+//! Makes room for work that a guarantee covers.
+
+use super::Placement;
+use super::Room;
+use super::Unit;
+use crate::job::JobId;
+use crate::job::Needs;
+use crate::job::RunId;
+use crate::state::Workload;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// A run and what stopping it would cost.
+#[derive(Clone, Debug)]
+pub struct Borrower {
+    /// The run.
+    pub run: RunId,
+    /// Position of its worker among the rooms.
+    pub room: usize,
+    /// What it takes.
+    pub needs: Needs,
+    /// Work lost if it is stopped, in thousandths of core-milliseconds; 0 when it is being stopped already.
+    pub loss: u64,
+    /// Whether it is being stopped already.
+    pub stopping: bool,
+}
+
+/// Room made by stopping borrowers.
+#[derive(Clone, Debug, Default)]
+pub struct Reclaim {
+    /// Where the unit goes.
+    pub placement: Placement,
+    /// Runs to stop.
+    pub evictions: BTreeSet<RunId>,
+}
+
+/// Chooses workers for the whole unit as if all borrowers could be stopped, those first where least work is lost.
+pub fn reclaim(
+    unit: &Unit,
+    rooms: &[Room],
+    borrowers: &[Borrower],
+    workload: &Workload,
+) -> Option<Reclaim> {
+    let by_room = by_room(borrowers);
+    let mut racks: BTreeMap<&Arc<str>, Vec<Offer>> = BTreeMap::new();
+    let mut all: Vec<Offer> = Vec::new();
+    for (index, room) in rooms.iter().enumerate() {
+        if !room.usable || room.pool != unit.pool {
+            continue;
+        }
+        if !room.has_label(unit.spec.required_label.as_ref()) {
+            continue;
+        }
+        let own = by_room.get(&index).map_or(&[][..], Vec::as_slice);
+        if let Some(offer) = offer(unit, index, room, own) {
+            racks.entry(&room.rack).or_default().push(offer.clone());
+            all.push(offer);
+        }
+    }
+    let in_one_rack = || {
+        racks
+            .iter()
+            .filter(|(rack, _)| {
+                unit.spec
+                    .near_rack
+                    .as_ref()
+                    .is_none_or(|near| near == **rack)
+            })
+            .filter_map(|(_, offers)| choose(unit, offers))
+            .min_by_key(|chosen| chosen.1)
+    };
+    let wants_rack = unit.spec.rack_local || unit.spec.near_rack.is_some();
+    let chosen = wants_rack
+        .then(in_one_rack)
+        .flatten()
+        .or_else(|| choose(unit, &all))?;
+    let evictions = evictions(unit, &chosen.0, rooms, &by_room, workload);
+    Some(Reclaim {
+        placement: chosen.0,
+        evictions,
+    })
+}
+
+/// What a worker could take, and what that would cost.
+#[derive(Clone, Debug)]
+struct Offer {
+    room: usize,
+    places: u64,
+    loss: u64,
+}
+
+fn by_room(borrowers: &[Borrower]) -> BTreeMap<usize, Vec<&Borrower>> {
+    let mut by_room: BTreeMap<usize, Vec<&Borrower>> = BTreeMap::new();
+    for borrower in borrowers {
+        by_room.entry(borrower.room).or_default().push(borrower);
+    }
+    for list in by_room.values_mut() {
+        list.sort_by_key(|borrower| (!borrower.stopping, borrower.loss));
+    }
+    by_room
+}
+
+fn offer(unit: &Unit, index: usize, room: &Room, borrowers: &[&Borrower]) -> Option<Offer> {
+    let most = unit.most_per_worker().min(unit.count());
+    let mut free = room.free;
+    let (mut places, mut loss) = (unit.needs.times_in(&free, most), 0);
+    for borrower in borrowers {
+        if places >= most {
+            break;
+        }
+        free.add(&borrower.needs);
+        let more = unit.needs.times_in(&free, most);
+        loss += borrower.loss;
+        places = more;
+    }
+    (places > 0).then_some(Offer {
+        room: index,
+        places,
+        loss,
+    })
+}
+
+fn choose(unit: &Unit, offers: &[Offer]) -> Option<(Placement, u64)> {
+    let mut offers: Vec<&Offer> = offers.iter().collect();
+    offers.sort_by_key(|offer| (offer.loss / offer.places, offer.room));
+    let (mut left, mut loss) = (unit.count(), 0);
+    let mut placement = Vec::new();
+    for offer in offers {
+        if left == 0 {
+            break;
+        }
+        let take = offer.places.min(left);
+        placement.push((offer.room, take));
+        loss += offer.loss;
+        left -= take;
+    }
+    (left == 0).then_some((placement, loss))
+}
+
+fn evictions(
+    unit: &Unit,
+    placement: &Placement,
+    rooms: &[Room],
+    by_room: &BTreeMap<usize, Vec<&Borrower>>,
+    workload: &Workload,
+) -> BTreeSet<RunId> {
+    let mut stopped: BTreeSet<RunId> = BTreeSet::new();
+    for (index, count) in placement {
+        let mut free = rooms[*index].free;
+        for borrower in by_room.get(index).map_or(&[][..], Vec::as_slice) {
+            let gone = stopped.contains(&borrower.run);
+            if gone || borrower.stopping {
+                free.add(&borrower.needs);
+            }
+        }
+        for borrower in by_room.get(index).map_or(&[][..], Vec::as_slice) {
+            if unit.needs.times_in(&free, *count) >= *count {
+                break;
+            }
+            if borrower.stopping || stopped.contains(&borrower.run) {
+                continue;
+            }
+            free.add(&borrower.needs);
+            stopped.extend(together(borrower.run, workload));
+        }
+    }
+    stopped
+}
+
+/// A run and the members of its gang: stopping one ends them all, so all their room is gained.
+fn together(run: RunId, workload: &Workload) -> Vec<RunId> {
+    let gang = workload
+        .job(run.task.step.job)
+        .and_then(|job| job.step_spec(run.task.step))
+        .is_some_and(|spec| spec.gang);
+    if !gang {
+        return vec![run];
+    }
+    workload
+        .workers()
+        .flat_map(|worker| worker.runs.keys())
+        .filter(|member| member.task.step == run.task.step)
+        .copied()
+        .collect()
+}
+
+/// Runs that may be stopped for a guarantee: all but those that a guarantee covers themselves.
+pub fn is_borrower(run: RunId, entitled: &BTreeSet<JobId>) -> bool {
+    !entitled.contains(&run.task.step.job)
+}
--- /dev/null
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -0,0 +1,20 @@
+//! Decides what runs where.
+
+mod collect;
+mod entitled;
+mod evict;
+mod place;
+mod planner;
+mod room;
+mod runtimes;
+mod unit;
+
+pub use entitled::entitled_jobs;
+pub use entitled::widest;
+pub use evict::Borrower;
+pub use place::Placement;
+pub use planner::Plan;
+pub use planner::Planner;
+pub use room::Room;
+pub use runtimes::Runtimes;
+pub use unit::Unit;
--- /dev/null
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -0,0 +1,411 @@
+//! Decides what runs where.
+
+use super::Borrower;
+use super::Placement;
+use super::Room;
+use super::Runtimes;
+use super::Unit;
+use super::collect;
+use super::entitled_jobs;
+use super::evict;
+use super::place;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::StartPhase;
+use crate::job::RunId;
+use crate::job::StepId;
+use crate::job::TaskId;
+use crate::state::End;
+use crate::state::EndKind;
+use crate::state::Start;
+use crate::state::Workload;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Gangs that do not fit yet and have room kept for them at a time. One would let the next large gang starve behind it; many would
+/// leave much of the pool idle.
+const KEPT_GANGS: usize = 2;
+/// Time beyond the longest stop after which room that was reclaimed but has not become free is chosen anew, in milliseconds.
+const CLAIM_SLACK_MS: u64 = 1_500;
+
+/// What shall happen now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Runs to record and order.
+    pub starts: Vec<Start>,
+    /// Runs to stop so that others fit, with their workers.
+    pub evictions: Vec<(Arc<str>, RunId)>,
+}
+
+/// Room that is being made for a unit.
+#[derive(Clone, Debug)]
+struct Claim {
+    /// Workers and number of tasks.
+    places: Vec<(Arc<str>, u64)>,
+    /// When the claim lapses, on the leader's clock in milliseconds.
+    until_ms: u64,
+}
+
+/// The leader's plan. What it has learnt is lost with the leadership and learnt again.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    runtimes: Runtimes,
+    claims: BTreeMap<StepId, Claim>,
+    /// Workers on which a task failed; it tries others first.
+    failed_on: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+}
+
+impl Planner {
+    /// A planner that has learnt nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Learns from ends that are about to be recorded.
+    pub fn note_ends(
+        &mut self,
+        now_ms: u64,
+        ends: &[End],
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+    ) {
+        for end in ends {
+            match end.kind {
+                EndKind::Failed => {
+                    self.failed_on
+                        .entry(end.run.task)
+                        .or_default()
+                        .insert(end.worker.clone());
+                }
+                EndKind::Done => {
+                    self.failed_on.remove(&end.run.task);
+                    self.note_done(now_ms, end, workload, dispatcher);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn note_done(&mut self, now_ms: u64, end: &End, workload: &Workload, dispatcher: &Dispatcher) {
+        let step = end.run.task.step;
+        let Some(job) = workload.job(step.job) else {
+            return;
+        };
+        let Some(spec) = job.step_spec(step) else {
+            return;
+        };
+        let Some(worker) = workload.worker(&end.worker) else {
+            return;
+        };
+        let watch = dispatcher
+            .view(&end.worker)
+            .and_then(|target| target.runs.get(&end.run));
+        let Some(StartPhase::Confirmed { at_ms }) = watch.map(|watch| watch.start) else {
+            return;
+        };
+        let resumed = usize::try_from(end.run.task.index)
+            .ok()
+            .and_then(|index| job.step(step)?.tasks.get(index))
+            .is_some_and(|task| task.checkpoint.is_some());
+        let away = spec
+            .near_rack
+            .as_ref()
+            .is_some_and(|near| *near != worker.info.rack);
+        // Runs that went on from a checkpoint, or away from their data, say little about the usual time.
+        if resumed || away {
+            return;
+        }
+        self.runtimes
+            .note(&job.queue, spec, now_ms.saturating_sub(at_ms));
+    }
+
+    /// What shall happen at `now_ms` of the leader's clock and `wall_ms` since 1970.
+    pub fn plan(
+        &mut self,
+        now_ms: u64,
+        wall_ms: u64,
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+    ) -> Plan {
+        let units = collect::collect(workload, &self.runtimes, wall_ms);
+        let waiting = collect::steps(&units);
+        self.claims
+            .retain(|step, claim| waiting.contains(step) && now_ms < claim.until_ms);
+        let mut desk = Desk::new(now_ms, wall_ms, workload, dispatcher);
+        desk.hold_claims(&mut self.claims, &units);
+        let mut kept = 0;
+        for unit in &units {
+            if self.claims.contains_key(&unit.step) {
+                self.use_claim(&mut desk, unit);
+                continue;
+            }
+            let avoid = self.avoid(unit, &desk.rooms);
+            if !unit.spec.gang {
+                let placement = place::place_tasks(unit, &desk.rooms, &avoid, wall_ms);
+                desk.start(unit, &placement);
+                continue;
+            }
+            if let Some(placement) = place::place_gang(unit, &desk.rooms, &avoid, wall_ms) {
+                desk.start(unit, &placement);
+            } else if unit.entitled {
+                if let Some(claim) = desk.reclaim(unit) {
+                    self.claims.insert(unit.step, claim);
+                }
+            } else if kept < KEPT_GANGS {
+                kept += 1;
+                desk.keep_room(unit);
+            }
+        }
+        desk.plan
+    }
+
+    /// Workers that a unit's tasks failed on, unless nothing else is there.
+    fn avoid(&self, unit: &Unit, rooms: &[Room]) -> BTreeSet<Arc<str>> {
+        let mut avoid = BTreeSet::new();
+        for index in &unit.indices {
+            let task = TaskId {
+                step: unit.step,
+                index: *index,
+            };
+            if let Some(workers) = self.failed_on.get(&task) {
+                avoid.extend(workers.iter().cloned());
+            }
+        }
+        let others = rooms
+            .iter()
+            .any(|room| room.usable && room.pool == unit.pool && !avoid.contains(&room.worker));
+        if others { avoid } else { BTreeSet::new() }
+    }
+
+    fn use_claim(&mut self, desk: &mut Desk, unit: &Unit) {
+        let Some(claim) = self.claims.get(&unit.step) else {
+            return;
+        };
+        if let Some(placement) = desk.placement_of(claim, unit) {
+            desk.start_held(unit, &placement);
+            self.claims.remove(&unit.step);
+        }
+    }
+}
+
+/// One pass of planning.
+struct Desk<'a> {
+    now_ms: u64,
+    workload: &'a Workload,
+    dispatcher: &'a Dispatcher,
+    rooms: Vec<Room>,
+    /// Room as recorded, promises to others not taken off.
+    physical: Vec<crate::job::Needs>,
+    index: BTreeMap<Arc<str>, usize>,
+    plan: Plan,
+}
+
+impl<'a> Desk<'a> {
+    fn new(now_ms: u64, _wall_ms: u64, workload: &'a Workload, dispatcher: &'a Dispatcher) -> Self {
+        let rooms: Vec<Room> = workload
+            .workers()
+            .map(|worker| Room::new(worker, dispatcher, now_ms))
+            .collect();
+        let index = rooms
+            .iter()
+            .enumerate()
+            .map(|(index, room)| (room.worker.clone(), index))
+            .collect();
+        let physical = rooms.iter().map(|room| room.free).collect();
+        Self {
+            now_ms,
+            workload,
+            dispatcher,
+            rooms,
+            physical,
+            index,
+            plan: Plan::default(),
+        }
+    }
+
+    /// Takes the claimed room away from everybody else; drops claims on workers that can no longer be used.
+    fn hold_claims(&mut self, claims: &mut BTreeMap<StepId, Claim>, units: &[Unit]) {
+        claims.retain(|_, claim| {
+            claim.places.iter().all(|(worker, _)| {
+                self.index
+                    .get(worker)
+                    .is_some_and(|at| self.rooms[*at].usable)
+            })
+        });
+        for unit in units {
+            let Some(claim) = claims.get(&unit.step) else {
+                continue;
+            };
+            for (worker, count) in &claim.places {
+                if let Some(at) = self.index.get(worker) {
+                    for _ in 0..*count {
+                        self.rooms[*at].free.subtract(&unit.needs);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The claimed places, once all of them are free.
+    fn placement_of(&self, claim: &Claim, unit: &Unit) -> Option<Placement> {
+        claim
+            .places
+            .iter()
+            .map(|(worker, count)| {
+                let at = *self.index.get(worker)?;
+                let fits = unit.needs.times_in(&self.physical[at], *count) >= *count;
+                fits.then_some((at, *count))
+            })
+            .collect()
+    }
+
+    fn start(&mut self, unit: &Unit, placement: &Placement) {
+        for (at, count) in placement {
+            for _ in 0..*count {
+                self.rooms[*at].free.subtract(&unit.needs);
+            }
+        }
+        self.start_held(unit, placement);
+    }
+
+    /// Starts a unit whose room is already taken off.
+    fn start_held(&mut self, unit: &Unit, placement: &Placement) {
+        let mut tasks = unit.indices.iter().zip(&unit.attempts);
+        for (at, count) in placement {
+            for _ in 0..*count {
+                self.physical[*at].subtract(&unit.needs);
+                let Some((index, attempt)) = tasks.next() else {
+                    return;
+                };
+                self.plan.starts.push(Start {
+                    run: RunId {
+                        task: TaskId {
+                            step: unit.step,
+                            index: *index,
+                        },
+                        attempt: *attempt,
+                    },
+                    worker: self.rooms[*at].worker.clone(),
+                });
+            }
+        }
+    }
+
+    fn reclaim(&mut self, unit: &Unit) -> Option<Claim> {
+        let borrowers = self.borrowers();
+        let reclaim = evict::reclaim(unit, &self.rooms, &borrowers, self.workload)?;
+        for borrower in &borrowers {
+            if reclaim.evictions.contains(&borrower.run) {
+                let worker = self.rooms[borrower.room].worker.clone();
+                self.plan.evictions.push((worker, borrower.run));
+            }
+        }
+        for (at, count) in &reclaim.placement {
+            for _ in 0..*count {
+                self.rooms[*at].free.subtract(&unit.needs);
+            }
+        }
+        let places = reclaim
+            .placement
+            .iter()
+            .map(|(at, count)| (self.rooms[*at].worker.clone(), *count))
+            .collect();
+        Some(Claim {
+            places,
+            until_ms: self.now_ms + self.dispatcher.timing().stop_timeout_ms + CLAIM_SLACK_MS,
+        })
+    }
+
+    /// Runs that may be stopped for a guarantee, and those that are being stopped.
+    fn borrowers(&self) -> Vec<Borrower> {
+        let entitled = entitled_jobs(self.workload);
+        let mut borrowers = Vec::new();
+        for worker in self.workload.workers() {
+            let Some(room) = self.index.get(&worker.info.id) else {
+                continue;
+            };
+            let target = self.dispatcher.view(&worker.info.id);
+            for (run, needs) in &worker.runs {
+                let watch = target.and_then(|target| target.runs.get(run));
+                let evicted = self.plan.evictions.iter().any(|(_, other)| other == run);
+                let stopping = evicted
+                    || !self.workload.wants(*run)
+                    || watch.is_some_and(|watch| watch.give_up);
+                if !stopping && !evict::is_borrower(*run, &entitled) {
+                    continue;
+                }
+                let ran_ms = watch.map_or(0, |watch| self.now_ms.saturating_sub(watch.since_ms));
+                borrowers.push(Borrower {
+                    run: *run,
+                    room: *room,
+                    needs: *needs,
+                    loss: if stopping { 0 } else { self.loss(*run, ran_ms) },
+                    stopping,
+                });
+            }
+        }
+        borrowers
+    }
+
+    /// Work that is lost when a run is stopped, its gang's with it.
+    fn loss(&self, run: RunId, ran_ms: u64) -> u64 {
+        let job = self.workload.job(run.task.step.job);
+        let Some(spec) = job.and_then(|job| job.step_spec(run.task.step)) else {
+            return 0;
+        };
+        let lost_ms = if spec.checkpoints {
+            ran_ms.min(self.dispatcher.timing().checkpoint_interval_ms)
+        } else {
+            ran_ms
+        };
+        let members = if spec.gang { u64::from(spec.count) } else { 1 };
+        spec.needs.weight() * lost_ms.max(1) * members
+    }
+
+    /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them.
+    fn keep_room(&mut self, unit: &Unit) {
+        let most = unit.most_per_worker().min(unit.count());
+        let mut sites: Vec<(u64, usize, u64)> = Vec::new();
+        for (at, room) in self.rooms.iter().enumerate() {
+            if !room.usable
+                || room.pool != unit.pool
+                || !room.has_label(unit.spec.required_label.as_ref())
+            {
+                continue;
+            }
+            let places = unit.needs.times_in(&room.capacity, most);
+            if places > 0 {
+                sites.push((self.busy_until_ms(&room.worker), at, places));
+            }
+        }
+        sites.sort_unstable();
+        let mut left = unit.count();
+        for (_, at, places) in sites {
+            if left == 0 {
+                break;
+            }
+            left = left.saturating_sub(places);
+            self.rooms[at].free = crate::job::Needs::default();
+        }
+    }
+
+    /// When the last run of a worker is expected to end, on the leader's clock in milliseconds.
+    fn busy_until_ms(&self, worker: &str) -> u64 {
+        let Some(target) = self.dispatcher.view(worker) else {
+            return u64::MAX;
+        };
+        target
+            .runs
+            .iter()
+            .filter_map(|(run, watch)| {
+                let spec = self
+                    .workload
+                    .job(run.task.step.job)?
+                    .step_spec(run.task.step)?;
+                Some(watch.since_ms + spec.declared_ms)
+            })
+            .max()
+            .unwrap_or(0)
+            .max(self.now_ms)
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/plan/room.rs
@@ -0,0 +1,67 @@
+//! Workers as the planner sees them.
+
+use crate::dispatch::Dispatcher;
+use crate::dispatch::Target;
+use crate::job::Needs;
+use crate::state::Worker;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Heartbeats without which a worker gets no new work; one may be late, two in a row hardly are.
+const MISSED_HEARTBEATS: u64 = 3;
+
+/// Free room of one worker.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// The worker.
+    pub worker: Arc<str>,
+    /// Its rack.
+    pub rack: Arc<str>,
+    /// Its pool.
+    pub pool: Arc<str>,
+    /// Its labels.
+    pub labels: Vec<Arc<str>>,
+    /// What it has in all.
+    pub capacity: Needs,
+    /// What is free and not promised to others.
+    pub free: Needs,
+    /// Whether it may be given work now.
+    pub usable: bool,
+}
+
+impl Room {
+    /// The room of `worker`, of which `target` is known at `now_ms`.
+    pub fn new(worker: &Worker, dispatcher: &Dispatcher, now_ms: u64) -> Self {
+        let silence_ms = dispatcher.timing().heartbeat_ms * MISSED_HEARTBEATS;
+        let ready = |target: &Target| {
+            let since_ms = target.heard_ms.unwrap_or(dispatcher.elected_ms());
+            !target.is_failing()
+                && target.clock.is_some()
+                && now_ms <= since_ms + silence_ms
+                && now_ms >= target.set_aside_until_ms
+        };
+        let usable = !worker.draining && dispatcher.view(&worker.info.id).is_some_and(ready);
+        Self {
+            worker: worker.info.id.clone(),
+            rack: worker.info.rack.clone(),
+            pool: worker.info.pool.clone(),
+            labels: worker.info.labels.clone(),
+            capacity: worker.info.capacity,
+            free: worker.free(),
+            usable,
+        }
+    }
+
+    /// Whether the worker has the label that a step asks for.
+    pub fn has_label(&self, label: Option<&Arc<str>>) -> bool {
+        label.is_none_or(|label| self.labels.contains(label))
+    }
+
+    /// How many tasks may be placed here now, out of `most`.
+    pub fn places(&self, needs: &Needs, most: u64, avoid: &BTreeSet<Arc<str>>) -> u64 {
+        if !self.usable || avoid.contains(&self.worker) {
+            return 0;
+        }
+        needs.times_in(&self.free, most)
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -0,0 +1,49 @@
+//! What is placed together: a gang, or one task.
+
+use crate::job::Needs;
+use crate::job::StepId;
+use crate::job::StepSpec;
+use std::sync::Arc;
+
+/// Work that waits to be placed.
+#[derive(Clone, Debug)]
+pub struct Unit {
+    /// The step.
+    pub step: StepId,
+    /// Tasks of the step that wait; all of them for a gang.
+    pub indices: Vec<u32>,
+    /// Number the runs take, by position in `indices`.
+    pub attempts: Vec<u32>,
+    /// What was asked of the step.
+    pub spec: StepSpec,
+    /// Pool that runs it.
+    pub pool: Arc<str>,
+    /// What each task takes.
+    pub needs: Needs,
+    /// Rank of its queue; 0 comes first.
+    pub priority: u32,
+    /// Whether the customer's guarantee covers it.
+    pub entitled: bool,
+    /// When it could have begun, in milliseconds since 1970.
+    pub ready_ms: u64,
+    /// When the job's objective is missed, in milliseconds since 1970.
+    pub objective_ms: u64,
+    /// Expected run time of a task in milliseconds.
+    pub expected_ms: u64,
+    /// Value of the whole job against its work, larger first.
+    pub density: f64,
+}
+
+impl Unit {
+    /// Tasks to place.
+    pub fn count(&self) -> u64 {
+        u64::try_from(self.indices.len()).unwrap_or(u64::MAX)
+    }
+
+    /// Most tasks on one worker.
+    pub fn most_per_worker(&self) -> u64 {
+        self.spec
+            .most_per_worker
+            .map_or(u64::MAX, |most| u64::from(most.max(1)))
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/rules/mod.rs
@@ -0,0 +1,16 @@
+//! The operator's rules.
+
+mod customer;
+mod pool;
+mod queue;
+#[expect(
+    clippy::module_inception,
+    reason = "one type a file, and the type is the module's subject"
+)]
+mod rules;
+
+pub use customer::Customer;
+pub use pool::Pool;
+pub use queue::Advice;
+pub use queue::Queue;
+pub use rules::Rules;
--- /dev/null
+++ b/crates/bh-workload/src/rules/rules.rs
@@ -0,0 +1,91 @@
+//! The operator's rules: queues, pools and customers of one version.
+
+use super::Customer;
+use super::Pool;
+use super::Queue;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// One version of the rules, whole.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Rules {
+    /// Number of the version; only a higher one replaces it.
+    pub version: u64,
+    /// The operator's own text, read back word for word.
+    pub document: Arc<str>,
+    /// Queues.
+    pub queues: Vec<Arc<Queue>>,
+    /// Pools.
+    pub pools: Vec<Arc<Pool>>,
+    /// Customers.
+    pub customers: Vec<Arc<Customer>>,
+}
+
+impl Rules {
+    /// What makes the rules invalid, if anything.
+    pub fn problem(&self) -> Option<String> {
+        let pools: BTreeSet<&str> = self.pools.iter().map(|pool| &*pool.name).collect();
+        let mut places = BTreeSet::new();
+        for queue in &self.queues {
+            if !pools.contains(&*queue.pool) {
+                return Some(format!(
+                    "queue `{}` names the unknown pool `{}`",
+                    queue.name, queue.pool
+                ));
+            }
+            if !places.insert((&queue.host, &queue.path_prefix)) {
+                return Some(format!(
+                    "two queues share `{}{}`",
+                    queue.host, queue.path_prefix
+                ));
+            }
+            if queue.timeout_ms == 0 {
+                return Some(format!("queue `{}` has no time limit", queue.name));
+            }
+        }
+        let mut keys = BTreeSet::new();
+        for customer in &self.customers {
+            let own: BTreeSet<&Arc<str>> = customer.keys.iter().collect();
+            if own.into_iter().any(|key| !keys.insert(key)) {
+                return Some(format!(
+                    "customer `{}` shares a key with another",
+                    customer.name
+                ));
+            }
+        }
+        None
+    }
+
+    /// The queue that a call to `host` and `path` belongs to, and the rest of the path.
+    pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Arc<Queue>, &'a str)> {
+        let queue = self
+            .queues
+            .iter()
+            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
+            .filter(|queue| path.starts_with(&*queue.path_prefix))
+            .max_by_key(|queue| queue.path_prefix.len())?;
+        Some((queue, &path[queue.path_prefix.len()..]))
+    }
+
+    /// The queue with this name.
+    pub fn queue(&self, name: &str) -> Option<&Arc<Queue>> {
+        self.queues.iter().find(|queue| &*queue.name == name)
+    }
+
+    /// The customer that holds `key`.
+    pub fn customer_of_key(&self, key: &str) -> Option<&Arc<Customer>> {
+        self.customers
+            .iter()
+            .find(|customer| customer.keys.iter().any(|own| &**own == key))
+    }
+
+    /// Accelerators that the customer `name` is guaranteed.
+    pub fn guaranteed(&self, name: &str) -> u64 {
+        self.customers
+            .iter()
+            .find(|customer| &*customer.name == name)
+            .map_or(0, |customer| customer.guaranteed_accelerators)
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/state/command.rs
@@ -0,0 +1,143 @@
+//! What is replicated: every change of the record, in one order.
+
+use super::WorkerInfo;
+use crate::job::JobSpec;
+use crate::job::RunId;
+use crate::job::StepId;
+use crate::rules::Rules;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// One change of the record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// New rules; only a higher version than the one in force has an effect.
+    SetRules(Box<Rules>),
+    /// A caller hands in a job.
+    Accept {
+        /// Where it was handed in.
+        place: Place,
+        /// What it asks for.
+        spec: JobSpec,
+        /// When the leader took it, in milliseconds since 1970.
+        now_ms: u64,
+    },
+    /// A caller takes a job back.
+    Cancel {
+        /// The job.
+        place: Place,
+        /// When the leader took the call, in milliseconds since 1970.
+        now_ms: u64,
+    },
+    /// Workers came, are leaving, or are gone.
+    Workers(Vec<WorkerChange>),
+    /// Runs that are about to be ordered. An order leaves only after this is committed: a leader that comes later must know of
+    /// everything that may run.
+    Starts(Vec<Start>),
+    /// Runs that are over.
+    Ends {
+        /// The runs.
+        ends: Vec<End>,
+        /// When the leader learnt of them, in milliseconds since 1970.
+        now_ms: u64,
+    },
+    /// Drops jobs that ended before a time, in milliseconds since 1970.
+    Forget {
+        /// The time.
+        before_ms: u64,
+    },
+}
+
+/// Which queue and job a call concerns, and who calls.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Host that the caller named.
+    pub host: Arc<str>,
+    /// Path of the call.
+    pub path: Arc<str>,
+    /// Key of the caller, if it sent one.
+    pub key: Option<Arc<str>>,
+}
+
+/// What became of a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum WorkerChange {
+    /// A new one, or a known one with other particulars.
+    Known(WorkerInfo),
+    /// It gets no new work.
+    Draining(Arc<str>),
+    /// It has ended, and everything that ran on it.
+    Gone(Arc<str>),
+}
+
+/// A run about to be ordered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The run.
+    pub run: RunId,
+    /// Worker incarnation it goes to.
+    pub worker: Arc<str>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum EndKind {
+    /// Its work is done.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// It was stopped by our order.
+    Stopped,
+    /// The worker's lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the other members of its gang.
+    Alone,
+    /// It never began.
+    NotStarted,
+    /// Its worker is gone or its lease has surely run out unseen.
+    Lost,
+}
+
+/// A run that is over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The run.
+    pub run: RunId,
+    /// Worker incarnation it was on.
+    pub worker: Arc<str>,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Progress it saved, if any.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// It is in effect, or was already.
+    Done,
+    /// It has no effect, and why.
+    Refused(Refusal),
+    /// Steps of which at least one start was not taken over into the record; none of a gang's was.
+    Started(Vec<StepId>),
+}
+
+/// Why a call has no effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// There are no rules yet.
+    NoRules,
+    /// No queue is at that host and path.
+    NoQueue,
+    /// The key is missing or unknown.
+    NoKey,
+    /// There is no such job.
+    NoJob,
+    /// The job cannot be read or breaks a limit.
+    BadJob(String),
+    /// The rules are invalid.
+    BadRules(String),
+}
--- /dev/null
+++ b/crates/bh-workload/src/state/job.rs
@@ -0,0 +1,148 @@
+//! One accepted job and its progress.
+
+use super::Step;
+use super::TaskState;
+use crate::job::JobSpec;
+use crate::job::RunId;
+use crate::job::StepId;
+use crate::job::StepSpec;
+use serde::Deserialize;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks are done.
+    Completed,
+    /// A task or gang failed too often.
+    Failed,
+    /// Its caller took it back.
+    Cancelled,
+}
+
+/// What a caller is told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has started yet.
+    Queued,
+    /// Some task has started.
+    Running,
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// An accepted job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// What was asked for.
+    pub spec: Arc<JobSpec>,
+    /// Queue it came through.
+    pub queue: Arc<str>,
+    /// Pool that runs it.
+    pub pool: Arc<str>,
+    /// Customer it belongs to, when its caller proved to be one.
+    pub customer: Option<Arc<str>>,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// How it ended.
+    pub outcome: Option<Outcome>,
+    /// When it ended, in milliseconds since 1970.
+    pub ended_ms: u64,
+    /// Whether a task has ever started.
+    pub started: bool,
+    /// Its steps, those of the first occurrence first.
+    pub steps: Vec<Step>,
+}
+
+impl Job {
+    /// A job of which nothing has started.
+    pub fn new(
+        spec: JobSpec,
+        queue: Arc<str>,
+        pool: Arc<str>,
+        customer: Option<Arc<str>>,
+        accepted_ms: u64,
+    ) -> Self {
+        let steps = (0..spec.occurrences())
+            .flat_map(|_| spec.steps.iter().map(|step| Step::new(step.count)))
+            .collect();
+        Self {
+            spec: Arc::new(spec),
+            queue,
+            pool,
+            customer,
+            accepted_ms,
+            outcome: None,
+            ended_ms: 0,
+            started: false,
+            steps,
+        }
+    }
+
+    /// What its caller is told.
+    pub fn state(&self) -> JobState {
+        match self.outcome {
+            Some(outcome) => JobState::Ended(outcome),
+            None if self.started => JobState::Running,
+            None => JobState::Queued,
+        }
+    }
+
+    fn position(&self, id: StepId) -> Option<usize> {
+        let step = usize::try_from(id.step).ok()?;
+        let occurrence = usize::try_from(id.occurrence).ok()?;
+        (step < self.spec.steps.len()).then(|| occurrence * self.spec.steps.len() + step)
+    }
+
+    /// The progress of a step.
+    pub fn step(&self, id: StepId) -> Option<&Step> {
+        self.steps.get(self.position(id)?)
+    }
+
+    pub(super) fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
+        let position = self.position(id)?;
+        self.steps.get_mut(position)
+    }
+
+    /// What was asked of a step.
+    pub fn step_spec(&self, id: StepId) -> Option<&StepSpec> {
+        self.spec.steps.get(usize::try_from(id.step).ok()?)
+    }
+
+    /// Whether all steps that `id` waits for are done.
+    pub fn is_unblocked(&self, id: StepId) -> bool {
+        self.step_spec(id).is_some_and(|spec| {
+            spec.after.iter().all(|before| {
+                self.step(StepId {
+                    step: *before,
+                    ..id
+                })
+                .is_some_and(Step::is_done)
+            })
+        })
+    }
+
+    /// Whether a recorded run should go on: the job goes on, the run is the task's newest, and its gang is whole.
+    pub fn wants(&self, run: RunId) -> bool {
+        if self.outcome.is_some() {
+            return false;
+        }
+        let (Some(step), Some(spec)) = (self.step(run.task.step), self.step_spec(run.task.step))
+        else {
+            return false;
+        };
+        if spec.gang {
+            return step.gang_is_whole(run.attempt);
+        }
+        usize::try_from(run.task.index)
+            .ok()
+            .and_then(|index| step.tasks.get(index))
+            .is_some_and(|task| task.state == TaskState::Open(run.attempt))
+    }
+
+    /// Whether nothing is left to do.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/state/worker.rs
@@ -0,0 +1,62 @@
+//! A worker incarnation as the record knows it.
+
+use crate::job::Needs;
+use crate::job::RunId;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What a worker says of itself that does not change during its life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerInfo {
+    /// Identity of this life of the worker; another one after each restart.
+    pub id: Arc<str>,
+    /// VM it lives on, if it says so.
+    pub vm: Option<Arc<str>>,
+    /// Pool it works for.
+    pub pool: Arc<str>,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: Arc<str>,
+    /// Rack.
+    pub rack: Arc<str>,
+    /// Labels, its rack among them.
+    pub labels: Vec<Arc<str>>,
+    /// What it has.
+    pub capacity: Needs,
+}
+
+/// A worker incarnation and what was ordered to run there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// What it said of itself.
+    pub info: WorkerInfo,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Runs recorded there and not known to be over, with what each takes.
+    #[serde(with = "crate::pairs")]
+    pub runs: BTreeMap<RunId, Needs>,
+}
+
+impl Worker {
+    /// A worker without runs.
+    pub fn new(info: WorkerInfo) -> Self {
+        Self {
+            info,
+            draining: false,
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// What recorded runs leave free. A run counts until its end is known: it may still use the worker while it is being stopped.
+    pub fn free(&self) -> Needs {
+        let mut free = self.info.capacity;
+        for needs in self.runs.values() {
+            free.subtract(needs);
+        }
+        free
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/src/state/workload.rs
@@ -0,0 +1,180 @@
+//! The replicated record: rules, jobs, workers and runs.
+
+use super::Job;
+use super::JobState;
+use super::News;
+use super::Place;
+use super::Refusal;
+use super::Worker;
+use crate::job::JobId;
+use crate::job::RunId;
+use crate::rules::Customer;
+use crate::rules::Queue;
+use crate::rules::Rules;
+use bh_group::Codec;
+use bh_group::decode;
+use bh_group::encode;
+use bh_protocol::Failure;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// The record. Every replica applies the same commands in the same order and so holds the same one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Workload {
+    /// The rules in force; `None` before the first.
+    pub rules: Option<Arc<Rules>>,
+    pub(super) jobs: BTreeMap<JobId, Job>,
+    pub(super) workers: BTreeMap<Arc<str>, Worker>,
+    /// Jobs that have not ended.
+    #[serde(skip)]
+    pub(super) active: BTreeSet<JobId>,
+    #[serde(skip)]
+    pub(super) news: News,
+}
+
+/// Where a call belongs, and who may speak there.
+pub struct Found<'a> {
+    /// The queue.
+    pub queue: &'a Arc<Queue>,
+    /// Path after the queue's prefix.
+    pub rest: &'a str,
+    /// The caller, when its key says so.
+    pub customer: Option<&'a Arc<Customer>>,
+}
+
+impl Workload {
+    /// How the record is changed and kept.
+    pub const CODEC: Codec<Workload> = Codec {
+        apply: Workload::apply_encoded,
+        snapshot: Workload::snapshot,
+        restore: Workload::restore,
+    };
+
+    fn apply_encoded(&mut self, command: &[u8]) -> Result<Vec<u8>, Failure> {
+        encode(&self.apply(decode(command)?))
+    }
+
+    fn snapshot(&self) -> Result<Vec<u8>, Failure> {
+        encode(self)
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), Failure> {
+        *self = decode(bytes)?;
+        self.active = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.outcome.is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        self.news.note_everything(self.workers.keys());
+        Ok(())
+    }
+
+    /// Finds the queue of a call and checks its key.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoRules`], [`Refusal::NoQueue`], [`Refusal::NoKey`].
+    pub fn find<'a>(&'a self, place: &'a Place) -> Result<Found<'a>, Refusal> {
+        let rules = self.rules.as_ref().ok_or(Refusal::NoRules)?;
+        let (queue, rest) = rules
+            .route(&place.host, &place.path)
+            .ok_or(Refusal::NoQueue)?;
+        let customer = place
+            .key
+            .as_ref()
+            .and_then(|key| rules.customer_of_key(key));
+        if customer.is_none() && !queue.public {
+            return Err(Refusal::NoKey);
+        }
+        Ok(Found {
+            queue,
+            rest,
+            customer,
+        })
+    }
+
+    /// The job that a call names, if its caller may know of it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoJob`], and those of [`Workload::find`].
+    pub fn find_job(&self, place: &Place) -> Result<(JobId, &Job), Refusal> {
+        let found = self.find(place)?;
+        let id = JobId::parse(found.rest).ok_or(Refusal::NoJob)?;
+        let job = self.jobs.get(&id).ok_or(Refusal::NoJob)?;
+        let owner = found.customer.map(|customer| &customer.name);
+        // A customer must not learn of another's jobs, not even that they exist.
+        if !found.queue.public && job.customer.is_some() && job.customer.as_ref() != owner {
+            return Err(Refusal::NoJob);
+        }
+        Ok((id, job))
+    }
+
+    /// Jobs of the queue `queue` of which no task has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.active
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .filter(|job| &*job.queue == queue && job.state() == JobState::Queued)
+            .count()
+    }
+
+    /// A job.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Jobs that have not ended, in order of their names.
+    pub fn active_jobs(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        self.active
+            .iter()
+            .filter_map(|id| Some((*id, self.jobs.get(id)?)))
+    }
+
+    /// When the oldest ended job ended, in milliseconds since 1970.
+    pub fn oldest_end_ms(&self) -> Option<u64> {
+        self.jobs
+            .values()
+            .filter(|job| job.outcome.is_some())
+            .map(|job| job.ended_ms)
+            .min()
+    }
+
+    /// A worker.
+    pub fn worker(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Whether a recorded run should go on.
+    pub fn wants(&self, run: RunId) -> bool {
+        self.jobs
+            .get(&run.task.step.job)
+            .is_some_and(|job| job.wants(run))
+    }
+
+    /// Failed runs after which a job is given up: what the queue says now, or said last.
+    pub fn max_attempts(&self, job: &Job) -> u32 {
+        const WITHOUT_QUEUE: u32 = 1;
+        self.queue_of(job)
+            .map_or(WITHOUT_QUEUE, |queue| queue.max_attempts.max(1))
+    }
+
+    /// The queue of a job, while the rules have it.
+    pub fn queue_of(&self, job: &Job) -> Option<&Arc<Queue>> {
+        self.rules.as_ref()?.queue(&job.queue)
+    }
+
+    /// Takes what has changed since the last call.
+    pub fn take_news(&mut self) -> News {
+        std::mem::take(&mut self.news)
+    }
+}
