--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -23,6 +23,9 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LocalConfig {
+    /// File it was read from.
+    #[serde(skip)]
+    pub path: Arc<str>,
     /// Name of the VM.
     pub name: Arc<str>,
     /// What the process does.
@@ -143,8 +146,10 @@
     pub fn load(path: &str) -> Result<LocalConfig, Failure> {
         let bytes = std::fs::read(path)
             .map_err(|error| Failure::new(Code::UnreadableFile, format!("{path}: {error}")))?;
-        LocalConfig::parse(&bytes)
-            .map_err(|failure| Failure::new(failure.code, format!("{path}: {}", failure.label)))
+        let mut config = LocalConfig::parse(&bytes)
+            .map_err(|failure| Failure::new(failure.code, format!("{path}: {}", failure.label)))?;
+        config.path = Arc::from(path);
+        Ok(config)
     }
 
     /// Reads and checks the text of a file.
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -14,6 +14,7 @@
 use crate::mesh::Inbound;
 use crate::mesh::Mesh;
 use crate::mesh::Service;
+use crate::reload;
 use crate::server;
 use bh_consensus::Config;
 use bh_consensus::Wanted;
@@ -127,6 +128,7 @@
     *late.core.borrow_mut() = Some(core.clone());
     log::info!(core = &*core.config.name, replica = format!("{replica:016x}"), address = control.to_string(); "core starts");
     learn_cores(&core, &path);
+    reload::follow(core.mesh.clone(), core.config.path.clone())?;
     monoio::spawn(mesh::accept(
         mesh,
         peer_listener,
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::mesh::Mesh;
 use crate::mesh::SILENCE_MS;
+use crate::reload;
 use crate::server;
 use bh_net::Clock;
 use bh_net::runtime;
@@ -126,6 +127,7 @@
     };
     let mesh = Mesh::new(hello, Clock::new(), stop.clone());
     mesh.learn(config.seed_peers());
+    reload::follow(mesh.clone(), config.path.clone())?;
     let missing = |key: &str| Failure::new(Code::BadConfigFile, format!("`{key}` is missing"));
     let callers = config
         .callers_address
--- a/crates/bh-control/src/lib.rs
+++ b/crates/bh-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod mesh;
 pub mod observe;
+mod reload;
 pub mod server;
 
 use bh_protocol::Failure;
--- /dev/null
+++ b/crates/bh-control/src/reload.rs
@@ -0,0 +1,55 @@
+//! Follows changes of the process's own file.
+
+use crate::config::LocalConfig;
+use crate::mesh::Mesh;
+use bh_net::runtime;
+use bh_net::runtime::sleep_ms;
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+/// Time between looks whether a signal has come, in milliseconds.
+const POLL_MS: u64 = 200;
+/// Time without a link to any core after which the file is read again without a signal, in milliseconds: its seeds may have been exchanged
+/// for others, and nobody else tells where the cores are.
+const ALONE_MS: u64 = 1_000;
+
+/// Starts to follow the file at `path`.
+///
+/// # Errors
+///
+/// [`Code::Internal`] when the signal cannot be caught.
+pub fn follow(mesh: Rc<Mesh>, path: Arc<str>) -> Result<(), Failure> {
+    let hangup = runtime::flag_on_hangup()
+        .map_err(|error| Failure::new(Code::Internal, error.to_string()))?;
+    monoio::spawn(watch(mesh, path, hangup));
+    Ok(())
+}
+
+async fn watch(mesh: Rc<Mesh>, path: Arc<str>, hangup: Arc<AtomicBool>) {
+    let mut linked_ms = mesh.now_ms();
+    loop {
+        sleep_ms(POLL_MS).await;
+        let now_ms = mesh.now_ms();
+        if mesh.peers().iter().any(|peer| peer.is_linked()) {
+            linked_ms = now_ms;
+        }
+        let told = hangup.swap(false, Ordering::Relaxed);
+        if !told && now_ms < linked_ms + ALONE_MS {
+            continue;
+        }
+        linked_ms = now_ms;
+        match LocalConfig::load(&path) {
+            Ok(config) => {
+                if told {
+                    log::info!(seeds = config.seeds.len(); "file read again");
+                }
+                mesh.learn(config.seed_peers());
+            }
+            Err(failure) => log::warn!("the file was not taken over: {failure}"),
+        }
+    }
+}
--- a/crates/bh-net/src/runtime.rs
+++ b/crates/bh-net/src/runtime.rs
@@ -41,6 +41,17 @@
         .ok()
 }
 
+/// A flag that is set when SIGHUP arrives; whoever acts on it clears it. Without a handler the signal would end the process.
+///
+/// # Errors
+///
+/// When the handler cannot be installed.
+pub fn flag_on_hangup() -> io::Result<Arc<AtomicBool>> {
+    let flag = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, flag.clone())?;
+    Ok(flag)
+}
+
 /// A token that is cancelled when SIGTERM or SIGINT arrives.
 ///
 /// # Errors
--- a/crates/bh-workload/src/job/step_spec.rs
+++ b/crates/bh-workload/src/job/step_spec.rs
@@ -43,6 +43,12 @@
 }
 
 impl StepSpec {
+    /// Most tasks of the step on one worker.
+    pub fn most_on_worker(&self) -> u64 {
+        self.most_per_worker
+            .map_or(u64::MAX, |most| u64::from(most.max(1)))
+    }
+
     /// What a task takes of a worker's capacity: processors that others leave idle are not taken from anyone.
     pub fn reserved(&self) -> Needs {
         Needs {
--- a/crates/bh-workload/src/plan/evict.rs
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -102,7 +102,7 @@
 }
 
 fn offer(unit: &Unit, index: usize, room: &Room, borrowers: &[&Borrower]) -> Option<Offer> {
-    let most = unit.most_per_worker().min(unit.count());
+    let most = room.most(unit);
     let mut free = room.free;
     let (mut places, mut loss) = (unit.needs.times_in(&free, most), 0);
     for borrower in borrowers {
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -95,15 +95,14 @@
         .filter(|room| room.usable && suits(&room.rack) && room.pool == unit.pool)
         .filter(|room| room.has_label(unit.spec.required_label.as_ref()));
     for room in suited {
-        let most = unit.most_per_worker().min(unit.count());
-        *empty.entry(&room.rack).or_default() += unit.needs.times_in(&room.capacity, most);
+        *empty.entry(&room.rack).or_default() +=
+            unit.needs.times_in(&room.capacity, room.most(unit));
     }
     let least = if unit.spec.gang { unit.count() } else { 1 };
     empty.into_values().any(|places| places >= least)
 }
 
 fn sites(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Arc<str>>) -> Vec<Site> {
-    let most = unit.most_per_worker().min(unit.count());
     let mut sites: Vec<Site> = rooms
         .iter()
         .enumerate()
@@ -111,7 +110,7 @@
         .filter(|(_, room)| room.has_label(unit.spec.required_label.as_ref()))
         .map(|(index, room)| Site {
             room: index,
-            places: room.places(&unit.needs, most, avoid),
+            places: room.places(unit, avoid),
             spare: room.free.accelerators,
         })
         .filter(|site| site.places > 0)
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -364,7 +364,6 @@
 
     /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them.
     fn keep_room(&mut self, unit: &Unit) {
-        let most = unit.most_per_worker().min(unit.count());
         let mut sites: Vec<(u64, usize, u64)> = Vec::new();
         for (at, room) in self.rooms.iter().enumerate() {
             if !room.usable
@@ -373,7 +372,7 @@
             {
                 continue;
             }
-            let places = unit.needs.times_in(&room.capacity, most);
+            let places = unit.needs.times_in(&room.capacity, room.most(unit));
             if places > 0 {
                 sites.push((self.busy_until_ms(&room.worker), at, places));
             }
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -1,9 +1,12 @@
 //! Workers as the planner sees them.
 
+use super::Unit;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Target;
 use crate::job::Needs;
+use crate::job::StepId;
 use crate::state::Worker;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -25,6 +28,8 @@
     pub capacity: Needs,
     /// What is free and not promised to others.
     pub free: Needs,
+    /// Recorded runs by step.
+    pub runs: BTreeMap<StepId, u64>,
     /// Whether it may be given work now.
     pub usable: bool,
 }
@@ -41,6 +46,10 @@
                 && now_ms >= target.set_aside_until_ms
         };
         let usable = !worker.draining && dispatcher.view(&worker.info.id).is_some_and(ready);
+        let mut runs = BTreeMap::new();
+        for run in worker.runs.keys() {
+            *runs.entry(run.task.step).or_default() += 1;
+        }
         Self {
             worker: worker.info.id.clone(),
             rack: worker.info.rack.clone(),
@@ -48,6 +57,7 @@
             labels: worker.info.labels.clone(),
             capacity: worker.info.capacity,
             free: worker.free(),
+            runs,
             usable,
         }
     }
@@ -57,11 +67,20 @@
         label.is_none_or(|label| self.labels.contains(label))
     }
 
-    /// How many tasks may be placed here now, out of `most`.
-    pub fn places(&self, needs: &Needs, most: u64, avoid: &BTreeSet<Arc<str>>) -> u64 {
+    /// How many more of a unit's tasks may be on this worker, whatever room it has: those already there count.
+    pub fn most(&self, unit: &Unit) -> u64 {
+        let there = self.runs.get(&unit.step).copied().unwrap_or(0);
+        unit.spec
+            .most_on_worker()
+            .saturating_sub(there)
+            .min(unit.count())
+    }
+
+    /// How many of a unit's tasks may be placed here now.
+    pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
         if !self.usable || avoid.contains(&self.worker) {
             return 0;
         }
-        needs.times_in(&self.free, most)
+        unit.needs.times_in(&self.free, self.most(unit))
     }
 }
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -39,11 +39,4 @@
     pub fn count(&self) -> u64 {
         u64::try_from(self.indices.len()).unwrap_or(u64::MAX)
     }
-
-    /// Most tasks on one worker.
-    pub fn most_per_worker(&self) -> u64 {
-        self.spec
-            .most_per_worker
-            .map_or(u64::MAX, |most| u64::from(most.max(1)))
-    }
 }
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -246,8 +246,11 @@
         let Some(worker) = self.workers.get(worker).filter(|worker| !worker.draining) else {
             return false;
         };
-        let needs = self.reserved(step);
-        needs.times_in(&worker.free(), count) >= count
+        let Some(spec) = self.jobs.get(&step.job).and_then(|job| job.step_spec(step)) else {
+            return false;
+        };
+        let most = spec.most_on_worker().saturating_sub(worker.runs_of(step));
+        count <= most && spec.reserved().times_in(&worker.free(), count) >= count
     }
 
     fn reserved(&self, step: StepId) -> Needs {
--- a/crates/bh-workload/src/state/worker.rs
+++ b/crates/bh-workload/src/state/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::job::Needs;
 use crate::job::RunId;
+use crate::job::StepId;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -51,6 +52,12 @@
         }
     }
 
+    /// Recorded runs of tasks of `step`.
+    pub fn runs_of(&self, step: StepId) -> u64 {
+        let count = self.runs.keys().filter(|run| run.task.step == step).count();
+        u64::try_from(count).unwrap_or(u64::MAX)
+    }
+
     /// What recorded runs leave free. A run counts until its end is known: it may still use the worker while it is being stopped.
     pub fn free(&self) -> Needs {
         let mut free = self.info.capacity;
--- /dev/null
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -0,0 +1,244 @@
+//! A small site in memory: the record, the leader's orders and its plan, with workers that do as they are told.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use bh_workload::dispatch::Dispatcher;
+use bh_workload::dispatch::Timing;
+use bh_workload::job::JobId;
+use bh_workload::job::JobSpec;
+use bh_workload::job::Needs;
+use bh_workload::job::RunId;
+use bh_workload::job::StepId;
+use bh_workload::job::StepSpec;
+use bh_workload::job::TaskId;
+use bh_workload::plan::Plan;
+use bh_workload::plan::Planner;
+use bh_workload::rules::Customer;
+use bh_workload::rules::Pool;
+use bh_workload::rules::Queue;
+use bh_workload::rules::Rules;
+use bh_workload::state::Command;
+use bh_workload::state::End;
+use bh_workload::state::EndKind;
+use bh_workload::state::Place;
+use bh_workload::state::Reply;
+use bh_workload::state::WorkerChange;
+use bh_workload::state::WorkerInfo;
+use bh_workload::state::Workload;
+use std::sync::Arc;
+
+pub const HOST: &str = "jobs.example";
+pub const POOL: &str = "pool";
+/// Wall time at which every site starts, in milliseconds since 1970.
+pub const START_WALL_MS: u64 = 1_000_000;
+
+pub struct Site {
+    pub workload: Workload,
+    pub dispatcher: Dispatcher,
+    pub planner: Planner,
+    pub now_ms: u64,
+    next_job: u64,
+}
+
+/// One queue for each priority: `/p0/`, `/p1/`, `/p2/`; the customer `guaranteed` is guaranteed 16 accelerators.
+pub fn rules(version: u64) -> Rules {
+    let queue = |priority: u32| {
+        Arc::new(Queue {
+            name: Arc::from(format!("q{priority}")),
+            host: Arc::from(HOST),
+            path_prefix: Arc::from(format!("/p{priority}/")),
+            pool: Arc::from(POOL),
+            priority,
+            max_attempts: 2,
+            timeout_ms: 3_000,
+            target_latency_ms: 1_000,
+            slack_factor: 3.0,
+            public: false,
+            advised: None,
+        })
+    };
+    let customer = |name: &str, guaranteed_accelerators| {
+        Arc::new(Customer {
+            name: Arc::from(name),
+            keys: vec![Arc::from(format!("key-{name}"))],
+            guaranteed_accelerators,
+        })
+    };
+    Rules {
+        version,
+        document: Arc::from(format!("version {version}")),
+        queues: vec![queue(0), queue(1), queue(2)],
+        pools: vec![Arc::new(Pool {
+            name: Arc::from(POOL),
+            ..Pool::default()
+        })],
+        customers: vec![customer("guaranteed", 16), customer("other", 0)],
+    }
+}
+
+pub fn worker_info(index: usize, per_rack: usize) -> WorkerInfo {
+    let rack: Arc<str> = Arc::from(format!("rack{}", index / per_rack));
+    WorkerInfo {
+        id: Arc::from(format!("w{index:02}")),
+        vm: Some(Arc::from(format!("vm{index:02}"))),
+        pool: Arc::from(POOL),
+        address: format!("10.0.0.{}:80", index + 1).parse().unwrap(),
+        data_centre: Arc::from("dc"),
+        labels: vec![Arc::from("a"), rack.clone()],
+        rack,
+        capacity: Needs {
+            cpu_millis: 128_000,
+            memory_mb: 512_000,
+            accelerators: 8,
+        },
+    }
+}
+
+/// A step of `count` tasks with `accelerators` each.
+pub fn step(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        count,
+        needs: Needs {
+            cpu_millis: 1_000,
+            memory_mb: 1_000,
+            accelerators,
+        },
+        declared_ms: 5_000,
+        ..StepSpec::default()
+    }
+}
+
+pub fn place(priority: u32, customer: &str, job: JobId) -> Place {
+    Place {
+        host: Arc::from(HOST),
+        path: Arc::from(format!("/p{priority}/{job}")),
+        key: Some(Arc::from(format!("key-{customer}"))),
+    }
+}
+
+impl Site {
+    /// A site of `workers` workers with eight accelerators each, `per_rack` of them in a rack.
+    pub fn new(workers: usize, per_rack: usize) -> Self {
+        let mut workload = Workload::default();
+        workload.apply(Command::SetRules(Box::new(rules(1))));
+        let known = (0..workers)
+            .map(|index| WorkerChange::Known(worker_info(index, per_rack)))
+            .collect();
+        workload.apply(Command::Workers(known));
+        let now_ms = 1;
+        let dispatcher = Dispatcher::new(Timing::DEFAULT, 1, now_ms, &workload);
+        let mut site = Self {
+            workload,
+            dispatcher,
+            planner: Planner::new(),
+            now_ms,
+            next_job: 1,
+        };
+        site.heartbeats();
+        site.workload.take_news();
+        site
+    }
+
+    pub fn wall_ms(&self) -> u64 {
+        START_WALL_MS + self.now_ms
+    }
+
+    /// Every worker says that it is there.
+    pub fn heartbeats(&mut self) {
+        let ids: Vec<Arc<str>> = self
+            .workload
+            .workers()
+            .map(|worker| worker.info.id.clone())
+            .collect();
+        for id in ids {
+            self.dispatcher
+                .note_heartbeat(self.now_ms, &id, Some(self.now_ms));
+        }
+    }
+
+    pub fn advance(&mut self, by_ms: u64) {
+        self.now_ms += by_ms;
+        self.heartbeats();
+    }
+
+    pub fn submit(&mut self, priority: u32, customer: &str, steps: Vec<StepSpec>) -> JobId {
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        let spec = JobSpec {
+            text: Arc::from("text"),
+            steps,
+            schedule: None,
+        };
+        let reply = self.workload.apply(Command::Accept {
+            place: place(priority, customer, id),
+            spec,
+            now_ms: self.wall_ms(),
+        });
+        assert_eq!(reply, Reply::Done);
+        id
+    }
+
+    pub fn plan(&mut self) -> Plan {
+        self.planner.plan(
+            self.now_ms,
+            self.wall_ms(),
+            &self.workload,
+            &self.dispatcher,
+        )
+    }
+
+    /// Plans and records what is planned.
+    pub fn plan_and_start(&mut self) -> Plan {
+        let plan = self.plan();
+        let reply = self.workload.apply(Command::Starts(plan.starts.clone()));
+        assert_eq!(reply, Reply::Started(Vec::new()));
+        self.take_news();
+        plan
+    }
+
+    pub fn take_news(&mut self) {
+        let news = self.workload.take_news();
+        self.dispatcher
+            .note_news(self.now_ms, &news, &self.workload);
+    }
+
+    /// Records the end of a run wherever it is.
+    pub fn end(&mut self, run: RunId, kind: EndKind) {
+        let worker = self
+            .workload
+            .workers()
+            .find(|worker| worker.runs.contains_key(&run))
+            .map(|worker| worker.info.id.clone())
+            .unwrap();
+        let end = End {
+            run,
+            worker,
+            kind,
+            checkpoint: None,
+        };
+        let now_ms = self.wall_ms();
+        self.workload.apply(Command::Ends {
+            ends: vec![end],
+            now_ms,
+        });
+        self.take_news();
+    }
+
+    /// Runs recorded as open, of all workers.
+    pub fn open_runs(&self) -> Vec<(Arc<str>, RunId)> {
+        self.workload
+            .workers()
+            .flat_map(|worker| worker.runs.keys().map(|run| (worker.info.id.clone(), *run)))
+            .collect()
+    }
+}
+
+pub fn task(job: JobId, step: u32, index: u32) -> TaskId {
+    TaskId {
+        step: StepId {
+            job,
+            occurrence: 0,
+            step,
+        },
+        index,
+    }
+}
