Room that is being made is promised to one job only

Claims were taken off the free room, which is nothing while borrowers still run, so the room of the same borrowers was promised to several guaranteed jobs at a time; the later ones found it taken and started over. Found with two new log lines of the plan (room is made, room is no longer made, and why). Ruled out: workers that left (their claims say WorkerUnusable), slow stops (ends came within the bound). Change: what is promised is kept beside what is free, for placing, for reclaiming, and for room kept for gangs.

--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -154,7 +154,7 @@
     let answer = match core.workers.send(order.to.address, request, limit_ms).await {
         Ok(response) => (core.dialect.read_answer)(&order, &response),
         Err(error) => {
-            log::warn!(worker = &*order.to.worker, order:? = order.body; "no answer to an order: {error}");
+            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {error}");
             Answer::Lost
         }
     };
@@ -168,7 +168,7 @@
         return;
     };
     if let Answer::Denied { denial, .. } = answer {
-        log::info!(worker = &*order.to.worker, denial:? = denial, order:? = order.body; "order denied");
+        log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(); "order denied");
     }
     let workload = core.group.machine.read();
     let command = leadership
@@ -246,11 +246,20 @@
     leadership.plan_due = false;
     leadership.planned_ms = now_ms;
     let workload = core.group.machine.read();
-    let Plan { starts, evictions } =
-        leadership
-            .planner
-            .plan(now_ms, core.wall_ms(), &workload, &leadership.dispatcher);
+    let planner = &mut leadership.planner;
+    let Plan {
+        starts,
+        evictions,
+        claimed,
+        unclaimed,
+    } = planner.plan(now_ms, core.wall_ms(), &workload, &leadership.dispatcher);
     drop(workload);
+    for (step, why) in unclaimed {
+        log::info!(step = step.to_string(), why:? = why; "room is no longer made");
+    }
+    for (step, workers) in claimed {
+        log::info!(step = step.to_string(), workers; "room is made");
+    }
     for (worker, run) in &evictions {
         log::info!(run = run.to_string(), worker = &**worker; "stopped to make room for guaranteed work");
         leadership.dispatcher.give_up(worker, *run);
--- a/crates/bh-workload/src/dispatch/order.rs
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -1,7 +1,8 @@
 //! What the leader asks of workers, and what they answer.
 
-use super::super::job::RunId;
+use crate::job::RunId;
 use crate::state::EndKind;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -59,6 +60,16 @@
     },
 }
 
+impl fmt::Display for OrderBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            OrderBody::Start { run, .. } => write!(f, "start {run}"),
+            OrderBody::Stop { run } => write!(f, "stop {run}"),
+            OrderBody::Look { wait_ms, .. } => write!(f, "look, waiting {wait_ms} ms"),
+        }
+    }
+}
+
 /// Why a worker did not do as ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
--- a/crates/bh-workload/src/plan/evict.rs
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -103,16 +103,15 @@
 
 fn offer(unit: &Unit, index: usize, room: &Room, borrowers: &[&Borrower]) -> Option<Offer> {
     let most = room.most(unit);
-    let mut free = room.free;
-    let (mut places, mut loss) = (unit.needs.times_in(&free, most), 0);
+    let mut gained = Needs::default();
+    let (mut places, mut loss) = (unit.needs.times_in(&room.open(), most), 0);
     for borrower in borrowers {
         if places >= most {
             break;
         }
-        free.add(&borrower.needs);
-        let more = unit.needs.times_in(&free, most);
+        gained.add(&borrower.needs);
         loss += borrower.loss;
-        places = more;
+        places = unit.needs.times_in(&room.open_with(&gained), most);
     }
     (places > 0).then_some(Offer {
         room: index,
@@ -147,21 +146,24 @@
 ) -> BTreeSet<RunId> {
     let mut stopped: BTreeSet<RunId> = BTreeSet::new();
     for (index, count) in placement {
-        let mut free = rooms[*index].free;
-        for borrower in by_room.get(index).map_or(&[][..], Vec::as_slice) {
-            let gone = stopped.contains(&borrower.run);
-            if gone || borrower.stopping {
-                free.add(&borrower.needs);
+        let own = by_room.get(index).map_or(&[][..], Vec::as_slice);
+        let mut gained = Needs::default();
+        for borrower in own {
+            if borrower.stopping || stopped.contains(&borrower.run) {
+                gained.add(&borrower.needs);
             }
         }
-        for borrower in by_room.get(index).map_or(&[][..], Vec::as_slice) {
-            if unit.needs.times_in(&free, *count) >= *count {
+        for borrower in own {
+            let places = unit
+                .needs
+                .times_in(&rooms[*index].open_with(&gained), *count);
+            if places >= *count {
                 break;
             }
             if borrower.stopping || stopped.contains(&borrower.run) {
                 continue;
             }
-            free.add(&borrower.needs);
+            gained.add(&borrower.needs);
             stopped.extend(together(borrower.run, workload));
         }
     }
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -15,6 +15,7 @@
 pub use place::Placement;
 pub use planner::Plan;
 pub use planner::Planner;
+pub use planner::Unclaimed;
 pub use room::Room;
 pub use runtimes::Runtimes;
 pub use unit::Unit;
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -111,7 +111,7 @@
         .map(|(index, room)| Site {
             room: index,
             places: room.places(unit, avoid),
-            spare: room.free.accelerators,
+            spare: room.open().accelerators,
         })
         .filter(|site| site.places > 0)
         .collect();
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -35,6 +35,21 @@
     pub starts: Vec<Start>,
     /// Runs to stop so that others fit, with their workers.
     pub evictions: Vec<(Arc<str>, RunId)>,
+    /// Steps for which room is being made from now on, with the number of workers.
+    pub claimed: Vec<(StepId, usize)>,
+    /// Steps for which room was being made in vain.
+    pub unclaimed: Vec<(StepId, Unclaimed)>,
+}
+
+/// Why room is no longer being made on the workers that were chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unclaimed {
+    /// The work no longer waits.
+    NotWaiting,
+    /// It did not become free in time.
+    TooSlow,
+    /// A worker can no longer be used.
+    WorkerUnusable,
 }
 
 /// Room that is being made for a unit.
@@ -129,10 +144,9 @@
     ) -> Plan {
         let units = collect::collect(workload, &self.runtimes, wall_ms);
         let waiting = collect::steps(&units);
-        self.claims
-            .retain(|step, claim| waiting.contains(step) && now_ms < claim.until_ms);
-        let mut desk = Desk::new(now_ms, wall_ms, workload, dispatcher);
-        desk.hold_claims(&mut self.claims, &units);
+        let mut desk = Desk::new(now_ms, workload, dispatcher);
+        desk.drop_claims(&mut self.claims, &waiting);
+        desk.hold_claims(&self.claims, &units);
         let mut kept = 0;
         for unit in &units {
             if self.claims.contains_key(&unit.step) {
@@ -149,6 +163,7 @@
                 desk.start(unit, &placement);
             } else if unit.entitled {
                 if let Some(claim) = desk.reclaim(unit) {
+                    desk.plan.claimed.push((unit.step, claim.places.len()));
                     self.claims.insert(unit.step, claim);
                 }
             } else if kept < KEPT_GANGS {
@@ -182,7 +197,7 @@
             return;
         };
         if let Some(placement) = desk.placement_of(claim, unit) {
-            desk.start_held(unit, &placement);
+            desk.start_promised(unit, &placement);
             self.claims.remove(&unit.step);
         }
     }
@@ -194,14 +209,12 @@
     workload: &'a Workload,
     dispatcher: &'a Dispatcher,
     rooms: Vec<Room>,
-    /// Room as recorded, promises to others not taken off.
-    physical: Vec<crate::job::Needs>,
     index: BTreeMap<Arc<str>, usize>,
     plan: Plan,
 }
 
 impl<'a> Desk<'a> {
-    fn new(now_ms: u64, _wall_ms: u64, workload: &'a Workload, dispatcher: &'a Dispatcher) -> Self {
+    fn new(now_ms: u64, workload: &'a Workload, dispatcher: &'a Dispatcher) -> Self {
         let rooms: Vec<Room> = workload
             .workers()
             .map(|worker| Room::new(worker, dispatcher, now_ms))
@@ -211,27 +224,38 @@
             .enumerate()
             .map(|(index, room)| (room.worker.clone(), index))
             .collect();
-        let physical = rooms.iter().map(|room| room.free).collect();
         Self {
             now_ms,
             workload,
             dispatcher,
             rooms,
-            physical,
             index,
             plan: Plan::default(),
         }
     }
 
-    /// Takes the claimed room away from everybody else; drops claims on workers that can no longer be used.
-    fn hold_claims(&mut self, claims: &mut BTreeMap<StepId, Claim>, units: &[Unit]) {
-        claims.retain(|_, claim| {
-            claim.places.iter().all(|(worker, _)| {
-                self.index
-                    .get(worker)
-                    .is_some_and(|at| self.rooms[*at].usable)
-            })
+    /// Drops claims that have become pointless.
+    fn drop_claims(&mut self, claims: &mut BTreeMap<StepId, Claim>, waiting: &BTreeSet<StepId>) {
+        let (now_ms, rooms, index) = (self.now_ms, &self.rooms, &self.index);
+        let usable = |worker: &Arc<str>| index.get(worker).is_some_and(|at| rooms[*at].usable);
+        let unclaimed = &mut self.plan.unclaimed;
+        claims.retain(|step, claim| {
+            let why = if !waiting.contains(step) {
+                Unclaimed::NotWaiting
+            } else if now_ms >= claim.until_ms {
+                Unclaimed::TooSlow
+            } else if !claim.places.iter().all(|(worker, _)| usable(worker)) {
+                Unclaimed::WorkerUnusable
+            } else {
+                return true;
+            };
+            unclaimed.push((*step, why));
+            false
         });
+    }
+
+    /// Takes the claimed room away from everybody else.
+    fn hold_claims(&mut self, claims: &BTreeMap<StepId, Claim>, units: &[Unit]) {
         for unit in units {
             let Some(claim) = claims.get(&unit.step) else {
                 continue;
@@ -239,7 +263,7 @@
             for (worker, count) in &claim.places {
                 if let Some(at) = self.index.get(worker) {
                     for _ in 0..*count {
-                        self.rooms[*at].free.subtract(&unit.needs);
+                        self.rooms[*at].promised.add(&unit.needs);
                     }
                 }
             }
@@ -253,27 +277,27 @@
             .iter()
             .map(|(worker, count)| {
                 let at = *self.index.get(worker)?;
-                let fits = unit.needs.times_in(&self.physical[at], *count) >= *count;
+                let fits = unit.needs.times_in(&self.rooms[at].free, *count) >= *count;
                 fits.then_some((at, *count))
             })
             .collect()
     }
 
-    fn start(&mut self, unit: &Unit, placement: &Placement) {
+    /// Starts a unit in room that was promised to it.
+    fn start_promised(&mut self, unit: &Unit, placement: &Placement) {
         for (at, count) in placement {
             for _ in 0..*count {
-                self.rooms[*at].free.subtract(&unit.needs);
+                self.rooms[*at].promised.subtract(&unit.needs);
             }
         }
-        self.start_held(unit, placement);
+        self.start(unit, placement);
     }
 
-    /// Starts a unit whose room is already taken off.
-    fn start_held(&mut self, unit: &Unit, placement: &Placement) {
+    fn start(&mut self, unit: &Unit, placement: &Placement) {
         let mut tasks = unit.indices.iter().zip(&unit.attempts);
         for (at, count) in placement {
             for _ in 0..*count {
-                self.physical[*at].subtract(&unit.needs);
+                self.rooms[*at].free.subtract(&unit.needs);
                 let Some((index, attempt)) = tasks.next() else {
                     return;
                 };
@@ -302,7 +326,7 @@
         }
         for (at, count) in &reclaim.placement {
             for _ in 0..*count {
-                self.rooms[*at].free.subtract(&unit.needs);
+                self.rooms[*at].promised.add(&unit.needs);
             }
         }
         let places = reclaim
@@ -384,7 +408,7 @@
                 break;
             }
             left = left.saturating_sub(places);
-            self.rooms[at].free = crate::job::Needs::default();
+            self.rooms[at].promised = self.rooms[at].capacity;
         }
     }
 
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -26,8 +26,10 @@
     pub labels: Vec<Arc<str>>,
     /// What it has in all.
     pub capacity: Needs,
-    /// What is free and not promised to others.
+    /// What no recorded run takes.
     pub free: Needs,
+    /// What is promised to work that waits for it, free already or not.
+    pub promised: Needs,
     /// Recorded runs by step.
     pub runs: BTreeMap<StepId, u64>,
     /// Whether it may be given work now.
@@ -57,6 +59,7 @@
             labels: worker.info.labels.clone(),
             capacity: worker.info.capacity,
             free: worker.free(),
+            promised: Needs::default(),
             runs,
             usable,
         }
@@ -67,6 +70,19 @@
         label.is_none_or(|label| self.labels.contains(label))
     }
 
+    /// What is free and not promised.
+    pub fn open(&self) -> Needs {
+        self.open_with(&Needs::default())
+    }
+
+    /// What would be open if runs that take `more` were gone as well.
+    pub fn open_with(&self, more: &Needs) -> Needs {
+        let mut open = self.free;
+        open.add(more);
+        open.subtract(&self.promised);
+        open
+    }
+
     /// How many more of a unit's tasks may be on this worker, whatever room it has: those already there count.
     pub fn most(&self, unit: &Unit) -> u64 {
         let there = self.runs.get(&unit.step).copied().unwrap_or(0);
@@ -81,6 +97,6 @@
         if !self.usable || avoid.contains(&self.worker) {
             return 0;
         }
-        unit.needs.times_in(&self.free, self.most(unit))
+        unit.needs.times_in(&self.open(), self.most(unit))
     }
 }
--- /dev/null
+++ b/crates/bh-workload/tests/guarantees.rs
@@ -0,0 +1,91 @@
+//! Guaranteed accelerators are there when their customer asks, whatever was lent.
+
+mod support;
+
+use bh_workload::job::JobId;
+use bh_workload::job::StepSpec;
+use bh_workload::plan::Plan;
+use bh_workload::state::EndKind;
+use std::collections::BTreeSet;
+use support::Site;
+use support::step;
+
+fn gang(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+/// Ends what the plan stops, plans again, and returns the jobs that begin.
+fn stop_and_plan(site: &mut Site, plan: &Plan) -> BTreeSet<JobId> {
+    for (worker, run) in &plan.evictions {
+        site.dispatcher.give_up(worker, *run);
+    }
+    for (_, run) in &plan.evictions {
+        site.end(*run, EndKind::Stopped);
+    }
+    let plan = site.plan_and_start();
+    plan.starts
+        .iter()
+        .map(|start| start.run.task.step.job)
+        .collect()
+}
+
+/// All accelerators are lent to another customer when two guaranteed jobs arrive, one just after the other. Each is promised room
+/// that borrowers must give back first. Were the room of one worker promised twice, the second job would find it taken once the first
+/// has begun, and would have to wait for another round of stops, past the time its caller was promised.
+#[test]
+fn room_that_is_being_made_for_one_job_is_not_promised_to_another() {
+    let mut site = Site::new(4, 4);
+    site.submit(2, "other", vec![step(32, 1)]);
+    site.plan_and_start();
+    assert_eq!(site.open_runs().len(), 32);
+    let first = site.submit(0, "guaranteed", vec![gang(1, 8)]);
+    let mut plan = site.plan();
+    assert_eq!(plan.evictions.len(), 8);
+    for (worker, run) in &plan.evictions {
+        site.dispatcher.give_up(worker, *run);
+    }
+    let second = site.submit(0, "guaranteed", vec![gang(1, 8)]);
+    let later = site.plan();
+    plan.evictions.extend(later.evictions);
+    assert_eq!(plan.evictions.len(), 16);
+    let begun = stop_and_plan(&mut site, &plan);
+    assert_eq!(begun, BTreeSet::from([first, second]));
+}
+
+/// Room is taken from whoever loses least: a task that has just begun goes before one that is nearly done.
+#[test]
+fn the_borrower_that_loses_least_is_stopped() {
+    let mut site = Site::new(2, 2);
+    let old = site.submit(2, "other", vec![gang(1, 8)]);
+    site.plan_and_start();
+    site.advance(4_000);
+    let young = site.submit(2, "other", vec![gang(1, 8)]);
+    site.plan_and_start();
+    site.advance(500);
+    site.submit(0, "guaranteed", vec![gang(1, 8)]);
+    let plan = site.plan();
+    let stopped: BTreeSet<JobId> = plan
+        .evictions
+        .iter()
+        .map(|(_, run)| run.task.step.job)
+        .collect();
+    assert_eq!(stopped, BTreeSet::from([young]));
+    assert!(!stopped.contains(&old));
+}
+
+/// What a guarantee covers is never stopped for another guarantee: each customer's share is its own.
+#[test]
+fn guaranteed_work_is_no_borrower() {
+    let mut site = Site::new(2, 2);
+    site.submit(0, "guaranteed", vec![gang(2, 8)]);
+    site.plan_and_start();
+    assert_eq!(site.open_runs().len(), 2);
+    // Beyond the guarantee of 16 accelerators, so it waits like any other work.
+    site.submit(0, "guaranteed", vec![gang(1, 8)]);
+    let plan = site.plan();
+    assert_eq!(plan.evictions, Vec::new());
+    assert_eq!(plan.starts, Vec::new());
+}
