--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -6,7 +6,6 @@
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
 use crate::mesh::Mesh;
-use crate::mesh::SILENCE_MS;
 use crate::reload;
 use crate::server;
 use bh_net::Clock;
@@ -28,7 +27,10 @@
 /// Longest time that a call is worked on whatever its sender says, in milliseconds: past two elections waiting does not help.
 const LONGEST_PATIENCE_MS: u64 = 4_000;
 /// Kept back for the answer's way, in milliseconds: an answer that comes after the sender has left tells nobody anything.
-const ANSWER_WAY_MS: u64 = 250;
+const ANSWER_WAY_MS: u64 = 40;
+/// Time after the leader was last heard during which an entry still counts as ready, in milliseconds: an election. Callers of a data
+/// centre that is cut off are sent elsewhere once all its entries say that they are not ready.
+const READY_AFTER_LEADER_MS: u64 = 1_300;
 /// Share of the grace after which a stopping entry asks callers to leave, in percent. Until then the balancer learns that the entry is
 /// not ready, and connections that it still hands over are served.
 const LAME_PERCENT: u64 = 40;
@@ -65,8 +67,7 @@
             self.leader_seen_ms.set(now_ms);
         }
         let seen_ms = self.leader_seen_ms.get();
-        // An election ends within this time; to leave the rotation for each would press all callers onto fewer entries.
-        seen_ms > 0 && now_ms < seen_ms + 2 * SILENCE_MS
+        seen_ms > 0 && now_ms < seen_ms + READY_AFTER_LEADER_MS
     }
 
     async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Bytes> {
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -5,6 +5,7 @@
 use bh_net::Clock;
 use bh_net::link::LinkKey;
 use bh_protocol::wire::Hello;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,6 +30,7 @@
     pub(super) stop: CancellationToken,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
     learnt: RefCell<Box<dyn Fn(&[SocketAddr])>>,
+    leader_seen_ms: Cell<u64>,
 }
 
 impl Mesh {
@@ -43,6 +45,7 @@
             stop,
             peers: RefCell::new(BTreeMap::new()),
             learnt: RefCell::new(Box::new(|_| {})),
+            leader_seen_ms: Cell::new(0),
         })
     }
 
@@ -107,11 +110,21 @@
 
     /// The core that leads, as far as is known: of several that say so the one with the highest term.
     pub fn leader(&self) -> Option<Rc<Peer>> {
-        self.peers
+        let leader = self
+            .peers
             .borrow()
             .values()
             .filter(|peer| peer.is_linked() && peer.status.borrow().leads)
             .max_by_key(|peer| peer.status.borrow().term)
-            .cloned()
+            .cloned();
+        if leader.is_some() {
+            self.leader_seen_ms.set(self.now_ms());
+        }
+        leader
+    }
+
+    /// When a leader was last known, on the process's clock in milliseconds; 0 before the first.
+    pub fn leader_seen_ms(&self) -> u64 {
+        self.leader_seen_ms.get()
     }
 }
--- a/crates/bh-workload/src/job/task_id.rs
+++ b/crates/bh-workload/src/job/task_id.rs
@@ -23,7 +23,7 @@
 }
 
 /// One task of a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TaskId {
     /// The step.
     pub step: StepId,
@@ -56,8 +56,10 @@
     }
 }
 
-/// One execution of a task on one worker.
+/// One execution of a task on one worker. Written as a list of numbers: the record holds very many of them, and names of fields would
+/// make up most of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "Numbers", into = "Numbers")]
 pub struct RunId {
     /// The task.
     pub task: TaskId,
@@ -65,6 +67,30 @@
     pub attempt: u32,
 }
 
+/// Job, occurrence, step, index, attempt.
+type Numbers = (JobId, u32, u32, u32, u32);
+
+impl From<Numbers> for RunId {
+    fn from((job, occurrence, step, index, attempt): Numbers) -> Self {
+        let step = StepId {
+            job,
+            occurrence,
+            step,
+        };
+        Self {
+            task: TaskId { step, index },
+            attempt,
+        }
+    }
+}
+
+impl From<RunId> for Numbers {
+    fn from(run: RunId) -> Self {
+        let TaskId { step, index } = run.task;
+        (step.job, step.occurrence, step.step, index, run.attempt)
+    }
+}
+
 impl fmt::Display for RunId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}#{}", self.task, self.attempt)
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -34,29 +34,39 @@
     mean_work: f64,
 }
 
+/// The step at position `index` of the first occurrence: what is learnt of it holds for the later ones.
+fn step_at(id: JobId, occurrence: u32, index: usize) -> StepId {
+    StepId {
+        job: id,
+        occurrence,
+        step: u32::try_from(index).unwrap_or(u32::MAX),
+    }
+}
+
 /// Work of a whole occurrence of a job, in thousandths of core-milliseconds.
-pub fn work(job: &Job, queue: &Arc<str>, runtimes: &Runtimes) -> f64 {
-    let step_work = |spec: &StepSpec| {
-        let tasks = f64::from(spec.count);
+pub fn work(id: JobId, job: &Job, runtimes: &Runtimes) -> f64 {
+    let step_work = |(index, spec): (usize, &StepSpec)| {
+        let expected_ms = runtimes.expected_ms(&job.queue, step_at(id, 0, index), spec);
         // Precise to one part in 2^53, far finer than the estimates.
         #[expect(clippy::cast_precision_loss, reason = "an estimate")]
-        let each = spec.needs.weight() as f64 * runtimes.expected_ms(queue, spec) as f64;
-        tasks * each
+        let each = spec.needs.weight() as f64 * expected_ms as f64;
+        f64::from(spec.count) * each
     };
-    job.spec.steps.iter().map(step_work).sum::<f64>().max(1.0)
+    let steps = job.spec.steps.iter().enumerate();
+    steps.map(step_work).sum::<f64>().max(1.0)
 }
 
 /// Expected time of the longest chain of steps, in milliseconds.
-pub fn chain_ms(job: &Job, queue: &Arc<str>, runtimes: &Runtimes) -> u64 {
+pub fn chain_ms(id: JobId, job: &Job, runtimes: &Runtimes) -> u64 {
     let mut until: Vec<u64> = Vec::with_capacity(job.spec.steps.len());
-    for spec in &job.spec.steps {
+    for (index, spec) in job.spec.steps.iter().enumerate() {
         let before = spec
             .after
             .iter()
             .filter_map(|step| until.get(usize::try_from(*step).ok()?).copied())
             .max()
             .unwrap_or(0);
-        until.push(before + runtimes.expected_ms(queue, spec));
+        until.push(before + runtimes.expected_ms(&job.queue, step_at(id, 0, index), spec));
     }
     until.into_iter().max().unwrap_or(0)
 }
@@ -86,9 +96,9 @@
 
 fn mean_work(workload: &Workload, runtimes: &Runtimes) -> BTreeMap<Arc<str>, f64> {
     let mut sums: BTreeMap<Arc<str>, (f64, f64)> = BTreeMap::new();
-    for (_, job) in workload.active_jobs() {
+    for (id, job) in workload.active_jobs() {
         let (sum, count) = sums.entry(job.queue.clone()).or_default();
-        *sum += work(job, &job.queue, runtimes);
+        *sum += work(id, job, runtimes);
         *count += 1.0;
     }
     sums.into_iter()
@@ -98,8 +108,8 @@
 
 fn collect_job(context: &Context, runtimes: &Runtimes, wall_ms: u64, units: &mut Vec<Unit>) {
     let Context { id, job, queue, .. } = context;
-    let own_work = work(job, &queue.name, runtimes);
-    let chain_ms = chain_ms(job, &queue.name, runtimes);
+    let own_work = work(*id, job, runtimes);
+    let chain_ms = chain_ms(*id, job, runtimes);
     for occurrence in 0..job.spec.occurrences() {
         let due_ms = job.spec.due_ms(occurrence);
         if due_ms.is_some_and(|due_ms| wall_ms < due_ms) {
@@ -110,18 +120,14 @@
         let slack_ms = scaled(chain_ms, queue.slack_factor) + queue.target_latency_ms;
         let objective_ms = ready_ms + slack_ms;
         for (index, spec) in job.spec.steps.iter().enumerate() {
-            let step = StepId {
-                job: *id,
-                occurrence,
-                step: u32::try_from(index).unwrap_or(u32::MAX),
-            };
+            let step = step_at(*id, occurrence, index);
             let Some(progress) = job.step(step) else {
                 continue;
             };
             if progress.is_done() || !job.is_unblocked(step) {
                 continue;
             }
-            let expected_ms = runtimes.expected_ms(&queue.name, spec);
+            let expected_ms = runtimes.expected_ms(&queue.name, step, spec);
             let value = lateness_value(wall_ms + expected_ms, ready_ms, slack_ms);
             let size = (1.0 - FIXED_VALUE) + FIXED_VALUE * context.mean_work / own_work;
             let rank = f64::from(queue.priority + 1);
@@ -141,6 +147,7 @@
                 ready_ms,
                 objective_ms,
                 expected_ms,
+                on_time: value >= 1.0,
                 density: value * size / (rank * rank),
             });
         }
--- a/crates/bh-workload/src/plan/evict.rs
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -3,7 +3,7 @@
 use super::Placement;
 use super::Room;
 use super::Unit;
-use crate::job::JobId;
+use super::place;
 use crate::job::Needs;
 use crate::job::RunId;
 use crate::state::Workload;
@@ -33,14 +33,18 @@
     pub placement: Placement,
     /// Runs to stop.
     pub evictions: BTreeSet<RunId>,
+    /// Work that is lost with them, in thousandths of core-milliseconds.
+    pub loss: u64,
 }
 
-/// Chooses workers for the whole unit as if all borrowers could be stopped, those first where least work is lost.
+/// Chooses workers for the whole unit as if all borrowers could be stopped, those first where least work is lost. With `waits` a unit
+/// that wants one rack is not spread over several.
 pub fn reclaim(
     unit: &Unit,
     rooms: &[Room],
     borrowers: &[Borrower],
     workload: &Workload,
+    waits: bool,
 ) -> Option<Reclaim> {
     let by_room = by_room(borrowers);
     let mut racks: BTreeMap<&Arc<str>, Vec<Offer>> = BTreeMap::new();
@@ -58,27 +62,29 @@
             all.push(offer);
         }
     }
+    let able = place::able_racks(unit, rooms);
     let in_one_rack = || {
         racks
             .iter()
-            .filter(|(rack, _)| {
-                unit.spec
-                    .near_rack
-                    .as_ref()
-                    .is_none_or(|near| near == **rack)
-            })
+            .filter(|(rack, _)| able.contains(**rack))
             .filter_map(|(_, offers)| choose(unit, offers))
             .min_by_key(|chosen| chosen.1)
     };
-    let wants_rack = unit.spec.rack_local || unit.spec.near_rack.is_some();
-    let chosen = wants_rack
-        .then(in_one_rack)
-        .flatten()
-        .or_else(|| choose(unit, &all))?;
+    // Spread over racks the unit is so slow that it is late; that is for later, when its bound to begin comes near.
+    let chosen = if place::wants_rack(unit) && !able.is_empty() {
+        let near = in_one_rack();
+        if near.is_none() && waits {
+            return None;
+        }
+        near.or_else(|| choose(unit, &all))?
+    } else {
+        choose(unit, &all)?
+    };
     let evictions = evictions(unit, &chosen.0, rooms, &by_room, workload);
     Some(Reclaim {
         placement: chosen.0,
         evictions,
+        loss: chosen.1,
     })
 }
 
@@ -186,8 +192,3 @@
         .copied()
         .collect()
 }
-
-/// Runs that may be stopped for a guarantee: all but those that a guarantee covers themselves.
-pub fn is_borrower(run: RunId, entitled: &BTreeSet<JobId>) -> bool {
-    !entitled.contains(&run.task.step.job)
-}
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -9,8 +9,11 @@
 /// Tasks on each worker: position among the rooms, and number.
 pub type Placement = Vec<(usize, u64)>;
 
-/// Expected run times that a unit waits for the rack it is fast on. Elsewhere it takes three times as long, two run times more.
-const RACK_PATIENCE_RUNS: u64 = 2;
+/// Expected run times after which a unit no longer waits for a rack that suits it. Elsewhere it takes three times as long and three
+/// times the room, so waiting is better for its caller and for all others for twice its run time at least; the rest is against starving.
+const RACK_PATIENCE_RUNS: u64 = 4;
+/// The same for work that a guarantee covers, in milliseconds: it must begin within a bound of some seconds, wherever that is.
+const ENTITLED_PATIENCE_MS: u64 = 1_200;
 
 /// A worker that could take some of a unit's tasks.
 #[derive(Clone, Copy, Debug)]
@@ -33,30 +36,50 @@
         return None;
     }
     let racks = by_rack(&sites, rooms);
-    if let Some(near) = &unit.spec.near_rack {
-        if let Some(placement) = racks.get(near).and_then(|sites| fill(sites, unit.count())) {
-            return Some(placement);
-        }
-        let held = waits_for_rack(unit, rooms, wall_ms, |rack| rack == near);
-        if held {
-            return None;
-        }
-    }
-    if unit.spec.rack_local {
+    if wants_rack(unit) {
         let tightest = racks
-            .values()
-            .filter(|sites| places(sites) >= unit.count())
-            .min_by_key(|sites| spare(sites));
-        if let Some(sites) = tightest {
+            .iter()
+            .filter(|(rack, sites)| suits(unit, rack) && places(sites) >= unit.count())
+            .min_by_key(|(_, sites)| spare(sites));
+        if let Some((_, sites)) = tightest {
             return fill(sites, unit.count());
         }
-        if waits_for_rack(unit, rooms, wall_ms, |_| true) {
+        if waits_for_rack(unit, rooms, wall_ms) {
             return None;
         }
     }
     fill(&sites, unit.count())
 }
 
+/// Whether the unit is slower on some racks, or on several.
+pub fn wants_rack(unit: &Unit) -> bool {
+    unit.spec.near_rack.is_some() || (unit.spec.gang && unit.spec.rack_local)
+}
+
+/// Whether a rack is as fast as any for the unit.
+pub fn suits(unit: &Unit, rack: &Arc<str>) -> bool {
+    unit.spec.near_rack.as_ref().is_none_or(|near| near == rack)
+}
+
+/// Racks that suit the unit and could hold it if they were empty.
+pub fn able_racks(unit: &Unit, rooms: &[Room]) -> BTreeSet<Arc<str>> {
+    let mut empty: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+    let suited = rooms
+        .iter()
+        .filter(|room| room.usable && room.pool == unit.pool && suits(unit, &room.rack))
+        .filter(|room| room.has_label(unit.spec.required_label.as_ref()));
+    for room in suited {
+        *empty.entry(&room.rack).or_default() +=
+            unit.needs.times_in(&room.capacity, room.most(unit));
+    }
+    let least = if unit.spec.gang { unit.count() } else { 1 };
+    empty
+        .into_iter()
+        .filter(|(_, places)| *places >= least)
+        .map(|(rack, _)| rack.clone())
+        .collect()
+}
+
 /// Finds workers for as many of the unit's tasks as may begin now.
 pub fn place_tasks(
     unit: &Unit,
@@ -73,33 +96,20 @@
         .partition(|site| rooms[site.room].rack == *near);
     let mut placement = fill_some(&close, unit.count());
     let placed: u64 = placement.iter().map(|(_, count)| count).sum();
-    if placed < unit.count() && !waits_for_rack(unit, rooms, wall_ms, |rack| rack == near) {
+    if placed < unit.count() && !waits_for_rack(unit, rooms, wall_ms) {
         placement.extend(fill_some(&far, unit.count() - placed));
     }
     placement
 }
 
 /// Whether a rack that suits the unit could hold it once it is free, and waiting for that is still worth it.
-fn waits_for_rack(
-    unit: &Unit,
-    rooms: &[Room],
-    wall_ms: u64,
-    suits: impl Fn(&Arc<str>) -> bool,
-) -> bool {
-    if unit.entitled || wall_ms >= unit.ready_ms + unit.expected_ms * RACK_PATIENCE_RUNS {
-        return false;
-    }
-    let mut empty: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
-    let suited = rooms
-        .iter()
-        .filter(|room| room.usable && suits(&room.rack) && room.pool == unit.pool)
-        .filter(|room| room.has_label(unit.spec.required_label.as_ref()));
-    for room in suited {
-        *empty.entry(&room.rack).or_default() +=
-            unit.needs.times_in(&room.capacity, room.most(unit));
-    }
-    let least = if unit.spec.gang { unit.count() } else { 1 };
-    empty.into_values().any(|places| places >= least)
+pub fn waits_for_rack(unit: &Unit, rooms: &[Room], wall_ms: u64) -> bool {
+    let patience_ms = if unit.entitled {
+        ENTITLED_PATIENCE_MS
+    } else {
+        unit.expected_ms * RACK_PATIENCE_RUNS
+    };
+    wall_ms < unit.ready_ms + patience_ms && !able_racks(unit, rooms).is_empty()
 }
 
 fn sites(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Arc<str>>) -> Vec<Site> {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -24,10 +24,15 @@
 
 /// Gangs that do not fit yet and have room kept for them at a time. One would let the next large gang starve behind it; many would
 /// leave much of the pool idle.
-const KEPT_GANGS: usize = 2;
+const KEPT_GANGS: usize = 8;
 /// Time beyond the longest stop after which room that was reclaimed but has not become free is chosen anew, in milliseconds.
 const CLAIM_SLACK_MS: u64 = 1_500;
 
+/// Work that may be thrown away for work of priority 0, as a multiple of its own. Such a job is worth some ten times as much for the
+/// room it takes as the work it displaces, and is late within a second or two; four leaves a margin for what the displaced jobs lose
+/// beside their work.
+const LOSS_FOR_WORK: u64 = 4;
+
 /// What shall happen now.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
@@ -131,7 +136,7 @@
             return;
         }
         self.runtimes
-            .note(&job.queue, spec, now_ms.saturating_sub(at_ms));
+            .note(&job.queue, step, spec, now_ms.saturating_sub(at_ms));
     }
 
     /// What shall happen at `now_ms` of the leader's clock and `wall_ms` since 1970.
@@ -142,18 +147,26 @@
         workload: &Workload,
         dispatcher: &Dispatcher,
     ) -> Plan {
-        let units = collect::collect(workload, &self.runtimes, wall_ms);
+        let Self {
+            runtimes,
+            claims,
+            failed_on,
+        } = self;
+        let units = collect::collect(workload, runtimes, wall_ms);
         let waiting = collect::steps(&units);
-        let mut desk = Desk::new(now_ms, workload, dispatcher);
-        desk.drop_claims(&mut self.claims, &waiting);
-        desk.hold_claims(&self.claims, &units);
+        let mut desk = Desk::new((now_ms, wall_ms), workload, dispatcher, runtimes);
+        desk.drop_claims(claims, &waiting);
+        desk.hold_claims(claims, &units);
         let mut kept = 0;
         for unit in &units {
-            if self.claims.contains_key(&unit.step) {
-                self.use_claim(&mut desk, unit);
+            if let Some(claim) = claims.get(&unit.step) {
+                if let Some(placement) = desk.placement_of(claim, unit) {
+                    desk.start_promised(unit, &placement);
+                    claims.remove(&unit.step);
+                }
                 continue;
             }
-            let avoid = self.avoid(unit, &desk.rooms);
+            let avoid = avoided(failed_on, unit, &desk.rooms);
             if !unit.spec.gang {
                 let placement = place::place_tasks(unit, &desk.rooms, &avoid, wall_ms);
                 desk.start(unit, &placement);
@@ -161,11 +174,9 @@
             }
             if let Some(placement) = place::place_gang(unit, &desk.rooms, &avoid, wall_ms) {
                 desk.start(unit, &placement);
-            } else if unit.entitled {
-                if let Some(claim) = desk.reclaim(unit) {
-                    desk.plan.claimed.push((unit.step, claim.places.len()));
-                    self.claims.insert(unit.step, claim);
-                }
+            } else if let Some(claim) = desk.reclaim(unit) {
+                desk.plan.claimed.push((unit.step, claim.places.len()));
+                claims.insert(unit.step, claim);
             } else if kept < KEPT_GANGS {
                 kept += 1;
                 desk.keep_room(unit);
@@ -173,48 +184,49 @@
         }
         desk.plan
     }
+}
 
-    /// Workers that a unit's tasks failed on, unless nothing else is there.
-    fn avoid(&self, unit: &Unit, rooms: &[Room]) -> BTreeSet<Arc<str>> {
-        let mut avoid = BTreeSet::new();
-        for index in &unit.indices {
-            let task = TaskId {
-                step: unit.step,
-                index: *index,
-            };
-            if let Some(workers) = self.failed_on.get(&task) {
-                avoid.extend(workers.iter().cloned());
-            }
-        }
-        let others = rooms
-            .iter()
-            .any(|room| room.usable && room.pool == unit.pool && !avoid.contains(&room.worker));
-        if others { avoid } else { BTreeSet::new() }
-    }
-
-    fn use_claim(&mut self, desk: &mut Desk, unit: &Unit) {
-        let Some(claim) = self.claims.get(&unit.step) else {
-            return;
+/// Workers that a unit's tasks failed on, unless nothing else is there.
+fn avoided(
+    failed_on: &BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    unit: &Unit,
+    rooms: &[Room],
+) -> BTreeSet<Arc<str>> {
+    let mut avoid = BTreeSet::new();
+    for index in &unit.indices {
+        let task = TaskId {
+            step: unit.step,
+            index: *index,
         };
-        if let Some(placement) = desk.placement_of(claim, unit) {
-            desk.start_promised(unit, &placement);
-            self.claims.remove(&unit.step);
+        if let Some(workers) = failed_on.get(&task) {
+            avoid.extend(workers.iter().cloned());
         }
     }
+    let others = rooms
+        .iter()
+        .any(|room| room.usable && room.pool == unit.pool && !avoid.contains(&room.worker));
+    if others { avoid } else { BTreeSet::new() }
 }
 
 /// One pass of planning.
 struct Desk<'a> {
     now_ms: u64,
+    wall_ms: u64,
     workload: &'a Workload,
     dispatcher: &'a Dispatcher,
+    runtimes: &'a Runtimes,
     rooms: Vec<Room>,
     index: BTreeMap<Arc<str>, usize>,
     plan: Plan,
 }
 
 impl<'a> Desk<'a> {
-    fn new(now_ms: u64, workload: &'a Workload, dispatcher: &'a Dispatcher) -> Self {
+    fn new(
+        (now_ms, wall_ms): (u64, u64),
+        workload: &'a Workload,
+        dispatcher: &'a Dispatcher,
+        runtimes: &'a Runtimes,
+    ) -> Self {
         let rooms: Vec<Room> = workload
             .workers()
             .map(|worker| Room::new(worker, dispatcher, now_ms))
@@ -226,8 +238,10 @@
             .collect();
         Self {
             now_ms,
+            wall_ms,
             workload,
             dispatcher,
+            runtimes,
             rooms,
             index,
             plan: Plan::default(),
@@ -315,9 +329,17 @@
         }
     }
 
+    /// Makes room for work that a guarantee covers, or that comes first of all and is worth more than what is lost for it.
     fn reclaim(&mut self, unit: &Unit) -> Option<Claim> {
-        let borrowers = self.borrowers();
-        let reclaim = evict::reclaim(unit, &self.rooms, &borrowers, self.workload)?;
+        if !unit.entitled && (unit.priority > 0 || !unit.on_time) {
+            return None;
+        }
+        let borrowers = self.borrowers(unit);
+        let waits = place::waits_for_rack(unit, &self.rooms, self.wall_ms);
+        let reclaim = evict::reclaim(unit, &self.rooms, &borrowers, self.workload, waits)?;
+        if !unit.entitled && reclaim.loss > unit.work() * LOSS_FOR_WORK {
+            return None;
+        }
         for borrower in &borrowers {
             if reclaim.evictions.contains(&borrower.run) {
                 let worker = self.rooms[borrower.room].worker.clone();
@@ -340,8 +362,8 @@
         })
     }
 
-    /// Runs that may be stopped for a guarantee, and those that are being stopped.
-    fn borrowers(&self) -> Vec<Borrower> {
+    /// Runs that may be stopped for `unit`, and those that are being stopped.
+    fn borrowers(&self, unit: &Unit) -> Vec<Borrower> {
         let entitled = entitled_jobs(self.workload);
         let mut borrowers = Vec::new();
         for worker in self.workload.workers() {
@@ -355,7 +377,9 @@
                 let stopping = evicted
                     || !self.workload.wants(*run)
                     || watch.is_some_and(|watch| watch.give_up);
-                if !stopping && !evict::is_borrower(*run, &entitled) {
+                let lent = !entitled.contains(&run.task.step.job)
+                    && (unit.entitled || self.priority_of(*run) > unit.priority);
+                if !stopping && !lent {
                     continue;
                 }
                 let ran_ms = watch.map_or(0, |watch| self.now_ms.saturating_sub(watch.since_ms));
@@ -371,6 +395,13 @@
         borrowers
     }
 
+    fn priority_of(&self, run: RunId) -> u32 {
+        self.workload
+            .job(run.task.step.job)
+            .and_then(|job| self.workload.queue_of(job))
+            .map_or(u32::MAX, |queue| queue.priority)
+    }
+
     /// Work that is lost when a run is stopped, its gang's with it.
     fn loss(&self, run: RunId, ran_ms: u64) -> u64 {
         let job = self.workload.job(run.task.step.job);
@@ -386,28 +417,36 @@
         spec.needs.weight() * lost_ms.max(1) * members
     }
 
-    /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them.
+    /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them. Without that
+    /// small tasks would take every place that becomes free, and a gang that needs several at once would never begin. A gang that
+    /// wants one rack has them kept in the rack that is free soonest.
     fn keep_room(&mut self, unit: &Unit) {
-        let mut sites: Vec<(u64, usize, u64)> = Vec::new();
+        let able = place::able_racks(unit, &self.rooms);
+        let one_rack = place::wants_rack(unit) && !able.is_empty();
+        let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize, u64)>> = BTreeMap::new();
         for (at, room) in self.rooms.iter().enumerate() {
-            if !room.usable
-                || room.pool != unit.pool
-                || !room.has_label(unit.spec.required_label.as_ref())
-            {
-                continue;
-            }
             let places = unit.needs.times_in(&room.capacity, room.most(unit));
-            if places > 0 {
-                sites.push((self.busy_until_ms(&room.worker), at, places));
+            let fit = room.usable
+                && room.pool == unit.pool
+                && places > 0
+                && room.has_label(unit.spec.required_label.as_ref())
+                && (!one_rack || able.contains(&room.rack));
+            if !fit || room.promised == room.capacity {
+                continue;
             }
+            let rack = if one_rack {
+                room.rack.clone()
+            } else {
+                Arc::from("")
+            };
+            let site = (self.busy_until_ms(&room.worker), at, places);
+            racks.entry(rack).or_default().push(site);
         }
-        sites.sort_unstable();
-        let mut left = unit.count();
-        for (_, at, places) in sites {
-            if left == 0 {
-                break;
-            }
-            left = left.saturating_sub(places);
+        let soonest = racks
+            .into_values()
+            .filter_map(|sites| soonest_free(sites, unit.count()))
+            .min_by_key(|(free_ms, _)| *free_ms);
+        for at in soonest.map(|(_, rooms)| rooms).unwrap_or_default() {
             self.rooms[at].promised = self.rooms[at].capacity;
         }
     }
@@ -425,10 +464,26 @@
                     .workload
                     .job(run.task.step.job)?
                     .step_spec(run.task.step)?;
-                Some(watch.since_ms + spec.declared_ms)
+                let job = self.workload.job(run.task.step.job)?;
+                let expected_ms = self.runtimes.expected_ms(&job.queue, run.task.step, spec);
+                Some(watch.since_ms + expected_ms)
             })
             .max()
             .unwrap_or(0)
             .max(self.now_ms)
     }
 }
+
+/// The workers among `sites` (free time, position, places) that are free first and hold `count` tasks together, and when they all are.
+fn soonest_free(mut sites: Vec<(u64, usize, u64)>, count: u64) -> Option<(u64, Vec<usize>)> {
+    sites.sort_unstable();
+    let (mut held, mut rooms) = (0, Vec::new());
+    for (free_ms, at, places) in sites {
+        held += places;
+        rooms.push(at);
+        if held >= count {
+            return Some((free_ms, rooms));
+        }
+    }
+    None
+}
--- a/crates/bh-workload/src/plan/runtimes.rs
+++ b/crates/bh-workload/src/plan/runtimes.rs
@@ -1,48 +1,123 @@
 //! How long tasks really take.
 
+use crate::job::StepId;
 use crate::job::StepSpec;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Weight of the newest observation, in percent: a handful of runs outweighs the declared time, single odd ones do not.
-const NEWEST_PERCENT: u64 = 30;
+/// Runs of a kind after which what was learnt is trusted more than what was declared. Fewer say little of a spread.
+const TRUSTED_RUNS: f64 = 4.0;
 /// Expected time of a task of which nothing was declared or learnt, in milliseconds.
-const UNKNOWN_MS: u64 = 5_000;
+const UNKNOWN_MS: f64 = 5_000.0;
+/// Steps remembered at a time; older ones are forgotten first.
+const REMEMBERED_STEPS: usize = 2_048;
 
-/// What tasks are told apart by.
+/// What tasks are told apart by: queue and image.
 type Kind = (Arc<str>, Option<Arc<str>>);
 
-/// Ratios of real to declared run times, by queue and image, in percent.
+/// Mean and spread of logarithms: run times vary by factors, not by amounts.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spread {
+    count: f64,
+    mean: f64,
+    squares: f64,
+}
+
+impl Spread {
+    fn note(&mut self, value: f64) {
+        self.count += 1.0;
+        let before = value - self.mean;
+        self.mean += before / self.count;
+        self.squares += before * (value - self.mean);
+    }
+
+    fn variance(&self) -> f64 {
+        self.squares / (self.count - 1.0).max(1.0)
+    }
+}
+
+/// What was seen of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// Logarithm of the time in milliseconds.
+    time: Spread,
+    /// Logarithm of the time against the declared one.
+    ratio: Spread,
+}
+
+/// Learnt run times.
 ///
-/// Declared times are off by a factor that differs by kind of work; within one kind the ratio is steadier than either time.
+/// Declared times may be right but for a factor, or as good as drawn by lot: whichever of real time and real-to-declared ratio has
+/// spread less among the runs of a kind predicts the next one better. Tasks of one step are alike, so once one of them has ended its
+/// time says most about the others.
 #[derive(Clone, Debug, Default)]
 pub struct Runtimes {
-    percent: BTreeMap<Kind, u64>,
+    kinds: BTreeMap<Kind, Seen>,
+    /// Sum of the times in milliseconds, and their number.
+    steps: BTreeMap<StepId, (u64, u64)>,
 }
 
 impl Runtimes {
     /// Notes that a task of `queue` took `took_ms`.
-    pub fn note(&mut self, queue: &Arc<str>, spec: &StepSpec, took_ms: u64) {
-        if spec.declared_ms == 0 {
-            return;
+    pub fn note(&mut self, queue: &Arc<str>, step: StepId, spec: &StepSpec, took_ms: u64) {
+        if self.steps.len() >= REMEMBERED_STEPS {
+            self.steps.pop_first();
+        }
+        let seen = self.steps.entry(step).or_default();
+        seen.0 += took_ms;
+        seen.1 += 1;
+        let time = as_f64(took_ms.max(1)).ln();
+        let kind = self.kind(queue, spec);
+        kind.time.note(time);
+        if spec.declared_ms > 0 {
+            kind.ratio.note(time - as_f64(spec.declared_ms).ln());
         }
-        let seen = took_ms * 100 / spec.declared_ms;
-        let kind = (queue.clone(), spec.image.clone());
-        self.percent
-            .entry(kind)
-            .and_modify(|percent| {
-                *percent = (*percent * (100 - NEWEST_PERCENT) + seen * NEWEST_PERCENT) / 100;
-            })
-            .or_insert(seen);
+    }
+
+    fn kind(&mut self, queue: &Arc<str>, spec: &StepSpec) -> &mut Seen {
+        self.kinds
+            .entry((queue.clone(), spec.image.clone()))
+            .or_default()
     }
 
     /// Expected run time of a task of `queue`, in milliseconds.
-    pub fn expected_ms(&self, queue: &Arc<str>, spec: &StepSpec) -> u64 {
-        if spec.declared_ms == 0 {
-            return UNKNOWN_MS;
+    pub fn expected_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> u64 {
+        if let Some((sum_ms, count)) = self.steps.get(&step) {
+            return (sum_ms / count).max(1);
         }
-        let kind = (queue.clone(), spec.image.clone());
-        let percent = self.percent.get(&kind).copied().unwrap_or(100);
-        (spec.declared_ms * percent / 100).max(1)
+        let declared_ms = if spec.declared_ms > 0 {
+            as_f64(spec.declared_ms)
+        } else {
+            UNKNOWN_MS
+        };
+        let expected_ms = match self.kinds.get(&(queue.clone(), spec.image.clone())) {
+            Some(seen) if seen.time.count >= TRUSTED_RUNS => {
+                let by_ratio = spec.declared_ms > 0
+                    && seen.ratio.count >= TRUSTED_RUNS
+                    && seen.ratio.variance() < seen.time.variance();
+                if by_ratio {
+                    declared_ms * seen.ratio.mean.exp()
+                } else {
+                    seen.time.mean.exp()
+                }
+            }
+            _ => declared_ms,
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to a range that fits"
+        )]
+        let whole = expected_ms.clamp(1.0, 1e12) as u64;
+        whole
     }
 }
+
+fn as_f64(ms: u64) -> f64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "times here are far below 2^53 ms"
+    )]
+    let value = ms as f64;
+    value
+}
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -30,11 +30,18 @@
     pub objective_ms: u64,
     /// Expected run time of a task in milliseconds.
     pub expected_ms: u64,
+    /// Whether the job can still be done within its objective, as far as is known.
+    pub on_time: bool,
     /// Value of the whole job against its work, larger first.
     pub density: f64,
 }
 
 impl Unit {
+    /// Work of the tasks to place, in thousandths of core-milliseconds.
+    pub fn work(&self) -> u64 {
+        self.spec.needs.weight() * self.expected_ms * self.count()
+    }
+
     /// Tasks to place.
     pub fn count(&self) -> u64 {
         u64::try_from(self.indices.len()).unwrap_or(u64::MAX)
