--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -22,6 +22,9 @@
 const LATE_VALUE: f64 = 0.25;
 /// Value of a job that is later than callers credit; above nothing, so that it is still done.
 const HOPELESS_VALUE: f64 = 0.01;
+/// Slack factor below which a job is placed where runs are fastest; the others leave that room to it. Below two, a place that is half as
+/// fast again uses up half of what there is to spare.
+const TIGHT_SLACK: f64 = 2.0;
 /// Times the objective after which a late job earns nothing.
 const LATE_FACTOR: u64 = 3;
 
@@ -148,6 +151,7 @@
                 objective_ms,
                 expected_ms,
                 on_time: value >= 1.0,
+                tight: queue.slack_factor < TIGHT_SLACK,
                 density: value * size / (rank * rank),
             });
         }
--- a/crates/bh-workload/src/plan/evict.rs
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -92,6 +92,7 @@
 #[derive(Clone, Debug)]
 struct Offer {
     room: usize,
+    pace_percent: u64,
     places: u64,
     loss: u64,
 }
@@ -121,6 +122,7 @@
     }
     (places > 0).then_some(Offer {
         room: index,
+        pace_percent: room.pace_percent,
         places,
         loss,
     })
@@ -128,7 +130,7 @@
 
 fn choose(unit: &Unit, offers: &[Offer]) -> Option<(Placement, u64)> {
     let mut offers: Vec<&Offer> = offers.iter().collect();
-    offers.sort_by_key(|offer| (offer.loss / offer.places, offer.room));
+    offers.sort_by_key(|offer| (offer.loss * offer.pace_percent / offer.places, offer.room));
     let (mut left, mut loss) = (unit.count(), 0);
     let mut placement = Vec::new();
     for offer in offers {
@@ -137,7 +139,7 @@
         }
         let take = offer.places.min(left);
         placement.push((offer.room, take));
-        loss += offer.loss;
+        loss += offer.loss * offer.pace_percent / 100;
         left -= take;
     }
     (left == 0).then_some((placement, loss))
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -5,8 +5,10 @@
 mod evict;
 mod place;
 mod planner;
+mod reserve;
 mod room;
 mod runtimes;
+mod speeds;
 mod unit;
 
 pub use entitled::entitled_jobs;
@@ -18,4 +20,5 @@
 pub use planner::Unclaimed;
 pub use room::Room;
 pub use runtimes::Runtimes;
+pub use speeds::Speeds;
 pub use unit::Unit;
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -21,6 +21,8 @@
     room: usize,
     places: u64,
     spare: u64,
+    /// Lower where the unit would rather be.
+    rank: u64,
 }
 
 /// Finds workers for the whole gang; `None` when it shall wait.
@@ -40,7 +42,7 @@
         let tightest = racks
             .iter()
             .filter(|(rack, sites)| suits(unit, rack) && places(sites) >= unit.count())
-            .min_by_key(|(_, sites)| spare(sites));
+            .min_by_key(|(_, sites)| (rank_of(sites), spare(sites)));
         if let Some((_, sites)) = tightest {
             return fill(sites, unit.count());
         }
@@ -122,14 +124,29 @@
             room: index,
             places: room.places(unit, avoid),
             spare: room.open().accelerators,
+            rank: rank(unit, room),
         })
         .filter(|site| site.places > 0)
         .collect();
     // The fullest workers first: whole free ones are kept for large tasks.
-    sites.sort_by_key(|site| (site.spare, site.room));
+    sites.sort_by_key(|site| (site.rank, site.spare, site.room));
     sites
 }
 
+/// Tight work goes where runs are fastest, the rest where they are slowest: it has time to spare, and leaves the fast room to others.
+fn rank(unit: &Unit, room: &Room) -> u64 {
+    const SLOWEST_PERCENT: u64 = 1_000;
+    if unit.tight {
+        room.pace_percent
+    } else {
+        SLOWEST_PERCENT.saturating_sub(room.pace_percent)
+    }
+}
+
+fn rank_of(sites: &[Site]) -> u64 {
+    sites.iter().map(|site| site.rank).max().unwrap_or(0)
+}
+
 fn by_rack(sites: &[Site], rooms: &[Room]) -> BTreeMap<Arc<str>, Vec<Site>> {
     let mut racks: BTreeMap<Arc<str>, Vec<Site>> = BTreeMap::new();
     for site in sites {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -4,11 +4,13 @@
 use super::Placement;
 use super::Room;
 use super::Runtimes;
+use super::Speeds;
 use super::Unit;
 use super::collect;
 use super::entitled_jobs;
 use super::evict;
 use super::place;
+use super::reserve::Reserve;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::StartPhase;
 use crate::job::RunId;
@@ -70,6 +72,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     runtimes: Runtimes,
+    speeds: Speeds,
+    reserve: Reserve,
     claims: BTreeMap<StepId, Claim>,
     /// Workers on which a task failed; it tries others first.
     failed_on: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
@@ -135,8 +139,12 @@
         if resumed || away {
             return;
         }
-        self.runtimes
-            .note(&job.queue, step, spec, now_ms.saturating_sub(at_ms));
+        let took_ms = now_ms.saturating_sub(at_ms);
+        let expected_ms = self.runtimes.expected_ms(&job.queue, step, spec);
+        let alone = (!spec.gang).then_some(&end.worker);
+        self.speeds
+            .note(&worker.info.data_centre, alone, took_ms, expected_ms);
+        self.runtimes.note(&job.queue, step, spec, took_ms);
     }
 
     /// What shall happen at `now_ms` of the leader's clock and `wall_ms` since 1970.
@@ -149,14 +157,18 @@
     ) -> Plan {
         let Self {
             runtimes,
+            speeds,
+            reserve,
             claims,
             failed_on,
         } = self;
         let units = collect::collect(workload, runtimes, wall_ms);
         let waiting = collect::steps(&units);
-        let mut desk = Desk::new((now_ms, wall_ms), workload, dispatcher, runtimes);
+        let mut desk = Desk::new((now_ms, wall_ms), workload, dispatcher, (runtimes, speeds));
         desk.drop_claims(claims, &waiting);
         desk.hold_claims(claims, &units);
+        reserve.note(now_ms, &units);
+        reserve.keep(now_ms, &mut desk.rooms);
         let mut kept = 0;
         for unit in &units {
             if let Some(claim) = claims.get(&unit.step) {
@@ -225,11 +237,11 @@
         (now_ms, wall_ms): (u64, u64),
         workload: &'a Workload,
         dispatcher: &'a Dispatcher,
-        runtimes: &'a Runtimes,
+        (runtimes, speeds): (&'a Runtimes, &Speeds),
     ) -> Self {
         let rooms: Vec<Room> = workload
             .workers()
-            .map(|worker| Room::new(worker, dispatcher, now_ms))
+            .map(|worker| Room::new(worker, dispatcher, speeds, now_ms))
             .collect();
         let index = rooms
             .iter()
@@ -414,7 +426,7 @@
             ran_ms
         };
         let members = if spec.gang { u64::from(spec.count) } else { 1 };
-        spec.needs.weight() * lost_ms.max(1) * members
+        spec.needs.weight() * lost_ms.max(1) * members * worth(self.priority_of(run))
     }
 
     /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them. Without that
@@ -474,6 +486,14 @@
     }
 }
 
+/// What room is worth to a queue of this rank, as a multiple of the least: it falls with the square of the rank, as the values of the
+/// users' kinds of work do against the room they take.
+fn worth(priority: u32) -> u64 {
+    const FIRST: u64 = 9;
+    let rank = u64::from(priority) + 1;
+    (FIRST / (rank * rank)).max(1)
+}
+
 /// The workers among `sites` (free time, position, places) that are free first and hold `count` tasks together, and when they all are.
 fn soonest_free(mut sites: Vec<(u64, usize, u64)>, count: u64) -> Option<(u64, Vec<usize>)> {
     sites.sort_unstable();
--- /dev/null
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -0,0 +1,105 @@
+//! Room kept free for work of priority 0 that has not come yet.
+
+use super::Room;
+use super::Unit;
+use crate::job::JobId;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Weight of the newest arrival in the mean.
+const NEWEST: f64 = 0.1;
+/// Mean jobs that the kept room holds. Such jobs have a second or two to begin, and stopping others for them takes up to a second of
+/// that and throws their work away; two of them at once are common in a burst, more are rare.
+const JOBS_KEPT: f64 = 2.0;
+/// Time without an arrival after which no room is kept, in milliseconds.
+const QUIET_MS: u64 = 10_000;
+/// Largest share of a pool that is kept free, in percent.
+const MOST_PERCENT: u64 = 12;
+/// Jobs remembered at a time.
+const REMEMBERED: usize = 1_024;
+
+/// Arrivals of work of priority 0 in one pool.
+#[derive(Clone, Debug, Default)]
+struct Arrivals {
+    /// Mean accelerators of a job.
+    accelerators: f64,
+    /// When the last one came, on the leader's clock in milliseconds.
+    last_ms: u64,
+}
+
+/// What has come lately.
+#[derive(Clone, Debug, Default)]
+pub struct Reserve {
+    seen: BTreeSet<JobId>,
+    pools: BTreeMap<Arc<str>, Arrivals>,
+}
+
+impl Reserve {
+    /// Learns from the units that wait.
+    pub fn note(&mut self, now_ms: u64, units: &[Unit]) {
+        if self.seen.len() > REMEMBERED {
+            self.seen.clear();
+        }
+        for unit in units.iter().filter(|unit| unit.priority == 0) {
+            if !self.seen.insert(unit.step.job) {
+                continue;
+            }
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+            let accelerators = (unit.needs.accelerators * unit.count()) as f64;
+            let arrivals = self.pools.entry(unit.pool.clone()).or_default();
+            if arrivals.last_ms == 0 {
+                arrivals.accelerators = accelerators;
+            }
+            arrivals.accelerators += (accelerators - arrivals.accelerators) * NEWEST;
+            arrivals.last_ms = now_ms;
+        }
+    }
+
+    /// Marks the rooms that only work of priority 0 may use: those with most free, in the rack that has most free.
+    pub fn keep(&self, now_ms: u64, rooms: &mut [Room]) {
+        for (pool, arrivals) in &self.pools {
+            if now_ms >= arrivals.last_ms + QUIET_MS {
+                continue;
+            }
+            let own = |room: &&Room| room.usable && room.pool == *pool;
+            let total: u64 = rooms
+                .iter()
+                .filter(own)
+                .map(|room| room.capacity.accelerators)
+                .sum();
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a small positive number"
+            )]
+            let wanted = (arrivals.accelerators * JOBS_KEPT) as u64;
+            let mut left = wanted.min(total * MOST_PERCENT / 100);
+            let mut racks: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+            for room in rooms.iter().filter(own) {
+                *racks.entry(room.rack.clone()).or_default() += room.open().accelerators;
+            }
+            let mut order: Vec<usize> = (0..rooms.len())
+                .filter(|at| own(&&rooms[*at]) && rooms[*at].open().accelerators > 0)
+                .collect();
+            order.sort_by_key(|at| {
+                let room = &rooms[*at];
+                let rack = racks.get(&room.rack).copied().unwrap_or(0);
+                let open = room.open().accelerators;
+                (
+                    room.pace_percent,
+                    std::cmp::Reverse(rack),
+                    std::cmp::Reverse(open),
+                    *at,
+                )
+            });
+            for at in order {
+                if left == 0 {
+                    break;
+                }
+                left = left.saturating_sub(rooms[at].open().accelerators);
+                rooms[at].kept = true;
+            }
+        }
+    }
+}
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -1,5 +1,6 @@
 //! Workers as the planner sees them.
 
+use super::Speeds;
 use super::Unit;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Target;
@@ -32,13 +33,17 @@
     pub promised: Needs,
     /// Recorded runs by step.
     pub runs: BTreeMap<StepId, u64>,
+    /// Times as long as in the fastest data centre that runs take here, in percent.
+    pub pace_percent: u64,
+    /// Whether only work of priority 0 may use it.
+    pub kept: bool,
     /// Whether it may be given work now.
     pub usable: bool,
 }
 
 impl Room {
     /// The room of `worker`, of which `target` is known at `now_ms`.
-    pub fn new(worker: &Worker, dispatcher: &Dispatcher, now_ms: u64) -> Self {
+    pub fn new(worker: &Worker, dispatcher: &Dispatcher, speeds: &Speeds, now_ms: u64) -> Self {
         let silence_ms = dispatcher.timing().heartbeat_ms * MISSED_HEARTBEATS;
         let ready = |target: &Target| {
             let since_ms = target.heard_ms.unwrap_or(dispatcher.elected_ms());
@@ -47,7 +52,9 @@
                 && now_ms <= since_ms + silence_ms
                 && now_ms >= target.set_aside_until_ms
         };
-        let usable = !worker.draining && dispatcher.view(&worker.info.id).is_some_and(ready);
+        let usable = !worker.draining
+            && !speeds.is_slow(&worker.info.id)
+            && dispatcher.view(&worker.info.id).is_some_and(ready);
         let mut runs = BTreeMap::new();
         for run in worker.runs.keys() {
             *runs.entry(run.task.step).or_default() += 1;
@@ -61,6 +68,8 @@
             free: worker.free(),
             promised: Needs::default(),
             runs,
+            kept: false,
+            pace_percent: speeds.percent(&worker.info.data_centre),
             usable,
         }
     }
@@ -94,7 +103,8 @@
 
     /// How many of a unit's tasks may be placed here now.
     pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
-        if !self.usable || avoid.contains(&self.worker) {
+        let kept = self.kept && unit.priority > 0;
+        if !self.usable || kept || avoid.contains(&self.worker) {
             return 0;
         }
         unit.needs.times_in(&self.open(), self.most(unit))
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -30,6 +30,8 @@
     pub objective_ms: u64,
     /// Expected run time of a task in milliseconds.
     pub expected_ms: u64,
+    /// Whether the objective leaves little time beside the work itself.
+    pub tight: bool,
     /// Whether the job can still be done within its objective, as far as is known.
     pub on_time: bool,
     /// Value of the whole job against its work, larger first.
