--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -435,15 +435,13 @@
     fn keep_room(&mut self, unit: &Unit) {
         let able = place::able_racks(unit, &self.rooms);
         let one_rack = place::wants_rack(unit) && !able.is_empty();
-        let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize, u64)>> = BTreeMap::new();
+        let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize)>> = BTreeMap::new();
         for (at, room) in self.rooms.iter().enumerate() {
-            let places = unit.needs.times_in(&room.capacity, room.most(unit));
             let fit = room.usable
                 && room.pool == unit.pool
-                && places > 0
                 && room.has_label(unit.spec.required_label.as_ref())
                 && (!one_rack || able.contains(&room.rack));
-            if !fit || room.promised == room.capacity {
+            if !fit {
                 continue;
             }
             let rack = if one_rack {
@@ -451,38 +449,60 @@
             } else {
                 Arc::from("")
             };
-            let site = (self.busy_until_ms(&room.worker), at, places);
-            racks.entry(rack).or_default().push(site);
+            racks
+                .entry(rack)
+                .or_default()
+                .extend(self.places_to_come(unit, at));
         }
         let soonest = racks
             .into_values()
-            .filter_map(|sites| soonest_free(sites, unit.count()))
+            .filter_map(|places| soonest_free(places, unit.count()))
             .min_by_key(|(free_ms, _)| *free_ms);
         for at in soonest.map(|(_, rooms)| rooms).unwrap_or_default() {
-            self.rooms[at].promised = self.rooms[at].capacity;
+            self.rooms[at].promised.add(&unit.needs);
         }
     }
 
-    /// When the last run of a worker is expected to end, on the leader's clock in milliseconds.
-    fn busy_until_ms(&self, worker: &str) -> u64 {
-        let Some(target) = self.dispatcher.view(worker) else {
-            return u64::MAX;
+    /// When each place for a task of `unit` on a worker is expected to be free, on the leader's clock in milliseconds.
+    fn places_to_come(&self, unit: &Unit, at: usize) -> Vec<(u64, usize)> {
+        let room = &self.rooms[at];
+        let most = room.most(unit);
+        let mut places: Vec<(u64, usize)> = Vec::new();
+        let mut gained = crate::job::Needs::default();
+        let mut note = |free_ms: u64, gained: &crate::job::Needs| {
+            let count = unit.needs.times_in(&room.open_with(gained), most);
+            while u64::try_from(places.len()).is_ok_and(|known| known < count) {
+                places.push((free_ms, at));
+            }
+        };
+        note(self.now_ms, &gained);
+        for (end_ms, needs) in self.ends_to_come(&room.worker) {
+            gained.add(&needs);
+            note(end_ms, &gained);
+        }
+        places
+    }
+
+    /// When each run of a worker is expected to end, the first one first, and what it takes.
+    fn ends_to_come(&self, worker: &str) -> Vec<(u64, crate::job::Needs)> {
+        let (Some(recorded), Some(target)) =
+            (self.workload.worker(worker), self.dispatcher.view(worker))
+        else {
+            return Vec::new();
         };
-        target
+        let mut ends: Vec<(u64, crate::job::Needs)> = recorded
             .runs
             .iter()
-            .filter_map(|(run, watch)| {
-                let spec = self
-                    .workload
-                    .job(run.task.step.job)?
-                    .step_spec(run.task.step)?;
+            .filter_map(|(run, needs)| {
+                let since_ms = target.runs.get(run)?.since_ms;
                 let job = self.workload.job(run.task.step.job)?;
+                let spec = job.step_spec(run.task.step)?;
                 let expected_ms = self.runtimes.expected_ms(&job.queue, run.task.step, spec);
-                Some(watch.since_ms + expected_ms)
+                Some(((since_ms + expected_ms).max(self.now_ms), *needs))
             })
-            .max()
-            .unwrap_or(0)
-            .max(self.now_ms)
+            .collect();
+        ends.sort_by_key(|(end_ms, _)| *end_ms);
+        ends
     }
 }
 
@@ -494,16 +514,11 @@
     (FIRST / (rank * rank)).max(1)
 }
 
-/// The workers among `sites` (free time, position, places) that are free first and hold `count` tasks together, and when they all are.
-fn soonest_free(mut sites: Vec<(u64, usize, u64)>, count: u64) -> Option<(u64, Vec<usize>)> {
-    sites.sort_unstable();
-    let (mut held, mut rooms) = (0, Vec::new());
-    for (free_ms, at, places) in sites {
-        held += places;
-        rooms.push(at);
-        if held >= count {
-            return Some((free_ms, rooms));
-        }
-    }
-    None
+/// The `count` places that are free first, and when they all are.
+fn soonest_free(mut places: Vec<(u64, usize)>, count: u64) -> Option<(u64, Vec<usize>)> {
+    let count = usize::try_from(count).ok()?;
+    places.sort_unstable();
+    let last = places.get(count.checked_sub(1)?)?.0;
+    let rooms = places.into_iter().take(count).map(|(_, at)| at).collect();
+    Some((last, rooms))
 }
--- a/crates/bh-workload/src/plan/reserve.rs
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -11,11 +11,11 @@
 const NEWEST: f64 = 0.1;
 /// Mean jobs that the kept room holds. Such jobs have a second or two to begin, and stopping others for them takes up to a second of
 /// that and throws their work away; two of them at once are common in a burst, more are rare.
-const JOBS_KEPT: f64 = 2.0;
+const JOBS_KEPT: f64 = 5.0;
 /// Time without an arrival after which no room is kept, in milliseconds.
 const QUIET_MS: u64 = 10_000;
 /// Largest share of a pool that is kept free, in percent.
-const MOST_PERCENT: u64 = 12;
+const MOST_PERCENT: u64 = 30;
 /// Jobs remembered at a time.
 const REMEMBERED: usize = 1_024;
 
