--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -13,9 +13,9 @@
 const ASK_AGAIN_MS: u64 = 25;
 /// Wait for the leader's answer to one send, in milliseconds: a commit takes some tens, and a silent link is closed after about as long.
 const ONE_SEND_MS: u64 = 1_200;
-/// Time without a leader after which a call is refused at once, in milliseconds. An election is over sooner; whoever has seen none for
-/// longer is cut off, and another entry may serve the caller.
-const LEADERLESS_MS: u64 = 1_500;
+/// Time without a sign of a leader after which a call is answered at once, in milliseconds. An election is over sooner; whoever has
+/// heard none for longer is cut off, and another entry may serve the caller.
+const LEADERLESS_MS: u64 = 1_800;
 /// When a caller shall come back after no leader was found, in milliseconds: about the time of an election.
 pub const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -48,7 +48,7 @@
             }
         }
         let now_ms = mesh.now_ms();
-        let cut_off = !may_be_recorded && now_ms >= mesh.leader_seen_ms() + LEADERLESS_MS;
+        let cut_off = now_ms >= mesh.leader_seen_ms() + LEADERLESS_MS;
         if cut_off || now_ms + ASK_AGAIN_MS >= until_ms {
             return if may_be_recorded {
                 Answer::Unknown
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -9,6 +9,7 @@
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::plan::Overdue;
 use bh_workload::plan::Plan;
 use bh_workload::plan::Planner;
 use bh_workload::state::Command;
@@ -26,6 +27,8 @@
 const IDLE_TURN_MS: u64 = 250;
 /// Time between passes over all workers, in milliseconds.
 const SWEEP_MS: u64 = 100;
+/// Time between checks for overdue runs, in milliseconds.
+const CHECK_MS: u64 = 400;
 /// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
 const PLAN_MS: u64 = 200;
 /// Wait for an order's answer, in milliseconds, beside the time a look is asked to wait. A worker answers at once.
@@ -81,6 +84,7 @@
     if !confirmed {
         return;
     }
+    check_overdue(core, now_ms);
     give_orders(core, now_ms);
     plan(core, now_ms);
 }
@@ -112,12 +116,36 @@
         plan_due: true,
         planned_ms: 0,
         swept_ms: 0,
+        checked_ms: 0,
         sequences: BTreeMap::new(),
     });
     log::info!(core = &*core.config.name, term, runs; "leads");
     core.inbound.tell_all(&core.status());
 }
 
+fn check_overdue(core: &Rc<CoreNode>, now_ms: u64) {
+    let mut held = core.leadership.borrow_mut();
+    let Some(leadership) = held.as_mut() else {
+        return;
+    };
+    if now_ms < leadership.checked_ms + CHECK_MS {
+        return;
+    }
+    leadership.checked_ms = now_ms;
+    let workload = core.group.machine.read();
+    let overdue = leadership
+        .planner
+        .overdue(now_ms, &workload, &leadership.dispatcher);
+    for late in overdue {
+        log::info!(run = late.run.to_string(), worker = &*late.worker, why:? = late.why; "run begun anew elsewhere");
+        leadership.dispatcher.give_up(&late.worker, late.run);
+        // A worker on which a run stands still does the same to the next one.
+        if late.why == Overdue::Still && !late.gang {
+            leadership.dispatcher.set_aside(now_ms, &late.worker);
+        }
+    }
+}
+
 fn give_orders(core: &Rc<CoreNode>, now_ms: u64) {
     let news = core
         .group
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -21,6 +21,8 @@
     pub planned_ms: u64,
     /// When all workers were last looked through, on the process's clock in milliseconds.
     pub swept_ms: u64,
+    /// When runs were last checked for being overdue, on the process's clock in milliseconds.
+    pub checked_ms: u64,
     /// Highest number of a heartbeat heard from each worker.
     pub sequences: BTreeMap<Arc<str>, u64>,
 }
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -117,13 +117,14 @@
             .filter(|peer| peer.is_linked() && peer.status.borrow().leads)
             .max_by_key(|peer| peer.status.borrow().term)
             .cloned();
-        if leader.is_some() {
-            self.leader_seen_ms.set(self.now_ms());
+        if let Some(leader) = &leader {
+            self.leader_seen_ms
+                .set(self.leader_seen_ms.get().max(leader.heard_ms.get()));
         }
         leader
     }
 
-    /// When a leader was last known, on the process's clock in milliseconds; 0 before the first.
+    /// When a leader was last heard, on the process's clock in milliseconds; 0 before the first.
     pub fn leader_seen_ms(&self) -> u64 {
         self.leader_seen_ms.get()
     }
--- a/crates/bh-group/src/persist.rs
+++ b/crates/bh-group/src/persist.rs
@@ -1,18 +1,16 @@
 //! Writes what a batch of steps must not forget, then syncs once.
 
 use bh_consensus::Output;
+use bh_net::runtime::sleep_ms;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_storage::Journal;
 use bh_storage::Snapshot;
 use bh_storage::Vote;
+use std::collections::VecDeque;
 
-/// A snapshot to write with what follows it.
-struct Replacement {
-    vote: Vote,
-    snapshot: Snapshot,
-    entries: Vec<bh_protocol::wire::LogEntry>,
-}
+/// Wait before a write is tried again on a full disk, in milliseconds: others lead meanwhile, so nothing is won by more haste.
+const FULL_DISK_WAIT_MS: u64 = 200;
 
 /// Writes and syncs the `Save*` outputs of a batch, on a helper thread; the others are returned.
 ///
@@ -31,15 +29,27 @@
         *journal = Some(owned);
         return Ok(rest);
     }
-    let writing = monoio::spawn_blocking(move || {
-        let result = write(&mut owned, saves);
-        (owned, result)
-    });
-    let (returned, result) = writing
-        .await
-        .map_err(|_| Failure::new(Code::DiskFailed, "the disk thread has ended"))?;
-    *journal = Some(returned);
-    result?;
+    let mut saves: VecDeque<Output> = saves.into();
+    loop {
+        let writing = monoio::spawn_blocking(move || {
+            let result = write(&mut owned, &mut saves);
+            (owned, saves, result)
+        });
+        let result;
+        (owned, saves, result) = writing
+            .await
+            .map_err(|_| Failure::new(Code::Internal, "the disk thread has ended"))?;
+        match result {
+            Ok(()) => break,
+            // Nothing leaves this replica until the write succeeds: to the others it is silent, as with a disk that hangs.
+            Err(failure) if failure.code == Code::DiskFull => {
+                log::warn!(code = failure.code.number(); "waiting for room: {failure}");
+                sleep_ms(FULL_DISK_WAIT_MS).await;
+            }
+            Err(failure) => return Err(failure),
+        }
+    }
+    *journal = Some(owned);
     Ok(rest)
 }
 
@@ -50,11 +60,15 @@
     )
 }
 
-fn write(journal: &mut Journal, saves: Vec<Output>) -> Result<(), Failure> {
-    for save in saves {
+/// Writes `saves` in order and takes out those that need not be written again.
+fn write(journal: &mut Journal, saves: &mut VecDeque<Output>) -> Result<(), Failure> {
+    while let Some(save) = saves.front() {
         match save {
-            Output::SaveVote { term, voted_for } => journal.append_vote(Vote { term, voted_for }),
-            Output::SaveEntries(entries) => journal.append_entries(entries),
+            Output::SaveVote { term, voted_for } => journal.append_vote(Vote {
+                term: *term,
+                voted_for: *voted_for,
+            }),
+            Output::SaveEntries(entries) => journal.append_entries(entries.clone()),
             Output::SaveSnapshot {
                 index,
                 term,
@@ -63,23 +77,21 @@
                 vote,
                 entries,
             } => {
-                let replacement = Replacement {
-                    vote: Vote {
-                        term: vote.0,
-                        voted_for: vote.1,
-                    },
-                    snapshot: Snapshot {
-                        index,
-                        term,
-                        voters,
-                        state,
-                    },
-                    entries,
+                let vote = Vote {
+                    term: vote.0,
+                    voted_for: vote.1,
+                };
+                let snapshot = Snapshot {
+                    index: *index,
+                    term: *term,
+                    voters: voters.clone(),
+                    state: state.clone(),
                 };
-                journal.replace(replacement.vote, replacement.snapshot, replacement.entries)?;
+                journal.replace(vote, &snapshot, entries)?;
             }
             _ => {}
         }
+        saves.pop_front();
     }
     journal.sync()
 }
--- a/crates/bh-protocol/src/code.rs
+++ b/crates/bh-protocol/src/code.rs
@@ -107,6 +107,7 @@
     DamagedLog = 502, 500, 9, No, "The data folder holds a damaged record before its end", "Move the data folder aside and start again: the entry rejoins as a new replica.";
     FolderInUse = 503, 500, 9, No, "The data folder belongs to another VM", "Give each VM a data folder of its own.";
     DiskFailed = 504, 500, 9, No, "The data folder could not be written", "Check the disk; the entry stops because it can no longer keep its promises.";
+    DiskFull = 505, 500, 9, No, "The data folder has no room left", "Make room on the disk; the process goes on once there is some.";
     Unreachable = 600, 503, 10, Unknown, "The entry did not answer in time", "Try another entry, or raise --timeout-ms.";
     Internal = 601, 500, 10, Unknown, "An unexpected fault in beechhollow", "Please report it with the log lines around it.";
 }
--- a/crates/bh-storage/src/journal.rs
+++ b/crates/bh-storage/src/journal.rs
@@ -11,16 +11,23 @@
 use bh_protocol::wire::LogEntry;
 use std::fs::File;
 use std::fs::OpenOptions;
-use std::io::Write;
+use std::io::ErrorKind;
+use std::io::Write as _;
 use std::path::Path;
 use std::path::PathBuf;
 
+/// Writes bytes at the end of a file.
+pub type Write = fn(&mut File, &[u8]) -> std::io::Result<()>;
+
 /// The journal of one replication group.
 #[derive(Debug)]
 pub struct Journal {
     path: PathBuf,
     file: File,
     buffer: Vec<u8>,
+    /// Bytes of the file that hold whole, synced records.
+    length: u64,
+    write: Write,
 }
 
 impl Journal {
@@ -63,9 +70,11 @@
         }
         Ok((
             Journal {
+                length: file_length(&file, &path)?,
                 path,
                 file,
                 buffer: Vec::new(),
+                write: |file, bytes| file.write_all(bytes),
             },
             recovered,
         ))
@@ -89,21 +98,36 @@
         record::encode(&record, &mut self.buffer);
     }
 
+    /// Writes by `write` in place of the system's call, for tests of full disks.
+    pub fn with_write(mut self, write: Write) -> Self {
+        self.write = write;
+        self
+    }
+
     /// Writes and syncs all that was appended.
     ///
+    /// A full disk takes part of a record. That part is cut off again, and what was appended stays to be written once there is room:
+    /// the next call tries again. After a failed sync the disk may hold anything, so that is final.
+    ///
     /// # Errors
     ///
-    /// [`Code::DiskFailed`]. The journal must not be used after that: what the disk holds is not known.
+    /// [`Code::DiskFull`], after which the journal is as before the call. [`Code::DiskFailed`], after which it must not be used.
     pub fn sync(&mut self) -> Result<(), Failure> {
         if self.buffer.is_empty() {
             return Ok(());
         }
-        let written = self
-            .file
-            .write_all(&self.buffer)
-            .and_then(|()| self.file.sync_data());
+        if let Err(error) = (self.write)(&mut self.file, &self.buffer) {
+            self.file
+                .set_len(self.length)
+                .map_err(|error| disk_failed(&self.path, &error))?;
+            return Err(write_failed(&self.path, &error));
+        }
+        self.file
+            .sync_data()
+            .map_err(|error| disk_failed(&self.path, &error))?;
+        self.length += u64::try_from(self.buffer.len()).unwrap_or(0);
         self.buffer.clear();
-        written.map_err(|error| disk_failed(&self.path, &error))
+        Ok(())
     }
 
     /// Replaces the whole journal by a snapshot, the vote and the entries after the snapshot, synced.
@@ -112,37 +136,65 @@
     ///
     /// # Errors
     ///
-    /// [`Code::DiskFailed`].
+    /// [`Code::DiskFull`], after which the old journal is still in force. [`Code::DiskFailed`].
     pub fn replace(
         &mut self,
         vote: Vote,
-        snapshot: Snapshot,
-        entries: Vec<LogEntry>,
+        snapshot: &Snapshot,
+        entries: &[LogEntry],
     ) -> Result<(), Failure> {
         let record = Record {
             vote: Some(vote),
-            snapshot: Some(snapshot),
-            entries,
+            snapshot: Some(snapshot.clone()),
+            entries: entries.to_vec(),
         };
         let mut bytes = Vec::new();
         record::encode(&record, &mut bytes);
-        self.buffer.clear();
         let aside = self.path.with_extension("new");
-        self.file = write_aside(&aside, &self.path, &bytes)
+        let written = File::create(&aside).and_then(|mut file| {
+            (self.write)(&mut file, &bytes)?;
+            Ok(file)
+        });
+        let file = match written {
+            Ok(file) => file,
+            Err(error) => {
+                // What was written of it takes room that the old journal may need; it is written anew in any case.
+                let _ = std::fs::remove_file(&aside);
+                return Err(write_failed(&self.path, &error));
+            }
+        };
+        self.file = put_in_place(&file, &aside, &self.path)
             .map_err(|error| disk_failed(&self.path, &error))?;
+        // The record holds all that was appended before.
+        self.buffer.clear();
+        self.length = u64::try_from(bytes.len()).unwrap_or(0);
         Ok(())
     }
 }
 
-fn write_aside(aside: &Path, path: &Path, bytes: &[u8]) -> std::io::Result<File> {
-    let mut file = File::create(aside)?;
-    file.write_all(bytes)?;
+fn put_in_place(file: &File, aside: &Path, path: &Path) -> std::io::Result<File> {
     file.sync_all()?;
     std::fs::rename(aside, path)?;
     sync_parent(path)?;
     OpenOptions::new().append(true).open(path)
 }
 
+fn file_length(file: &File, path: &Path) -> Result<u64, Failure> {
+    file.metadata()
+        .map(|metadata| metadata.len())
+        .map_err(|error| disk_failed(path, &error))
+}
+
+/// A write that failed for want of room may succeed later; any other failure is final.
+fn write_failed(path: &Path, error: &std::io::Error) -> Failure {
+    match error.kind() {
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded => {
+            Failure::new(Code::DiskFull, format!("{}: {error}", path.display()))
+        }
+        _ => disk_failed(path, error),
+    }
+}
+
 fn cut(file: &File, at: usize) -> std::io::Result<()> {
     file.set_len(u64::try_from(at).unwrap_or(u64::MAX))?;
     file.sync_all()
--- a/crates/bh-storage/tests/journal.rs
+++ b/crates/bh-storage/tests/journal.rs
@@ -12,6 +12,8 @@
 use bh_storage::Vote;
 use bh_storage::decode_all;
 use proptest::prelude::*;
+use std::fs::File;
+use std::io::Write as _;
 use std::path::Path;
 
 fn entry(index: u64) -> LogEntry {
@@ -98,8 +100,8 @@
                 term: 4,
                 voted_for: 0,
             },
-            snapshot.clone(),
-            vec![entry(5)],
+            &snapshot,
+            &[entry(5)],
         )
         .unwrap();
     journal.append_entries(vec![entry(6)]);
@@ -116,6 +118,39 @@
     );
 }
 
+fn half_then_full(file: &mut File, bytes: &[u8]) -> std::io::Result<()> {
+    file.write_all(&bytes[..bytes.len() / 2])?;
+    Err(std::io::Error::from(std::io::ErrorKind::StorageFull))
+}
+
+/// The disk takes half of a record and then no more. The journal says so, is as it was before, and takes the record once there is
+/// room: a replica that ended instead would be started again and again on a disk that is still full.
+#[test]
+fn a_full_disk_is_waited_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("g.journal");
+    write(&path, 2);
+    let before = std::fs::read(&path).unwrap();
+    let (journal, _) = Journal::open(&path).unwrap();
+    let mut journal = journal.with_write(half_then_full);
+    journal.append_entries(vec![entry(3)]);
+    assert_eq!(journal.sync().unwrap_err().code, Code::DiskFull);
+    assert_eq!(std::fs::read(&path).unwrap(), before);
+    let snapshot = Snapshot {
+        index: 2,
+        term: 1,
+        voters: Vec::new(),
+        state: vec![1],
+    };
+    let replaced = journal.replace(Vote::default(), &snapshot, &[entry(3)]);
+    assert_eq!(replaced.unwrap_err().code, Code::DiskFull);
+    assert_eq!(std::fs::read(&path).unwrap(), before);
+    let mut journal = journal.with_write(|file, bytes| file.write_all(bytes));
+    journal.sync().unwrap();
+    let (_, recovered) = Journal::open(&path).unwrap();
+    assert_eq!(recovered.entries.len(), 3);
+}
+
 /// A folder that was emptied gives a new identity; one of another VM, or in use, is refused.
 #[test]
 fn identity_goes_with_the_folder() {
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Gives a worker no new work for a while.
+    pub fn set_aside(&mut self, now_ms: u64, worker: &Arc<str>) {
+        if let Some(target) = self.targets.get_mut(worker) {
+            target.set_aside(now_ms);
+        }
+    }
+
     /// Notes whether the ends that were to be recorded for a worker are recorded now.
     pub fn note_recorded(&mut self, worker: &Arc<str>, done: bool) {
         let Some(target) = self.targets.get_mut(worker) else {
@@ -242,6 +249,7 @@
                     } => {
                         target.acknowledged_to = target.acknowledged_to.max(*recorded_to);
                         target.next_look_ms = now_ms;
+                        target.reported_ms = now_ms;
                         let worker = workload.worker(id)?;
                         note_report(now_ms, order, target, worker, report)
                     }
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -38,6 +38,8 @@
     pub lapse_ms: u64,
     /// Whether a look is on its way.
     pub looking: bool,
+    /// When it last reported its runs, on the leader's clock in milliseconds.
+    pub reported_ms: u64,
     /// Earliest time of the next look, on the leader's clock in milliseconds.
     pub next_look_ms: u64,
     /// Highest number of an end that is recorded.
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -49,7 +49,7 @@
 /// Work of a whole occurrence of a job, in thousandths of core-milliseconds.
 pub fn work(id: JobId, job: &Job, runtimes: &Runtimes) -> f64 {
     let step_work = |(index, spec): (usize, &StepSpec)| {
-        let expected_ms = runtimes.expected_ms(&job.queue, step_at(id, 0, index), spec);
+        let expected_ms = runtimes.expected_ms(&job.queue.name, step_at(id, 0, index), spec);
         // Precise to one part in 2^53, far finer than the estimates.
         #[expect(clippy::cast_precision_loss, reason = "an estimate")]
         let each = spec.needs.weight() as f64 * expected_ms as f64;
@@ -69,7 +69,7 @@
             .filter_map(|step| until.get(usize::try_from(*step).ok()?).copied())
             .max()
             .unwrap_or(0);
-        until.push(before + runtimes.expected_ms(&job.queue, step_at(id, 0, index), spec));
+        until.push(before + runtimes.expected_ms(&job.queue.name, step_at(id, 0, index), spec));
     }
     until.into_iter().max().unwrap_or(0)
 }
@@ -80,10 +80,7 @@
     let mean_work = mean_work(workload, runtimes);
     let mut units = Vec::new();
     for (id, job) in workload.active_jobs() {
-        // Without its queue nothing says where the job may run or how often.
-        let Some(queue) = workload.queue_of(job) else {
-            continue;
-        };
+        let queue = workload.queue_of(job);
         let context = Context {
             id,
             job,
@@ -100,7 +97,7 @@
 fn mean_work(workload: &Workload, runtimes: &Runtimes) -> BTreeMap<Arc<str>, f64> {
     let mut sums: BTreeMap<Arc<str>, (f64, f64)> = BTreeMap::new();
     for (id, job) in workload.active_jobs() {
-        let (sum, count) = sums.entry(job.queue.clone()).or_default();
+        let (sum, count) = sums.entry(job.queue.name.clone()).or_default();
         *sum += work(id, job, runtimes);
         *count += 1.0;
     }
@@ -143,7 +140,7 @@
                 indices,
                 attempts,
                 spec: spec.clone(),
-                pool: job.pool.clone(),
+                pool: queue.pool.clone(),
                 needs: spec.reserved(),
                 priority: queue.priority,
                 entitled: context.entitled,
--- a/crates/bh-workload/src/plan/entitled.rs
+++ b/crates/bh-workload/src/plan/entitled.rs
@@ -21,11 +21,7 @@
     };
     let mut jobs: Vec<(u64, JobId, &Arc<str>, u64)> = workload
         .active_jobs()
-        .filter(|(_, job)| {
-            workload
-                .queue_of(job)
-                .is_some_and(|queue| queue.priority == 0)
-        })
+        .filter(|(_, job)| workload.queue_of(job).priority == 0)
         .filter_map(|(id, job)| Some((job.accepted_ms, id, job.customer.as_ref()?, widest(job))))
         .collect();
     jobs.sort();
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -3,6 +3,7 @@
 mod collect;
 mod entitled;
 mod evict;
+mod overdue;
 mod place;
 mod planner;
 mod reserve;
@@ -14,6 +15,8 @@
 pub use entitled::entitled_jobs;
 pub use entitled::widest;
 pub use evict::Borrower;
+pub use overdue::Overdue;
+pub use overdue::OverdueRun;
 pub use place::Placement;
 pub use planner::Plan;
 pub use planner::Planner;
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -1,6 +1,7 @@
 //! Decides what runs where.
 
 use super::Borrower;
+use super::OverdueRun;
 use super::Placement;
 use super::Room;
 use super::Runtimes;
@@ -9,6 +10,7 @@
 use super::collect;
 use super::entitled_jobs;
 use super::evict;
+use super::overdue::overdue;
 use super::place;
 use super::reserve::Reserve;
 use crate::dispatch::Dispatcher;
@@ -124,7 +126,11 @@
         let watch = dispatcher
             .view(&end.worker)
             .and_then(|target| target.runs.get(&end.run));
-        let Some(StartPhase::Confirmed { at_ms }) = watch.map(|watch| watch.start) else {
+        // When a run began that an earlier leader ordered, or whose order had no answer, is not known.
+        let Some(watch) = watch.filter(|watch| !watch.was_unsure) else {
+            return;
+        };
+        let StartPhase::Confirmed { at_ms } = watch.start else {
             return;
         };
         let resumed = usize::try_from(end.run.task.index)
@@ -140,11 +146,28 @@
             return;
         }
         let took_ms = now_ms.saturating_sub(at_ms);
-        let expected_ms = self.runtimes.expected_ms(&job.queue, step, spec);
+        let expected_ms = self.runtimes.expected_ms(&job.queue.name, step, spec);
         let alone = (!spec.gang).then_some(&end.worker);
         self.speeds
             .note(&worker.info.data_centre, alone, took_ms, expected_ms);
-        self.runtimes.note(&job.queue, step, spec, took_ms);
+        self.runtimes.note(&job.queue.name, step, spec, took_ms);
+    }
+
+    /// Runs to begin anew elsewhere. The workers they are on are not tried again for the same tasks.
+    pub fn overdue(
+        &mut self,
+        now_ms: u64,
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+    ) -> Vec<OverdueRun> {
+        let overdue = overdue(now_ms, workload, dispatcher, &self.runtimes);
+        for late in &overdue {
+            self.failed_on
+                .entry(late.run.task)
+                .or_default()
+                .insert(late.worker.clone());
+        }
+        overdue
     }
 
     /// What shall happen at `now_ms` of the leader's clock and `wall_ms` since 1970.
@@ -167,6 +190,7 @@
         let mut desk = Desk::new((now_ms, wall_ms), workload, dispatcher, (runtimes, speeds));
         desk.drop_claims(claims, &waiting);
         desk.hold_claims(claims, &units);
+        reserve.expect(dispatcher.elected_ms(), workload, &desk.rooms);
         reserve.note(now_ms, &units);
         reserve.keep(now_ms, &mut desk.rooms);
         let mut kept = 0;
@@ -410,8 +434,7 @@
     fn priority_of(&self, run: RunId) -> u32 {
         self.workload
             .job(run.task.step.job)
-            .and_then(|job| self.workload.queue_of(job))
-            .map_or(u32::MAX, |queue| queue.priority)
+            .map_or(u32::MAX, |job| self.workload.queue_of(job).priority)
     }
 
     /// Work that is lost when a run is stopped, its gang's with it.
@@ -497,7 +520,9 @@
                 let since_ms = target.runs.get(run)?.since_ms;
                 let job = self.workload.job(run.task.step.job)?;
                 let spec = job.step_spec(run.task.step)?;
-                let expected_ms = self.runtimes.expected_ms(&job.queue, run.task.step, spec);
+                let expected_ms = self
+                    .runtimes
+                    .expected_ms(&job.queue.name, run.task.step, spec);
                 Some(((since_ms + expected_ms).max(self.now_ms), *needs))
             })
             .collect();
--- a/crates/bh-workload/src/plan/reserve.rs
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -3,6 +3,7 @@
 use super::Room;
 use super::Unit;
 use crate::job::JobId;
+use crate::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -13,9 +14,11 @@
 /// that and throws their work away; two of them at once are common in a burst, more are rare.
 const JOBS_KEPT: f64 = 5.0;
 /// Time without an arrival after which no room is kept, in milliseconds.
-const QUIET_MS: u64 = 10_000;
+const QUIET_MS: u64 = 15_000;
 /// Largest share of a pool that is kept free, in percent.
 const MOST_PERCENT: u64 = 30;
+/// Share of a pool that is kept before the first arrival, in percent; about what two of the users' sites come to keep.
+const EXPECTED_PERCENT: u64 = 20;
 /// Jobs remembered at a time.
 const REMEMBERED: usize = 1_024;
 
@@ -36,6 +39,34 @@
 }
 
 impl Reserve {
+    /// Expects work of priority 0 in the pools that have a queue for it and where none has come yet: what fills a pool at the start
+    /// would have to be stopped for the first such jobs.
+    pub fn expect(&mut self, elected_ms: u64, workload: &Workload, rooms: &[Room]) {
+        let Some(rules) = &workload.rules else {
+            return;
+        };
+        let first = rules.queues.iter().filter(|queue| queue.priority == 0);
+        for queue in first {
+            if self.pools.contains_key(&queue.pool) {
+                continue;
+            }
+            let total: u64 = rooms
+                .iter()
+                .filter(|room| room.pool == queue.pool)
+                .map(|room| room.capacity.accelerators)
+                .sum();
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+            let expected = (total * EXPECTED_PERCENT / 100) as f64;
+            if total > 0 {
+                let arrivals = Arrivals {
+                    accelerators: expected / JOBS_KEPT,
+                    last_ms: elected_ms,
+                };
+                self.pools.insert(queue.pool.clone(), arrivals);
+            }
+        }
+    }
+
     /// Learns from the units that wait.
     pub fn note(&mut self, now_ms: u64, units: &[Unit]) {
         if self.seen.len() > REMEMBERED {
@@ -48,9 +79,6 @@
             #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
             let accelerators = (unit.needs.accelerators * unit.count()) as f64;
             let arrivals = self.pools.entry(unit.pool.clone()).or_default();
-            if arrivals.last_ms == 0 {
-                arrivals.accelerators = accelerators;
-            }
             arrivals.accelerators += (accelerators - arrivals.accelerators) * NEWEST;
             arrivals.last_ms = now_ms;
         }
--- a/crates/bh-workload/src/plan/runtimes.rs
+++ b/crates/bh-workload/src/plan/runtimes.rs
@@ -8,7 +8,7 @@
 /// Runs of a kind after which what was learnt is trusted more than what was declared. Fewer say little of a spread.
 const TRUSTED_RUNS: f64 = 4.0;
 /// Expected time of a task of which nothing was declared or learnt, in milliseconds.
-const UNKNOWN_MS: f64 = 5_000.0;
+const UNKNOWN_MS: u64 = 5_000;
 /// Steps remembered at a time; older ones are forgotten first.
 const REMEMBERED_STEPS: usize = 2_048;
 
@@ -82,34 +82,38 @@
 
     /// Expected run time of a task of `queue`, in milliseconds.
     pub fn expected_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> u64 {
-        if let Some((sum_ms, count)) = self.steps.get(&step) {
-            return (sum_ms / count).max(1);
-        }
         let declared_ms = if spec.declared_ms > 0 {
-            as_f64(spec.declared_ms)
+            spec.declared_ms
         } else {
             UNKNOWN_MS
         };
-        let expected_ms = match self.kinds.get(&(queue.clone(), spec.image.clone())) {
-            Some(seen) if seen.time.count >= TRUSTED_RUNS => {
-                let by_ratio = spec.declared_ms > 0
-                    && seen.ratio.count >= TRUSTED_RUNS
-                    && seen.ratio.variance() < seen.time.variance();
-                if by_ratio {
-                    declared_ms * seen.ratio.mean.exp()
-                } else {
-                    seen.time.mean.exp()
-                }
-            }
-            _ => declared_ms,
+        self.learnt_ms(queue, step, spec).unwrap_or(declared_ms)
+    }
+
+    /// The same in so far as it is learnt, not only declared.
+    pub fn learnt_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> Option<u64> {
+        if let Some((sum_ms, count)) = self.steps.get(&step) {
+            return Some((sum_ms / count).max(1));
+        }
+        let seen = self
+            .kinds
+            .get(&(queue.clone(), spec.image.clone()))
+            .filter(|seen| seen.time.count >= TRUSTED_RUNS)?;
+        let by_ratio = spec.declared_ms > 0
+            && seen.ratio.count >= TRUSTED_RUNS
+            && seen.ratio.variance() < seen.time.variance();
+        let learnt_ms = if by_ratio {
+            as_f64(spec.declared_ms) * seen.ratio.mean.exp()
+        } else {
+            seen.time.mean.exp()
         };
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "clamped to a range that fits"
         )]
-        let whole = expected_ms.clamp(1.0, 1e12) as u64;
-        whole
+        let whole = learnt_ms.clamp(1.0, 1e12) as u64;
+        Some(whole)
     }
 }
 
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -78,9 +78,9 @@
             return Reply::Refused(Refusal::BadJob(problem.to_owned()));
         }
         let customer = found.customer.map(|customer| customer.name.clone());
-        let (queue, pool) = (found.queue.name.clone(), found.queue.pool.clone());
+        let queue = found.queue.clone();
         self.jobs
-            .insert(id, Job::new(spec, queue, pool, customer, now_ms));
+            .insert(id, Job::new(spec, queue, customer, now_ms));
         self.active.insert(id);
         self.news.plan = true;
         Reply::Done
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -6,6 +6,7 @@
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::job::StepSpec;
+use crate::rules::Queue;
 use serde::Deserialize;
 use serde::Serialize;
 use std::sync::Arc;
@@ -37,10 +38,8 @@
 pub struct Job {
     /// What was asked for.
     pub spec: Arc<JobSpec>,
-    /// Queue it came through.
-    pub queue: Arc<str>,
-    /// Pool that runs it.
-    pub pool: Arc<str>,
+    /// Queue it came through, as it was then. The queue may be taken out of the rules while the job, once accepted, is still owed.
+    pub queue: Arc<Queue>,
     /// Customer it belongs to, when its caller proved to be one.
     pub customer: Option<Arc<str>>,
     /// When it was accepted, in milliseconds since 1970.
@@ -59,8 +58,7 @@
     /// A job of which nothing has started.
     pub fn new(
         spec: JobSpec,
-        queue: Arc<str>,
-        pool: Arc<str>,
+        queue: Arc<Queue>,
         customer: Option<Arc<str>>,
         accepted_ms: u64,
     ) -> Self {
@@ -70,7 +68,6 @@
         Self {
             spec: Arc::new(spec),
             queue,
-            pool,
             customer,
             accepted_ms,
             outcome: None,
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -119,7 +119,7 @@
         self.active
             .iter()
             .filter_map(|id| self.jobs.get(id))
-            .filter(|job| &*job.queue == queue && job.state() == JobState::Queued)
+            .filter(|job| &*job.queue.name == queue && job.state() == JobState::Queued)
             .count()
     }
 
@@ -161,16 +161,17 @@
             .is_some_and(|job| job.wants(run))
     }
 
-    /// Failed runs after which a job is given up: what the queue says now, or said last.
+    /// Failed runs after which a job is given up.
     pub fn max_attempts(&self, job: &Job) -> u32 {
-        const WITHOUT_QUEUE: u32 = 1;
-        self.queue_of(job)
-            .map_or(WITHOUT_QUEUE, |queue| queue.max_attempts.max(1))
+        self.queue_of(job).max_attempts.max(1)
     }
 
-    /// The queue of a job, while the rules have it.
-    pub fn queue_of(&self, job: &Job) -> Option<&Arc<Queue>> {
-        self.rules.as_ref()?.queue(&job.queue)
+    /// The queue of a job as it is now, or as it was when the job came.
+    pub fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Arc<Queue> {
+        self.rules
+            .as_ref()
+            .and_then(|rules| rules.queue(&job.queue.name))
+            .unwrap_or(&job.queue)
     }
 
     /// Takes what has changed since the last call.
--- a/crates/bh-workload/tests/guarantees.rs
+++ b/crates/bh-workload/tests/guarantees.rs
@@ -17,6 +17,13 @@
     }
 }
 
+/// A site where no guaranteed work has come for so long that no room is kept for it any more.
+fn lending_site(workers: usize, per_rack: usize) -> Site {
+    let mut site = Site::new(workers, per_rack);
+    site.advance(60_000);
+    site
+}
+
 /// Ends what the plan stops, plans again, and returns the jobs that begin.
 fn stop_and_plan(site: &mut Site, plan: &Plan) -> BTreeSet<JobId> {
     for (worker, run) in &plan.evictions {
@@ -37,7 +44,7 @@
 /// has begun, and would have to wait for another round of stops, past the time its caller was promised.
 #[test]
 fn room_that_is_being_made_for_one_job_is_not_promised_to_another() {
-    let mut site = Site::new(4, 4);
+    let mut site = lending_site(4, 4);
     site.submit(2, "other", vec![step(32, 1)]);
     site.plan_and_start();
     assert_eq!(site.open_runs().len(), 32);
@@ -58,7 +65,7 @@
 /// Room is taken from whoever loses least: a task that has just begun goes before one that is nearly done.
 #[test]
 fn the_borrower_that_loses_least_is_stopped() {
-    let mut site = Site::new(2, 2);
+    let mut site = lending_site(2, 2);
     let old = site.submit(2, "other", vec![gang(1, 8)]);
     site.plan_and_start();
     site.advance(4_000);
@@ -89,3 +96,47 @@
     assert_eq!(plan.evictions, Vec::new());
     assert_eq!(plan.starts, Vec::new());
 }
+
+/// Before the first guaranteed job comes, small tasks would fill every worker, and that job would have to wait for stops. Some room is
+/// kept for it, so that it begins at once.
+#[test]
+fn room_is_kept_for_the_first_guaranteed_job() {
+    let mut site = Site::new(8, 4);
+    site.submit(2, "other", vec![step(64, 1)]);
+    site.plan_and_start();
+    let filled = site.open_runs().len();
+    assert!((40..=56).contains(&filled), "{filled} of 64 places lent");
+    let job = site.submit(0, "guaranteed", vec![gang(1, 8)]);
+    let plan = site.plan();
+    assert_eq!(plan.evictions, Vec::new());
+    assert_eq!(plan.starts[0].run.task.step.job, job);
+}
+
+/// A gang that is slow on several racks comes while every rack is partly lent. Spread over what is free it would begin at once, take
+/// three times as long and be late; one rack is freed for it instead.
+#[test]
+fn a_rack_is_freed_before_a_guaranteed_gang_is_spread() {
+    let mut site = lending_site(4, 2);
+    site.submit(2, "other", vec![gang(1, 8), gang(1, 8)]);
+    site.plan_and_start();
+    let local = StepSpec {
+        rack_local: true,
+        ..gang(2, 8)
+    };
+    site.submit(2, "other", vec![gang(1, 8)]);
+    site.plan_and_start();
+    let job = site.submit(0, "guaranteed", vec![local]);
+    let plan = site.plan();
+    let racks: BTreeSet<String> = plan
+        .starts
+        .iter()
+        .map(|start| site.workload.worker(&start.worker).unwrap())
+        .map(|worker| worker.info.rack.to_string())
+        .collect();
+    if plan.starts.is_empty() {
+        assert!(!plan.evictions.is_empty());
+    } else {
+        assert_eq!(racks.len(), 1);
+        assert_eq!(plan.starts[0].run.task.step.job, job);
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/tests/rules.rs
@@ -0,0 +1,67 @@
+//! Changes of the rules while jobs are under way.
+
+mod support;
+
+use bh_workload::rules::Rules;
+use bh_workload::state::Command;
+use bh_workload::state::Refusal;
+use bh_workload::state::Reply;
+use support::Site;
+use support::place;
+use support::rules;
+use support::step;
+
+fn set(site: &mut Site, rules: Rules) -> Reply {
+    site.workload.apply(Command::SetRules(Box::new(rules)))
+}
+
+/// A job is accepted, then the operator takes its queue out of the rules. New jobs find no queue there, but the one that was accepted
+/// is still owed to its caller and is begun.
+#[test]
+fn a_job_outlives_its_queue() {
+    let mut site = Site::new(1, 1);
+    let job = site.submit(1, "other", vec![step(1, 1)]);
+    let mut without = rules(2);
+    without.queues.retain(|queue| &*queue.name != "q1");
+    assert_eq!(set(&mut site, without), Reply::Done);
+    let place = place(1, "other", job);
+    assert_eq!(site.workload.find(&place).err(), Some(Refusal::NoQueue));
+    assert_eq!(site.plan_and_start().starts.len(), 1);
+}
+
+/// Two operators race, or one sends again what was acknowledged but whose answer was lost: a version that is not higher changes nothing
+/// and is acknowledged all the same. No process ever goes back.
+#[test]
+fn only_a_higher_version_replaces_the_rules() {
+    let mut site = Site::new(1, 1);
+    assert_eq!(set(&mut site, rules(5)), Reply::Done);
+    let mut other = rules(5);
+    other.queues.clear();
+    assert_eq!(set(&mut site, other), Reply::Done);
+    assert_eq!(set(&mut site, rules(3)), Reply::Done);
+    let held = site.workload.rules.clone().unwrap();
+    assert_eq!((held.version, held.queues.len()), (5, 3));
+}
+
+/// Each kind of invalid rules is refused and nothing of them is in force.
+#[test]
+fn invalid_rules_are_refused_whole() {
+    let mut site = Site::new(1, 1);
+    let mut unknown_pool = rules(2);
+    unknown_pool.pools.clear();
+    let mut same_place = rules(2);
+    let copy = same_place.queues[0].clone();
+    same_place.queues.push(copy);
+    let mut no_timeout = rules(2);
+    std::sync::Arc::make_mut(&mut no_timeout.queues[0]).timeout_ms = 0;
+    let mut shared_key = rules(2);
+    let key = shared_key.customers[0].keys[0].clone();
+    std::sync::Arc::make_mut(&mut shared_key.customers[1])
+        .keys
+        .push(key);
+    for invalid in [unknown_pool, same_place, no_timeout, shared_key] {
+        let reply = set(&mut site, invalid);
+        assert!(matches!(reply, Reply::Refused(Refusal::BadRules(_))));
+        assert_eq!(site.workload.rules.as_ref().unwrap().version, 1);
+    }
+}
