A worker that was cut off while idle is used again; orders fuzzed under faults

Cause: a worker whose orders had no answer counts as failing until one is answered, but one without runs gets no orders, so after its runs had lapsed it was never used again. Found by the new fuzz of orders (minimal case: two workers drained, the other two cut off for 8 and 10 s; three tasks never began). Now a failing worker that has been heard since is looked at. Ruled out: the plan (rooms were unusable), leases (granted and lapsed right).

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -190,7 +190,7 @@
             else {
                 continue;
             };
-            if target.runs.is_empty() && target.acknowledged_to >= target.recorded_to {
+            if !target.needs_orders() {
                 continue;
             }
             let mut desk = Desk {
@@ -430,7 +430,6 @@
     fn serve(&mut self, target: &mut Target) {
         if target.is_failing() && self.now_ms >= target.lapse_ms {
             self.give_up_lapsed(target);
-            return;
         }
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
         for run in runs {
@@ -555,8 +554,7 @@
             .runs
             .values()
             .all(|watch| watch.start == StartPhase::InFlight);
-        let owes = target.acknowledged_to < target.recorded_to;
-        if first_starts && !owes {
+        if first_starts && !target.is_behind() && !target.is_back() {
             return;
         }
         let unsure = target
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -90,6 +90,23 @@
         self.failing_since_ms.is_some()
     }
 
+    /// Whether a worker that did not answer has been heard since. A look tells whether it can be used again; without one a worker that was
+    /// cut off while it had nothing to run would never get work any more.
+    pub fn is_back(&self) -> bool {
+        self.failing_since_ms
+            .is_some_and(|since_ms| self.heard_ms.is_some_and(|heard_ms| heard_ms > since_ms))
+    }
+
+    /// Whether the worker does not know yet that ends it reported are recorded.
+    pub fn is_behind(&self) -> bool {
+        self.acknowledged_to < self.recorded_to
+    }
+
+    /// Whether there is anything to order or ask.
+    pub fn needs_orders(&self) -> bool {
+        !self.runs.is_empty() || self.is_behind() || self.is_back()
+    }
+
     /// Grants a lease from `now_ms` on; returns its end on the worker's clock. While the worker does not answer nothing more is
     /// granted: it may hear us without our hearing it, and a lease renewed so would never run out.
     pub fn grant(&mut self, now_ms: u64, timing: &Timing) -> Option<u64> {
--- /dev/null
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -0,0 +1,519 @@
+//! Orders to workers under faults, against the promises of the product: lost and late orders, cut-off and reborn workers, workers with
+//! slow clocks, leaders that change, jobs that are taken back.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+mod support;
+
+use bh_group::Machine;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Dispatcher;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::Target;
+use bh_workload::dispatch::Timing;
+use bh_workload::job::JobId;
+use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::job::TaskId;
+use bh_workload::plan::Planner;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::Outcome;
+use bh_workload::state::TaskState;
+use bh_workload::state::WorkerChange;
+use bh_workload::state::Workload;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use support::Site;
+use support::model_worker::ModelWorker;
+use support::model_worker::Planted;
+use support::place;
+use support::step;
+use support::worker_info;
+
+const WORKERS: usize = 4;
+const STEP_MS: u64 = 50;
+/// Faults begin within this time.
+const FAULTY_MS: u64 = 25_000;
+/// By then everything must have ended: the last fault, the longest lease and several attempts after it.
+const END_MS: u64 = 140_000;
+
+#[derive(Clone, Debug)]
+enum Fault {
+    /// Orders and answers of a worker are lost.
+    Cut { worker: usize, for_ms: u64 },
+    /// Orders reach the worker, answers are lost.
+    OneWay { worker: usize, for_ms: u64 },
+    /// The worker crashes and lives again under another identity.
+    Reborn { worker: usize },
+    /// Another leader is elected and knows what is recorded.
+    Leader,
+    /// A job is taken back.
+    Cancel { job: usize },
+    /// A share of all orders has no answer and is carried out seconds later, percent.
+    Late { percent: u64, for_ms: u64 },
+    /// The worker leaves.
+    Drain { worker: usize },
+}
+
+fn fault() -> impl Strategy<Value = (u64, Fault)> {
+    let kind = prop_oneof![
+        3 => (0..WORKERS, 500u64..14_000).prop_map(|(worker, for_ms)| Fault::Cut { worker, for_ms }),
+        3 => (0..WORKERS, 500u64..14_000).prop_map(|(worker, for_ms)| Fault::OneWay { worker, for_ms }),
+        2 => (0..WORKERS).prop_map(|worker| Fault::Reborn { worker }),
+        3 => Just(Fault::Leader),
+        1 => (0usize..8).prop_map(|job| Fault::Cancel { job }),
+        3 => (5u64..60, 500u64..8_000).prop_map(|(percent, for_ms)| Fault::Late { percent, for_ms }),
+        1 => (0..WORKERS - 1).prop_map(|worker| Fault::Drain { worker }),
+    ];
+    (0..FAULTY_MS, kind)
+}
+
+/// An order on its way, or held up.
+struct Held {
+    at_ms: u64,
+    order: Order,
+    answered: bool,
+}
+
+struct Run<'a> {
+    site: Site,
+    workers: Vec<ModelWorker>,
+    lives: Vec<usize>,
+    held: Vec<Held>,
+    faults: &'a [(u64, Fault)],
+    random: u64,
+    term: u64,
+    failing_percent: u64,
+    planted: Planted,
+    jobs: Vec<JobId>,
+    cancelled_ms: BTreeMap<JobId, u64>,
+    /// Runs recorded as lost: their worker's lease had run out unseen.
+    lost: BTreeSet<RunId>,
+    /// The run that a task was recorded as done by.
+    done_by: BTreeMap<TaskId, RunId>,
+}
+
+impl Run<'_> {
+    fn random(&mut self, below: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) % below
+    }
+
+    fn active(&self, test: impl Fn(&Fault) -> Option<u64>) -> bool {
+        self.faults.iter().any(|(at_ms, fault)| {
+            test(fault).is_some_and(|for_ms| {
+                self.site.now_ms >= *at_ms && self.site.now_ms < at_ms + for_ms
+            })
+        })
+    }
+
+    fn cut(&self, index: usize) -> bool {
+        self.active(|fault| match fault {
+            Fault::Cut { worker, for_ms } if *worker == index => Some(*for_ms),
+            _ => None,
+        })
+    }
+
+    fn mute(&self, index: usize) -> bool {
+        self.active(|fault| match fault {
+            Fault::OneWay { worker, for_ms } if *worker == index => Some(*for_ms),
+            _ => None,
+        })
+    }
+
+    fn late_percent(&self) -> u64 {
+        let now_ms = self.site.now_ms;
+        self.faults
+            .iter()
+            .filter_map(|(at_ms, fault)| match fault {
+                Fault::Late { percent, for_ms } if now_ms >= *at_ms && now_ms < at_ms + for_ms => {
+                    Some(*percent)
+                }
+                _ => None,
+            })
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn record(&mut self, command: Command) {
+        if let Command::Ends { ends, .. } = &command {
+            for end in ends {
+                if end.kind == EndKind::Lost {
+                    self.lost.insert(end.run);
+                }
+                if end.kind == EndKind::Done {
+                    self.done_by.entry(end.run.task).or_insert(end.run);
+                }
+            }
+        }
+        let workers: BTreeSet<Arc<str>> = match &command {
+            Command::Ends { ends, .. } => ends.iter().map(|end| end.worker.clone()).collect(),
+            _ => BTreeSet::new(),
+        };
+        let command = match command {
+            Command::Ends { ends, .. } => Command::Ends {
+                ends,
+                now_ms: self.site.wall_ms(),
+            },
+            other => other,
+        };
+        self.site.workload.apply(command);
+        for worker in workers {
+            self.site.dispatcher.note_recorded(&worker, true);
+        }
+    }
+
+    /// Brings one order to its worker; checks what begins there.
+    fn carry_out(&mut self, order: &Order) -> Answer {
+        let now_ms = self.site.now_ms;
+        let Some(index) = self
+            .workers
+            .iter()
+            .position(|worker| *worker.id == *order.to.worker)
+        else {
+            return Answer::OtherIncarnation;
+        };
+        let run_ms = 500 + self.random(4_000);
+        let fails = self.random(100) < self.failing_percent;
+        let before = self.site.workload.clone();
+        let (answer, began) =
+            self.workers[index].take(now_ms, order.token, &order.body, run_ms, fails);
+        if let Some(run) = began {
+            self.check_begin(&before, run, index);
+        }
+        answer
+    }
+
+    fn check_begin(&self, workload: &Workload, run: RunId, index: usize) {
+        let now_ms = self.site.now_ms;
+        let others = self
+            .workers
+            .iter()
+            .flat_map(|worker| worker.runs.keys())
+            .filter(|other| other.task == run.task)
+            .count();
+        assert_eq!(others, 1, "{run} runs twice at {now_ms} ms");
+        let job = workload.job(run.task.step.job).unwrap();
+        let task = &job.step(run.task.step).unwrap().tasks[run.task.index as usize];
+        // A worker that was cut off may report, once it is back, that a run ended with success before its lease ran out unseen. The
+        // order for the next run was right when it was given, and may be carried out late.
+        let unseen = self
+            .done_by
+            .get(&run.task)
+            .is_some_and(|done| self.lost.contains(done));
+        assert!(
+            task.state != TaskState::Done || unseen,
+            "{run} begins after it was done"
+        );
+        assert!(
+            job.is_unblocked(run.task.step),
+            "{run} begins before the steps it waits for"
+        );
+        assert!(
+            task.failures < 2,
+            "{run} begins after {} failed runs",
+            task.failures
+        );
+        if let Some(at_ms) = self.cancelled_ms.get(&run.task.step.job) {
+            // An order that was held up may still arrive.
+            assert!(
+                now_ms < at_ms + 14_000,
+                "{run} begins long after its job was taken back"
+            );
+        }
+        let used: u64 = self.workers[index]
+            .runs
+            .keys()
+            .map(|run| accelerators(workload, run.task))
+            .sum();
+        assert!(used <= 8, "{used} of 8 accelerators on a worker");
+    }
+
+    fn begin_faults(&mut self) {
+        let now_ms = self.site.now_ms;
+        let due: Vec<Fault> = self
+            .faults
+            .iter()
+            .filter(|(at_ms, _)| now_ms >= *at_ms && now_ms < at_ms + STEP_MS)
+            .map(|(_, fault)| fault.clone())
+            .collect();
+        for fault in due {
+            match fault {
+                Fault::Reborn { worker } => self.reborn(worker),
+                Fault::Leader => self.elect(),
+                Fault::Cancel { job } => {
+                    if let Some(id) = self.jobs.get(job).copied() {
+                        let place = place(1, "other", id);
+                        let now_ms = self.site.wall_ms();
+                        self.site.workload.apply(Command::Cancel { place, now_ms });
+                        self.cancelled_ms.insert(id, self.site.now_ms);
+                    }
+                }
+                Fault::Drain { worker } => {
+                    let id: Arc<str> = Arc::from(&*self.workers[worker].id);
+                    let change = WorkerChange::Draining(id);
+                    self.site.workload.apply(Command::Workers(vec![change]));
+                }
+                Fault::Cut { .. } | Fault::OneWay { .. } | Fault::Late { .. } => {}
+            }
+        }
+    }
+
+    fn reborn(&mut self, index: usize) {
+        self.lives[index] += 1;
+        let id = format!("w{index:02}-{}", self.lives[index]);
+        let rate = if index == 0 { 980 } else { 1_000 };
+        let offset_ms = 5_000 * self.lives[index] as u64;
+        self.workers[index] = ModelWorker::new(id.clone(), rate, offset_ms, self.planted);
+        let mut info = worker_info(index, 2);
+        info.id = Arc::from(id);
+        self.record(Command::Workers(vec![WorkerChange::Known(info)]));
+    }
+
+    /// The new leader's record went over the wire and a disk.
+    fn elect(&mut self) {
+        self.term += 1;
+        let machine = Machine::new(self.site.workload.clone(), Workload::CODEC);
+        let bytes = machine.snapshot().unwrap();
+        machine.restore(&bytes).unwrap();
+        self.site.workload = machine.read().clone();
+        self.site.workload.take_news();
+        self.site.dispatcher = Dispatcher::new(
+            Timing::DEFAULT,
+            self.term,
+            self.site.now_ms,
+            &self.site.workload,
+        );
+        self.site.planner = Planner::new();
+    }
+
+    fn heartbeats(&mut self) {
+        for index in 0..self.workers.len() {
+            if self.cut(index) {
+                continue;
+            }
+            let id: Arc<str> = Arc::from(&*self.workers[index].id);
+            let clock_ms = self.workers[index].clock_ms(self.site.now_ms);
+            self.site
+                .dispatcher
+                .note_heartbeat(self.site.now_ms, &id, Some(clock_ms));
+        }
+    }
+
+    fn send(&mut self, order: Order) {
+        let index = self
+            .workers
+            .iter()
+            .position(|worker| *worker.id == *order.to.worker);
+        let cut = index.is_some_and(|index| self.cut(index));
+        let mute = index.is_some_and(|index| self.mute(index));
+        let late_percent = self.late_percent();
+        let late = self.random(100) < late_percent;
+        const LOST_MS: u64 = 800;
+        if late {
+            let at_ms = self.site.now_ms + 2_000 + self.random(10_000);
+            self.held.push(Held {
+                at_ms,
+                order: order.clone(),
+                answered: true,
+            });
+        }
+        let answer = if cut || late {
+            Answer::Lost
+        } else {
+            let answer = self.carry_out(&order);
+            if mute { Answer::Lost } else { answer }
+        };
+        if answer == Answer::Lost {
+            self.held.push(Held {
+                at_ms: self.site.now_ms + LOST_MS,
+                order,
+                answered: false,
+            });
+        } else {
+            self.answer(&order, &answer);
+        }
+    }
+
+    fn answer(&mut self, order: &Order, answer: &Answer) {
+        if order.token != self.term {
+            return;
+        }
+        let command =
+            self.site
+                .dispatcher
+                .note_answer(self.site.now_ms, order, answer, &self.site.workload);
+        if let Some(command) = command {
+            self.record(command);
+        }
+    }
+
+    /// What the leader knows of each worker.
+    fn views(&self) -> Vec<(Arc<str>, bool, Option<Target>)> {
+        let workers = self.site.workload.workers();
+        workers
+            .map(|worker| {
+                let view = self.site.dispatcher.view(&worker.info.id).cloned();
+                (worker.info.id.clone(), worker.draining, view)
+            })
+            .collect()
+    }
+
+    fn turn(&mut self) {
+        self.site.now_ms += STEP_MS;
+        let now_ms = self.site.now_ms;
+        self.begin_faults();
+        for worker in &mut self.workers {
+            worker.pass(now_ms);
+        }
+        let (due, later): (Vec<Held>, Vec<Held>) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|held| held.at_ms <= now_ms);
+        self.held = later;
+        for held in due {
+            if held.answered {
+                // Carried out late; nobody hears the answer.
+                let index = self
+                    .workers
+                    .iter()
+                    .position(|worker| *worker.id == *held.order.to.worker);
+                if index.is_some_and(|index| !self.cut(index)) {
+                    self.carry_out(&held.order);
+                }
+            } else {
+                self.answer(&held.order, &Answer::Lost);
+            }
+        }
+        if now_ms.is_multiple_of(1_500) {
+            self.heartbeats();
+        }
+        self.site.take_news();
+        let (orders, ends) =
+            self.site
+                .dispatcher
+                .orders(now_ms, &self.site.workload, now_ms.is_multiple_of(100));
+        if !ends.is_empty() {
+            self.record(Command::Ends { ends, now_ms: 0 });
+        }
+        for order in orders {
+            self.send(order);
+        }
+        let plan = self.site.plan();
+        for (worker, run) in &plan.evictions {
+            self.site.dispatcher.give_up(worker, *run);
+        }
+        if !plan.starts.is_empty() {
+            self.site.workload.apply(Command::Starts(plan.starts));
+        }
+    }
+}
+
+fn accelerators(workload: &Workload, task: TaskId) -> u64 {
+    workload
+        .job(task.step.job)
+        .and_then(|job| job.step_spec(task.step))
+        .map_or(0, |spec| spec.needs.accelerators)
+}
+
+fn run(seed: u64, failing_percent: u64, faults: &[(u64, Fault)], planted: Planted) {
+    let mut site = Site::new(WORKERS, 2);
+    let mut jobs = Vec::new();
+    for job in 0..8u64 {
+        let after = StepSpec {
+            after: vec![0],
+            ..step(3, 1 + job % 3)
+        };
+        let first = step(2 + u32::try_from(job % 4).unwrap(), 1 + job % 4);
+        jobs.push(site.submit(1, "other", vec![first, after]));
+    }
+    let workers = (0..WORKERS)
+        .map(|index| {
+            let rate = if index == 0 { 980 } else { 1_000 };
+            ModelWorker::new(format!("w{index:02}"), rate, 700 * index as u64, planted)
+        })
+        .collect();
+    let mut run = Run {
+        site,
+        workers,
+        lives: vec![0; WORKERS],
+        held: Vec::new(),
+        faults,
+        random: seed,
+        term: 1,
+        failing_percent,
+        planted,
+        jobs,
+        cancelled_ms: BTreeMap::new(),
+        lost: BTreeSet::new(),
+        done_by: BTreeMap::new(),
+    };
+    run.site.now_ms = 0;
+    run.elect();
+    while run.site.now_ms < END_MS {
+        run.turn();
+        if run.site.now_ms > FAULTY_MS && run.site.workload.active_jobs().next().is_none() {
+            break;
+        }
+    }
+    for id in &run.jobs {
+        let job = run.site.workload.job(*id).unwrap();
+        let outcome = job.outcome;
+        assert!(
+            outcome.is_some(),
+            "job {id} has not ended: {:?}; workers {:?}",
+            job.steps,
+            run.views()
+        );
+        if outcome == Some(Outcome::Failed) {
+            let failed = job.steps.iter().flat_map(|step| &step.tasks);
+            assert!(failed.into_iter().any(|task| task.failures >= 2));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202), ..ProptestConfig::default() })]
+
+    /// A caller hands in work and is promised that no task runs twice at once or after it was done, that steps keep their order, that
+    /// failed attempts are counted, that no worker is overloaded, and that every job ends. Faults come in any order and overlap.
+    #[test]
+    fn fuzz_orders_keep_the_promises(
+        seed in any::<u64>(),
+        failing_percent in prop_oneof![3 => Just(0u64), 1 => 1u64..15],
+        faults in proptest::collection::vec(fault(), 0..12),
+    ) {
+        run(seed, failing_percent, &faults, Planted::Nothing);
+    }
+}
+
+/// Each fault is planted in the workers in turn. A check that lets all of them pass would prove nothing of the leader.
+#[rstest]
+#[case(Planted::HalfClock)]
+#[case(Planted::ForgetsStops)]
+#[case(Planted::IgnoresLease)]
+fn a_worker_that_breaks_the_protocol_is_noticed(#[case] planted: Planted) {
+    const CASES: u32 = 400;
+    let config = ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    };
+    let mut runner = proptest::test_runner::TestRunner::new(config);
+    let cases = (any::<u64>(), proptest::collection::vec(fault(), 4..16));
+    let found = runner.run(&cases, |(seed, faults)| {
+        run(seed, 0, &faults, planted);
+        Ok(())
+    });
+    assert!(found.is_err(), "{planted:?} was not noticed");
+}
--- /dev/null
+++ b/crates/bh-workload/tests/support/model_worker.rs
@@ -0,0 +1,199 @@
+//! A worker as the protocol describes it, in memory, with its own clock.
+
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Denial;
+use bh_workload::dispatch::Ended;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Report;
+use bh_workload::dispatch::Running;
+use bh_workload::job::RunId;
+use bh_workload::job::TaskId;
+use bh_workload::state::EndKind;
+use std::collections::BTreeMap;
+
+/// A worker that breaks the protocol, to see the checks catch what follows from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// It keeps the protocol.
+    Nothing,
+    /// Its clock runs at half the rate, so its leases last twice as long as the leader reckons.
+    HalfClock,
+    /// It takes runs that were stopped before they came.
+    ForgetsStops,
+    /// It takes orders after the lease they carry has run out.
+    IgnoresLease,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct ModelRun {
+    pub began_ms: u64,
+    /// When it is done, on the site's clock; a gang's runs are done when the site says so.
+    pub done_ms: Option<u64>,
+    pub fails: bool,
+    pub stopping_ms: Option<u64>,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct ModelWorker {
+    pub id: String,
+    /// How fast its clock runs, in thousandths of the true rate.
+    rate: u64,
+    /// What its clock showed at time 0 of the site.
+    offset_ms: u64,
+    token: u64,
+    lease_until_ms: u64,
+    pub runs: BTreeMap<RunId, ModelRun>,
+    /// Highest attempt of a task that ended or was stopped here.
+    fenced: BTreeMap<TaskId, u32>,
+    ended: Vec<Ended>,
+    next_end: u64,
+    planted: Planted,
+}
+
+impl ModelWorker {
+    pub fn new(id: String, rate: u64, offset_ms: u64, planted: Planted) -> Self {
+        Self {
+            id,
+            rate,
+            offset_ms,
+            token: 0,
+            lease_until_ms: 0,
+            runs: BTreeMap::new(),
+            fenced: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            planted,
+        }
+    }
+
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
+        let rate = if self.planted == Planted::HalfClock {
+            self.rate / 2
+        } else {
+            self.rate
+        };
+        self.offset_ms + now_ms * rate / 1_000
+    }
+
+    pub fn end(&mut self, run: RunId, kind: EndKind) {
+        if self.runs.remove(&run).is_none() {
+            return;
+        }
+        let fence = self.fenced.entry(run.task).or_default();
+        *fence = (*fence).max(run.attempt);
+        self.ended.push(Ended {
+            number: self.next_end,
+            run,
+            kind,
+            checkpoint: None,
+        });
+        self.next_end += 1;
+    }
+
+    /// Lets time pass: leases run out, stops take effect, work is done.
+    pub fn pass(&mut self, now_ms: u64) {
+        let clock_ms = self.clock_ms(now_ms);
+        let all: Vec<RunId> = self.runs.keys().copied().collect();
+        for run in all {
+            let state = self.runs[&run].clone();
+            if clock_ms >= self.lease_until_ms && self.planted != Planted::IgnoresLease {
+                self.end(run, EndKind::Lapsed);
+            } else if state.stopping_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+                self.end(run, EndKind::Stopped);
+            } else if state.done_ms.is_some_and(|done_ms| now_ms >= done_ms) {
+                let kind = if state.fails {
+                    EndKind::Failed
+                } else {
+                    EndKind::Done
+                };
+                self.end(run, kind);
+            }
+        }
+    }
+
+    /// Carries an order out; returns the answer, and the run that began.
+    pub fn take(
+        &mut self,
+        now_ms: u64,
+        token: u64,
+        body: &OrderBody,
+        run_ms: u64,
+        fails: bool,
+    ) -> (Answer, Option<RunId>) {
+        self.pass(now_ms);
+        let clock_ms = Some(self.clock_ms(now_ms));
+        let denied = |denial| (Answer::Denied { clock_ms, denial }, None);
+        if token < self.token {
+            return denied(Denial::Fenced);
+        }
+        self.token = token;
+        let done = Answer::Done {
+            clock_ms,
+            report: None,
+        };
+        match body {
+            OrderBody::Start {
+                run,
+                lease_until_ms,
+                ..
+            } => {
+                let late = self.clock_ms(now_ms) >= *lease_until_ms;
+                if late && self.planted != Planted::IgnoresLease {
+                    return denied(Denial::Late);
+                }
+                self.lease_until_ms = self.lease_until_ms.max(*lease_until_ms);
+                if self.runs.contains_key(run) {
+                    return (done, None);
+                }
+                let fence = self.fenced.get(&run.task).copied().unwrap_or(0);
+                if run.attempt <= fence && self.planted != Planted::ForgetsStops {
+                    return denied(Denial::Outdated);
+                }
+                let state = ModelRun {
+                    began_ms: now_ms,
+                    done_ms: Some(now_ms + run_ms),
+                    fails,
+                    stopping_ms: None,
+                };
+                self.runs.insert(*run, state);
+                (done, Some(*run))
+            }
+            OrderBody::Stop { run } => {
+                const STOPPING_MS: u64 = 300;
+                let fence = self.fenced.entry(run.task).or_default();
+                *fence = (*fence).max(run.attempt);
+                if let Some(state) = self.runs.get_mut(run) {
+                    state.stopping_ms.get_or_insert(now_ms + STOPPING_MS);
+                }
+                (done, None)
+            }
+            OrderBody::Look {
+                lease_until_ms,
+                recorded_to,
+                ..
+            } => {
+                if let Some(until_ms) = lease_until_ms {
+                    self.lease_until_ms = self.lease_until_ms.max(*until_ms);
+                }
+                self.ended.retain(|end| end.number > *recorded_to);
+                let running = self.runs.keys().map(|run| Running {
+                    run: *run,
+                    checkpoint: None,
+                    percent: now_ms / 50 % 100,
+                });
+                let report = Report {
+                    running: running.collect(),
+                    ended: self.ended.clone(),
+                    more: false,
+                };
+                let answer = Answer::Done {
+                    clock_ms,
+                    report: Some(report),
+                };
+                (answer, None)
+            }
+        }
+    }
+}
