--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -46,6 +46,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address of the VM towards other processes of the system.
     pub ip: IpAddr,
+    /// Address that links are taken on, when it is another one than others reach this VM at.
+    #[serde(default)]
+    pub bind_ip: Option<IpAddr>,
     /// Port on which cores take links from cores and entries; the same on every VM.
     pub peer_port: u16,
     /// Addresses of some cores, any port; more are learnt from them.
@@ -180,6 +183,11 @@
         SocketAddr::new(self.ip, self.peer_port)
     }
 
+    /// Where this process listens for links.
+    pub fn peer_bind_address(&self) -> SocketAddr {
+        SocketAddr::new(self.bind_ip.unwrap_or(self.ip), self.peer_port)
+    }
+
     /// Where the seeds take links.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         let mut peers: Vec<SocketAddr> = self
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -108,7 +108,7 @@
         ..Hello::default()
     };
     let mesh = Mesh::new(hello, clock.clone(), stop.clone());
-    let peer_listener = server::bind(config.peer_address())?;
+    let peer_listener = server::bind(config.peer_bind_address())?;
     let control_listener = server::bind(control)?;
     let (wake, wakes) = unbounded::channel();
     let core = Rc::new(CoreNode {
--- a/crates/bh-testkit/src/lib.rs
+++ b/crates/bh-testkit/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod history;
 pub mod http_raw;
 pub mod link;
+pub mod model_worker;
 pub mod ports;
 pub mod process;
 pub mod worker;
--- a/crates/bh-workload/tests/support/model_worker.rs
+++ b/crates/bh-testkit/src/model_worker.rs
@@ -27,16 +27,20 @@
 /// A run on a worker.
 #[derive(Clone, Debug)]
 pub struct ModelRun {
+    /// When it began, on the site's clock in milliseconds.
     pub began_ms: u64,
-    /// When it is done, on the site's clock; a gang's runs are done when the site says so.
+    /// When it is done, on the site's clock in milliseconds; `None` when others decide.
     pub done_ms: Option<u64>,
+    /// Whether it fails in place of being done.
     pub fails: bool,
+    /// When a stop takes effect, on the site's clock in milliseconds.
     pub stopping_ms: Option<u64>,
 }
 
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct ModelWorker {
+    /// Identity of this life.
     pub id: String,
     /// How fast its clock runs, in thousandths of the true rate.
     rate: u64,
@@ -44,15 +48,18 @@
     offset_ms: u64,
     token: u64,
     lease_until_ms: u64,
+    /// What runs.
     pub runs: BTreeMap<RunId, ModelRun>,
     /// Highest attempt of a task that ended or was stopped here.
     fenced: BTreeMap<TaskId, u32>,
-    ended: Vec<Ended>,
+    /// Ends not known to be recorded.
+    pub ended: Vec<Ended>,
     next_end: u64,
     planted: Planted,
 }
 
 impl ModelWorker {
+    /// A worker that runs nothing. `rate` is in thousandths; `offset_ms` is what its clock shows at time 0 of the site.
     pub fn new(id: String, rate: u64, offset_ms: u64, planted: Planted) -> Self {
         Self {
             id,
@@ -68,6 +75,7 @@
         }
     }
 
+    /// What its clock shows at `now_ms` of the site.
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         let rate = if self.planted == Planted::HalfClock {
             self.rate / 2
@@ -77,6 +85,7 @@
         self.offset_ms + now_ms * rate / 1_000
     }
 
+    /// Ends a run, if it is there.
     pub fn end(&mut self, run: RunId, kind: EndKind) {
         if self.runs.remove(&run).is_none() {
             return;
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -8,6 +8,8 @@
 mod support;
 
 use bh_group::Machine;
+use bh_testkit::model_worker::ModelWorker;
+use bh_testkit::model_worker::Planted;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
@@ -30,8 +32,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use support::Site;
-use support::model_worker::ModelWorker;
-use support::model_worker::Planted;
 use support::place;
 use support::step;
 use support::worker_info;
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -5,8 +5,6 @@
 )]
 #![allow(dead_code, reason = "each test file uses a part")]
 
-pub mod model_worker;
-
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::JobId;
