Metrics served as text; log lines bounded and never waited for

Lines go through a bounded queue to a writing thread, 3,000 a second at most, with the number left out told; counters and histograms of entries and cores on /metrics.

--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 use crate::mesh::Inbound;
 use crate::mesh::Mesh;
+use crate::observe::Metrics;
 use bh_group::Group;
 use bh_net::Clock;
 use bh_protocol::wire::CoreStatus;
@@ -37,6 +38,8 @@
     pub leadership: RefCell<Option<Leadership>>,
     /// Cancelled when the process is told to stop.
     pub draining: CancellationToken,
+    /// Counters and times.
+    pub metrics: Rc<Metrics>,
     /// Calls in progress.
     pub in_progress: Cell<usize>,
     /// Wakes the leader's loop.
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -119,6 +119,7 @@
         checked_ms: 0,
         sequences: BTreeMap::new(),
     });
+    core.metrics.count("leads", 1);
     log::info!(core = &*core.config.name, term, runs; "leads");
     core.inbound.tell_all(&core.status());
 }
@@ -137,6 +138,7 @@
         .planner
         .overdue(now_ms, &workload, &leadership.dispatcher);
     for late in overdue {
+        core.metrics.count("runs_overdue", 1);
         log::info!(run = late.run.to_string(), worker = &*late.worker, why:? = late.why; "run begun anew elsewhere");
         leadership.dispatcher.give_up(&late.worker, late.run);
         // A worker on which a run stands still does the same to the next one.
@@ -178,10 +180,12 @@
         OrderBody::Look { wait_ms, .. } => ORDER_MS + wait_ms,
         OrderBody::Start { .. } | OrderBody::Stop { .. } => ORDER_MS,
     };
+    core.metrics.count("orders", 1);
     let request = (core.dialect.write_order)(&order);
     let answer = match core.workers.send(order.to.address, request, limit_ms).await {
         Ok(response) => (core.dialect.read_answer)(&order, &response),
         Err(error) => {
+            core.metrics.count("orders_lost", 1);
             log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {error}");
             Answer::Lost
         }
@@ -196,6 +200,7 @@
         return;
     };
     if let Answer::Denied { denial, .. } = answer {
+        core.metrics.count("orders_denied", 1);
         log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(); "order denied");
     }
     let workload = core.group.machine.read();
@@ -222,6 +227,8 @@
         let workers: BTreeSet<Arc<str>> = match &command {
             Command::Ends { ends, .. } => {
                 log_ends(ends);
+                core.metrics
+                    .count("runs_over", ends.len().try_into().unwrap_or(0));
                 ends.iter().map(|end| end.worker.clone()).collect()
             }
             _ => BTreeSet::new(),
@@ -258,7 +265,10 @@
         *now_ms = core.wall_ms();
     }
     let bytes = encode(&command)?;
+    let began_ms = core.clock.now_ms();
     let reply = core.group.propose(bytes, RECORD_MS).await?;
+    let took_ms = core.clock.now_ms().saturating_sub(began_ms);
+    core.metrics.time_ms("record", took_ms);
     bh_group::decode(&reply)
 }
 
@@ -293,6 +303,8 @@
         leadership.dispatcher.give_up(worker, *run);
     }
     if !evictions.is_empty() {
+        core.metrics
+            .count("runs_displaced", evictions.len().try_into().unwrap_or(0));
         core.wake();
     }
     if starts.is_empty() {
@@ -303,6 +315,8 @@
     drop(held);
     let core = core.clone();
     monoio::spawn(async move {
+        core.metrics
+            .count("runs_planned", starts.len().try_into().unwrap_or(0));
         for start in &starts {
             log::info!(run = start.run.to_string(), worker = &*start.worker; "run planned");
         }
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -14,6 +14,8 @@
 use crate::mesh::Inbound;
 use crate::mesh::Mesh;
 use crate::mesh::Service;
+use crate::observe::Metrics;
+use crate::observe::serve_metrics;
 use crate::reload;
 use crate::server;
 use bh_consensus::Config;
@@ -121,12 +123,16 @@
         inbound: Rc::new(Inbound::default()),
         leadership: RefCell::new(None),
         draining: CancellationToken::new(),
+        metrics: Rc::new(Metrics::new()),
         in_progress: Cell::new(0),
         wake,
         woken: Cell::new(false),
     });
     *late.core.borrow_mut() = Some(core.clone());
     log::info!(core = &*core.config.name, replica = format!("{replica:016x}"), address = control.to_string(); "core starts");
+    if let Some(address) = core.config.metrics_address {
+        serve_metrics(address, core.metrics.clone(), stop.clone())?;
+    }
     learn_cores(&core, &path);
     reload::follow(core.mesh.clone(), core.config.path.clone())?;
     monoio::spawn(mesh::accept(
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -6,6 +6,8 @@
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
 use crate::mesh::Mesh;
+use crate::observe::Metrics;
+use crate::observe::serve_metrics;
 use crate::reload;
 use crate::server;
 use bh_net::Clock;
@@ -49,6 +51,7 @@
     /// Cancelled when callers are asked to leave.
     closing: CancellationToken,
     connections: Rc<Cell<usize>>,
+    metrics: Rc<Metrics>,
     leader_seen_ms: Cell<u64>,
 }
 
@@ -84,6 +87,8 @@
             .max(1);
         let answer = forward(&self.mesh, &received.call, patience_ms).await;
         let took_ms = self.mesh.now_ms().saturating_sub(started_ms);
+        self.metrics.count(outcome(&answer), 1);
+        self.metrics.time_ms("call", took_ms);
         log_call(&received.call, &answer, took_ms);
         (self.dialect.write_answer)(&received.call, &answer)
     }
@@ -97,6 +102,16 @@
     }
 }
 
+/// Counter of what became of a call.
+fn outcome(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Refused(_) => "calls_refused",
+        Answer::Unavailable { .. } | Answer::NotLeader => "calls_unavailable",
+        Answer::Unknown => "calls_unknown",
+        _ => "calls_served",
+    }
+}
+
 /// One line for each call that changes something or was not served; reads that were are only counted.
 fn log_call(call: &Call, answer: &Answer, took_ms: u64) {
     match (call, answer) {
@@ -145,9 +160,13 @@
         draining: CancellationToken::new(),
         closing: CancellationToken::new(),
         connections: Rc::new(Cell::new(0)),
+        metrics: Rc::new(Metrics::new()),
         leader_seen_ms: Cell::new(0),
     });
     log::info!(entry = &*entry.config.name, address = entry.config.ip.to_string(); "entry starts");
+    if let Some(address) = entry.config.metrics_address {
+        serve_metrics(address, entry.metrics.clone(), stop.clone())?;
+    }
     let serving = entry.clone();
     monoio::spawn(server::serve(
         callers,
--- /dev/null
+++ b/crates/bh-control/src/observe/bounded_stdout.rs
@@ -0,0 +1,116 @@
+//! Log lines to standard output, bounded in number and never waited for.
+
+use logforth::Append;
+use logforth::Diagnostic;
+use logforth::Error;
+use logforth::Layout;
+use logforth::record::Record;
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Instant;
+
+/// Lines in one second at most. The busiest leader measured wrote some six hundred; beyond a few times that whoever reads them is not
+/// helped by more.
+pub const LINES_PER_SECOND: u64 = 3_000;
+/// Lines that wait to be written at most.
+const WAITING: usize = 4_096;
+/// Bytes gathered for one write.
+const GATHERED_BYTES: usize = 32 << 10;
+
+/// One second of lines.
+#[derive(Debug)]
+struct Window {
+    began: Instant,
+    lines: u64,
+}
+
+/// Formats lines and hands them to a thread that writes them. When that thread does not keep up, because whoever reads the output has
+/// stopped reading, lines are dropped and counted: a process must not stand still for its log.
+#[derive(Debug)]
+pub struct BoundedStdout {
+    layout: Box<dyn Layout>,
+    queue: SyncSender<Vec<u8>>,
+    window: Mutex<Window>,
+    dropped: AtomicU64,
+}
+
+impl BoundedStdout {
+    /// Lines laid out by `layout`.
+    pub fn new(layout: impl Into<Box<dyn Layout>>) -> Self {
+        let (queue, lines) = sync_channel(WAITING);
+        thread::spawn(move || write_all(&lines));
+        Self {
+            layout: layout.into(),
+            queue,
+            window: Mutex::new(Window {
+                began: Instant::now(),
+                lines: 0,
+            }),
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether one more line may be written in this second.
+    fn admits(&self) -> bool {
+        let Ok(mut window) = self.window.lock() else {
+            return false;
+        };
+        if window.began.elapsed().as_secs() >= 1 {
+            window.began = Instant::now();
+            window.lines = 0;
+        }
+        window.lines += 1;
+        window.lines <= LINES_PER_SECOND
+    }
+
+    /// Says how many lines were left out before this one, if any.
+    fn gap(&self) -> Option<Vec<u8>> {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        (dropped > 0).then(|| format!("{dropped} log lines were left out here\n").into_bytes())
+    }
+}
+
+fn write_all(lines: &Receiver<Vec<u8>>) {
+    let mut out = std::io::stdout();
+    while let Ok(mut bytes) = lines.recv() {
+        while bytes.len() < GATHERED_BYTES {
+            match lines.try_recv() {
+                Ok(more) => bytes.extend_from_slice(&more),
+                Err(_) => break,
+            }
+        }
+        // Whoever read the output is gone; there is nobody left to tell.
+        if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
+
+impl Append for BoundedStdout {
+    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if !self.admits() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        if let Some(mut gap) = self.gap() {
+            gap.extend_from_slice(&line);
+            line = gap;
+        }
+        if self.queue.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
--- a/crates/bh-control/src/observe/logging.rs
+++ b/crates/bh-control/src/observe/logging.rs
@@ -1,16 +1,16 @@
 //! Structured logs on standard output.
 
+use super::BoundedStdout;
 use log::LevelFilter;
-use logforth::append::Stdout;
 use logforth::layout::JsonLayout;
 use logforth::layout::TextLayout;
 
 /// Starts logging, as text or JSON.
 pub fn start(json: bool) {
     let append = if json {
-        Stdout::default().with_layout(JsonLayout::default())
+        BoundedStdout::new(JsonLayout::default())
     } else {
-        Stdout::default().with_layout(TextLayout::default().no_color())
+        BoundedStdout::new(TextLayout::default().no_color())
     };
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.append(append))
--- /dev/null
+++ b/crates/bh-control/src/observe/metrics.rs
@@ -0,0 +1,74 @@
+//! Counters and latency histograms of a process, served as text.
+
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Digits to which a histogram is exact.
+const DIGITS: u8 = 2;
+/// Longest time that a histogram tells apart, in milliseconds; longer ones count as this.
+const LONGEST_MS: u64 = 600_000;
+/// Shares of the values that are told, in percent.
+const SHARES: [f64; 3] = [50.0, 90.0, 99.0];
+
+/// Counters and histograms by name.
+#[derive(Default)]
+pub struct Metrics {
+    counters: RefCell<BTreeMap<&'static str, u64>>,
+    gauges: RefCell<BTreeMap<&'static str, u64>>,
+    times_ms: RefCell<BTreeMap<&'static str, Histogram<u64>>>,
+}
+
+impl Metrics {
+    /// Nothing counted yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, name: &'static str, by: u64) {
+        *self.counters.borrow_mut().entry(name).or_default() += by;
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        self.gauges.borrow_mut().insert(name, value);
+    }
+
+    /// Notes how long something took.
+    pub fn time_ms(&self, name: &'static str, took_ms: u64) {
+        let mut times = self.times_ms.borrow_mut();
+        if !times.contains_key(name) {
+            // The bounds are constants that the library accepts.
+            let Ok(histogram) = Histogram::new_with_bounds(1, LONGEST_MS, DIGITS) else {
+                return;
+            };
+            times.insert(name, histogram);
+        }
+        if let Some(histogram) = times.get_mut(name) {
+            histogram.saturating_record(took_ms.max(1));
+        }
+    }
+
+    /// All of it, a line each: name, labels, value.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        for (name, value) in self.counters.borrow().iter() {
+            let _ = writeln!(text, "{name}_total {value}");
+        }
+        for (name, value) in self.gauges.borrow().iter() {
+            let _ = writeln!(text, "{name} {value}");
+        }
+        for (name, histogram) in self.times_ms.borrow().iter() {
+            for share in SHARES {
+                let value = histogram.value_at_percentile(share);
+                let _ = writeln!(text, "{name}_ms{{percentile=\"{share}\"}} {value}");
+            }
+            let _ = writeln!(text, "{name}_ms_max {}", histogram.max());
+            let _ = writeln!(text, "{name}_ms_count {}", histogram.len());
+        }
+        text
+    }
+}
--- a/crates/bh-control/src/observe/mod.rs
+++ b/crates/bh-control/src/observe/mod.rs
@@ -1,3 +1,11 @@
 //! Logs and metrics.
 
+mod bounded_stdout;
 pub mod logging;
+mod metrics;
+mod serve_metrics;
+
+pub use bounded_stdout::BoundedStdout;
+pub use bounded_stdout::LINES_PER_SECOND;
+pub use metrics::Metrics;
+pub use serve_metrics::serve_metrics;
