--- a/crates/bh-workload/src/plan/reserve.rs
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -38,9 +38,6 @@
 pub struct Reserve {
     seen: BTreeSet<JobId>,
     pools: BTreeMap<Arc<str>, Arrivals>,
-    /// Workers kept at the last plan. They are kept on: were the choice made anew each time, every worker would be filled a little while
-    /// another one was kept, and none would be whole when a large job comes.
-    kept: BTreeSet<Arc<str>>,
 }
 
 impl Reserve {
@@ -90,8 +87,7 @@
     }
 
     /// Marks the rooms that only work of priority 0 may use: those with most free, in the rack that has most free.
-    pub fn keep(&mut self, now_ms: u64, rooms: &mut [Room]) {
-        let before = std::mem::take(&mut self.kept);
+    pub fn keep(&self, now_ms: u64, rooms: &mut [Room]) {
         for (pool, arrivals) in &self.pools {
             if now_ms >= arrivals.last_ms + QUIET_MS {
                 continue;
@@ -121,7 +117,6 @@
                 let rack = racks.get(&room.rack).copied().unwrap_or(0);
                 let open = room.open().accelerators;
                 (
-                    !before.contains(&room.worker),
                     room.pace_percent,
                     std::cmp::Reverse(rack),
                     std::cmp::Reverse(open),
@@ -134,7 +129,6 @@
                 if open <= left * MOST_FOR_WANTED {
                     left = left.saturating_sub(open);
                     rooms[at].kept = true;
-                    self.kept.insert(rooms[at].worker.clone());
                 }
             }
         }
