--- /dev/null
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -0,0 +1,171 @@
+//! What a worker's answers mean for its runs.
+
+use super::Answer;
+use super::Denial;
+use super::Order;
+use super::Report;
+use super::RunWatch;
+use super::StartPhase;
+use super::StopPhase;
+use super::Target;
+use super::dispatcher::RETRY_MS;
+use crate::job::RunId;
+use crate::state::Command;
+use crate::state::End;
+use crate::state::EndKind;
+use crate::state::Worker;
+use std::sync::Arc;
+
+/// Ends as a command, with the time left for the caller to fill in.
+fn ends_command(ends: Vec<End>) -> Option<Command> {
+    (!ends.is_empty()).then_some(Command::Ends { ends, now_ms: 0 })
+}
+
+/// Takes the answer to a start order; returns what must be recorded.
+pub(super) fn note_start(
+    now_ms: u64,
+    target: &mut Target,
+    run: RunId,
+    worker: &Arc<str>,
+    answer: &Answer,
+) -> Option<Command> {
+    let watch = target.runs.get_mut(&run)?;
+    let not_started = End {
+        run,
+        worker: worker.clone(),
+        kind: EndKind::NotStarted,
+        checkpoint: None,
+    };
+    match answer {
+        Answer::Done { .. } => {
+            watch.start = StartPhase::Confirmed { at_ms: now_ms };
+            None
+        }
+        // The run was there: its end is listed, or it is fenced off for good. The next look tells which.
+        Answer::Denied {
+            denial: Denial::Outdated,
+            ..
+        } => {
+            watch.start = StartPhase::Confirmed { at_ms: now_ms };
+            None
+        }
+        Answer::Denied {
+            denial: Denial::Fenced,
+            ..
+        }
+        | Answer::Lost
+        | Answer::OtherIncarnation => {
+            watch.start = StartPhase::Unsure {
+                retry_ms: now_ms + RETRY_MS,
+            };
+            watch.was_unsure = true;
+            None
+        }
+        Answer::Denied { denial, .. } => {
+            let was_unsure = watch.was_unsure;
+            watch.start = StartPhase::Unsure {
+                retry_ms: now_ms + RETRY_MS,
+            };
+            watch.give_up = true;
+            if *denial == Denial::Unhealthy || *denial == Denial::NoRoom {
+                target.set_aside(now_ms);
+            }
+            // An earlier send may have been carried out: only a confirmed stop settles it then.
+            if was_unsure {
+                return None;
+            }
+            if let Some(watch) = target.runs.get_mut(&run) {
+                watch.settled = true;
+            }
+            ends_command(vec![not_started])
+        }
+    }
+}
+
+/// Takes a worker's report; returns the ends to record.
+pub(super) fn note_report(
+    now_ms: u64,
+    order: &Order,
+    target: &mut Target,
+    worker: &Worker,
+    report: &Report,
+) -> Option<Command> {
+    for running in &report.running {
+        if let Some(watch) = target.runs.get_mut(&running.run) {
+            if !matches!(watch.start, StartPhase::Confirmed { .. }) {
+                watch.start = StartPhase::Confirmed { at_ms: now_ms };
+            }
+            if running.percent != watch.percent {
+                watch.percent = running.percent;
+                watch.progress_ms = now_ms;
+            }
+            if running.checkpoint.is_some() {
+                watch.checkpoint = running.checkpoint.clone();
+            }
+        } else if !worker.runs.contains_key(&running.run) {
+            // Nothing recorded: a copy of an order that came after its run had been given up. It is stopped like any other.
+            let mut watch = RunWatch::new(StartPhase::Confirmed { at_ms: now_ms }, now_ms);
+            watch.give_up = true;
+            target.runs.insert(running.run, watch);
+        }
+    }
+    let mut ends: Vec<End> = Vec::new();
+    for ended in &report.ended {
+        if ended.number <= target.recorded_to {
+            continue;
+        }
+        match ended.kind {
+            EndKind::Done => target.note_success(),
+            EndKind::Failed => target.note_failure(now_ms, ended.run.task.step.job),
+            _ => {}
+        }
+        let seen = target
+            .runs
+            .get(&ended.run)
+            .and_then(|watch| watch.checkpoint.clone());
+        ends.push(End {
+            run: ended.run,
+            worker: order.to.worker.clone(),
+            kind: ended.kind,
+            checkpoint: ended.checkpoint.clone().or(seen),
+        });
+    }
+    if !report.more {
+        ends.extend(missing(order, target, worker, report));
+    }
+    target.runs.retain(|run, _| {
+        worker.runs.contains_key(run) || report.running.iter().any(|r| r.run == *run)
+    });
+    let newest = report.ended.last().map_or(0, |ended| ended.number);
+    if ends.is_empty() {
+        return None;
+    }
+    target.recording_to = Some(newest);
+    ends_command(ends)
+}
+
+/// Runs that the worker neither runs nor lists as ended though it must: it had confirmed the start, or a stop, before it was looked at.
+fn missing(order: &Order, target: &Target, worker: &Worker, report: &Report) -> Vec<End> {
+    let listed = |run: &RunId| {
+        report.running.iter().any(|running| running.run == *run)
+            || report.ended.iter().any(|ended| ended.run == *run)
+    };
+    target
+        .runs
+        .iter()
+        .filter(|(run, _)| worker.runs.contains_key(run) && !listed(run))
+        .filter(|(_, watch)| {
+            let stopped =
+                matches!(watch.stop, StopPhase::Confirmed { at_ms } if at_ms < order.sent_ms);
+            let started =
+                matches!(watch.start, StartPhase::Confirmed { at_ms } if at_ms < order.sent_ms);
+            stopped || started
+        })
+        .map(|(run, watch)| End {
+            run: *run,
+            worker: order.to.worker.clone(),
+            kind: EndKind::NotStarted,
+            checkpoint: watch.checkpoint.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/desk.rs
@@ -0,0 +1,188 @@
+//! What one worker needs now: starts, stops, a look.
+
+use super::Order;
+use super::OrderBody;
+use super::Recipient;
+use super::StartPhase;
+use super::StopPhase;
+use super::Target;
+use super::Timing;
+use crate::job::RunId;
+use crate::state::End;
+use crate::state::EndKind;
+use crate::state::Worker;
+use crate::state::Workload;
+
+/// Longest wait of a look in milliseconds; workers take no longer one.
+const LOOK_WAIT_MS: u64 = 2_000;
+/// How long before its lease ends a worker is looked at, in looks: several may be lost.
+const LOOKS_IN_LEASE: u64 = 3;
+/// Time after a confirmed stop at which it is sent again when the run has still not ended, in milliseconds.
+const STOP_AGAIN_MS: u64 = 1_500;
+/// What one worker needs now.
+pub(super) struct Desk<'a> {
+    pub now_ms: u64,
+    pub timing: &'a Timing,
+    pub token: u64,
+    pub workload: &'a Workload,
+    pub worker: &'a Worker,
+    pub orders: &'a mut Vec<Order>,
+    pub ends: &'a mut Vec<End>,
+}
+
+impl Desk<'_> {
+    /// Adds what the worker needs now to the orders and ends.
+    pub fn serve(&mut self, target: &mut Target) {
+        if target.is_failing() && self.now_ms >= target.lapse_ms {
+            self.give_up_lapsed(target);
+        }
+        let runs: Vec<RunId> = target.runs.keys().copied().collect();
+        for run in runs {
+            let recorded = self.worker.runs.contains_key(&run);
+            let wanted = recorded && self.workload.wants(run);
+            let Some(watch) = target.runs.get(&run).filter(|watch| !watch.settled) else {
+                continue;
+            };
+            if wanted && !watch.give_up {
+                self.start(target, run);
+            } else {
+                self.stop(target, run, recorded);
+            }
+        }
+        self.look(target);
+    }
+
+    /// The lease has surely run out: whatever ran there has been ended by the worker itself.
+    fn give_up_lapsed(&mut self, target: &mut Target) {
+        for (run, watch) in &mut target.runs {
+            if watch.settled || !self.worker.runs.contains_key(run) {
+                continue;
+            }
+            watch.settled = true;
+            self.ends.push(End {
+                run: *run,
+                worker: self.worker.info.id.clone(),
+                kind: EndKind::Lost,
+                checkpoint: watch.checkpoint.clone(),
+            });
+        }
+    }
+
+    fn order(&mut self, body: OrderBody) {
+        self.orders.push(Order {
+            to: Recipient {
+                worker: self.worker.info.id.clone(),
+                address: self.worker.info.address,
+            },
+            token: self.token,
+            sent_ms: self.now_ms,
+            body,
+        });
+    }
+
+    fn start(&mut self, target: &mut Target, run: RunId) {
+        let now_ms = self.now_ms;
+        let ready = target
+            .runs
+            .get(&run)
+            .is_some_and(|watch| match watch.start {
+                StartPhase::Unsent => true,
+                StartPhase::Unsure { retry_ms } => now_ms >= retry_ms,
+                StartPhase::InFlight | StartPhase::Confirmed { .. } => false,
+            });
+        if !ready {
+            return;
+        }
+        let Some(lease_until_ms) = target.grant(now_ms, self.timing) else {
+            return;
+        };
+        let Some(job) = self.workload.job(run.task.step.job) else {
+            return;
+        };
+        let task = job.step(run.task.step).and_then(|step| {
+            usize::try_from(run.task.index)
+                .ok()
+                .and_then(|index| step.tasks.get(index))
+        });
+        let body = OrderBody::Start {
+            run,
+            text: job.spec.text.clone(),
+            lease_until_ms,
+            checkpoint: task.and_then(|task| task.checkpoint.clone()),
+            permission: None,
+        };
+        if let Some(watch) = target.runs.get_mut(&run) {
+            watch.start = StartPhase::InFlight;
+        }
+        self.order(body);
+    }
+
+    fn stop(&mut self, target: &mut Target, run: RunId, recorded: bool) {
+        let now_ms = self.now_ms;
+        let Some(watch) = target.runs.get_mut(&run) else {
+            return;
+        };
+        if watch.start == StartPhase::Unsent {
+            if recorded {
+                watch.settled = true;
+                self.ends.push(End {
+                    run,
+                    worker: self.worker.info.id.clone(),
+                    kind: EndKind::NotStarted,
+                    checkpoint: None,
+                });
+            }
+            return;
+        }
+        let due = match watch.stop {
+            StopPhase::None => true,
+            StopPhase::InFlight => false,
+            StopPhase::Retry { retry_ms } => now_ms >= retry_ms,
+            StopPhase::Confirmed { at_ms } => {
+                now_ms >= at_ms + self.timing.stop_timeout_ms + STOP_AGAIN_MS
+            }
+        };
+        if due {
+            watch.stop = StopPhase::InFlight;
+            self.order(OrderBody::Stop { run });
+        }
+    }
+
+    /// One waiting look at a time renews the lease, brings ends as they happen, and tells what is recorded. Workers without runs
+    /// need none.
+    fn look(&mut self, target: &mut Target) {
+        if target.looking || target.recording_to.is_some() || self.now_ms < target.next_look_ms {
+            return;
+        }
+        // A start on its way renews the lease itself; a look that overtook it would find nothing.
+        let first_starts = target
+            .runs
+            .values()
+            .all(|watch| watch.start == StartPhase::InFlight);
+        if first_starts && !target.is_behind() && !target.is_back() {
+            return;
+        }
+        let unsure = target
+            .runs
+            .values()
+            .any(|watch| matches!(watch.start, StartPhase::Unsure { .. }));
+        let settled = target.runs.is_empty() || unsure || target.is_failing();
+        let wait_ms = if settled {
+            0
+        } else {
+            LOOK_WAIT_MS.min(self.timing.lease_ms / LOOKS_IN_LEASE)
+        };
+        let lease_until_ms = if target.runs.is_empty() {
+            None
+        } else {
+            target.grant(self.now_ms, self.timing)
+        };
+        target.looking = true;
+        let recorded_to = target.recorded_to;
+        self.order(OrderBody::Look {
+            lease_until_ms,
+            recorded_to,
+            wait_ms,
+        });
+    }
+}
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -1,22 +1,20 @@
 //! Brings recorded runs about: the leader's orders to workers, and what their answers mean.
 
 use super::Answer;
-use super::Denial;
 use super::Order;
 use super::OrderBody;
-use super::Recipient;
-use super::Report;
 use super::RunWatch;
 use super::StartPhase;
 use super::StopPhase;
 use super::Target;
 use super::Timing;
+use super::answers::note_report;
+use super::answers::note_start;
+use super::desk::Desk;
 use crate::job::RunId;
 use crate::state::Command;
 use crate::state::End;
-use crate::state::EndKind;
 use crate::state::News;
-use crate::state::Worker;
 use crate::state::WorkerChange;
 use crate::state::Workload;
 use std::collections::BTreeMap;
@@ -25,18 +23,12 @@
 
 /// Wait before an order without an answer is sent again, in milliseconds: above the time of a slow answer, well below the bounds
 /// on stops and gang starts.
-const RETRY_MS: u64 = 300;
+pub(super) const RETRY_MS: u64 = 300;
 /// Wait before a worker that does not answer is looked at again, in milliseconds.
 const FAILING_LOOK_MS: u64 = 400;
-/// Longest wait of a look in milliseconds; workers take no longer one.
-const LOOK_WAIT_MS: u64 = 2_000;
-/// How long before its lease ends a worker is looked at, in looks: several may be lost.
-const LOOKS_IN_LEASE: u64 = 3;
 /// Time that a deposed leader may have gone on giving orders after this one was elected, in milliseconds: it stops when it has not
 /// heard from a majority for an election time; twice the longest one used.
 const OVERLAP_MS: u64 = 2_000;
-/// Time after a confirmed stop at which it is sent again when the run has still not ended, in milliseconds.
-const STOP_AGAIN_MS: u64 = 1_500;
 
 /// The leader's orders. Everything here is lost with the leadership; what must last is in the record.
 #[derive(Clone, Debug)]
@@ -262,322 +254,3 @@
         }
     }
 }
-
-/// Ends as a command, with the time left for the caller to fill in.
-fn ends_command(ends: Vec<End>) -> Option<Command> {
-    (!ends.is_empty()).then_some(Command::Ends { ends, now_ms: 0 })
-}
-
-fn note_start(
-    now_ms: u64,
-    target: &mut Target,
-    run: RunId,
-    worker: &Arc<str>,
-    answer: &Answer,
-) -> Option<Command> {
-    let watch = target.runs.get_mut(&run)?;
-    let not_started = End {
-        run,
-        worker: worker.clone(),
-        kind: EndKind::NotStarted,
-        checkpoint: None,
-    };
-    match answer {
-        Answer::Done { .. } => {
-            watch.start = StartPhase::Confirmed { at_ms: now_ms };
-            None
-        }
-        // The run was there: its end is listed, or it is fenced off for good. The next look tells which.
-        Answer::Denied {
-            denial: Denial::Outdated,
-            ..
-        } => {
-            watch.start = StartPhase::Confirmed { at_ms: now_ms };
-            None
-        }
-        Answer::Denied {
-            denial: Denial::Fenced,
-            ..
-        }
-        | Answer::Lost
-        | Answer::OtherIncarnation => {
-            watch.start = StartPhase::Unsure {
-                retry_ms: now_ms + RETRY_MS,
-            };
-            watch.was_unsure = true;
-            None
-        }
-        Answer::Denied { denial, .. } => {
-            let was_unsure = watch.was_unsure;
-            watch.start = StartPhase::Unsure {
-                retry_ms: now_ms + RETRY_MS,
-            };
-            watch.give_up = true;
-            if *denial == Denial::Unhealthy || *denial == Denial::NoRoom {
-                target.set_aside(now_ms);
-            }
-            // An earlier send may have been carried out: only a confirmed stop settles it then.
-            if was_unsure {
-                return None;
-            }
-            if let Some(watch) = target.runs.get_mut(&run) {
-                watch.settled = true;
-            }
-            ends_command(vec![not_started])
-        }
-    }
-}
-
-fn note_report(
-    now_ms: u64,
-    order: &Order,
-    target: &mut Target,
-    worker: &Worker,
-    report: &Report,
-) -> Option<Command> {
-    for running in &report.running {
-        if let Some(watch) = target.runs.get_mut(&running.run) {
-            if !matches!(watch.start, StartPhase::Confirmed { .. }) {
-                watch.start = StartPhase::Confirmed { at_ms: now_ms };
-            }
-            if running.percent != watch.percent {
-                watch.percent = running.percent;
-                watch.progress_ms = now_ms;
-            }
-            if running.checkpoint.is_some() {
-                watch.checkpoint = running.checkpoint.clone();
-            }
-        } else if !worker.runs.contains_key(&running.run) {
-            // Nothing recorded: a copy of an order that came after its run had been given up. It is stopped like any other.
-            let mut watch = RunWatch::new(StartPhase::Confirmed { at_ms: now_ms }, now_ms);
-            watch.give_up = true;
-            target.runs.insert(running.run, watch);
-        }
-    }
-    let mut ends: Vec<End> = Vec::new();
-    for ended in &report.ended {
-        if ended.number <= target.recorded_to {
-            continue;
-        }
-        match ended.kind {
-            EndKind::Done => target.note_success(),
-            EndKind::Failed => target.note_failure(now_ms, ended.run.task.step.job),
-            _ => {}
-        }
-        let seen = target
-            .runs
-            .get(&ended.run)
-            .and_then(|watch| watch.checkpoint.clone());
-        ends.push(End {
-            run: ended.run,
-            worker: order.to.worker.clone(),
-            kind: ended.kind,
-            checkpoint: ended.checkpoint.clone().or(seen),
-        });
-    }
-    if !report.more {
-        ends.extend(missing(order, target, worker, report));
-    }
-    target.runs.retain(|run, _| {
-        worker.runs.contains_key(run) || report.running.iter().any(|r| r.run == *run)
-    });
-    let newest = report.ended.last().map_or(0, |ended| ended.number);
-    if ends.is_empty() {
-        return None;
-    }
-    target.recording_to = Some(newest);
-    ends_command(ends)
-}
-
-/// Runs that the worker neither runs nor lists as ended though it must: it had confirmed the start, or a stop, before it was looked at.
-fn missing(order: &Order, target: &Target, worker: &Worker, report: &Report) -> Vec<End> {
-    let listed = |run: &RunId| {
-        report.running.iter().any(|running| running.run == *run)
-            || report.ended.iter().any(|ended| ended.run == *run)
-    };
-    target
-        .runs
-        .iter()
-        .filter(|(run, _)| worker.runs.contains_key(run) && !listed(run))
-        .filter(|(_, watch)| {
-            let stopped =
-                matches!(watch.stop, StopPhase::Confirmed { at_ms } if at_ms < order.sent_ms);
-            let started =
-                matches!(watch.start, StartPhase::Confirmed { at_ms } if at_ms < order.sent_ms);
-            stopped || started
-        })
-        .map(|(run, watch)| End {
-            run: *run,
-            worker: order.to.worker.clone(),
-            kind: EndKind::NotStarted,
-            checkpoint: watch.checkpoint.clone(),
-        })
-        .collect()
-}
-
-/// What one worker needs now.
-struct Desk<'a> {
-    now_ms: u64,
-    timing: &'a Timing,
-    token: u64,
-    workload: &'a Workload,
-    worker: &'a Worker,
-    orders: &'a mut Vec<Order>,
-    ends: &'a mut Vec<End>,
-}
-
-impl Desk<'_> {
-    fn serve(&mut self, target: &mut Target) {
-        if target.is_failing() && self.now_ms >= target.lapse_ms {
-            self.give_up_lapsed(target);
-        }
-        let runs: Vec<RunId> = target.runs.keys().copied().collect();
-        for run in runs {
-            let recorded = self.worker.runs.contains_key(&run);
-            let wanted = recorded && self.workload.wants(run);
-            let Some(watch) = target.runs.get(&run).filter(|watch| !watch.settled) else {
-                continue;
-            };
-            if wanted && !watch.give_up {
-                self.start(target, run);
-            } else {
-                self.stop(target, run, recorded);
-            }
-        }
-        self.look(target);
-    }
-
-    /// The lease has surely run out: whatever ran there has been ended by the worker itself.
-    fn give_up_lapsed(&mut self, target: &mut Target) {
-        for (run, watch) in &mut target.runs {
-            if watch.settled || !self.worker.runs.contains_key(run) {
-                continue;
-            }
-            watch.settled = true;
-            self.ends.push(End {
-                run: *run,
-                worker: self.worker.info.id.clone(),
-                kind: EndKind::Lost,
-                checkpoint: watch.checkpoint.clone(),
-            });
-        }
-    }
-
-    fn order(&mut self, body: OrderBody) {
-        self.orders.push(Order {
-            to: Recipient {
-                worker: self.worker.info.id.clone(),
-                address: self.worker.info.address,
-            },
-            token: self.token,
-            sent_ms: self.now_ms,
-            body,
-        });
-    }
-
-    fn start(&mut self, target: &mut Target, run: RunId) {
-        let now_ms = self.now_ms;
-        let ready = target
-            .runs
-            .get(&run)
-            .is_some_and(|watch| match watch.start {
-                StartPhase::Unsent => true,
-                StartPhase::Unsure { retry_ms } => now_ms >= retry_ms,
-                StartPhase::InFlight | StartPhase::Confirmed { .. } => false,
-            });
-        if !ready {
-            return;
-        }
-        let Some(lease_until_ms) = target.grant(now_ms, self.timing) else {
-            return;
-        };
-        let Some(job) = self.workload.job(run.task.step.job) else {
-            return;
-        };
-        let task = job.step(run.task.step).and_then(|step| {
-            usize::try_from(run.task.index)
-                .ok()
-                .and_then(|index| step.tasks.get(index))
-        });
-        let body = OrderBody::Start {
-            run,
-            text: job.spec.text.clone(),
-            lease_until_ms,
-            checkpoint: task.and_then(|task| task.checkpoint.clone()),
-            permission: None,
-        };
-        if let Some(watch) = target.runs.get_mut(&run) {
-            watch.start = StartPhase::InFlight;
-        }
-        self.order(body);
-    }
-
-    fn stop(&mut self, target: &mut Target, run: RunId, recorded: bool) {
-        let now_ms = self.now_ms;
-        let Some(watch) = target.runs.get_mut(&run) else {
-            return;
-        };
-        if watch.start == StartPhase::Unsent {
-            if recorded {
-                watch.settled = true;
-                self.ends.push(End {
-                    run,
-                    worker: self.worker.info.id.clone(),
-                    kind: EndKind::NotStarted,
-                    checkpoint: None,
-                });
-            }
-            return;
-        }
-        let due = match watch.stop {
-            StopPhase::None => true,
-            StopPhase::InFlight => false,
-            StopPhase::Retry { retry_ms } => now_ms >= retry_ms,
-            StopPhase::Confirmed { at_ms } => {
-                now_ms >= at_ms + self.timing.stop_timeout_ms + STOP_AGAIN_MS
-            }
-        };
-        if due {
-            watch.stop = StopPhase::InFlight;
-            self.order(OrderBody::Stop { run });
-        }
-    }
-
-    /// One waiting look at a time renews the lease, brings ends as they happen, and tells what is recorded. Workers without runs
-    /// need none.
-    fn look(&mut self, target: &mut Target) {
-        if target.looking || target.recording_to.is_some() || self.now_ms < target.next_look_ms {
-            return;
-        }
-        // A start on its way renews the lease itself; a look that overtook it would find nothing.
-        let first_starts = target
-            .runs
-            .values()
-            .all(|watch| watch.start == StartPhase::InFlight);
-        if first_starts && !target.is_behind() && !target.is_back() {
-            return;
-        }
-        let unsure = target
-            .runs
-            .values()
-            .any(|watch| matches!(watch.start, StartPhase::Unsure { .. }));
-        let settled = target.runs.is_empty() || unsure || target.is_failing();
-        let wait_ms = if settled {
-            0
-        } else {
-            LOOK_WAIT_MS.min(self.timing.lease_ms / LOOKS_IN_LEASE)
-        };
-        let lease_until_ms = if target.runs.is_empty() {
-            None
-        } else {
-            target.grant(self.now_ms, self.timing)
-        };
-        target.looking = true;
-        let recorded_to = target.recorded_to;
-        self.order(OrderBody::Look {
-            lease_until_ms,
-            recorded_to,
-            wait_ms,
-        });
-    }
-}
--- a/crates/bh-workload/src/dispatch/mod.rs
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -1,5 +1,7 @@
 //! The leader's orders to workers.
 
+mod answers;
+mod desk;
 mod dispatcher;
 mod order;
 mod run_watch;
--- /dev/null
+++ b/crates/bh-workload/src/plan/desk.rs
@@ -0,0 +1,351 @@
+//! One pass of planning.
+
+use super::Borrower;
+use super::Placement;
+use super::Plan;
+use super::Room;
+use super::Runtimes;
+use super::Speeds;
+use super::Unclaimed;
+use super::Unit;
+use super::entitled_jobs;
+use super::evict;
+use super::place;
+use crate::dispatch::Dispatcher;
+use crate::job::Needs;
+use crate::job::RunId;
+use crate::job::StepId;
+use crate::job::TaskId;
+use crate::state::Start;
+use crate::state::Workload;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Work that may be thrown away for work of priority 0, as a multiple of its own. Such a job is worth some ten times as much for the
+/// room it takes as the work it displaces, and is late within a second or two; four leaves a margin for what the displaced jobs lose
+/// beside their work.
+const LOSS_FOR_WORK: u64 = 4;
+/// Time beyond the longest stop after which room that was reclaimed but has not become free is chosen anew, in milliseconds.
+const CLAIM_SLACK_MS: u64 = 1_500;
+
+/// Room that is being made for a unit.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    /// Workers and number of tasks.
+    pub places: Vec<(Arc<str>, u64)>,
+    /// When the claim lapses, on the leader's clock in milliseconds.
+    pub until_ms: u64,
+}
+
+/// One pass of planning.
+pub(super) struct Desk<'a> {
+    now_ms: u64,
+    wall_ms: u64,
+    workload: &'a Workload,
+    dispatcher: &'a Dispatcher,
+    runtimes: &'a Runtimes,
+    /// Workers as this pass sees them.
+    pub rooms: Vec<Room>,
+    index: BTreeMap<Arc<str>, usize>,
+    /// What was decided so far.
+    pub plan: Plan,
+}
+
+impl<'a> Desk<'a> {
+    /// A pass at a time of the leader's clock and of the wall clock, both in milliseconds.
+    pub fn new(
+        (now_ms, wall_ms): (u64, u64),
+        workload: &'a Workload,
+        dispatcher: &'a Dispatcher,
+        (runtimes, speeds): (&'a Runtimes, &Speeds),
+    ) -> Self {
+        let rooms: Vec<Room> = workload
+            .workers()
+            .map(|worker| Room::new(worker, dispatcher, speeds, now_ms))
+            .collect();
+        let index = rooms
+            .iter()
+            .enumerate()
+            .map(|(index, room)| (room.worker.clone(), index))
+            .collect();
+        Self {
+            now_ms,
+            wall_ms,
+            workload,
+            dispatcher,
+            runtimes,
+            rooms,
+            index,
+            plan: Plan::default(),
+        }
+    }
+
+    /// Drops claims that have become pointless.
+    pub fn drop_claims(
+        &mut self,
+        claims: &mut BTreeMap<StepId, Claim>,
+        waiting: &BTreeSet<StepId>,
+    ) {
+        let (now_ms, rooms, index) = (self.now_ms, &self.rooms, &self.index);
+        let usable = |worker: &Arc<str>| index.get(worker).is_some_and(|at| rooms[*at].usable);
+        let unclaimed = &mut self.plan.unclaimed;
+        claims.retain(|step, claim| {
+            let why = if !waiting.contains(step) {
+                Unclaimed::NotWaiting
+            } else if now_ms >= claim.until_ms {
+                Unclaimed::TooSlow
+            } else if !claim.places.iter().all(|(worker, _)| usable(worker)) {
+                Unclaimed::WorkerUnusable
+            } else {
+                return true;
+            };
+            unclaimed.push((*step, why));
+            false
+        });
+    }
+
+    /// Takes the claimed room away from everybody else.
+    pub fn hold_claims(&mut self, claims: &BTreeMap<StepId, Claim>, units: &[Unit]) {
+        for unit in units {
+            let Some(claim) = claims.get(&unit.step) else {
+                continue;
+            };
+            for (worker, count) in &claim.places {
+                if let Some(at) = self.index.get(worker) {
+                    for _ in 0..*count {
+                        self.rooms[*at].promised.add(&unit.needs);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The claimed places, once all of them are free.
+    pub fn placement_of(&self, claim: &Claim, unit: &Unit) -> Option<Placement> {
+        claim
+            .places
+            .iter()
+            .map(|(worker, count)| {
+                let at = *self.index.get(worker)?;
+                let fits = unit.needs.times_in(&self.rooms[at].free, *count) >= *count;
+                fits.then_some((at, *count))
+            })
+            .collect()
+    }
+
+    /// Starts a unit in room that was promised to it.
+    pub fn start_promised(&mut self, unit: &Unit, placement: &Placement) {
+        for (at, count) in placement {
+            for _ in 0..*count {
+                self.rooms[*at].promised.subtract(&unit.needs);
+            }
+        }
+        self.start(unit, placement);
+    }
+
+    /// Starts a unit where it was placed.
+    pub fn start(&mut self, unit: &Unit, placement: &Placement) {
+        let mut tasks = unit.indices.iter().zip(&unit.attempts);
+        for (at, count) in placement {
+            for _ in 0..*count {
+                self.rooms[*at].free.subtract(&unit.needs);
+                let Some((index, attempt)) = tasks.next() else {
+                    return;
+                };
+                self.plan.starts.push(Start {
+                    run: RunId {
+                        task: TaskId {
+                            step: unit.step,
+                            index: *index,
+                        },
+                        attempt: *attempt,
+                    },
+                    worker: self.rooms[*at].worker.clone(),
+                });
+            }
+        }
+    }
+
+    /// Makes room for work that a guarantee covers, or that comes first of all and is worth more than what is lost for it.
+    pub fn reclaim(&mut self, unit: &Unit) -> Option<Claim> {
+        if !unit.entitled && (unit.priority > 0 || !unit.on_time) {
+            return None;
+        }
+        let borrowers = self.borrowers(unit);
+        let waits = place::waits_for_rack(unit, &self.rooms, self.wall_ms);
+        let reclaim = evict::reclaim(unit, &self.rooms, &borrowers, self.workload, waits)?;
+        if !unit.entitled && reclaim.loss > unit.work() * LOSS_FOR_WORK {
+            return None;
+        }
+        for borrower in &borrowers {
+            if reclaim.evictions.contains(&borrower.run) {
+                let worker = self.rooms[borrower.room].worker.clone();
+                self.plan.evictions.push((worker, borrower.run));
+            }
+        }
+        for (at, count) in &reclaim.placement {
+            for _ in 0..*count {
+                self.rooms[*at].promised.add(&unit.needs);
+            }
+        }
+        let places = reclaim
+            .placement
+            .iter()
+            .map(|(at, count)| (self.rooms[*at].worker.clone(), *count))
+            .collect();
+        Some(Claim {
+            places,
+            until_ms: self.now_ms + self.dispatcher.timing().stop_timeout_ms + CLAIM_SLACK_MS,
+        })
+    }
+
+    /// Runs that may be stopped for `unit`, and those that are being stopped.
+    fn borrowers(&self, unit: &Unit) -> Vec<Borrower> {
+        let entitled = entitled_jobs(self.workload);
+        let mut borrowers = Vec::new();
+        for worker in self.workload.workers() {
+            let Some(room) = self.index.get(&worker.info.id) else {
+                continue;
+            };
+            let target = self.dispatcher.view(&worker.info.id);
+            for (run, needs) in &worker.runs {
+                let watch = target.and_then(|target| target.runs.get(run));
+                let evicted = self.plan.evictions.iter().any(|(_, other)| other == run);
+                let stopping = evicted
+                    || !self.workload.wants(*run)
+                    || watch.is_some_and(|watch| watch.give_up);
+                let lent = !entitled.contains(&run.task.step.job)
+                    && (unit.entitled || self.priority_of(*run) > unit.priority);
+                if !stopping && !lent {
+                    continue;
+                }
+                let ran_ms = watch.map_or(0, |watch| self.now_ms.saturating_sub(watch.since_ms));
+                borrowers.push(Borrower {
+                    run: *run,
+                    room: *room,
+                    needs: *needs,
+                    loss: if stopping { 0 } else { self.loss(*run, ran_ms) },
+                    stopping,
+                });
+            }
+        }
+        borrowers
+    }
+
+    fn priority_of(&self, run: RunId) -> u32 {
+        self.workload
+            .job(run.task.step.job)
+            .map_or(u32::MAX, |job| self.workload.queue_of(job).priority)
+    }
+
+    /// Work that is lost when a run is stopped, its gang's with it.
+    fn loss(&self, run: RunId, ran_ms: u64) -> u64 {
+        let job = self.workload.job(run.task.step.job);
+        let Some(spec) = job.and_then(|job| job.step_spec(run.task.step)) else {
+            return 0;
+        };
+        let lost_ms = if spec.checkpoints {
+            ran_ms.min(self.dispatcher.timing().checkpoint_interval_ms)
+        } else {
+            ran_ms
+        };
+        let members = if spec.gang { u64::from(spec.count) } else { 1 };
+        spec.needs.weight() * lost_ms.max(1) * members * worth(self.priority_of(run))
+    }
+
+    /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them. Without that
+    /// small tasks would take every place that becomes free, and a gang that needs several at once would never begin. A gang that
+    /// wants one rack has them kept in the rack that is free soonest.
+    pub fn keep_room(&mut self, unit: &Unit) {
+        let able = place::able_racks(unit, &self.rooms);
+        let one_rack = place::wants_rack(unit) && !able.is_empty();
+        let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize)>> = BTreeMap::new();
+        for (at, room) in self.rooms.iter().enumerate() {
+            let fit = room.usable
+                && room.pool == unit.pool
+                && room.has_label(unit.spec.required_label.as_ref())
+                && (!one_rack || able.contains(&room.rack));
+            if !fit {
+                continue;
+            }
+            let rack = if one_rack {
+                room.rack.clone()
+            } else {
+                Arc::from("")
+            };
+            racks
+                .entry(rack)
+                .or_default()
+                .extend(self.places_to_come(unit, at));
+        }
+        let soonest = racks
+            .into_values()
+            .filter_map(|places| soonest_free(places, unit.count()))
+            .min_by_key(|(free_ms, _)| *free_ms);
+        for at in soonest.map(|(_, rooms)| rooms).unwrap_or_default() {
+            self.rooms[at].promised.add(&unit.needs);
+        }
+    }
+
+    /// When each place for a task of `unit` on a worker is expected to be free, on the leader's clock in milliseconds.
+    fn places_to_come(&self, unit: &Unit, at: usize) -> Vec<(u64, usize)> {
+        let room = &self.rooms[at];
+        let most = room.most(unit);
+        let mut places: Vec<(u64, usize)> = Vec::new();
+        let mut gained = Needs::default();
+        let mut note = |free_ms: u64, gained: &Needs| {
+            let count = unit.needs.times_in(&room.open_with(gained), most);
+            while u64::try_from(places.len()).is_ok_and(|known| known < count) {
+                places.push((free_ms, at));
+            }
+        };
+        note(self.now_ms, &gained);
+        for (end_ms, needs) in self.ends_to_come(&room.worker) {
+            gained.add(&needs);
+            note(end_ms, &gained);
+        }
+        places
+    }
+
+    /// When each run of a worker is expected to end, the first one first, and what it takes.
+    fn ends_to_come(&self, worker: &str) -> Vec<(u64, Needs)> {
+        let (Some(recorded), Some(target)) =
+            (self.workload.worker(worker), self.dispatcher.view(worker))
+        else {
+            return Vec::new();
+        };
+        let mut ends: Vec<(u64, Needs)> = recorded
+            .runs
+            .iter()
+            .filter_map(|(run, needs)| {
+                let since_ms = target.runs.get(run)?.since_ms;
+                let job = self.workload.job(run.task.step.job)?;
+                let spec = job.step_spec(run.task.step)?;
+                let expected_ms = self
+                    .runtimes
+                    .expected_ms(&job.queue.name, run.task.step, spec);
+                Some(((since_ms + expected_ms).max(self.now_ms), *needs))
+            })
+            .collect();
+        ends.sort_by_key(|(end_ms, _)| *end_ms);
+        ends
+    }
+}
+
+/// What room is worth to a queue of this rank, as a multiple of the least: it falls with the square of the rank, as the values of the
+/// users' kinds of work do against the room they take.
+fn worth(priority: u32) -> u64 {
+    const FIRST: u64 = 9;
+    let rank = u64::from(priority) + 1;
+    (FIRST / (rank * rank)).max(1)
+}
+
+/// The `count` places that are free first, and when they all are.
+fn soonest_free(mut places: Vec<(u64, usize)>, count: u64) -> Option<(u64, Vec<usize>)> {
+    let count = usize::try_from(count).ok()?;
+    places.sort_unstable();
+    let last = places.get(count.checked_sub(1)?)?.0;
+    let rooms = places.into_iter().take(count).map(|(_, at)| at).collect();
+    Some((last, rooms))
+}
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -1,6 +1,7 @@
 //! Decides what runs where.
 
 mod collect;
+mod desk;
 mod entitled;
 mod evict;
 mod overdue;
