One channel for calls over links; subcommands that run a process share their start

Cause: the link's queue, its calls and the writing of frames stood twice, in bh-node and bh-control; so did reading the option and the exit status of `run` and `serve`. bh-net has the one Channel and write_frames; the binary one process.rs.

--- a/crates/beechhollow/src/main.rs
+++ b/crates/beechhollow/src/main.rs
@@ -1,6 +1,7 @@
 //! The entry process of beechhollow: run on every entry VM.
 
 mod check_config;
+mod process;
 mod run;
 mod serve;
 
--- a/crates/beechhollow/src/run.rs
+++ b/crates/beechhollow/src/run.rs
@@ -1,11 +1,9 @@
 //! `beechhollow run --config FILE`: runs the entry until SIGTERM.
 
 use crate::check_config::load;
-use crate::check_config::report;
-use bh_net::runtime;
-use bh_protocol::Code;
-use bh_protocol::Failure;
-use clap::Arg;
+use crate::process::config_argument;
+use crate::process::config_path;
+use crate::process::run_to_end;
 use clap::ArgMatches;
 use clap::Command;
 use std::process::ExitCode;
@@ -16,33 +14,15 @@
 pub fn command() -> Command {
     Command::new("run")
         .about("Runs the entry until SIGTERM, then finishes what is in progress")
-        .arg(
-            Arg::new("config")
-                .long("config")
-                .short('c')
-                .required(true)
-                .value_name("FILE")
-                .help("The entry's YAML file"),
-        )
+        .arg(config_argument())
         .after_help("Example:\n  beechhollow run --config entry.yaml")
 }
 
 pub fn main(arguments: &ArgMatches) -> ExitCode {
-    let path = arguments
-        .get_one::<String>("config")
-        .map_or("", String::as_str);
-    let config = match load(path) {
+    let config = match load(config_path(arguments)) {
         Ok(config) => config,
         Err(code) => return code,
     };
     bh_node::logging::start(&config);
-    let result = runtime::run(DISK_THREADS, bh_node::run(config));
-    match result {
-        Ok(Ok(())) => ExitCode::SUCCESS,
-        Ok(Err(failure)) => report(failure),
-        Err(error) => report(Failure::new(
-            Code::Internal,
-            format!("no event loop: {error}"),
-        )),
-    }
+    run_to_end(DISK_THREADS, bh_node::run(config))
 }
--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -2,8 +2,8 @@
 
 use super::Answer;
 use super::Call;
-use crate::mesh::CallError;
 use crate::mesh::Mesh;
+use bh_net::link::CallError;
 use bh_net::runtime::sleep_ms;
 use bh_protocol::wire::RpcKind;
 use bh_workload::state::Refusal;
--- a/crates/bh-control/src/mesh/accept.rs
+++ b/crates/bh-control/src/mesh/accept.rs
@@ -2,7 +2,6 @@
 
 use super::Mesh;
 use super::mesh::SILENCE_MS;
-use super::write_frames;
 use bh_net::link;
 use bh_net::link::Opened;
 use bh_net::runtime::sleep_ms;
@@ -100,7 +99,7 @@
     inbound.queues.borrow_mut().push(sender.clone());
     monoio::select! {
         () = read(reader, sender, &service) => {}
-        () = write_frames(writer, receiver, || {}) => {}
+        () = link::write_frames(writer, receiver, |_| {}) => {}
     }
 }
 
--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -4,7 +4,6 @@
 use super::Peer;
 use super::mesh::SIGN_OF_LIFE_MS;
 use super::mesh::SILENCE_MS;
-use super::write_frames;
 use bh_net::link;
 use bh_net::link::Opened;
 use bh_net::runtime::sleep_ms;
@@ -12,7 +11,6 @@
 use bh_protocol::wire::CoreStatus;
 use bh_protocol::wire::Heartbeat;
 use bh_protocol::wire::Payload;
-use local_sync::mpsc::unbounded;
 use monoio::io::OwnedReadHalf;
 use monoio::net::TcpStream;
 use std::io;
@@ -55,13 +53,11 @@
 }
 
 async fn serve(mesh: &Rc<Mesh>, peer: &Rc<Peer>, opened: Opened) -> &'static str {
-    let (sender, receiver) = unbounded::channel();
-    *peer.queue.borrow_mut() = Some(sender);
-    peer.waiting.set(0);
+    let receiver = peer.channel.open();
     let Opened { reader, writer, .. } = opened;
     monoio::select! {
         () = read(mesh, peer, reader) => "the core closed it or fell silent",
-        () = write_frames(writer, receiver, || peer.waiting.set(peer.waiting.get().saturating_sub(1))) => "writing failed",
+        () = link::write_frames(writer, receiver, |_| peer.channel.note_sent()) => "writing failed",
         () = show_life(mesh, peer) => "the process ends",
     }
 }
@@ -78,12 +74,7 @@
                 mesh.learn(status.cores.iter().filter_map(|core| core.parse().ok()));
                 *peer.status.borrow_mut() = status;
             }
-            Some(Payload::Reply(reply)) => {
-                if let Some(call) = peer.calls.borrow_mut().remove(&reply.id) {
-                    // Whoever waited may have given up.
-                    let _ = call.send(reply);
-                }
-            }
+            Some(Payload::Reply(reply)) => peer.channel.note_reply(reply),
             _ => {}
         }
     }
@@ -91,14 +82,13 @@
 
 async fn show_life(mesh: &Rc<Mesh>, peer: &Rc<Peer>) {
     while !mesh.stop.is_cancelled() {
-        peer.send(Payload::Heartbeat(Heartbeat::default()));
+        peer.channel.send(Payload::Heartbeat(Heartbeat::default()));
         sleep_ms(SIGN_OF_LIFE_MS).await;
     }
 }
 
 /// Ends the link: calls without an answer are lost.
 fn close(peer: &Rc<Peer>) {
-    peer.queue.borrow_mut().take();
-    peer.calls.borrow_mut().clear();
+    peer.channel.close();
     *peer.status.borrow_mut() = CoreStatus::default();
 }
--- a/crates/bh-control/src/mesh/mod.rs
+++ b/crates/bh-control/src/mesh/mod.rs
@@ -1,7 +1,6 @@
 //! Links between the processes of a deployment.
 
 mod accept;
-mod call_error;
 mod dial;
 #[expect(
     clippy::module_inception,
@@ -9,15 +8,12 @@
 )]
 mod mesh;
 mod peer;
-mod write_frames;
 
 pub use accept::Inbound;
 pub use accept::Reply;
 pub use accept::Service;
 pub use accept::accept;
-pub use call_error::CallError;
 pub use mesh::Mesh;
 pub use mesh::SIGN_OF_LIFE_MS;
 pub use mesh::SILENCE_MS;
 pub use peer::Peer;
-use write_frames::write_frames;
--- a/crates/bh-node/src/peers/call_error.rs
+++ b/crates/bh-net/src/link/call_error.rs
@@ -1,4 +1,4 @@
-//! Why a call to another entry has no answer.
+//! Why a call over a link has no answer.
 
 use bh_protocol::Code;
 use bh_protocol::Failure;
@@ -8,7 +8,7 @@
 pub enum CallError {
     /// There is no link: the call did not leave.
     NotSent,
-    /// The link broke or the time ran out: the other entry may have acted on it.
+    /// The link broke or the time ran out: the other end may have acted on it.
     Lost,
 }
 
--- a/crates/bh-net/src/link/mod.rs
+++ b/crates/bh-net/src/link/mod.rs
@@ -1,11 +1,16 @@
 //! The keyed, framed link between two entries.
 
+mod call_error;
+mod channel;
 mod codec;
 mod handshake;
 mod key;
 mod reader;
+mod write_frames;
 mod writer;
 
+pub use call_error::CallError;
+pub use channel::Channel;
 pub use codec::MAX_FRAME_BYTES;
 pub use codec::RawCodec;
 pub use handshake::Opened;
@@ -13,4 +18,5 @@
 pub use key::LinkKey;
 pub use key::MAC_BYTES;
 pub use reader::Reader;
+pub use write_frames::write_frames;
 pub use writer::Writer;
--- a/crates/bh-node/src/peers/write_frames.rs
+++ b/crates/bh-net/src/link/write_frames.rs
@@ -1,28 +1,23 @@
 //! Sends what waits for a link, many frames to a write.
 
-use crate::node::Node;
-use bh_net::link::Writer;
+use super::Writer;
 use bh_protocol::wire::Frame;
 use local_sync::mpsc::unbounded;
-use monoio::io::OwnedWriteHalf;
-use monoio::net::TcpStream;
-use std::rc::Rc;
+use monoio::io::AsyncWriteRent;
 
-/// Sends the frames of `queue` until the link breaks or the queue closes; `sent` hears of each.
-pub(super) async fn write_frames(
-    node: &Rc<Node>,
-    mut writer: Writer<OwnedWriteHalf<TcpStream>>,
+/// Sends the frames of `queue` until the link breaks or the queue closes; `sent` hears of each, with its size in bytes.
+pub async fn write_frames<W: AsyncWriteRent>(
+    mut writer: Writer<W>,
     mut queue: unbounded::Rx<Frame>,
-    sent: impl Fn(&Frame),
+    sent: impl Fn(usize),
 ) {
     while let Some(frame) = queue.recv().await {
         let mut next = Some(frame);
         while let Some(frame) = next {
             match writer.feed(&frame).await {
-                Ok(bytes) => node.note_link_bytes(bytes),
+                Ok(bytes) => sent(bytes),
                 Err(_) => return,
             }
-            sent(&frame);
             next = queue.try_recv().ok();
         }
         if writer.flush().await.is_err() {
--- a/crates/bh-node/src/peers/accept.rs
+++ b/crates/bh-node/src/peers/accept.rs
@@ -1,6 +1,5 @@
 //! The links that other entries dial here.
 
-use super::write_frames::write_frames;
 use crate::node::Node;
 use bh_net::link;
 use bh_net::link::LinkKey;
@@ -48,7 +47,7 @@
     }
     monoio::select! {
         () = read(&node, reader, sender) => {}
-        () = write_frames(&node, writer, receiver, |_| {}) => {}
+        () = link::write_frames(writer, receiver, |bytes| node.note_link_bytes(bytes)) => {}
     }
 }
 
--- a/crates/bh-node/src/peers/dial.rs
+++ b/crates/bh-node/src/peers/dial.rs
@@ -1,7 +1,6 @@
 //! The link this entry dials to another one.
 
 use super::Peer;
-use super::write_frames::write_frames;
 use crate::node::Node;
 use bh_net::link;
 use bh_net::link::LinkKey;
@@ -9,7 +8,6 @@
 use bh_net::runtime::sleep_ms;
 use bh_net::runtime::within_ms;
 use bh_protocol::wire::Payload;
-use local_sync::mpsc::unbounded;
 use monoio::io::OwnedReadHalf;
 use monoio::net::TcpStream;
 use std::io;
@@ -60,17 +58,20 @@
 /// A connection can go silent for good while new ones work, because a device between the two ends has forgotten it.
 /// Both ends send heartbeats and expect them, so either notices within the election time and opens a new one.
 async fn serve(node: &Rc<Node>, peer: &Rc<Peer>, opened: Opened) -> &'static str {
-    let (sender, receiver) = unbounded::channel();
-    *peer.queue.borrow_mut() = Some(sender);
-    peer.waiting.set(0);
+    let receiver = peer.channel.open();
     let Opened { reader, writer, .. } = opened;
     monoio::select! {
         () = read(node, peer, reader) => "the other end closed it or fell silent",
-        () = write_frames(node, writer, receiver, |_| peer.note_sent()) => "writing failed",
+        () = link::write_frames(writer, receiver, |bytes| note_sent(node, peer, bytes)) => "writing failed",
         () = beat(node, peer) => "the node stops",
     }
 }
 
+fn note_sent(node: &Rc<Node>, peer: &Rc<Peer>, bytes: usize) {
+    node.note_link_bytes(bytes);
+    peer.channel.note_sent();
+}
+
 async fn read(
     node: &Rc<Node>,
     peer: &Rc<Peer>,
@@ -81,11 +82,7 @@
         peer.heard_ms.set(node.clock.now_ms());
         match frame.payload {
             Some(Payload::Heartbeat(heartbeat)) => node.note_heartbeat(peer, heartbeat),
-            Some(Payload::Reply(reply)) => {
-                if let Some(call) = peer.calls.borrow_mut().remove(&reply.id) {
-                    let _ = call.send(reply);
-                }
-            }
+            Some(Payload::Reply(reply)) => peer.channel.note_reply(reply),
             _ => {}
         }
     }
@@ -100,7 +97,6 @@
 
 /// Ends the link: calls without an answer are lost, and no work is handed to the peer until it is back.
 fn close(node: &Rc<Node>, peer: &Rc<Peer>) {
-    peer.queue.borrow_mut().take();
-    peer.calls.borrow_mut().clear();
+    peer.channel.close();
     node.note_peer_gone(peer);
 }
--- a/crates/bh-node/src/requests/forward.rs
+++ b/crates/bh-node/src/requests/forward.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::node::from_json;
 use crate::node::into_result;
-use crate::peers::CallError;
+use bh_net::link::CallError;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::Ran;
