--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! A group of replicas in memory: a network that loses, delays, repeats and reorders, and disks that last what was
 //! synced.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use bh_consensus::Config;
 use bh_consensus::Event;
