Settings and fields that nothing reads are gone

Read as a newcomer: two bounds were taken from the file without any effect, and a unit carried a time nobody used. No behaviour changed; tests of the crate pass, clippy clean.

--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -84,15 +84,9 @@
     /// Longest time a worker takes to stop a run, in milliseconds.
     #[serde(default)]
     pub stop_timeout_ms: Option<u64>,
-    /// Longest time a gang member waits for the others, in milliseconds.
-    #[serde(default)]
-    pub gang_timeout_ms: Option<u64>,
     /// How many times as long tasks take away from their data.
     #[serde(default)]
     pub remote_factor: Option<f64>,
-    /// How early a timed occurrence may begin, in milliseconds.
-    #[serde(default)]
-    pub early_ms: Option<u64>,
     /// Time between a worker's heartbeats, in milliseconds.
     #[serde(default)]
     pub heartbeat_ms: Option<u64>,
@@ -219,11 +213,9 @@
                 .longest_lease_ms
                 .map_or(default.lease_ms, |longest| longest * LEASE_PERCENT / 100),
             stop_timeout_ms: bounds.stop_timeout_ms.unwrap_or(default.stop_timeout_ms),
-            gang_timeout_ms: bounds.gang_timeout_ms.unwrap_or(default.gang_timeout_ms),
             remote_percent: bounds
                 .remote_factor
                 .map_or(default.remote_percent, |factor| whole(factor * 100.0)),
-            early_ms: bounds.early_ms.unwrap_or(default.early_ms),
             heartbeat_ms: bounds.heartbeat_ms.unwrap_or(default.heartbeat_ms),
             retention_ms: bounds.retention_s.map_or(default.retention_ms, whole_ms),
             checkpoint_interval_ms: bounds
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -15,6 +15,7 @@
 use bh_workload::state::Command;
 use bh_workload::state::End;
 use bh_workload::state::Reply;
+use bh_workload::state::Workload;
 use local_sync::mpsc::unbounded;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -66,9 +67,7 @@
         if led_term.is_some() {
             step_down(core, "another leads, or no majority answers");
         }
-        core.group
-            .machine
-            .with_local(bh_workload::state::Workload::take_news);
+        core.group.machine.with_local(Workload::take_news);
         return;
     }
     if led_term != Some(status.term) {
@@ -101,9 +100,7 @@
         return;
     }
     let now_ms = core.clock.now_ms();
-    core.group
-        .machine
-        .with_local(bh_workload::state::Workload::take_news);
+    core.group.machine.with_local(Workload::take_news);
     let workload = core.group.machine.read();
     let dispatcher = Dispatcher::new(core.config.timing(), term, now_ms, &workload);
     let runs: usize = workload.workers().map(|worker| worker.runs.len()).sum();
@@ -149,10 +146,7 @@
 }
 
 fn give_orders(core: &Rc<CoreNode>, now_ms: u64) {
-    let news = core
-        .group
-        .machine
-        .with_local(bh_workload::state::Workload::take_news);
+    let news = core.group.machine.with_local(Workload::take_news);
     let mut held = core.leadership.borrow_mut();
     let Some(leadership) = held.as_mut() else {
         return;
--- a/crates/bh-workload/src/dispatch/timing.rs
+++ b/crates/bh-workload/src/dispatch/timing.rs
@@ -11,12 +11,8 @@
     pub lease_ms: u64,
     /// Longest time a worker takes to stop a run.
     pub stop_timeout_ms: u64,
-    /// Longest time a gang member waits for the others.
-    pub gang_timeout_ms: u64,
     /// How many times as long tasks take away from their data, or when a rack-local gang is spread; in percent.
     pub remote_percent: u64,
-    /// How early a timed occurrence may begin.
-    pub early_ms: u64,
     /// Time between a worker's heartbeats.
     pub heartbeat_ms: u64,
     /// How long the state of an ended job can be asked for.
@@ -30,9 +26,7 @@
     pub const DEFAULT: Timing = Timing {
         lease_ms: 9_000,
         stop_timeout_ms: 1_000,
-        gang_timeout_ms: 3_000,
         remote_percent: 300,
-        early_ms: 250,
         heartbeat_ms: 1_500,
         retention_ms: 120_000,
         checkpoint_interval_ms: 1_000,
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -118,7 +118,6 @@
         }
         let ready_ms = due_ms.unwrap_or(job.accepted_ms);
         let slack_ms = scaled(chain_ms, queue.slack_factor) + queue.target_latency_ms;
-        let objective_ms = ready_ms + slack_ms;
         for (index, spec) in job.spec.steps.iter().enumerate() {
             let step = step_at(*id, occurrence, index);
             let Some(progress) = job.step(step) else {
@@ -145,7 +144,6 @@
                 priority: queue.priority,
                 entitled: context.entitled,
                 ready_ms,
-                objective_ms,
                 expected_ms,
                 on_time: value >= 1.0,
                 tight: queue.slack_factor < TIGHT_SLACK,
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -26,8 +26,6 @@
     pub entitled: bool,
     /// When it could have begun, in milliseconds since 1970.
     pub ready_ms: u64,
-    /// When the job's objective is missed, in milliseconds since 1970.
-    pub objective_ms: u64,
     /// Expected run time of a task in milliseconds.
     pub expected_ms: u64,
     /// Whether the objective leaves little time beside the work itself.
