A process that ends waits for its last log lines

Ruled out: entries killed at the end of their grace (they start anew 3.0 s after the drain, and have 6). The end now waits for the writer, 200 ms at most, so that a reader that stands still keeps nothing.

--- a/crates/beechhollow/src/serve.rs
+++ b/crates/beechhollow/src/serve.rs
@@ -26,8 +26,8 @@
         Err(failure) => return report(failure),
     };
     logging::start(config.log_json);
-    run_to_end(
-        DISK_THREADS,
-        bh_control::run(config, bh_platform::dialect()),
-    )
+    let main = bh_control::run(config, bh_platform::dialect());
+    let status = run_to_end(DISK_THREADS, main);
+    logging::flush();
+    status
 }
--- a/crates/bh-control/src/observe/bounded_stdout.rs
+++ b/crates/bh-control/src/observe/bounded_stdout.rs
@@ -13,6 +13,7 @@
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
 use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Lines in one second at most. The busiest leader measured wrote some six hundred; beyond a few times that whoever reads them is not
@@ -23,6 +24,17 @@
 /// Bytes gathered for one write.
 const GATHERED_BYTES: usize = 32 << 10;
 
+/// Longest wait for the lines of a process that ends, in milliseconds: a reader that stands still must not keep it.
+const LAST_LINES_MS: u64 = 200;
+
+/// What is handed to the writing thread.
+enum Item {
+    /// Bytes to write.
+    Line(Vec<u8>),
+    /// Whoever waits until everything before is written.
+    Flush(SyncSender<()>),
+}
+
 /// One second of lines.
 #[derive(Debug)]
 struct Window {
@@ -35,7 +47,7 @@
 #[derive(Debug)]
 pub struct BoundedStdout {
     layout: Box<dyn Layout>,
-    queue: SyncSender<Vec<u8>>,
+    queue: SyncSender<Item>,
     window: Mutex<Window>,
     dropped: AtomicU64,
 }
@@ -76,19 +88,27 @@
     }
 }
 
-fn write_all(lines: &Receiver<Vec<u8>>) {
+fn write_all(items: &Receiver<Item>) {
     let mut out = std::io::stdout();
-    while let Ok(mut bytes) = lines.recv() {
-        while bytes.len() < GATHERED_BYTES {
-            match lines.try_recv() {
-                Ok(more) => bytes.extend_from_slice(&more),
-                Err(_) => break,
+    while let Ok(first) = items.recv() {
+        let (mut bytes, mut waiting) = (Vec::new(), None);
+        let mut next = Some(first);
+        while let Some(item) = next {
+            match item {
+                Item::Line(line) => bytes.extend_from_slice(&line),
+                Item::Flush(done) => waiting = Some(done),
             }
+            let more = bytes.len() < GATHERED_BYTES && waiting.is_none();
+            next = more.then(|| items.try_recv().ok()).flatten();
         }
         // Whoever read the output is gone; there is nobody left to tell.
         if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
             return;
         }
+        if let Some(done) = waiting {
+            // Whoever waited may have given up.
+            let _ = done.try_send(());
+        }
     }
 }
 
@@ -104,13 +124,18 @@
             gap.extend_from_slice(&line);
             line = gap;
         }
-        if self.queue.try_send(line).is_err() {
+        if self.queue.try_send(Item::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
     fn flush(&self) -> Result<(), Error> {
+        let (done, written) = sync_channel(1);
+        if self.queue.try_send(Item::Flush(done)).is_ok() {
+            // Past this the lines are lost, as when they had not been taken at all.
+            let _ = written.recv_timeout(Duration::from_millis(LAST_LINES_MS));
+        }
         Ok(())
     }
 }
--- a/crates/bh-control/src/observe/logging.rs
+++ b/crates/bh-control/src/observe/logging.rs
@@ -17,3 +17,8 @@
         .apply();
     log::set_max_level(LevelFilter::Info);
 }
+
+/// Waits for the last lines of a process that ends, for a bounded time.
+pub fn flush() {
+    log::logger().flush();
+}
