Calls go to a new leader as soon as it is known, and in the order in which they came

Traced: the leader is frozen at 2.505 s. A read sent at 2.839 s waits in its socket; another core leads from 3.41 s; a read sent at 3.339 s goes there and is answered on version 2 at 3.454 s; version 6 is recorded at 3.707 s; the first read is found lost with its link at 3.73 s, is asked again and answered on version 6 at 3.781 s. Each answer was that of a confirmed leader at its time, so the read index is sound (ruled out: an answer of the woken leader, which stops leading at 9.41 s, and rounds counted across terms). What is wrong is that calls outlive their leader and are overtaken.

Now whoever waits for an answer goes on once a later leader is known, and those who wait are let go in order, by a token that is cancelled instead of a look every 25 ms.

Test: calls_outwait_no_leader_and_overtake_no_call fails before (answered 554 ms after the election, and out of order).

--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -3,13 +3,16 @@
 use super::Answer;
 use super::Call;
 use crate::mesh::Mesh;
+use crate::mesh::Peer;
 use bh_net::link::CallError;
 use bh_net::runtime::sleep_ms;
+use bh_net::runtime::within_ms;
 use bh_protocol::wire::RpcKind;
+use bh_protocol::wire::RpcReply;
 use bh_workload::state::Refusal;
 use std::rc::Rc;
 
-/// Wait before asking again when no leader is known or the one asked does not lead any more, in milliseconds: far below an election.
+/// Wait before a leader that lost a call or has no rules yet is asked again, in milliseconds: far below an election.
 const ASK_AGAIN_MS: u64 = 25;
 /// Wait for the leader's answer to one send, in milliseconds: a commit takes some tens, and a silent link is closed after about as long.
 const ONE_SEND_MS: u64 = 1_200;
@@ -30,11 +33,10 @@
     let until_ms = mesh.now_ms() + limit_ms;
     let mut may_be_recorded = false;
     loop {
+        let asked = mesh.fresh_term();
         if let Some(leader) = mesh.fresh_leader() {
             let left_ms = until_ms.saturating_sub(mesh.now_ms()).max(1);
-            let reply = leader
-                .call(RpcKind::Workload, body.clone(), left_ms.min(ONE_SEND_MS))
-                .await;
+            let reply = ask(mesh, &leader, body.clone(), left_ms.min(ONE_SEND_MS)).await;
             match reply.map(|reply| serde_json::from_slice::<Answer>(&reply.body)) {
                 Ok(Ok(Answer::NotLeader)) | Err(CallError::NotSent) => leader.note_not_leading(),
                 Ok(Ok(Answer::Unknown)) | Ok(Err(_)) | Err(CallError::Lost) => {
@@ -58,7 +60,39 @@
                 }
             };
         }
-        sleep_ms(ASK_AGAIN_MS).await;
+        let now_leads = mesh.fresh_term();
+        if now_leads.is_some() && now_leads == asked {
+            sleep_ms(ASK_AGAIN_MS).await;
+        } else if now_leads.is_none() {
+            let given_up_ms = (until_ms - ASK_AGAIN_MS).min(mesh.leader_seen_ms() + LEADERLESS_MS);
+            // Time that runs out is seen above.
+            let _ = within_ms(given_up_ms.saturating_sub(now_ms), mesh.leader_change()).await;
+        }
+    }
+}
+
+/// Asks `leader`, and gives that up once another core leads in a later term.
+///
+/// A leader that is suspended answers nothing, and its link is found silent only later than its successor is elected. A call that went on
+/// waiting for it would be decided after calls that came half a second later, on newer rules than theirs: an entry would seem to go back
+/// to older rules. What is asked again may be recorded already; that is found by its name.
+async fn ask(
+    mesh: &Rc<Mesh>,
+    leader: &Rc<Peer>,
+    body: Vec<u8>,
+    limit_ms: u64,
+) -> Result<RpcReply, CallError> {
+    let term = leader.status.borrow().term;
+    monoio::select! {
+        reply = leader.call(RpcKind::Workload, body, limit_ms) => reply,
+        () = later_leader(mesh, term) => Err(CallError::Lost),
+    }
+}
+
+/// Returns once a core is known to lead in a later term than `term`.
+async fn later_leader(mesh: &Rc<Mesh>, term: u64) {
+    while mesh.fresh_term().is_none_or(|fresh| fresh <= term) {
+        mesh.leader_change().await;
     }
 }
 
--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -68,11 +68,15 @@
     mut reader: link::Reader<OwnedReadHalf<TcpStream>>,
 ) {
     while let Some(Ok(Some(frame))) = within_ms(SILENCE_MS, reader.next()).await {
-        peer.heard_ms.set(mesh.now_ms());
+        mesh.note_life(|| {
+            peer.heard_ms.set(mesh.now_ms());
+            if let Some(Payload::Core(status)) = &frame.payload {
+                *peer.status.borrow_mut() = status.clone();
+            }
+        });
         match frame.payload {
             Some(Payload::Core(status)) => {
                 mesh.learn(status.cores.iter().filter_map(|core| core.parse().ok()));
-                *peer.status.borrow_mut() = status;
             }
             Some(Payload::Reply(reply)) => peer.channel.note_reply(reply),
             _ => {}
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -37,6 +37,8 @@
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
     learnt: RefCell<OnLearnt>,
     leader_seen_ms: Cell<u64>,
+    /// Cancelled, and replaced, when another core can be sent calls as the leader than before.
+    leader_change: RefCell<CancellationToken>,
 }
 
 impl Mesh {
@@ -52,6 +54,7 @@
             peers: RefCell::new(BTreeMap::new()),
             learnt: RefCell::new(Box::new(|_| {})),
             leader_seen_ms: Cell::new(0),
+            leader_change: RefCell::new(CancellationToken::new()),
         })
     }
 
@@ -143,6 +146,30 @@
             .filter(|leader| now_ms < leader.heard_ms.get() + FRESH_MS)
     }
 
+    /// The term in which [`Self::fresh_leader`] leads, if there is one.
+    pub fn fresh_term(&self) -> Option<u64> {
+        let leader = self.fresh_leader()?;
+        Some(leader.status.borrow().term)
+    }
+
+    /// Returns once another core than now can be sent calls as the leader. Those who wait go on in the order in which they came, so that no
+    /// call overtakes an earlier one by chance.
+    pub async fn leader_change(&self) {
+        let change = self.leader_change.borrow().clone();
+        change.cancelled().await;
+    }
+
+    /// Takes a sign of life of a core with `note`, and lets those go on who wait for a leader when there is another one now.
+    pub(super) fn note_life(&self, note: impl FnOnce()) {
+        let before = self.fresh_term();
+        note();
+        if self.fresh_term() != before {
+            self.leader_change
+                .replace(CancellationToken::new())
+                .cancel();
+        }
+    }
+
     /// When a leader was last heard, on the process's clock in milliseconds; 0 before the first.
     pub fn leader_seen_ms(&self) -> u64 {
         self.leader_seen_ms.get()
--- a/crates/bh-control/tests/silent_leader.rs
+++ b/crates/bh-control/tests/silent_leader.rs
@@ -20,31 +20,41 @@
 use bh_testkit::ports;
 use monoio::net::TcpListener;
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
 /// How long a caller waits, in milliseconds: less than it takes to give a silent link up.
 const PATIENCE_MS: u64 = 300;
+/// How long a caller waits that outlives an election, in milliseconds.
+const LONG_PATIENCE_MS: u64 = 3_000;
+/// Time within which a new leader is known and has answered, in milliseconds: a core says what it is five times a second, and a silent link is
+/// given up some 500 ms after the election here.
+const ELECTED_SEEN_MS: u64 = 450;
 
-/// A core that says that it leads, and counts the calls it gets.
-fn leader(address: SocketAddr, calls: Rc<Cell<u64>>) {
+/// Calls in the order in which a core got them.
+type Calls = Rc<RefCell<Vec<Call>>>;
+
+/// A core that says that it leads in `term` once that is not 0, and notes the calls it gets.
+fn leader(address: SocketAddr, term: Rc<Cell<u64>>, calls: Calls) {
     let hello = Hello {
-        name: "leader".to_owned(),
+        name: format!("leader at {address}"),
         address: address.to_string(),
-        replica: 1,
+        replica: u64::from(address.port()),
         ..Hello::default()
     };
     let mesh = Mesh::new(hello, Clock::new(), CancellationToken::new());
     let service = Service {
         deliver: Box::new(|_| {}),
-        answer: Box::new(move |_| {
-            calls.set(calls.get() + 1);
+        answer: Box::new(move |request| {
+            let call = serde_json::from_slice(&request.body).unwrap();
+            calls.borrow_mut().push(call);
             Box::pin(async { serde_json::to_vec(&Answer::Done).unwrap() })
         }),
-        status: Box::new(|| CoreStatus {
-            leads: true,
-            term: 1,
+        status: Box::new(move || CoreStatus {
+            leads: term.get() > 0,
+            term: term.get(),
             rules_version: 1,
             ..CoreStatus::default()
         }),
@@ -55,7 +65,13 @@
 }
 
 fn leave() -> Call {
-    Call::Leave { worker: "w".into() }
+    leave_of(0)
+}
+
+fn leave_of(worker: usize) -> Call {
+    Call::Leave {
+        worker: worker.to_string().into(),
+    }
 }
 
 /// A data centre is cut off: the link to the leader stays open and carries nothing. A call that is sent into it may be recorded or not, and
@@ -66,8 +82,8 @@
     let addresses = ports::free(2);
     let link = Link::start(addresses[0], addresses[1]);
     runtime::run(1, async move {
-        let calls = Rc::new(Cell::new(0));
-        leader(addresses[1], calls.clone());
+        let calls = Calls::default();
+        leader(addresses[1], Rc::new(Cell::new(1)), calls.clone());
         let entry = Mesh::new(Hello::default(), Clock::new(), CancellationToken::new());
         entry.learn([addresses[0]]);
         while entry.leader().is_none() {
@@ -78,7 +94,55 @@
         sleep_ms(700).await;
         let answer = forward(&entry, &leave(), PATIENCE_MS).await;
         assert!(matches!(answer, Answer::Unavailable { .. }), "{answer:?}");
-        assert_eq!(calls.get(), 1);
+        assert_eq!(calls.borrow().len(), 1);
+    })
+    .unwrap();
+}
+
+/// The leader is suspended while calls are on their way to it, more calls come, and another core is elected. Each call must reach the new
+/// leader as soon as that is known, and none ahead of an earlier one. Else the first caller is answered later than the second and on newer
+/// rules, and their entry seems to have gone back to older rules for the second.
+#[test]
+fn calls_outwait_no_leader_and_overtake_no_call() {
+    const CALLS: usize = 20;
+    let addresses = ports::free(3);
+    let link = Link::start(addresses[0], addresses[1]);
+    runtime::run(1, async move {
+        let (suspended, elected) = (Calls::default(), Calls::default());
+        let term = Rc::new(Cell::new(0));
+        leader(addresses[1], Rc::new(Cell::new(1)), suspended.clone());
+        leader(addresses[2], term.clone(), elected.clone());
+        let clock = Clock::new();
+        let entry = Mesh::new(Hello::default(), clock.clone(), CancellationToken::new());
+        entry.learn([addresses[0], addresses[2]]);
+        while entry.leader().is_none() || entry.links_open() < 2 {
+            sleep_ms(20).await;
+        }
+        link.silence_open_connections();
+        let answered = Rc::new(Cell::new(0));
+        for call in 0..CALLS {
+            let (entry, answered) = (entry.clone(), answered.clone());
+            monoio::spawn(async move {
+                let answer = forward(&entry, &leave_of(call), LONG_PATIENCE_MS).await;
+                assert_eq!(answer, Answer::Done);
+                answered.set(answered.get() + 1);
+            });
+            // The later half comes when the silent link gets no calls any more.
+            sleep_ms(if call == CALLS / 2 { 600 } else { 7 }).await;
+        }
+        term.set(2);
+        let elected_ms = clock.now_ms();
+        while answered.get() < CALLS {
+            sleep_ms(5).await;
+        }
+        let took_ms = clock.now_ms() - elected_ms;
+        assert!(
+            took_ms < ELECTED_SEEN_MS,
+            "answered {took_ms} ms after the election"
+        );
+        assert!(suspended.borrow().is_empty());
+        let expected: Vec<Call> = (0..CALLS).map(leave_of).collect();
+        assert_eq!(*elected.borrow(), expected);
     })
     .unwrap();
 }
