A new leader looks at the workers it has not heard of

Cause: a worker gets work only once its clock was read, and only workers with recorded runs are looked at; idle ones are known with their next heartbeat, 1.5 s apart. Ruled out: the take-over of runs (workers with runs are looked at in the first turn).

Each worker that was not heard yet in the term is looked at once, without a wait.

--- a/crates/bh-workload/src/dispatch/desk.rs
+++ b/crates/bh-workload/src/dispatch/desk.rs
@@ -207,7 +207,7 @@
             .runs
             .values()
             .all(|watch| watch.start == StartPhase::InFlight);
-        if first_starts && !target.is_behind() && !target.is_back() {
+        if first_starts && !target.is_behind() && !target.is_back() && !target.is_unheard() {
             return;
         }
         let unsure = target
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -100,6 +100,12 @@
             .is_some_and(|since_ms| self.heard_ms.is_some_and(|heard_ms| heard_ms > since_ms))
     }
 
+    /// Whether nothing was heard of it yet. A new leader knows the workers from the record, and may give them work only once it has read
+    /// their clocks; their next heartbeats bring that too, but a second or two later, for which urgent work would wait.
+    pub fn is_unheard(&self) -> bool {
+        self.clock.is_none() && !self.is_failing()
+    }
+
     /// Whether the worker does not know yet that ends it reported are recorded.
     pub fn is_behind(&self) -> bool {
         self.acknowledged_to < self.recorded_to
@@ -107,7 +113,7 @@
 
     /// Whether there is anything to order or ask.
     pub fn needs_orders(&self) -> bool {
-        !self.runs.is_empty() || self.is_behind() || self.is_back()
+        !self.runs.is_empty() || self.is_behind() || self.is_back() || self.is_unheard()
     }
 
     /// Grants a lease from `now_ms` on; returns its end on the worker's clock. While the worker does not answer nothing more is
