--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -278,7 +278,11 @@
 async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
     let received = match (core.dialect.read_control)(&request) {
         Ok(received) => received,
-        Err(status) => return server::status(status),
+        Err(status) => {
+            core.metrics.count("calls_unreadable", 1);
+            log::info!(path = request.uri().path(), status = status.as_u16(); "call not read");
+            return server::status(status);
+        }
     };
     let patience_ms = received.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
     let answer = counted(&core, async {
