--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -1,7 +1,7 @@
 //! Answers calls as the leader.
 
 use super::core_node::CoreNode;
-use super::leader_loop::propose;
+use super::records::propose;
 use crate::calls::Answer;
 use crate::calls::Call;
 use crate::calls::RETRY_AFTER_MS;
--- /dev/null
+++ b/crates/bh-control/src/core/orders.rs
@@ -0,0 +1,93 @@
+//! The leader's orders to workers and their answers.
+
+use super::core_node::CoreNode;
+use super::records::record;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::state::Command;
+use bh_workload::state::Workload;
+use std::rc::Rc;
+
+/// Time between passes over all workers, in milliseconds.
+const SWEEP_MS: u64 = 100;
+/// Wait for an order's answer, in milliseconds, beside the time a look is asked to wait. A worker answers at once.
+const ORDER_MS: u64 = 800;
+
+/// Sends the orders that are due, and records ends that are certain without any.
+pub(super) fn give_orders(core: &Rc<CoreNode>, now_ms: u64) {
+    let news = core.group.machine.with_local(Workload::take_news);
+    let mut held = core.leadership.borrow_mut();
+    let Some(leadership) = held.as_mut() else {
+        return;
+    };
+    let workload = core.group.machine.read();
+    leadership.plan_due |= news.plan;
+    leadership.dispatcher.note_news(now_ms, &news, &workload);
+    let all = now_ms >= leadership.swept_ms + SWEEP_MS;
+    if all {
+        leadership.swept_ms = now_ms;
+    }
+    let (orders, ends) = leadership.dispatcher.orders(now_ms, &workload, all);
+    drop(workload);
+    drop(held);
+    for order in orders {
+        monoio::spawn(send_order(core.clone(), order));
+    }
+    if !ends.is_empty() {
+        record(core, Command::Ends { ends, now_ms: 0 });
+    }
+}
+
+async fn send_order(core: Rc<CoreNode>, order: Order) {
+    let limit_ms = match &order.body {
+        OrderBody::Look { wait_ms, .. } => ORDER_MS + wait_ms,
+        OrderBody::Start { .. } | OrderBody::Stop { .. } | OrderBody::Pace { .. } => ORDER_MS,
+    };
+    core.metrics.count("orders", 1);
+    let began_ms = core.clock.now_ms();
+    let request = (core.dialect.write_order)(&order);
+    let answer = match core.workers.send(order.to.address, request, limit_ms).await {
+        Ok(response) => {
+            // A look waits for an end; how long says nothing of the worker.
+            if !matches!(order.body, OrderBody::Look { .. }) {
+                let took_ms = core.clock.now_ms().saturating_sub(began_ms);
+                core.metrics.time_ms("order", took_ms);
+            }
+            (core.dialect.read_answer)(&order, &response)
+        }
+        Err(error) => {
+            core.metrics.count("orders_lost", 1);
+            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {error}");
+            Answer::Lost
+        }
+    };
+    note_answer(&core, &order, &answer);
+}
+
+fn note_answer(core: &Rc<CoreNode>, order: &Order, answer: &Answer) {
+    let now_ms = core.clock.now_ms();
+    let mut held = core.leadership.borrow_mut();
+    let Some(leadership) = held.as_mut().filter(|held| held.term == order.token) else {
+        return;
+    };
+    if let Answer::Denied { denial, .. } = answer {
+        core.metrics.count("orders_denied", 1);
+        log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(); "order denied");
+    }
+    let workload = core.group.machine.read();
+    let command = leadership
+        .dispatcher
+        .note_answer(now_ms, order, answer, &workload);
+    if let Some(Command::Ends { ends, .. }) = &command {
+        leadership
+            .planner
+            .note_ends(now_ms, ends, &workload, &leadership.dispatcher);
+    }
+    drop(workload);
+    drop(held);
+    if let Some(command) = command {
+        record(core, command);
+    }
+    core.wake();
+}
--- /dev/null
+++ b/crates/bh-control/src/core/planning.rs
@@ -0,0 +1,80 @@
+//! Carries the leader's plan out.
+
+use super::advice;
+use super::core_node::CoreNode;
+use super::records::propose;
+use bh_workload::plan::Plan;
+use bh_workload::state::Command;
+use bh_workload::state::Reply;
+use std::rc::Rc;
+
+/// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
+const PLAN_MS: u64 = 200;
+
+/// Plans when there is reason to, records what shall start and stops what gives way.
+pub(super) fn plan(core: &Rc<CoreNode>, now_ms: u64) {
+    let mut held = core.leadership.borrow_mut();
+    let Some(leadership) = held.as_mut() else {
+        return;
+    };
+    let due = leadership.plan_due || now_ms >= leadership.planned_ms + PLAN_MS;
+    if leadership.planning || !due {
+        return;
+    }
+    leadership.plan_due = false;
+    leadership.planned_ms = now_ms;
+    let workload = core.group.machine.read();
+    let planner = &mut leadership.planner;
+    let Plan {
+        starts,
+        evictions,
+        questions,
+        claimed,
+        unclaimed,
+    } = planner.plan(now_ms, core.wall_ms(), &workload, &leadership.dispatcher);
+    drop(workload);
+    advice::ask(core, leadership, now_ms, questions);
+    for (step, why) in unclaimed {
+        log::info!(step = step.to_string(), why:? = why; "room is no longer made");
+    }
+    for (step, workers) in claimed {
+        log::info!(step = step.to_string(), workers; "room is made");
+    }
+    for (worker, run) in &evictions {
+        log::info!(run = run.to_string(), worker = &**worker; "stopped to make room for guaranteed work");
+        leadership.dispatcher.give_up(worker, *run);
+    }
+    if !evictions.is_empty() {
+        core.metrics
+            .count("runs_displaced", evictions.len().try_into().unwrap_or(0));
+        core.wake();
+    }
+    if starts.is_empty() {
+        return;
+    }
+    leadership.planning = true;
+    let term = leadership.term;
+    drop(held);
+    let core = core.clone();
+    monoio::spawn(async move {
+        core.metrics
+            .count("runs_planned", starts.len().try_into().unwrap_or(0));
+        for start in &starts {
+            log::info!(run = start.run.to_string(), worker = &*start.worker; "run planned");
+        }
+        match propose(&core, Command::Starts(starts)).await {
+            Ok(Reply::Started(refused)) if !refused.is_empty() => {
+                log::info!(steps = refused.len(); "starts overtaken by other changes");
+            }
+            Ok(_) => {}
+            Err(failure) => log::warn!("starts not recorded: {failure}"),
+        }
+        if let Some(leadership) = core.leadership.borrow_mut().as_mut()
+            && leadership.term == term
+        {
+            leadership.planning = false;
+            leadership.plan_due = true;
+        }
+        core.wake();
+    });
+}
--- /dev/null
+++ b/crates/bh-control/src/core/records.rs
@@ -0,0 +1,83 @@
+//! What the leader records.
+
+use super::core_node::CoreNode;
+use bh_group::encode;
+use bh_protocol::Failure;
+use bh_workload::state::Command;
+use bh_workload::state::End;
+use bh_workload::state::EndKind;
+use bh_workload::state::Reply;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Wait for a record to be committed, in milliseconds. What takes longer may still be, and shows in the record then.
+pub(super) const RECORD_MS: u64 = 3_000;
+
+/// Records a command of the leader's own, and tells the dispatcher what became of it.
+pub(super) fn record(core: &Rc<CoreNode>, command: Command) {
+    let core = core.clone();
+    monoio::spawn(async move {
+        let workers: BTreeSet<Arc<str>> = match &command {
+            Command::Ends { ends, .. } => {
+                log_ends(ends);
+                for end in ends {
+                    core.metrics.count(end_counter(end.kind), 1);
+                }
+                ends.iter().map(|end| end.worker.clone()).collect()
+            }
+            _ => BTreeSet::new(),
+        };
+        let result = propose(&core, command).await;
+        if let Err(failure) = &result {
+            log::warn!(core = &*core.config.name; "not recorded: {failure}");
+        }
+        if let Some(leadership) = core.leadership.borrow_mut().as_mut() {
+            for worker in workers {
+                leadership.dispatcher.note_recorded(&worker, result.is_ok());
+            }
+        }
+        core.wake();
+    });
+}
+
+/// Counter of the runs that ended so.
+fn end_counter(kind: EndKind) -> &'static str {
+    match kind {
+        EndKind::Done => "runs_done",
+        EndKind::Failed => "runs_failed",
+        EndKind::Stopped => "runs_stopped",
+        EndKind::Lapsed => "runs_lapsed",
+        EndKind::Broken => "runs_broken",
+        EndKind::Alone => "runs_alone",
+        EndKind::NotStarted => "runs_not_started",
+        EndKind::Lost => "runs_lost",
+    }
+}
+
+fn log_ends(ends: &[End]) {
+    for end in ends {
+        log::info!(run = end.run.to_string(), worker = &*end.worker, end:? = end.kind, saved = end.checkpoint.is_some(); "run over");
+    }
+}
+
+/// Replicates a command, with the time filled in.
+///
+/// # Errors
+///
+/// Those of [`bh_group::Group::propose`].
+pub(super) async fn propose(core: &Rc<CoreNode>, mut command: Command) -> Result<Reply, Failure> {
+    if let Command::Ends { now_ms, .. }
+    | Command::Accept { now_ms, .. }
+    | Command::Cancel { now_ms, .. }
+    | Command::StartWave { now_ms, .. } = &mut command
+    {
+        *now_ms = core.wall_ms();
+    }
+    let bytes = encode(&command)?;
+    let began_ms = core.clock.now_ms();
+    let reply = core.group.propose(bytes, RECORD_MS).await?;
+    let took_ms = core.clock.now_ms().saturating_sub(began_ms);
+    core.metrics.time_ms("record", took_ms);
+    bh_group::decode(&reply)
+}
--- a/crates/bh-control/src/core/upkeep.rs
+++ b/crates/bh-control/src/core/upkeep.rs
@@ -1,7 +1,7 @@
 //! Carries waves of upkeep out.
 
 use super::core_node::CoreNode;
-use super::leader_loop::propose;
+use super::records::propose;
 use bh_workload::state::Command;
 use bh_workload::upkeep::Step;
 use bh_workload::upkeep::UpkeepAnswer;
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -8,7 +8,7 @@
 use super::StartPhase;
 use super::StopPhase;
 use super::Target;
-use super::dispatcher::RETRY_MS;
+use super::order::RETRY_MS;
 use super::pacing;
 use crate::job::RunId;
 use crate::state::Command;
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -14,6 +14,7 @@
 use super::answers::note_report;
 use super::answers::note_start;
 use super::desk::Desk;
+use super::order::RETRY_MS;
 use crate::job::RunId;
 use crate::state::Command;
 use crate::state::End;
@@ -24,9 +25,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// Wait before an order without an answer is sent again, in milliseconds: above the time of a slow answer, well below the bounds
-/// on stops and gang starts.
-pub(super) const RETRY_MS: u64 = 300;
 /// Wait before a worker that does not answer is looked at again, in milliseconds.
 const FAILING_LOOK_MS: u64 = 400;
 /// Time that a deposed leader may have gone on giving orders after this one was elected, in milliseconds: it stops when it has not
--- a/crates/bh-workload/src/dispatch/order.rs
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -6,6 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Wait before an order without an answer is sent again, in milliseconds: above the time of a slow answer, well below the bounds
+/// on stops and gang starts.
+pub(super) const RETRY_MS: u64 = 300;
+
 /// The worker incarnation an order is meant for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recipient {
