A task is begun anew for slowness once

Cause: run times of a kind vary by factors, and what takes twice the usual time is taken to be on a slow worker, whichever worker that is. Ruled out: a slow worker (three different ones).

A task that was begun anew for slowness goes on where it is the next time; one that stands still is still begun anew each time. Test: a_task_that_takes_long_everywhere_is_begun_anew_once, which failed before.

--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -1,5 +1,6 @@
 //! Decides what runs where.
 
+use super::Overdue;
 use super::OverdueRun;
 use super::Room;
 use super::Runtimes;
@@ -65,6 +66,9 @@
     pub(super) claims: BTreeMap<StepId, Claim>,
     /// Workers on which a task failed; it tries others first.
     failed_on: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    /// Tasks that were begun anew because they were slow. One that is as slow elsewhere takes that long, and begun anew each time it would
+    /// never end.
+    was_slow: BTreeSet<TaskId>,
 }
 
 impl Planner {
@@ -91,6 +95,7 @@
                 }
                 EndKind::Done => {
                     self.failed_on.remove(&end.run.task);
+                    self.was_slow.remove(&end.run.task);
                     self.note_done(now_ms, end, workload, dispatcher);
                 }
                 _ => {}
@@ -146,7 +151,8 @@
         workload: &Workload,
         dispatcher: &Dispatcher,
     ) -> Vec<OverdueRun> {
-        let overdue = overdue(now_ms, workload, dispatcher, &self.runtimes);
+        let mut overdue = overdue(now_ms, workload, dispatcher, &self.runtimes);
+        overdue.retain(|late| late.why == Overdue::Still || self.was_slow.insert(late.run.task));
         for late in &overdue {
             self.failed_on
                 .entry(late.run.task)
@@ -170,6 +176,7 @@
             reserve,
             claims,
             failed_on,
+            was_slow: _,
         } = self;
         let entitled = entitled_jobs(workload);
         let mut units = collect::collect(
--- /dev/null
+++ b/crates/bh-workload/tests/slow_runs.rs
@@ -0,0 +1,103 @@
+//! Runs that take long.
+
+mod support;
+
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Report;
+use bh_workload::dispatch::Running;
+use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::plan::Overdue;
+use bh_workload::plan::OverdueRun;
+use bh_workload::state::End;
+use bh_workload::state::EndKind;
+use std::sync::Arc;
+use support::Site;
+use support::step;
+
+const USUAL_MS: u64 = 1_000;
+
+/// Plans, begins and ends tasks of the usual time until that is learnt.
+fn learnt_site() -> Site {
+    let mut site = Site::new(4, 2);
+    for _ in 0..6 {
+        site.submit(1, "other", vec![short()]);
+        site.plan_and_start();
+        site.send_starts();
+        let (worker, run) = site.open_runs()[0].clone();
+        site.advance(USUAL_MS);
+        note_end(&mut site, &worker, run, EndKind::Done);
+    }
+    site
+}
+
+fn short() -> StepSpec {
+    StepSpec {
+        declared_ms: USUAL_MS,
+        ..step(1, 8)
+    }
+}
+
+fn note_end(site: &mut Site, worker: &Arc<str>, run: RunId, kind: EndKind) {
+    let end = End {
+        run,
+        worker: worker.clone(),
+        kind,
+        checkpoint: None,
+    };
+    site.planner
+        .note_ends(site.now_ms, &[end], &site.workload, &site.dispatcher);
+    site.end(run, kind);
+}
+
+/// The worker reports that a tenth of the run is done for each time it usually takes in all; returns what is overdue then.
+fn run_slowly(site: &mut Site, run: RunId) -> Vec<OverdueRun> {
+    for turn in 1..4 {
+        site.advance(USUAL_MS);
+        let (orders, _) = site.dispatcher.orders(site.now_ms, &site.workload, true);
+        for order in orders {
+            let looks = matches!(order.body, OrderBody::Look { .. });
+            let running = Running {
+                run,
+                checkpoint: None,
+                percent: 10 * turn,
+                load: 0,
+            };
+            let report = Report {
+                running: vec![running],
+                ended: Vec::new(),
+                more: false,
+            };
+            let answer = Answer::Done {
+                clock_ms: Some(site.now_ms),
+                report: looks.then_some(report),
+            };
+            site.dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+        }
+    }
+    site.planner
+        .overdue(site.now_ms, &site.workload, &site.dispatcher)
+}
+
+/// A task takes ten times as long as others of its queue. It is begun anew on another worker, since the first one may be slow, and takes as
+/// long there. Begun anew again and again it would never end, and its caller wait for ever; so that happens once.
+#[test]
+fn a_task_that_takes_long_everywhere_is_begun_anew_once() {
+    let mut site = learnt_site();
+    site.submit(1, "other", vec![short()]);
+    site.plan_and_start();
+    site.send_starts();
+    let (worker, run) = site.open_runs()[0].clone();
+    let overdue = run_slowly(&mut site, run);
+    assert_eq!(overdue.len(), 1);
+    assert_eq!((overdue[0].run, overdue[0].why), (run, Overdue::Slow));
+
+    note_end(&mut site, &worker, run, EndKind::Stopped);
+    site.plan_and_start();
+    site.send_starts();
+    let (other, again) = site.open_runs()[0].clone();
+    assert_ne!(other, worker);
+    assert_eq!(run_slowly(&mut site, again), Vec::new());
+}
