--- a/crates/bh-workload/src/plan/desk.rs
+++ b/crates/bh-workload/src/plan/desk.rs
@@ -180,7 +180,7 @@
         let mut tasks = unit.indices.iter().zip(&unit.attempts);
         for (at, count) in placement {
             for _ in 0..*count {
-                self.rooms[*at].take(unit);
+                self.rooms[*at].free.subtract(&unit.needs);
                 let Some((index, attempt)) = tasks.next() else {
                     return;
                 };
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -26,8 +26,6 @@
     room: usize,
     places: u64,
     spare: u64,
-    /// Whether most runs there save their work when they are stopped and the unit's do not, or the other way round.
-    mixes: bool,
     /// Lower where the unit would rather be.
     rank: u64,
 }
@@ -138,10 +136,6 @@
     wall_ms < unit.ready_ms + patience_ms && !able_racks(unit, rooms).is_empty()
 }
 
-/// Where tasks of the unit could be, the best place first.
-///
-/// Runs that save their work when they are stopped are put together, from one end of the list of workers, and lower ranks' runs that lose it
-/// from the other end. Room for urgent work is made by whole workers: on one where both are mixed, some run always loses what it has done.
 fn sites(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Arc<str>>) -> Vec<Site> {
     let mut sites: Vec<Site> = rooms
         .iter()
@@ -150,22 +144,12 @@
             room: index,
             places: room.places(unit, avoid),
             spare: room.open().accelerators,
-            mixes: unit.priority > 0 && room.mixes(unit.spec.checkpoints),
             rank: rank(unit, room),
         })
         .filter(|site| site.places > 0)
         .collect();
-    let last = rooms.len();
-    let from_end = unit.priority > 0 && !unit.spec.checkpoints;
-    let order = |site: &Site| {
-        if from_end {
-            last - site.room
-        } else {
-            site.room
-        }
-    };
     // The fullest workers first: whole free ones are kept for large tasks.
-    sites.sort_by_key(|site| (site.rank, site.mixes, site.spare, order(site)));
+    sites.sort_by_key(|site| (site.rank, site.spare, site.room));
     sites
 }
 
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -38,8 +38,6 @@
     pub pace_percent: u64,
     /// Speed at which tasks that only use idle processors work here, in percent.
     pub fill_percent: u64,
-    /// Recorded runs that go on from a checkpoint after they were stopped.
-    saving_runs: u64,
     /// Whether only work of priority 0 may use it.
     pub kept: bool,
     /// Whether it may be given work now.
@@ -47,14 +45,8 @@
 }
 
 impl Room {
-    /// The room of `worker` at `now_ms`.
-    fn new(
-        worker: &Worker,
-        workload: &Workload,
-        dispatcher: &Dispatcher,
-        speeds: &Speeds,
-        now_ms: u64,
-    ) -> Self {
+    /// The room of `worker`, of which `target` is known at `now_ms`.
+    fn new(worker: &Worker, dispatcher: &Dispatcher, speeds: &Speeds, now_ms: u64) -> Self {
         let silence_ms = dispatcher.timing().heartbeat_ms * MISSED_HEARTBEATS;
         let ready = |target: &Target| {
             let since_ms = target.heard_ms.unwrap_or(dispatcher.elected_ms());
@@ -68,11 +60,8 @@
             && !speeds.is_slow(&worker.info.id)
             && dispatcher.view(&worker.info.id).is_some_and(ready);
         let mut runs = BTreeMap::new();
-        let mut saving_runs = 0;
         for run in worker.runs.keys() {
             *runs.entry(run.task.step).or_default() += 1;
-            let spec = workload.step_spec(run.task.step);
-            saving_runs += u64::from(spec.is_some_and(|spec| spec.checkpoints));
         }
         Self {
             worker: worker.info.id.clone(),
@@ -86,7 +75,6 @@
             fill_percent: dispatcher
                 .view(&worker.info.id)
                 .map_or(100, |target| target.filling.percent()),
-            saving_runs,
             kept: false,
             pace_percent: speeds.percent(&worker.info.data_centre),
             usable,
@@ -102,7 +90,7 @@
     ) -> Vec<Room> {
         let workers = workload.workers();
         workers
-            .map(|worker| Room::new(worker, workload, dispatcher, speeds, now_ms))
+            .map(|worker| Room::new(worker, dispatcher, speeds, now_ms))
             .collect()
     }
 
@@ -135,24 +123,6 @@
         open
     }
 
-    /// Notes that one more of a unit's tasks begins here.
-    pub fn take(&mut self, unit: &Unit) {
-        self.free.subtract(&unit.needs);
-        *self.runs.entry(unit.step).or_default() += 1;
-        self.saving_runs += u64::from(unit.spec.checkpoints);
-    }
-
-    /// Whether a run that saves its work when it is stopped, or one that does not, would be among others of which most are unlike it.
-    pub fn mixes(&self, saves: bool) -> bool {
-        let all: u64 = self.runs.values().sum();
-        let losing_runs = all - self.saving_runs;
-        if saves {
-            losing_runs > self.saving_runs
-        } else {
-            self.saving_runs > losing_runs
-        }
-    }
-
     /// How many more of a unit's tasks may be on this worker, whatever room it has: those already there count.
     pub fn most(&self, unit: &Unit) -> u64 {
         let there = self.runs.get(&unit.step).copied().unwrap_or(0);
