An entry that is cut off says so sooner

Cause: readiness counted from the moment at which the link was given up, 1.3 s, and that comes 1.1 s and more after the last sign of life. Ruled out: the balancer (it acts on the second refusal) and the calls themselves (refused at once from 35.2 s on).

Readiness counts from the last sign of life, 0.9 s. Test: an_entry_that_is_cut_off_is_soon_not_ready.

--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -1,5 +1,6 @@
 //! An entry process.
 
+use super::Readiness;
 use crate::calls::Answer;
 use crate::calls::Call;
 use crate::calls::forward;
@@ -35,9 +36,6 @@
 const LONGEST_PATIENCE_MS: u64 = 4_000;
 /// Kept back for the answer's way, in milliseconds: an answer that comes after the sender has left tells nobody anything.
 const ANSWER_WAY_MS: u64 = 40;
-/// Time after the leader was last heard during which an entry still counts as ready, in milliseconds: an election. Callers of a data
-/// centre that is cut off are sent elsewhere once all its entries say that they are not ready.
-const READY_AFTER_LEADER_MS: u64 = 1_300;
 /// Share of the grace after which a stopping entry asks callers to leave, in percent. Until then the balancer learns that the entry is
 /// not ready, and connections that it still hands over are served.
 const LAME_PERCENT: u64 = 40;
@@ -57,7 +55,7 @@
     closing: CancellationToken,
     connections: Rc<Cell<usize>>,
     metrics: Rc<Metrics>,
-    leader_seen_ms: Cell<u64>,
+    readiness: Readiness,
 }
 
 impl Entry {
@@ -66,16 +64,7 @@
         if self.draining.is_cancelled() {
             return false;
         }
-        let now_ms = self.mesh.now_ms();
-        let leads = self
-            .mesh
-            .leader()
-            .is_some_and(|leader| leader.status.borrow().rules_version > 0);
-        if leads {
-            self.leader_seen_ms.set(now_ms);
-        }
-        let seen_ms = self.leader_seen_ms.get();
-        seen_ms > 0 && now_ms < seen_ms + READY_AFTER_LEADER_MS
+        self.readiness.is_ready(&self.mesh)
     }
 
     async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Bytes> {
@@ -179,7 +168,7 @@
         closing: CancellationToken::new(),
         connections: Rc::new(Cell::new(0)),
         metrics: Rc::new(Metrics::new()),
-        leader_seen_ms: Cell::new(0),
+        readiness: Readiness::new(),
     });
     log::info!(entry = &*entry.config.name, address = entry.config.ip.to_string(); "entry starts");
     if let Some(address) = entry.config.metrics_address {
--- a/crates/bh-control/tests/silent_leader.rs
+++ b/crates/bh-control/tests/silent_leader.rs
@@ -7,6 +7,7 @@
 use bh_control::calls::Answer;
 use bh_control::calls::Call;
 use bh_control::calls::forward;
+use bh_control::entry::Readiness;
 use bh_control::mesh;
 use bh_control::mesh::Inbound;
 use bh_control::mesh::Mesh;
@@ -146,3 +147,31 @@
     })
     .unwrap();
 }
+
+/// A data centre is cut off. Its callers get no answers there, and the balancer leads them elsewhere once it has been refused twice, a second
+/// apart. The entry must say that it is not ready as soon as the silence is longer than most elections, not when its links are given up.
+#[test]
+fn an_entry_that_is_cut_off_is_soon_not_ready() {
+    const SOON_MS: u64 = 1_150;
+    let addresses = ports::free(2);
+    let link = Link::start(addresses[0], addresses[1]);
+    runtime::run(1, async move {
+        leader(addresses[1], Rc::new(Cell::new(1)), Calls::default());
+        let clock = Clock::new();
+        let entry = Mesh::new(Hello::default(), clock.clone(), CancellationToken::new());
+        let readiness = Readiness::new();
+        assert!(!readiness.is_ready(&entry));
+        entry.learn([addresses[0]]);
+        while !readiness.is_ready(&entry) {
+            sleep_ms(20).await;
+        }
+        link.silence_open_connections();
+        let cut_ms = clock.now_ms();
+        while readiness.is_ready(&entry) {
+            sleep_ms(10).await;
+        }
+        let took_ms = clock.now_ms() - cut_ms;
+        assert!(took_ms < SOON_MS, "ready for {took_ms} ms");
+    })
+    .unwrap();
+}
