A worker that falls silent is known as such after 1.2 s at most, not 2.8 s

Cause: the stops are answered before the cut, the look that would bring their ends waits 2 s, and only 0.8 s after that is the worker taken for silent. Ruled out: heartbeats (missed only after 4.5 s) and the stops themselves.

Looks wait 0.7 s, answers are waited for 0.5 s.

--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -11,8 +11,6 @@
 
 /// Time between passes over all workers, in milliseconds.
 const SWEEP_MS: u64 = 100;
-/// Wait for an order's answer, in milliseconds, beside the time a look is asked to wait. A worker answers at once.
-const ORDER_MS: u64 = 800;
 
 /// Sends the orders that are due, and records ends that are certain without any.
 pub(super) fn give_orders(core: &Rc<CoreNode>, now_ms: u64) {
@@ -40,10 +38,7 @@
 }
 
 async fn send_order(core: Rc<CoreNode>, order: Order) {
-    let limit_ms = match &order.body {
-        OrderBody::Look { wait_ms, .. } => ORDER_MS + wait_ms,
-        OrderBody::Start { .. } | OrderBody::Stop { .. } | OrderBody::Pace { .. } => ORDER_MS,
-    };
+    let limit_ms = order.answer_within_ms();
     core.metrics.count("orders", 1);
     let began_ms = core.clock.now_ms();
     let request = (core.dialect.write_order)(&order);
--- a/crates/bh-workload/src/dispatch/desk.rs
+++ b/crates/bh-workload/src/dispatch/desk.rs
@@ -17,8 +17,10 @@
 use crate::state::Worker;
 use crate::state::Workload;
 
-/// Longest wait of a look in milliseconds; workers take no longer one.
-const LOOK_WAIT_MS: u64 = 2_000;
+/// Longest wait of a look in milliseconds. A worker that is cut off is found silent when its look is not answered, and until then urgent work is
+/// placed on it, or waits for room that never becomes free there: such work has a second or two to spare. Three looks in two seconds instead of
+/// one cost a worker next to nothing.
+const LOOK_WAIT_MS: u64 = 700;
 /// How long before its lease ends a worker is looked at, in looks: several may be lost.
 const LOOKS_IN_LEASE: u64 = 3;
 /// Time after a confirmed stop at which it is sent again when the run has still not ended, in milliseconds.
--- a/crates/bh-workload/src/dispatch/order.rs
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -10,6 +10,10 @@
 /// on stops and gang starts.
 pub(super) const RETRY_MS: u64 = 300;
 
+/// Wait for an order's answer in milliseconds, beside the time a look is asked to wait. A worker answers in a few milliseconds, and a lost
+/// packet is sent again after some two hundred.
+const ANSWER_MS: u64 = 500;
+
 /// The worker incarnation an order is meant for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recipient {
@@ -32,6 +36,16 @@
     pub body: OrderBody,
 }
 
+impl Order {
+    /// Longest time to wait for the answer, in milliseconds. Whoever has not answered by then is taken to be silent, and gets no new work.
+    pub fn answer_within_ms(&self) -> u64 {
+        match &self.body {
+            OrderBody::Look { wait_ms, .. } => ANSWER_MS + wait_ms,
+            OrderBody::Start { .. } | OrderBody::Stop { .. } | OrderBody::Pace { .. } => ANSWER_MS,
+        }
+    }
+}
+
 /// What an order asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderBody {
