A gang takes the room kept for urgent work when that is its last chance to be on time

Cause: room is kept for urgent work in the emptiest rack, the only one where such a gang fits, and the gang may not use it; keep_room even holds that rack for the gang against small work, so it stays unused.

A gang that is on time if it begins now, and has less than one run time to spare, may use kept room. Test: racks.rs, fails before.

--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -25,6 +25,10 @@
 /// Slack factor below which a job is placed where runs are fastest; the others leave that room to it. Below two, a place that is half as
 /// fast again uses up half of what there is to spare.
 const TIGHT_SLACK: f64 = 2.0;
+/// Slack, in percent of its run time, below which a gang may use room that is kept for urgent work. What is kept is the emptiest rack, and that is
+/// the only place for a large gang: it would wait until no urgent work comes any more, and be late. Small tasks find room elsewhere. One run
+/// time is about what other gangs take to leave a rack.
+const LAST_CHANCE_PERCENT: u64 = 100;
 /// Times the objective after which a late job earns nothing.
 const LATE_FACTOR: u64 = 3;
 
@@ -138,6 +142,9 @@
             }
             let expected_ms = runtimes.expected_ms(&queue.name, step, spec);
             let value = lateness_value(wall_ms + expected_ms, ready_ms, slack_ms);
+            let on_time = value >= 1.0;
+            let waits_ms = expected_ms * LAST_CHANCE_PERCENT / 100;
+            let late_soon = wall_ms + expected_ms + waits_ms > ready_ms + slack_ms;
             let size = (1.0 - FIXED_VALUE) + FIXED_VALUE * context.mean_work / own_work;
             let rank = f64::from(queue.priority + 1);
             let (indices, attempts) = waiting(progress, spec);
@@ -159,7 +166,8 @@
                 due_ms: ready_ms + slack_ms,
                 expected_ms,
                 spread_ms: expected_ms * remote_percent / 100,
-                on_time: value >= 1.0,
+                last_chance: spec.gang && on_time && late_soon,
+                on_time,
                 tight: queue.slack_factor < TIGHT_SLACK,
                 density: value * size / (rank * rank),
             });
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -38,7 +38,7 @@
     pub pace_percent: u64,
     /// Speed at which tasks that only use idle processors work here, in percent.
     pub fill_percent: u64,
-    /// Whether only work of priority 0 may use it.
+    /// Whether only work of priority 0 may use it, and gangs that are late unless they begin soon.
     pub kept: bool,
     /// Whether it may be given work now.
     pub usable: bool,
@@ -134,7 +134,7 @@
 
     /// How many of a unit's tasks may be placed here now.
     pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
-        let kept = self.kept && unit.priority > 0;
+        let kept = self.kept && unit.priority > 0 && !unit.last_chance;
         if !self.admits(unit) || kept || avoid.contains(&self.worker) {
             return 0;
         }
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -40,6 +40,8 @@
     pub spread_ms: u64,
     /// Whether the objective leaves little time beside the work itself.
     pub tight: bool,
+    /// Whether it is a gang that is on time if it begins now, and hardly if it waits on.
+    pub last_chance: bool,
     /// Whether the job can still be done within its objective, as far as is known.
     pub on_time: bool,
     /// Value of the whole job against its work, larger first.
--- a/crates/bh-workload/tests/racks.rs
+++ b/crates/bh-workload/tests/racks.rs
@@ -50,3 +50,24 @@
     site.advance(400);
     assert!(site.plan().starts.is_empty(), "too late to be on time");
 }
+
+/// Room is kept for urgent work in the emptiest rack, the only one where a gang that needs a whole rack fits. It waits while it has time to spare,
+/// since urgent work may come; when it would be late otherwise it takes the kept room. Kept from it, it would wait until urgent work has not
+/// come for long, and its caller be served last of all.
+#[test]
+fn a_gang_takes_kept_room_when_that_is_its_last_chance() {
+    let mut site = Site::new(4, 4);
+    let whole_rack = StepSpec {
+        gang: true,
+        ..step(4, 8)
+    };
+    // On time within 3 times 5 s and 1 s.
+    site.submit(1, "other", vec![whole_rack]);
+    assert!(site.plan().starts.is_empty());
+    site.advance(5_500);
+    assert!(site.plan().starts.is_empty(), "it has time to spare");
+    site.advance(1_000);
+    assert_eq!(site.plan().starts.len(), 4);
+    site.advance(5_000);
+    assert!(site.plan().starts.is_empty(), "it is late whatever happens");
+}
