--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -13,8 +13,8 @@
 use super::Timing;
 use super::answers::note_report;
 use super::answers::note_start;
-use super::desk::Desk;
 use super::order::RETRY_MS;
+use super::worker_turn::WorkerTurn;
 use crate::job::RunId;
 use crate::state::Command;
 use crate::state::End;
@@ -207,7 +207,7 @@
             if !target.needs_orders() {
                 continue;
             }
-            let mut desk = Desk {
+            let mut turn = WorkerTurn {
                 now_ms,
                 timing: &self.timing,
                 token: self.token,
@@ -217,7 +217,7 @@
                 orders: &mut orders,
                 ends: &mut ends,
             };
-            desk.serve(target);
+            turn.serve(target);
         }
         (orders, ends)
     }
--- a/crates/bh-workload/src/dispatch/mod.rs
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -1,7 +1,6 @@
 //! The leader's orders to workers.
 
 mod answers;
-mod desk;
 mod dispatcher;
 mod fill_pace;
 mod order;
@@ -11,6 +10,7 @@
 mod run_watch;
 mod target;
 mod timing;
+mod worker_turn;
 
 pub use dispatcher::Dispatcher;
 pub use fill_pace::FillPace;
--- a/crates/bh-workload/src/dispatch/desk.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -26,7 +26,7 @@
 /// Time after a confirmed stop at which it is sent again when the run has still not ended, in milliseconds.
 const STOP_AGAIN_MS: u64 = 1_500;
 /// What one worker needs now.
-pub(super) struct Desk<'a> {
+pub(super) struct WorkerTurn<'a> {
     pub now_ms: u64,
     pub timing: &'a Timing,
     pub token: u64,
@@ -37,7 +37,7 @@
     pub ends: &'a mut Vec<End>,
 }
 
-impl Desk<'_> {
+impl WorkerTurn<'_> {
     /// Adds what the worker needs now to the orders and ends.
     pub fn serve(&mut self, target: &mut Target) {
         if target.is_failing() && self.now_ms >= target.lapse_ms {
--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -1,13 +1,13 @@
 //! Room kept for gangs that do not fit yet.
 
 use super::Unit;
-use super::desk::Desk;
+use super::pass::Pass;
 use super::place;
 use crate::job::Needs;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-impl Desk<'_> {
+impl Pass<'_> {
     /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them. Without that
     /// small tasks would take every place that becomes free, and a gang that needs several at once would never begin. A gang that
     /// wants one rack has them kept in the rack that is free soonest.
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -2,12 +2,12 @@
 
 mod availability;
 mod collect;
-mod desk;
 mod entitled;
 mod evict;
 mod explain;
 mod keep_room;
 mod overdue;
+mod pass;
 mod place;
 mod planner;
 mod reserve;
--- a/crates/bh-workload/src/plan/desk.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -39,7 +39,7 @@
 }
 
 /// One pass of planning.
-pub(super) struct Desk<'a> {
+pub(super) struct Pass<'a> {
     pub(super) now_ms: u64,
     wall_ms: u64,
     pub(super) workload: &'a Workload,
@@ -54,7 +54,7 @@
     pub plan: Plan,
 }
 
-impl<'a> Desk<'a> {
+impl<'a> Pass<'a> {
     /// A pass at a time of the leader's clock and of the wall clock, both in milliseconds.
     pub fn new(
         (now_ms, wall_ms): (u64, u64),
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -7,10 +7,10 @@
 use super::Speeds;
 use super::Unit;
 use super::collect;
-use super::desk::Claim;
-use super::desk::Desk;
 use super::entitled_jobs;
 use super::overdue::overdue;
+use super::pass::Claim;
+use super::pass::Pass;
 use super::place;
 use super::reserve::Reserve;
 use crate::dispatch::Dispatcher;
@@ -190,48 +190,48 @@
             unit.permitted = Some(permissions.permitted(unit.step, now_ms));
         }
         let waiting = collect::steps(&units);
-        let mut desk = Desk::new(
+        let mut pass = Pass::new(
             (now_ms, wall_ms),
             workload,
             dispatcher,
             (runtimes, speeds),
             &entitled,
         );
-        desk.drop_claims(claims, &waiting);
-        desk.hold_claims(claims, &units);
-        reserve.expect(dispatcher.elected_ms(), workload, &desk.rooms);
+        pass.drop_claims(claims, &waiting);
+        pass.hold_claims(claims, &units);
+        reserve.expect(dispatcher.elected_ms(), workload, &pass.rooms);
         reserve.note(now_ms, &units);
-        reserve.keep(now_ms, &mut desk.rooms);
+        reserve.keep(now_ms, &mut pass.rooms);
         let mut kept = 0;
         for unit in &units {
             if let Some(claim) = claims.get(&unit.step) {
-                if let Some(placement) = desk.placement_of(claim, unit) {
-                    desk.start_promised(unit, &placement);
+                if let Some(placement) = pass.placement_of(claim, unit) {
+                    pass.start_promised(unit, &placement);
                     claims.remove(&unit.step);
                 }
                 continue;
             }
-            desk.ask(unit);
-            let avoid = avoided(failed_on, unit, &desk.rooms);
+            pass.ask(unit);
+            let avoid = avoided(failed_on, unit, &pass.rooms);
             if !unit.spec.gang {
-                let placement = place::place_tasks(unit, &desk.rooms, &avoid, wall_ms);
+                let placement = place::place_tasks(unit, &pass.rooms, &avoid, wall_ms);
                 let placed = placement.iter().map(|(_, count)| count).sum();
-                desk.start(unit, &placement);
+                pass.start(unit, &placement);
                 if placed < unit.count() {
-                    desk.claim(claims, &unit.without_first(placed));
+                    pass.claim(claims, &unit.without_first(placed));
                 }
                 continue;
             }
-            if let Some(placement) = place::place_gang(unit, &desk.rooms, &avoid, wall_ms) {
-                desk.start(unit, &placement);
-            } else if desk.claim(claims, unit) {
+            if let Some(placement) = place::place_gang(unit, &pass.rooms, &avoid, wall_ms) {
+                pass.start(unit, &placement);
+            } else if pass.claim(claims, unit) {
                 continue;
             } else if kept < KEPT_GANGS {
                 kept += 1;
-                desk.keep_room(unit);
+                pass.keep_room(unit);
             }
         }
-        desk.plan
+        pass.plan
     }
 }
 
