Looks are as frequent as the number of busy workers allows

Cause: with looks that wait 0.7 s, 350 busy workers make 500 looks a second beside those that bring ends, and some 500 in all took 0.18 of a core (docs/CAPACITY.md); a core has 0.4 there. Looks now wait so long that they come to 250 a second at most, between 0.7 and 2 s: 0.7 s for 48 workers as measured, 1.4 s for 350. Test: many_workers_are_looked_at_less_often.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -15,6 +15,7 @@
 use super::answers::note_start;
 use super::order::RETRY_MS;
 use super::worker_turn::WorkerTurn;
+use super::worker_turn::look_wait_ms;
 use crate::job::RunId;
 use crate::state::Command;
 use crate::state::End;
@@ -39,6 +40,8 @@
     elected_ms: u64,
     targets: BTreeMap<Arc<str>, Target>,
     due: BTreeSet<Arc<str>>,
+    /// How long a look waits for an end, in milliseconds.
+    look_wait_ms: u64,
     /// What an outside adviser allows.
     pub permissions: Permissions,
     /// Workers whose VMs' upkeep is next.
@@ -59,6 +62,7 @@
             elected_ms: now_ms,
             targets: BTreeMap::new(),
             due: BTreeSet::new(),
+            look_wait_ms: look_wait_ms(workload.workers().count()),
             permissions: Permissions::default(),
             emptied: BTreeSet::new(),
             departed: BTreeSet::new(),
@@ -193,6 +197,11 @@
                 let job = workload.job(step.job);
                 job.is_none_or(|job| job.outcome.is_some())
             });
+            let busy = self
+                .targets
+                .values()
+                .filter(|target| !target.runs.is_empty());
+            self.look_wait_ms = look_wait_ms(busy.count());
             self.due.clear();
             self.targets.keys().cloned().collect()
         } else {
@@ -210,6 +219,7 @@
             let mut turn = WorkerTurn {
                 now_ms,
                 timing: &self.timing,
+                look_wait_ms: self.look_wait_ms,
                 token: self.token,
                 workload,
                 permissions: &self.permissions,
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -17,18 +17,31 @@
 use crate::state::Worker;
 use crate::state::Workload;
 
-/// Longest wait of a look in milliseconds. A worker that is cut off is found silent when its look is not answered, and until then urgent work is
-/// placed on it, or waits for room that never becomes free there: such work has a second or two to spare. Three looks in two seconds instead of
-/// one cost a worker next to nothing.
-const LOOK_WAIT_MS: u64 = 700;
+/// Shortest wait of a look in milliseconds, where few workers have runs. A worker that is cut off is found silent when its look is not answered,
+/// and until then urgent work is placed on it, or waits for room that never becomes free there: such work has a second or two to spare.
+const FEW_LOOK_WAIT_MS: u64 = 700;
+/// Longest wait of a look in milliseconds; workers take no longer one.
+const LOOK_WAIT_MS: u64 = 2_000;
+/// Looks a second that the leader may come to by waiting less than the longest, over all workers. Some five hundred a second, those that bring
+/// ends among them, took 0.18 of a core; this leaves room for those.
+const LOOKS_PER_S: u64 = 250;
 /// How long before its lease ends a worker is looked at, in looks: several may be lost.
 const LOOKS_IN_LEASE: u64 = 3;
 /// Time after a confirmed stop at which it is sent again when the run has still not ended, in milliseconds.
 const STOP_AGAIN_MS: u64 = 1_500;
+/// How long a look at a worker waits for an end when `busy` workers have runs, in milliseconds.
+pub(super) fn look_wait_ms(busy: usize) -> u64 {
+    const MS_PER_S: u64 = 1_000;
+    let busy = u64::try_from(busy).unwrap_or(u64::MAX);
+    (busy.saturating_mul(MS_PER_S) / LOOKS_PER_S).clamp(FEW_LOOK_WAIT_MS, LOOK_WAIT_MS)
+}
+
 /// What one worker needs now.
 pub(super) struct WorkerTurn<'a> {
     pub now_ms: u64,
     pub timing: &'a Timing,
+    /// How long a look waits for an end, in milliseconds.
+    pub look_wait_ms: u64,
     pub token: u64,
     pub workload: &'a Workload,
     pub permissions: &'a Permissions,
@@ -222,7 +235,7 @@
         } else if pacing::is_shared(self.workload, self.worker) {
             SHARED_LOOK_MS
         } else {
-            LOOK_WAIT_MS.min(self.timing.lease_ms / LOOKS_IN_LEASE)
+            self.look_wait_ms.min(self.timing.lease_ms / LOOKS_IN_LEASE)
         };
         let lease_until_ms = if target.runs.is_empty() {
             None
--- a/crates/bh-workload/tests/silent_workers.rs
+++ b/crates/bh-workload/tests/silent_workers.rs
@@ -35,3 +35,25 @@
     assert_eq!(plan.starts.len(), 1);
     assert_ne!(plan.starts[0].worker, silent);
 }
+
+/// Hundreds of workers have work. Looked at as often as a few, they would take most of the leader's share of a processor, and everything else would
+/// wait: the leader looks at each less often, and no more than some hundred times a second in all.
+#[test]
+fn many_workers_are_looked_at_less_often() {
+    const WORKERS: usize = 350;
+    const MOST_PER_S: u64 = 270;
+    let mut site = Site::new(WORKERS, 10);
+    site.advance(60_000);
+    let count = u32::try_from(WORKERS).unwrap_or(u32::MAX);
+    site.submit(2, "other", vec![step(count, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    let (orders, _) = site.dispatcher.orders(site.now_ms, &site.workload, true);
+    let waits = orders.iter().filter_map(|order| match order.body {
+        OrderBody::Look { wait_ms, .. } => Some(wait_ms),
+        _ => None,
+    });
+    let per_s: Vec<u64> = waits.map(|wait_ms| 1_000_000 / wait_ms).collect();
+    assert_eq!(per_s.len(), WORKERS);
+    assert!(per_s.iter().sum::<u64>() / 1_000 <= MOST_PER_S);
+}
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -86,7 +86,9 @@
         id: Arc::from(format!("w{index:02}")),
         vm: Some(Arc::from(format!("vm{index:02}"))),
         pool: Arc::from(POOL),
-        address: format!("10.0.0.{}:80", index + 1).parse().unwrap(),
+        address: format!("10.0.{}.{}:80", index / 250, index % 250 + 1)
+            .parse()
+            .unwrap(),
         data_centre: Arc::from("dc"),
         labels: vec![Arc::from("a"), rack.clone()],
         rack,
