Room kept for urgent work follows how often it comes

Cause: room for five jobs was kept whatever came.

Room is kept for what comes in two seconds at the mean rate of late, three jobs at least, three tenths of the pool at most. Test: room_kept_for_urgent_jobs_follows_how_often_they_come, fails before (152 of 168).

--- a/crates/bh-workload/src/plan/reserve.rs
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -10,9 +10,13 @@
 
 /// Weight of the newest arrival in the mean.
 const NEWEST: f64 = 0.1;
-/// Mean jobs that the kept room holds. Such jobs have a second or two to begin, and stopping others for them takes up to a second of
-/// that and throws their work away; two of them at once are common in a burst, more are rare.
-const JOBS_KEPT: f64 = 5.0;
+/// Time whose arrivals the kept room holds, in milliseconds. Such jobs have a second or two to begin, and that is about what it takes until room
+/// comes free by itself; stopping others for them takes up to a second of it and throws their work away.
+const COVERED_MS: f64 = 2_000.0;
+/// Jobs that the kept room holds at least: two or three at once come by chance, however rarely they come.
+const FEWEST_KEPT: f64 = 3.0;
+/// Jobs that it is expected to hold before the first arrivals have shown how often they come.
+const EXPECTED_KEPT: f64 = 5.0;
 /// Time without an arrival after which no room is kept, in milliseconds.
 const QUIET_MS: u64 = 15_000;
 /// Largest share of a pool that is kept free, in percent.
@@ -29,10 +33,20 @@
 struct Arrivals {
     /// Mean accelerators of a job.
     accelerators: f64,
+    /// Mean time between two of them, in milliseconds.
+    gap_ms: f64,
     /// When the last one came, on the leader's clock in milliseconds.
     last_ms: u64,
 }
 
+impl Arrivals {
+    /// Mean jobs that the kept room shall hold: it follows how often they come, since a fixed number is too much when they are rare and far too
+    /// little in a burst or in a large pool.
+    fn jobs_kept(&self) -> f64 {
+        (COVERED_MS / self.gap_ms.max(1.0)).max(FEWEST_KEPT)
+    }
+}
+
 /// What has come lately.
 #[derive(Clone, Debug, Default)]
 pub struct Reserve {
@@ -61,7 +75,8 @@
             let expected = (total * EXPECTED_PERCENT / 100) as f64;
             if total > 0 {
                 let arrivals = Arrivals {
-                    accelerators: expected / JOBS_KEPT,
+                    accelerators: expected / EXPECTED_KEPT,
+                    gap_ms: COVERED_MS / EXPECTED_KEPT,
                     last_ms: elected_ms,
                 };
                 self.pools.insert(queue.pool.clone(), arrivals);
@@ -82,6 +97,9 @@
             let accelerators = (unit.needs.accelerators * unit.count()) as f64;
             let arrivals = self.pools.entry(unit.pool.clone()).or_default();
             arrivals.accelerators += (accelerators - arrivals.accelerators) * NEWEST;
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+            let gap_ms = now_ms.saturating_sub(arrivals.last_ms).min(QUIET_MS) as f64;
+            arrivals.gap_ms += (gap_ms - arrivals.gap_ms) * NEWEST;
             arrivals.last_ms = now_ms;
         }
     }
@@ -103,7 +121,7 @@
                 clippy::cast_sign_loss,
                 reason = "a small positive number"
             )]
-            let wanted = (arrivals.accelerators * JOBS_KEPT) as u64;
+            let wanted = (arrivals.accelerators * arrivals.jobs_kept()) as u64;
             let mut left = wanted.min(total * MOST_PERCENT / 100);
             let mut racks: BTreeMap<Arc<str>, u64> = BTreeMap::new();
             for room in rooms.iter().filter(own) {
--- a/crates/bh-workload/tests/guarantees.rs
+++ b/crates/bh-workload/tests/guarantees.rs
@@ -177,3 +177,30 @@
     assert_eq!(begun, BTreeSet::from([entitled]));
     assert_eq!(site.open_runs().len(), 4);
 }
+
+/// Accelerators that small work gets in a pool of 192 when urgent jobs of eight came each `gap_ms` milliseconds until now.
+fn lent_when_urgent_jobs_come_each(gap_ms: u64) -> usize {
+    let mut site = Site::new(24, 8);
+    for _ in 0..60 {
+        site.advance(gap_ms);
+        site.submit(0, "guaranteed", vec![step(1, 8)]);
+        site.plan_and_start();
+        let (_, run) = site.open_runs()[0].clone();
+        site.end(run, EndKind::Done);
+    }
+    site.submit(2, "other", vec![step(192, 1)]);
+    site.plan().starts.len()
+}
+
+/// Urgent jobs come rarely or in a burst. Room for some is kept free, since stopping others takes long and throws their work away. In a burst that
+/// must be room for all that come in two seconds, but no more than three tenths of the pool; when they are rare, others lose little by it.
+#[test]
+fn room_kept_for_urgent_jobs_follows_how_often_they_come() {
+    let (rare, burst) = (
+        lent_when_urgent_jobs_come_each(2_000),
+        lent_when_urgent_jobs_come_each(200),
+    );
+    // Three jobs of eight, as the fewest; three tenths of 192 or a little more, since only whole workers are kept.
+    assert_eq!(rare, 192 - 24);
+    assert!((192 - 64..=192 - 48).contains(&burst), "{burst}");
+}
