--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -201,7 +201,8 @@
         pass.hold_claims(claims, &units);
         reserve.expect(dispatcher.elected_ms(), workload, &pass.rooms);
         reserve.note(now_ms, &units);
-        reserve.keep(now_ms, &mut pass.rooms);
+        let stop_ms = dispatcher.timing().stop_timeout_ms;
+        reserve.keep((now_ms, stop_ms), &mut pass.rooms);
         let mut kept = 0;
         for unit in &units {
             if let Some(claim) = claims.get(&unit.step) {
--- a/crates/bh-workload/src/plan/reserve.rs
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -10,13 +10,17 @@
 
 /// Weight of the newest arrival in the mean.
 const NEWEST: f64 = 0.1;
-/// Time whose arrivals the kept room holds, in milliseconds. Such jobs have a second or two to begin, and that is about what it takes until room
-/// comes free by itself; stopping others for them takes up to a second of it and throws their work away.
-const COVERED_MS: f64 = 2_000.0;
+/// Time whose arrivals the kept room holds beside that of stops, in milliseconds: what it takes until room comes free by itself, about half of a
+/// short run.
+const COVERED_MS: u64 = 1_200;
+/// Longest stops that are added to that. Urgent jobs have a second or two to begin; where stopping others for them takes most of that, room must be
+/// free before they come.
+const COVERED_STOPS: u64 = 2;
 /// Jobs that the kept room holds at least: two or three at once come by chance, however rarely they come.
 const FEWEST_KEPT: f64 = 3.0;
-/// Jobs that it is expected to hold before the first arrivals have shown how often they come.
-const EXPECTED_KEPT: f64 = 5.0;
+/// Jobs whose room is expected to make up [`EXPECTED_PERCENT`], and the time between them in milliseconds, before the first ones have come.
+const EXPECTED_JOBS: f64 = 5.0;
+const EXPECTED_GAP_MS: f64 = 400.0;
 /// Time without an arrival after which no room is kept, in milliseconds.
 const QUIET_MS: u64 = 15_000;
 /// Largest share of a pool that is kept free, in percent.
@@ -40,10 +44,12 @@
 }
 
 impl Arrivals {
-    /// Mean jobs that the kept room shall hold: it follows how often they come, since a fixed number is too much when they are rare and far too
+    /// Mean jobs that the kept room shall hold where a stop takes `stop_ms` at most: it follows how often they come, since a fixed number is too much when they are rare and far too
     /// little in a burst or in a large pool.
-    fn jobs_kept(&self) -> f64 {
-        (COVERED_MS / self.gap_ms.max(1.0)).max(FEWEST_KEPT)
+    fn jobs_kept(&self, stop_ms: u64) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+        let covered_ms = (COVERED_MS + COVERED_STOPS * stop_ms) as f64;
+        (covered_ms / self.gap_ms.max(1.0)).max(FEWEST_KEPT)
     }
 }
 
@@ -75,8 +81,8 @@
             let expected = (total * EXPECTED_PERCENT / 100) as f64;
             if total > 0 {
                 let arrivals = Arrivals {
-                    accelerators: expected / EXPECTED_KEPT,
-                    gap_ms: COVERED_MS / EXPECTED_KEPT,
+                    accelerators: expected / EXPECTED_JOBS,
+                    gap_ms: EXPECTED_GAP_MS,
                     last_ms: elected_ms,
                 };
                 self.pools.insert(queue.pool.clone(), arrivals);
@@ -104,8 +110,9 @@
         }
     }
 
-    /// Marks the rooms that only work of priority 0 may use: those with most free, in the rack that has most free.
-    pub fn keep(&self, now_ms: u64, rooms: &mut [Room]) {
+    /// Marks the rooms that only work of priority 0 may use: those with most free, in the rack that has most free. A stop takes `stop_ms` at
+    /// most.
+    pub fn keep(&self, (now_ms, stop_ms): (u64, u64), rooms: &mut [Room]) {
         for (pool, arrivals) in &self.pools {
             if now_ms >= arrivals.last_ms + QUIET_MS {
                 continue;
@@ -121,7 +128,7 @@
                 clippy::cast_sign_loss,
                 reason = "a small positive number"
             )]
-            let wanted = (arrivals.accelerators * arrivals.jobs_kept()) as u64;
+            let wanted = (arrivals.accelerators * arrivals.jobs_kept(stop_ms)) as u64;
             let mut left = wanted.min(total * MOST_PERCENT / 100);
             let mut racks: BTreeMap<Arc<str>, u64> = BTreeMap::new();
             for room in rooms.iter().filter(own) {
--- a/crates/bh-workload/tests/guarantees.rs
+++ b/crates/bh-workload/tests/guarantees.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use bh_workload::dispatch::Dispatcher;
+use bh_workload::dispatch::Timing;
 use bh_workload::job::JobId;
 use bh_workload::job::StepSpec;
 use bh_workload::plan::Plan;
@@ -178,9 +180,15 @@
     assert_eq!(site.open_runs().len(), 4);
 }
 
-/// Accelerators that small work gets in a pool of 192 when urgent jobs of eight came each `gap_ms` milliseconds until now.
-fn lent_when_urgent_jobs_come_each(gap_ms: u64) -> usize {
+/// Accelerators that small work gets in a pool of 192 when urgent jobs of eight came each `gap_ms` milliseconds until now, and a stop takes
+/// `stop_timeout_ms` at most.
+fn lent_beside_urgent_jobs(gap_ms: u64, stop_timeout_ms: u64) -> usize {
     let mut site = Site::new(24, 8);
+    let timing = Timing {
+        stop_timeout_ms,
+        ..Timing::DEFAULT
+    };
+    site.dispatcher = Dispatcher::new(timing, 1, site.now_ms, &site.workload);
     for _ in 0..60 {
         site.advance(gap_ms);
         site.submit(0, "guaranteed", vec![step(1, 8)]);
@@ -193,14 +201,18 @@
 }
 
 /// Urgent jobs come rarely or in a burst. Room for some is kept free, since stopping others takes long and throws their work away. In a burst that
-/// must be room for all that come in two seconds, but no more than three tenths of the pool; when they are rare, others lose little by it.
+/// must be room for all that come in a second or two, but no more than three tenths of the pool; when they are rare, others lose little by it.
 #[test]
 fn room_kept_for_urgent_jobs_follows_how_often_they_come() {
-    let (rare, burst) = (
-        lent_when_urgent_jobs_come_each(2_000),
-        lent_when_urgent_jobs_come_each(200),
-    );
     // Three jobs of eight, as the fewest; three tenths of 192 or a little more, since only whole workers are kept.
-    assert_eq!(rare, 192 - 24);
-    assert!((192 - 64..=192 - 48).contains(&burst), "{burst}");
+    assert_eq!(lent_beside_urgent_jobs(2_000, 400), 192 - 24);
+    assert!((192 - 64..=192 - 48).contains(&lent_beside_urgent_jobs(200, 400)));
+}
+
+/// The same rate of urgent jobs, where stops are quick and where they take most of the time that such a job has: there it cannot wait for one, so
+/// more room must be free when it comes.
+#[test]
+fn more_room_is_kept_where_stops_take_long() {
+    assert_eq!(lent_beside_urgent_jobs(400, 200), 192 - 32);
+    assert!(lent_beside_urgent_jobs(400, 900) <= 192 - 56);
 }
