--- a/crates/bh-workload/src/plan/reserve.rs
+++ b/crates/bh-workload/src/plan/reserve.rs
@@ -10,7 +10,7 @@
 
 /// Weight of the newest arrival in the mean.
 const NEWEST: f64 = 0.1;
-/// Time whose arrivals the kept room holds beside that of stops, in milliseconds: what it takes until room comes free by itself, about half of a
+/// Time whose arrivals the kept room holds beside that of stops, in milliseconds: about what it takes until room comes free by itself, half of a
 /// short run.
 const COVERED_MS: u64 = 1_200;
 /// Longest stops that are added to that. Urgent jobs have a second or two to begin; where stopping others for them takes most of that, room must be
@@ -18,8 +18,9 @@
 const COVERED_STOPS: u64 = 2;
 /// Jobs that the kept room holds at least: two or three at once come by chance, however rarely they come.
 const FEWEST_KEPT: f64 = 3.0;
-/// Jobs whose room is expected to make up [`EXPECTED_PERCENT`], and the time between them in milliseconds, before the first ones have come.
+/// Jobs whose room is taken to make up [`EXPECTED_PERCENT`] before the first ones have come.
 const EXPECTED_JOBS: f64 = 5.0;
+/// Time between them until then, in milliseconds; about what is seen on the users' sites.
 const EXPECTED_GAP_MS: f64 = 400.0;
 /// Time without an arrival after which no room is kept, in milliseconds.
 const QUIET_MS: u64 = 15_000;
@@ -44,8 +45,8 @@
 }
 
 impl Arrivals {
-    /// Mean jobs that the kept room shall hold where a stop takes `stop_ms` at most: it follows how often they come, since a fixed number is too much when they are rare and far too
-    /// little in a burst or in a large pool.
+    /// Mean jobs that the kept room shall hold where a stop takes `stop_ms` at most. It follows how often they come: a fixed number is too much
+    /// when they are rare, and far too little in a burst or in a large pool.
     fn jobs_kept(&self, stop_ms: u64) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
         let covered_ms = (COVERED_MS + COVERED_STOPS * stop_ms) as f64;
