--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -2,10 +2,12 @@
 
 use super::advice;
 use super::core_node::CoreNode;
+use super::leadership::Leadership;
 use super::records::propose;
 use bh_workload::plan::Plan;
 use bh_workload::state::Command;
 use bh_workload::state::Reply;
+use bh_workload::state::Start;
 use std::rc::Rc;
 
 /// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
@@ -54,14 +56,12 @@
     }
     leadership.planning = true;
     let term = leadership.term;
+    core.metrics
+        .count("runs_planned", starts.len().try_into().unwrap_or(0));
+    log_starts(core, leadership, now_ms, &starts);
     drop(held);
     let core = core.clone();
     monoio::spawn(async move {
-        core.metrics
-            .count("runs_planned", starts.len().try_into().unwrap_or(0));
-        for start in &starts {
-            log::info!(run = start.run.to_string(), worker = &*start.worker; "run planned");
-        }
         match propose(&core, Command::Starts(starts)).await {
             Ok(Reply::Started(refused)) if !refused.is_empty() => {
                 log::info!(steps = refused.len(); "starts overtaken by other changes");
@@ -78,3 +78,24 @@
         core.wake();
     });
 }
+
+/// One line for each start, with what decided it and how old that was: how long the job has waited, the rules, and when the worker was last heard.
+fn log_starts(core: &Rc<CoreNode>, leadership: &Leadership, now_ms: u64, starts: &[Start]) {
+    let workload = core.group.machine.read();
+    let wall_ms = core.wall_ms();
+    let rules_version = workload.rules.as_ref().map_or(0, |rules| rules.version);
+    for start in starts {
+        let job = workload.job(start.run.task.step.job);
+        let priority = job.map_or(0, |job| workload.queue_of(job).priority);
+        let waited_ms = job.map_or(0, |job| wall_ms.saturating_sub(job.accepted_ms));
+        let clock = leadership
+            .dispatcher
+            .view(&start.worker)
+            .and_then(|target| target.clock);
+        let heard_ms_ago = clock.map_or(0, |clock| now_ms.saturating_sub(clock.at_ms));
+        log::info!(
+            run = start.run.to_string(), worker = &*start.worker, priority, waited_ms, rules_version, heard_ms_ago;
+            "run planned"
+        );
+    }
+}
