Reads are in the fuzz of consensus, with leaders that are suspended

The fuzz had no reads, so nothing but the argument said that a leader which wakes among old messages cannot answer as of its old state. A planted leader that answers at once is caught.

--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -28,6 +28,8 @@
     pub forgets_entries: bool,
     /// A VM whose disk was emptied comes back under its old identity.
     pub keeps_identity: bool,
+    /// A replica that takes itself for the leader answers reads at once.
+    pub reads_at_once: bool,
 }
 
 /// What a data folder holds.
@@ -58,6 +60,12 @@
     next_command: u64,
     network: Vec<(usize, usize, RaftMessage)>,
     cut: BTreeSet<usize>,
+    /// VMs that are suspended: they do nothing, and what is sent to them waits.
+    frozen: BTreeSet<usize>,
+    /// Reads in progress: by ticket the highest index that anybody had applied when the read was asked for.
+    reads: BTreeMap<u64, u64>,
+    /// Reads that were answered.
+    pub reads_answered: usize,
     planted: Planted,
     /// Number of voters to keep; all VMs vote without one.
     voters: Option<usize>,
@@ -102,6 +110,9 @@
             next_command: 1,
             network: Vec::new(),
             cut: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            reads: BTreeMap::new(),
+            reads_answered: 0,
             planted,
             voters,
             chosen: BTreeMap::new(),
@@ -224,6 +235,54 @@
         }
     }
 
+    /// Suspends a VM, or lets it go on.
+    pub fn set_frozen(&mut self, index: usize, frozen: bool) {
+        if frozen {
+            self.frozen.insert(index);
+        } else {
+            self.frozen.remove(&index);
+        }
+    }
+
+    /// VMs that take themselves for the leader, suspended and cut off ones among them.
+    pub fn would_be_leaders(&self) -> Vec<usize> {
+        let leads = |vm: &Vm| vm.replica.as_ref().is_some_and(Replica::is_leader);
+        (0..self.vms.len())
+            .filter(|index| leads(&self.vms[*index]))
+            .collect()
+    }
+
+    /// Asks a VM for a read. Its answer must hold all that anybody had applied by now. A frozen VM takes it up later: that is for whoever
+    /// calls this to do then.
+    pub fn read(&mut self, index: usize) {
+        let ticket = self.next_command;
+        self.next_command += 1;
+        let applied = self.chosen.keys().next_back().copied().unwrap_or(0);
+        self.reads.insert(ticket, applied);
+        if self.planted.reads_at_once {
+            let replica = self.vms[index].replica.as_ref();
+            if let Some(replica) = replica.filter(|replica| replica.is_leader()) {
+                let commit = replica.commit();
+                self.note_read(ticket, commit);
+            }
+            return;
+        }
+        self.step(index, Event::Read { ticket });
+        self.step(index, Event::Flush);
+    }
+
+    fn note_read(&mut self, ticket: u64, index: u64) {
+        let Some(applied) = self.reads.remove(&ticket) else {
+            return;
+        };
+        self.reads_answered += 1;
+        if index < applied {
+            self.problems.push(format!(
+                "a read is answered as of {index}, though {applied} was applied before it was asked for"
+            ));
+        }
+    }
+
     pub fn is_running(&self, index: usize) -> bool {
         self.vms[index].replica.is_some()
     }
@@ -299,6 +358,10 @@
         if self.cut.contains(&from) || self.cut.contains(&to) {
             return;
         }
+        if self.frozen.contains(&to) {
+            self.network.push((from, to, message));
+            return;
+        }
         self.step(to, Event::Receive(message));
         self.step(to, Event::Flush);
     }
@@ -341,6 +404,9 @@
     }
 
     fn step(&mut self, index: usize, event: Event) {
+        if self.frozen.contains(&index) {
+            return;
+        }
         let now_ms = self.now_ms;
         let Some(replica) = self.vms[index].replica.as_mut() else {
             return;
@@ -434,6 +500,7 @@
             } => {
                 self.waiting.insert((index, at), (term, ticket));
             }
+            Output::ReadAt { ticket, index } => self.note_read(ticket, index),
             _ => {}
         }
     }
