--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -142,7 +142,7 @@
 async fn hear(core: &Rc<CoreNode>, heartbeat: WorkerHeartbeat) -> Answer {
     let now_ms = core.clock.now_ms();
     let id = heartbeat.info.id.clone();
-    if !is_named(core, &heartbeat) {
+    if !core.group.machine.read().may_be_worker(&heartbeat.info) {
         core.metrics.count("heartbeats_unknown_pool", 1);
         log::info!(worker = &*id, pool = &*heartbeat.info.pool; "heartbeat names no pool of the rules");
         return Answer::Heard {
@@ -181,16 +181,6 @@
     }
 }
 
-/// Whether the rules know the heartbeat's pool. Another writer may name any: such a heartbeat must neither add a worker nor change one that is
-/// in use. A pool that is added later is heard of within the time between two heartbeats.
-fn is_named(core: &Rc<CoreNode>, heartbeat: &WorkerHeartbeat) -> bool {
-    let workload = core.group.machine.read();
-    workload.rules.as_ref().is_none_or(|rules| {
-        let mut pools = rules.pools.iter();
-        pools.any(|pool| pool.name == heartbeat.info.pool)
-    })
-}
-
 fn changes(core: &Rc<CoreNode>, heartbeat: &WorkerHeartbeat) -> Vec<WorkerChange> {
     let id: &Arc<str> = &heartbeat.info.id;
     let workload = core.group.machine.read();
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -7,6 +7,7 @@
 use super::Refusal;
 use super::Wave;
 use super::Worker;
+use super::WorkerInfo;
 use crate::job::JobId;
 use crate::job::RunId;
 use crate::job::StepId;
@@ -158,6 +159,18 @@
             .min()
     }
 
+    /// Whether `info` may name a worker: the rules know its pool, or the worker is known already as one of that pool. Another writer may name any
+    /// pool; that must neither add a worker nor change one that is in use. Before the first rules every pool may come to be known.
+    pub fn may_be_worker(&self, info: &WorkerInfo) -> bool {
+        if let Some(worker) = self.worker(&info.id) {
+            return worker.info.pool == info.pool;
+        }
+        self.rules.as_ref().is_none_or(|rules| {
+            let mut pools = rules.pools.iter();
+            pools.any(|pool| pool.name == info.pool)
+        })
+    }
+
     /// A worker.
     pub fn worker(&self, id: &str) -> Option<&Worker> {
         self.workers.get(id)
--- a/crates/bh-workload/tests/rules.rs
+++ b/crates/bh-workload/tests/rules.rs
@@ -10,6 +10,7 @@
 use support::place;
 use support::rules;
 use support::step;
+use support::worker_info;
 
 fn set(site: &mut Site, rules: Rules) -> Reply {
     site.workload.apply(Command::SetRules(Box::new(rules)))
@@ -65,3 +66,23 @@
         assert_eq!(site.workload.rules.as_ref().unwrap().version, 1);
     }
 }
+
+/// Another writer sends heartbeats that name pools which no rules know, under new names and under those of workers in use. Taken for workers they
+/// would fill the record, and a worker in use would be lost to its pool. But a worker whose pool is taken out of the rules is still one: jobs that
+/// were accepted are owed.
+#[test]
+fn a_heartbeat_for_an_unknown_pool_names_no_worker() {
+    let mut site = Site::new(1, 1);
+    let (known, new) = (worker_info(0, 1), worker_info(1, 1));
+    assert!(site.workload.may_be_worker(&known) && site.workload.may_be_worker(&new));
+    for mut info in [known.clone(), new.clone()] {
+        info.pool = "elsewhere".into();
+        assert!(!site.workload.may_be_worker(&info));
+    }
+    let mut without = rules(2);
+    without.pools.clear();
+    without.queues.clear();
+    assert_eq!(set(&mut site, without), Reply::Done);
+    assert!(site.workload.may_be_worker(&known));
+    assert!(!site.workload.may_be_worker(&new));
+}
