--- a/crates/bh-consensus/tests/fuzz.rs
+++ b/crates/bh-consensus/tests/fuzz.rs
@@ -4,13 +4,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::RngSeed;
 use proptest::test_runner::TestCaseError;
 use proptest::test_runner::TestRunner;
 use support::ELECTION_MS;
 use support::Group;
 use support::Planted;
+use support::runner::runner;
 
 /// Cases in CI; `scripts/toolkit.sh fuzz` asks for more.
 const CASES: u32 = 1_000;
@@ -18,6 +17,8 @@
 /// Voters of the small group.
 const VOTERS: usize = 3;
 const CALM_ROUNDS: usize = 200;
+/// Seed of the runs in CI.
+const SEED: u64 = 20_261_202;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -112,27 +113,9 @@
     group
 }
 
-fn runner(cases: u32) -> TestRunner {
-    let from_environment = std::env::var("PROPTEST_CASES")
-        .ok()
-        .and_then(|text| text.parse().ok());
-    let seed = std::env::var("PROPTEST_RNG_SEED")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(20_261_202);
-    TestRunner::new(Config {
-        cases: from_environment.unwrap_or(cases),
-        rng_seed: RngSeed::Fixed(seed),
-        rng_algorithm: RngAlgorithm::ChaCha,
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    })
-}
-
 fn holds(vms: usize, new_group: impl Fn() -> Group) {
     let strategy = proptest::collection::vec(step(vms), 1..STEPS);
-    let result = runner(CASES).run(&strategy, |steps| {
+    let result = runner(CASES, SEED).run(&strategy, |steps| {
         let group = run(new_group(), vms, &steps);
         if group.problems.is_empty() {
             Ok(())
@@ -156,7 +139,7 @@
 fn is_caught_by(strategy: impl Strategy<Value = Vec<Step>>, planted: Planted) -> bool {
     let runs = TestRunner::new(Config {
         max_shrink_iters: 0,
-        ..runner(2_000).config().clone()
+        ..runner(2_000, SEED).config().clone()
     });
     let mut runs = runs;
     let result = runs.run(&strategy, |steps| {
--- a/crates/bh-consensus/tests/fuzz_reads.rs
+++ b/crates/bh-consensus/tests/fuzz_reads.rs
@@ -3,20 +3,19 @@
 mod support;
 
 use proptest::prelude::*;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::RngSeed;
 use proptest::test_runner::TestCaseError;
-use proptest::test_runner::TestRunner;
 use support::ELECTION_MS;
 use support::Group;
 use support::Planted;
+use support::runner::runner;
 
 /// Cases in CI; `scripts/toolkit.sh fuzz` asks for more.
 const CASES: u32 = 1_000;
 const STEPS: usize = 400;
 const VOTERS: usize = 3;
 const CALM_ROUNDS: usize = 40;
+/// Seed of the runs in CI.
+const SEED: u64 = 20_261_203;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -76,17 +75,7 @@
 }
 
 fn fuzz(cases: u32, planted: Planted) -> (Result<(), String>, usize) {
-    let from_environment = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
-    let asked = from_environment("PROPTEST_CASES").and_then(|asked| u32::try_from(asked).ok());
-    let cases = asked.unwrap_or(cases);
-    let mut runner = TestRunner::new(Config {
-        cases,
-        rng_seed: RngSeed::Fixed(from_environment("PROPTEST_RNG_SEED").unwrap_or(20_261_203)),
-        rng_algorithm: RngAlgorithm::ChaCha,
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    });
+    let mut runner = runner(cases, SEED);
     let answered = std::cell::Cell::new(0);
     let strategy = proptest::collection::vec(step(), 1..STEPS);
     let result = runner.run(&strategy, |steps| {
--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -2,6 +2,8 @@
 //! synced.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod runner;
+
 use bh_consensus::Config;
 use bh_consensus::Event;
 use bh_consensus::Output;
--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -33,8 +33,9 @@
     let until_ms = mesh.now_ms() + limit_ms;
     let mut may_be_recorded = false;
     loop {
-        let asked = mesh.fresh_term();
-        if let Some(leader) = mesh.fresh_leader() {
+        let leader = mesh.fresh_leader();
+        let asked = leader.as_ref().map(|leader| leader.status.borrow().term);
+        if let Some(leader) = leader {
             let left_ms = until_ms.saturating_sub(mesh.now_ms()).max(1);
             let reply = ask(mesh, &leader, body.clone(), left_ms.min(ONE_SEND_MS)).await;
             match reply.map(|reply| serde_json::from_slice::<Answer>(&reply.body)) {
