--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -157,13 +157,14 @@
         let newest = leadership.sequences.entry(id.clone()).or_default();
         let held_up = heartbeat.sequence < *newest;
         *newest = (*newest).max(heartbeat.sequence);
+        let answered = leadership.dispatcher.answers(&id);
         let alive = leadership
             .dispatcher
             .note_heartbeat(now_ms, &id, heartbeat.clock_ms);
+        leadership.plan_due |= !answered && leadership.dispatcher.answers(&id);
         if held_up || !alive {
             Vec::new()
         } else {
-            leadership.plan_due = true;
             changes(core, &heartbeat)
         }
     };
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -75,7 +75,7 @@
     check_overdue(core, now_ms);
     upkeep::keep(core, now_ms);
     give_orders(core, now_ms);
-    plan(core, now_ms);
+    plan(core);
 }
 
 fn step_down(core: &Rc<CoreNode>, why: &str) {
@@ -110,6 +110,7 @@
         planning: false,
         plan_due: true,
         planned_ms: 0,
+        plan_from_ms: 0,
         swept_ms: 0,
         checked_ms: 0,
         sequences: BTreeMap::new(),
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -22,6 +22,8 @@
     pub plan_due: bool,
     /// When the last plan was made, on the process's clock in milliseconds.
     pub planned_ms: u64,
+    /// Earliest time of the next plan, on the process's clock in milliseconds.
+    pub plan_from_ms: u64,
     /// When all workers were last looked through, on the process's clock in milliseconds.
     pub swept_ms: u64,
     /// When runs were last checked for being overdue, on the process's clock in milliseconds.
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -70,10 +70,12 @@
         core.metrics.count("orders_denied", 1);
         log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(); "order denied");
     }
+    let answered = leadership.dispatcher.answers(&order.to.worker);
     let workload = core.group.machine.read();
     let command = leadership
         .dispatcher
         .note_answer(now_ms, order, answer, &workload);
+    leadership.plan_due |= !answered && leadership.dispatcher.answers(&order.to.worker);
     if let Some(Command::Ends { ends, .. }) = &command {
         leadership
             .planner
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -12,15 +12,21 @@
 
 /// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
 const PLAN_MS: u64 = 200;
+/// Shortest time between plans, in milliseconds. What comes within it is planned together: a record of starts takes about as long to be synced.
+const GAP_MS: u64 = 10;
+/// Time between plans as a multiple of what the last one took: planning takes at most a fifth of the leader's processor. Without this bound it
+/// takes all of it when a burst meets a large fleet, and the leader's leases and answers come late.
+const GAP_PASSES: u64 = 4;
 
 /// Plans when there is reason to, records what shall start and stops what gives way.
-pub(super) fn plan(core: &Rc<CoreNode>, now_ms: u64) {
+pub(super) fn plan(core: &Rc<CoreNode>) {
+    let now_ms = core.clock.now_ms();
     let mut held = core.leadership.borrow_mut();
     let Some(leadership) = held.as_mut() else {
         return;
     };
     let due = leadership.plan_due || now_ms >= leadership.planned_ms + PLAN_MS;
-    if leadership.planning || !due {
+    if leadership.planning || !due || now_ms < leadership.plan_from_ms {
         return;
     }
     leadership.plan_due = false;
@@ -35,6 +41,10 @@
         unclaimed,
     } = planner.plan(now_ms, core.wall_ms(), &workload, &leadership.dispatcher);
     drop(workload);
+    let over_ms = core.clock.now_ms();
+    let took_ms = over_ms.saturating_sub(now_ms);
+    leadership.plan_from_ms = over_ms + (took_ms * GAP_PASSES).max(GAP_MS);
+    core.metrics.time_ms("plan", took_ms);
     advice::ask(core, leadership, now_ms, questions);
     for (step, why) in unclaimed {
         log::info!(step = step.to_string(), why:? = why; "room is no longer made");
--- /dev/null
+++ b/crates/bh-workload/benches/cost/main.rs
@@ -0,0 +1,193 @@
+//! What one turn of the leader costs, by part, and how it grows with the fleet and the queue.
+//!
+//! `cargo bench -p bh-workload --bench cost [-- WORKERS...]`.
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::unwrap_used,
+    reason = "a measurement whose numbers are small, and that ends when something is wrong"
+)]
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Report;
+use bh_workload::dispatch::Running;
+use bh_workload::job::Needs;
+use bh_workload::job::StepSpec;
+use bh_workload::state::Workload;
+use std::time::Instant;
+use support::Site;
+
+/// Fleet sizes: a large deployment of today, several times that, and the size to design for.
+const FLEETS: [usize; 3] = [540, 3_000, 16_000];
+const RACK: usize = 12;
+/// Jobs that wait beside a full fleet.
+const QUEUES: [usize; 3] = [0, 100, 2_000];
+/// Passes measured of each kind.
+const PASSES: usize = 9;
+/// Of ten jobs, those of each kind come in this order: the kind is also the rank of its queue.
+const MIX: [usize; 10] = [0, 1, 0, 2, 0, 1, 0, 0, 2, 0];
+
+/// A step of a kind: short gangs, long gangs, small batch tasks.
+fn step(kind: usize, number: usize) -> StepSpec {
+    let (count, cpu_millis, accelerators, declared_ms) = [
+        (5, 15_000, 2, 2_500),
+        (13, 52_000, 3, 6_800),
+        (38, 11_000, 1, 7_600),
+    ][kind];
+    StepSpec {
+        count,
+        needs: Needs {
+            cpu_millis,
+            memory_mb: 1_000,
+            accelerators: accelerators + u64::from(number.is_multiple_of(5) && kind < 2),
+        },
+        declared_ms,
+        gang: kind < 2,
+        rack_local: kind == 1 && number.is_multiple_of(2),
+        ..StepSpec::default()
+    }
+}
+
+fn submit(site: &mut Site, number: usize) {
+    let kind = MIX[number % MIX.len()];
+    let rank = u32::try_from(kind).unwrap();
+    site.submit(rank, "other", vec![step(kind, number)]);
+}
+
+/// A site whose fleet is full, with `queue` jobs that wait.
+fn build(workers: usize, queue: usize) -> Site {
+    let mut site = Site::new(workers, RACK);
+    let mut number = 0;
+    loop {
+        let before = site.open_runs().len();
+        for _ in 0..workers / 10 {
+            submit(&mut site, number);
+            number += 1;
+        }
+        site.plan_and_start();
+        site.send_starts();
+        if site.open_runs().len() == before {
+            break;
+        }
+    }
+    // What did not fit is taken back, so that the queue has the length that was asked for.
+    let waiting: Vec<_> = site
+        .workload
+        .active_jobs()
+        .filter(|(_, job)| !job.started)
+        .map(|(id, job)| (id, job.queue.priority))
+        .collect();
+    for (id, rank) in waiting {
+        site.cancel(rank, "other", id);
+    }
+    for _ in 0..queue {
+        submit(&mut site, number);
+        number += 1;
+    }
+    site.advance(50);
+    site
+}
+
+fn median_ms(passes: usize, mut pass: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = (0..passes)
+        .map(|_| {
+            let began = Instant::now();
+            pass();
+            began.elapsed().as_secs_f64() * 1e3
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[passes / 2]
+}
+
+/// The plan of a moment, from the same state each time.
+fn plan_ms(site: &mut Site) -> f64 {
+    let before = site.planner.clone();
+    median_ms(PASSES, || {
+        site.planner = before.clone();
+        site.plan();
+    })
+}
+
+/// Going through all workers for what is due, and taking one worker's report: both without any network.
+fn orders_ms(site: &mut Site) -> (f64, f64) {
+    let mut orders = Vec::new();
+    let began = Instant::now();
+    orders.extend(site.dispatcher.orders(site.now_ms, &site.workload, true).0);
+    let first_ms = began.elapsed().as_secs_f64() * 1e3;
+    let sweep_ms = median_ms(PASSES, || {
+        site.dispatcher.orders(site.now_ms, &site.workload, true);
+    });
+    let looks: Vec<_> = orders
+        .iter()
+        .filter(|order| matches!(order.body, OrderBody::Look { .. }))
+        .collect();
+    let reports: Vec<Report> = looks
+        .iter()
+        .map(|order| report_of(&site.workload, &order.to.worker))
+        .collect();
+    let began = Instant::now();
+    for (order, report) in looks.iter().zip(reports) {
+        let answer = Answer::Done {
+            clock_ms: Some(site.now_ms),
+            report: Some(report),
+        };
+        site.dispatcher
+            .note_answer(site.now_ms, order, &answer, &site.workload);
+    }
+    let answers_ms = began.elapsed().as_secs_f64() * 1e3;
+    (
+        first_ms.max(sweep_ms),
+        answers_ms / looks.len().max(1) as f64,
+    )
+}
+
+/// What a worker says on which all goes on.
+fn report_of(workload: &Workload, worker: &str) -> Report {
+    let running = workload.worker(worker).unwrap().runs.keys();
+    Report {
+        running: running
+            .map(|run| Running {
+                run: *run,
+                checkpoint: None,
+                percent: 50,
+                load: 1_000,
+            })
+            .collect(),
+        ..Report::default()
+    }
+}
+
+fn main() {
+    let asked: Vec<usize> = std::env::args()
+        .filter_map(|argument| argument.parse().ok())
+        .collect();
+    let fleets = if asked.is_empty() {
+        FLEETS.to_vec()
+    } else {
+        asked
+    };
+    println!(
+        "| workers | runs | jobs waiting | plan, ms | orders, ms | report, µs | snapshot, MB | snapshot, ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for workers in fleets {
+        for queue in QUEUES {
+            let mut site = build(workers, queue);
+            let plan_ms = plan_ms(&mut site);
+            let (orders_ms, report_ms) = orders_ms(&mut site);
+            let snapshot = || (Workload::CODEC.snapshot)(&site.workload).unwrap();
+            let bytes = snapshot().len();
+            let snapshot_ms = median_ms(3, || drop(snapshot()));
+            println!(
+                "| {workers} | {} | {queue} | {plan_ms:.2} | {orders_ms:.2} | {:.1} | {:.1} | {snapshot_ms:.1} |",
+                site.open_runs().len(),
+                report_ms * 1e3,
+                bytes as f64 / 1e6,
+            );
+        }
+    }
+}
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -124,6 +124,12 @@
         true
     }
 
+    /// Whether a worker's clock is known and its last order was answered: without that it gets no work.
+    pub fn answers(&self, worker: &str) -> bool {
+        self.view(worker)
+            .is_some_and(|target| target.clock.is_some() && !target.is_failing())
+    }
+
     /// Takes over what has changed in the record.
     pub fn note_news(&mut self, now_ms: u64, news: &News, workload: &Workload) {
         for id in &news.workers {
--- a/crates/bh-workload/src/plan/evict.rs
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -6,12 +6,14 @@
 use super::place;
 use crate::job::Needs;
 use crate::job::RunId;
+use crate::job::TaskId;
+use crate::state::TaskState;
 use crate::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// A run and what stopping it would cost.
+/// A recorded run, for whom it may be stopped, and what that would cost.
 #[derive(Clone, Debug)]
 pub struct Borrower {
     /// The run.
@@ -24,6 +26,25 @@
     pub loss: u64,
     /// Whether it is being stopped already.
     pub stopping: bool,
+    /// Whether a guarantee covers it.
+    pub entitled: bool,
+    /// Whether it serves callers of its own for as long as it lasts.
+    pub serves: bool,
+    /// Whether only so many of its step may be missing at a time.
+    pub limited: bool,
+    /// Rank of its queue.
+    pub priority: u32,
+}
+
+impl Borrower {
+    /// Whether the run gives way to `unit`.
+    pub fn gives_way(&self, unit: &Unit) -> bool {
+        if self.entitled {
+            return false;
+        }
+        let outranked = unit.spec.long_running || self.priority > unit.priority;
+        unit.entitled || !self.serves && outranked
+    }
 }
 
 /// Room made by stopping borrowers.
@@ -37,54 +58,76 @@
     pub loss: u64,
 }
 
+/// Why no room can be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unmade {
+    /// There is too little even if all borrowers are stopped.
+    NoRoom,
+    /// There is too little in any one rack that suits.
+    NoRack,
+}
+
 /// Chooses workers for the whole unit as if all borrowers could be stopped, those first where least work is lost. With `waits` a unit
 /// that wants one rack is not spread over several.
 pub fn reclaim(
     unit: &Unit,
     rooms: &[Room],
-    borrowers: &[Borrower],
+    borrowers: &[&Borrower],
     workload: &Workload,
     waits: bool,
-) -> Option<Reclaim> {
-    let by_room = by_room(borrowers);
-    let mut racks: BTreeMap<&Arc<str>, Vec<Offer>> = BTreeMap::new();
-    let mut all: Vec<Offer> = Vec::new();
+) -> Result<Reclaim, Unmade> {
+    let by_room = by_room(rooms.len(), borrowers);
+    let mut offers: Vec<Offer> = Vec::new();
     for (index, room) in rooms.iter().enumerate() {
         if !room.admits(unit) {
             continue;
         }
-        let own = by_room.get(&index).map_or(&[][..], Vec::as_slice);
-        if let Some(offer) = offer(unit, index, room, own) {
-            racks.entry(&room.rack).or_default().push(offer.clone());
-            all.push(offer);
-        }
+        offers.extend(offer(unit, index, room, &by_room[index]));
     }
-    let able = place::able_racks(unit, rooms);
-    let in_one_rack = || {
-        racks
-            .iter()
-            .filter(|(rack, _)| able.contains(**rack))
-            .filter_map(|(_, offers)| choose(unit, offers))
-            .min_by_key(|chosen| chosen.1)
-    };
-    // Spread over racks the unit is so slow that it is late; that is for later, when its bound to begin comes near.
-    let chosen = if place::wants_rack(unit) && !able.is_empty() {
-        let near = in_one_rack();
-        if near.is_none() && waits {
-            return None;
-        }
-        near.or_else(|| choose(unit, &all))?
+    if offers.iter().map(|offer| offer.places).sum::<u64>() < unit.count() {
+        return Err(Unmade::NoRoom);
+    }
+    let able = if place::wants_rack(unit) {
+        place::able_racks(unit, rooms)
     } else {
-        choose(unit, &all)?
+        BTreeSet::new()
     };
+    let near = in_one_rack(unit, &offers, rooms, &able);
+    // Spread over racks the unit is so slow that it is late; that is for later, when its bound to begin comes near.
+    if near.is_none() && !able.is_empty() && waits {
+        return Err(Unmade::NoRack);
+    }
+    let chosen = near
+        .or_else(|| choose(unit, &offers))
+        .ok_or(Unmade::NoRoom)?;
     let evictions = evictions(unit, &chosen.0, rooms, &by_room, workload);
-    Some(Reclaim {
+    Ok(Reclaim {
         placement: chosen.0,
         evictions,
         loss: chosen.1,
     })
 }
 
+/// The cheapest choice within one of the racks in `able`.
+fn in_one_rack(
+    unit: &Unit,
+    offers: &[Offer],
+    rooms: &[Room],
+    able: &BTreeSet<Arc<str>>,
+) -> Option<(Placement, u64)> {
+    let mut racks: BTreeMap<&Arc<str>, Vec<Offer>> = BTreeMap::new();
+    for offer in offers {
+        let rack = &rooms[offer.room].rack;
+        if able.contains(rack) {
+            racks.entry(rack).or_default().push(offer.clone());
+        }
+    }
+    racks
+        .values()
+        .filter_map(|offers| choose(unit, offers))
+        .min_by_key(|chosen| chosen.1)
+}
+
 /// What a worker could take, and what that would cost.
 #[derive(Clone, Debug)]
 struct Offer {
@@ -94,12 +137,13 @@
     loss: u64,
 }
 
-fn by_room(borrowers: &[Borrower]) -> BTreeMap<usize, Vec<&Borrower>> {
-    let mut by_room: BTreeMap<usize, Vec<&Borrower>> = BTreeMap::new();
+/// The borrowers of each of `rooms` rooms, those first that are cheapest to stop.
+fn by_room<'a>(rooms: usize, borrowers: &[&'a Borrower]) -> Vec<Vec<&'a Borrower>> {
+    let mut by_room: Vec<Vec<&Borrower>> = vec![Vec::new(); rooms];
     for borrower in borrowers {
-        by_room.entry(borrower.room).or_default().push(borrower);
+        by_room[borrower.room].push(borrower);
     }
-    for list in by_room.values_mut() {
+    for list in &mut by_room {
         list.sort_by_key(|borrower| (!borrower.stopping, borrower.loss));
     }
     by_room
@@ -146,12 +190,12 @@
     unit: &Unit,
     placement: &Placement,
     rooms: &[Room],
-    by_room: &BTreeMap<usize, Vec<&Borrower>>,
+    by_room: &[Vec<&Borrower>],
     workload: &Workload,
 ) -> BTreeSet<RunId> {
     let mut stopped: BTreeSet<RunId> = BTreeSet::new();
     for (index, count) in placement {
-        let own = by_room.get(index).map_or(&[][..], Vec::as_slice);
+        let own = &by_room[*index];
         let mut gained = Needs::default();
         for borrower in own {
             if borrower.stopping || stopped.contains(&borrower.run) {
@@ -183,10 +227,20 @@
     if !gang {
         return vec![run];
     }
-    workload
-        .workers()
-        .flat_map(|worker| worker.runs.keys())
-        .filter(|member| member.task.step == run.task.step)
-        .copied()
-        .collect()
+    let step = run.task.step;
+    let tasks = workload
+        .job(step.job)
+        .and_then(|job| job.step(step))
+        .map_or(&[][..], |progress| &progress.tasks);
+    let open = tasks
+        .iter()
+        .zip(0..)
+        .filter_map(|(task, index)| match task.state {
+            TaskState::Open(attempt) => Some(RunId {
+                task: TaskId { step, index },
+                attempt,
+            }),
+            TaskState::Waiting | TaskState::Done => None,
+        });
+    open.collect()
 }
--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -5,6 +5,7 @@
 use super::place;
 use crate::job::Needs;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::Arc;
 
 impl Pass<'_> {
@@ -15,7 +16,8 @@
         let able = place::able_racks(unit, &self.rooms);
         let one_rack = place::wants_rack(unit) && !able.is_empty();
         let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize)>> = BTreeMap::new();
-        for (at, room) in self.rooms.iter().enumerate() {
+        for at in 0..self.rooms.len() {
+            let room = &self.rooms[at];
             let fit = room.admits(unit) && (!one_rack || able.contains(&room.rack));
             if !fit {
                 continue;
@@ -25,10 +27,11 @@
             } else {
                 Arc::from("")
             };
+            let ends = self.ends_to_come(at);
             racks
                 .entry(rack)
                 .or_default()
-                .extend(self.places_to_come(unit, at));
+                .extend(self.places_to_come(unit, at, &ends));
         }
         let soonest = racks
             .into_values()
@@ -40,7 +43,7 @@
     }
 
     /// When each place for a task of `unit` on a worker is expected to be free, on the leader's clock in milliseconds.
-    fn places_to_come(&self, unit: &Unit, at: usize) -> Vec<(u64, usize)> {
+    fn places_to_come(&self, unit: &Unit, at: usize, ends: &[(u64, Needs)]) -> Vec<(u64, usize)> {
         let room = &self.rooms[at];
         let most = room.most(unit);
         let mut places: Vec<(u64, usize)> = Vec::new();
@@ -52,15 +55,24 @@
             }
         };
         note(self.now_ms, &gained);
-        for (end_ms, needs) in self.ends_to_come(&room.worker) {
-            gained.add(&needs);
-            note(end_ms, &gained);
+        for (end_ms, needs) in ends {
+            gained.add(needs);
+            note(*end_ms, &gained);
         }
         places
     }
 
-    /// When each run of a worker is expected to end, the first one first, and what it takes.
-    fn ends_to_come(&self, worker: &str) -> Vec<(u64, Needs)> {
+    /// When each run of the worker at `at` is expected to end, the first one first, and what it takes. Looked up once for a pass.
+    fn ends_to_come(&mut self, at: usize) -> Rc<[(u64, Needs)]> {
+        if let Some(ends) = self.ends.get(&at) {
+            return ends.clone();
+        }
+        let ends: Rc<[(u64, Needs)]> = self.ends_of(&self.rooms[at].worker).into();
+        self.ends.insert(at, ends.clone());
+        ends
+    }
+
+    fn ends_of(&self, worker: &str) -> Vec<(u64, Needs)> {
         let (Some(recorded), Some(target)) =
             (self.workload.worker(worker), self.dispatcher.view(worker))
         else {
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -1,6 +1,7 @@
 //! Decides what runs where.
 
 mod availability;
+mod claim;
 mod collect;
 mod entitled;
 mod evict;
@@ -14,6 +15,7 @@
 mod room;
 mod runtimes;
 mod speeds;
+mod tried;
 mod unit;
 
 pub use availability::Availability;
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -8,11 +8,13 @@
 use super::Speeds;
 use super::Unclaimed;
 use super::Unit;
-use super::availability::Availability;
-use super::evict;
+use super::claim::Claim;
 use super::place;
+use super::place::Unplaced;
+use super::tried::Tried;
 use crate::dispatch::Dispatcher;
 use crate::job::JobId;
+use crate::job::Needs;
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::job::TaskId;
@@ -20,36 +22,29 @@
 use crate::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::sync::Arc;
 
-/// Work that may be thrown away for work of priority 0, as a multiple of its own. Such a job is worth some ten times as much for the
-/// room it takes as the work it displaces, and is late within a second or two; four leaves a margin for what the displaced jobs lose
-/// beside their work.
-const LOSS_FOR_WORK: u64 = 4;
-/// Time beyond the longest stop after which room that was reclaimed but has not become free is chosen anew, in milliseconds.
-const CLAIM_SLACK_MS: u64 = 1_500;
-
-/// Room that is being made for a unit.
-#[derive(Clone, Debug)]
-pub(super) struct Claim {
-    /// Workers and number of tasks.
-    pub places: Vec<(Arc<str>, u64)>,
-    /// When the claim lapses, on the leader's clock in milliseconds.
-    pub until_ms: u64,
-}
-
 /// One pass of planning.
 pub(super) struct Pass<'a> {
     pub(super) now_ms: u64,
-    wall_ms: u64,
+    pub(super) wall_ms: u64,
     pub(super) workload: &'a Workload,
     pub(super) dispatcher: &'a Dispatcher,
     pub(super) runtimes: &'a Runtimes,
     /// Jobs that guarantees cover.
-    entitled: &'a BTreeSet<JobId>,
+    pub(super) entitled: &'a BTreeSet<JobId>,
     /// Workers as this pass sees them.
     pub rooms: Vec<Room>,
-    index: BTreeMap<Arc<str>, usize>,
+    pub(super) index: BTreeMap<Arc<str>, usize>,
+    /// Recorded runs, once somebody asks for room that they take.
+    pub(super) borrowers: Option<Vec<Borrower>>,
+    /// When runs of each worker are expected to end, once somebody asks.
+    pub(super) ends: BTreeMap<usize, Rc<[(u64, Needs)]>>,
+    /// What finds no free room; told apart by whether it may use kept room.
+    pub(super) unplaceable: Tried<bool>,
+    /// What finds no room even if all were stopped that give way to it; told apart by guarantee, service and priority.
+    pub(super) unclaimable: Tried<(bool, bool, u32)>,
     /// What was decided so far.
     pub plan: Plan,
 }
@@ -78,6 +73,10 @@
             entitled,
             rooms,
             index,
+            borrowers: None,
+            ends: BTreeMap::new(),
+            unplaceable: Tried::new(),
+            unclaimable: Tried::new(),
             plan: Plan::default(),
         }
     }
@@ -165,6 +164,40 @@
         self.plan.questions.extend(question);
     }
 
+    /// Finds workers for a whole gang; `None` when it shall wait.
+    pub fn place_gang(&mut self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> Option<Placement> {
+        let class = unit.may_use_kept();
+        if self.unplaceable.covers(&class, unit, unit.count()) {
+            return None;
+        }
+        match place::place_gang(unit, &self.rooms, avoid, self.wall_ms) {
+            Ok(placement) => Some(placement),
+            Err(why) => {
+                if why == Unplaced::NoRoom && avoid.is_empty() {
+                    self.unplaceable.note(class, unit, unit.count());
+                }
+                None
+            }
+        }
+    }
+
+    /// Finds workers for as many of a unit's tasks as may begin now.
+    pub fn place_tasks(&mut self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> Placement {
+        /// What did not even find this many places.
+        const ONE: u64 = 1;
+        let class = unit.may_use_kept();
+        if self.unplaceable.covers(&class, unit, ONE) {
+            return Placement::new();
+        }
+        let placement = place::place_tasks(unit, &self.rooms, avoid, self.wall_ms);
+        // One that has a rack of its own may only have waited for that.
+        let no_room = placement.is_empty() && unit.spec.near_rack.is_none();
+        if no_room && avoid.is_empty() {
+            self.unplaceable.note(class, unit, ONE);
+        }
+        placement
+    }
+
     /// Starts a unit in room that was promised to it.
     pub fn start_promised(&mut self, unit: &Unit, placement: &Placement) {
         for (at, count) in placement {
@@ -197,126 +230,4 @@
             }
         }
     }
-
-    /// Makes room for `unit` if it may displace others; returns whether it does.
-    pub fn claim(&mut self, claims: &mut BTreeMap<StepId, Claim>, unit: &Unit) -> bool {
-        let Some(claim) = self.reclaim(unit) else {
-            return false;
-        };
-        self.plan.claimed.push((unit.step, claim.places.len()));
-        claims.insert(unit.step, claim);
-        true
-    }
-
-    /// Makes room for work that a guarantee covers, for a service that misses a task, or for work that comes first of all and is worth
-    /// more than what is lost for it.
-    fn reclaim(&mut self, unit: &Unit) -> Option<Claim> {
-        let first = unit.priority == 0 && unit.on_time;
-        if !unit.entitled && !unit.spec.long_running && !first {
-            return None;
-        }
-        let borrowers = self.borrowers(unit);
-        let waits = place::waits_for_rack(unit, &self.rooms, self.wall_ms);
-        let reclaim = evict::reclaim(unit, &self.rooms, &borrowers, self.workload, waits)?;
-        let weighs_loss = !unit.entitled && !unit.spec.long_running;
-        if weighs_loss && reclaim.loss > unit.work() * LOSS_FOR_WORK {
-            return None;
-        }
-        for borrower in &borrowers {
-            if reclaim.evictions.contains(&borrower.run) {
-                let worker = self.rooms[borrower.room].worker.clone();
-                self.plan.evictions.push((worker, borrower.run));
-            }
-        }
-        for (at, count) in &reclaim.placement {
-            for _ in 0..*count {
-                self.rooms[*at].promised.add(&unit.needs);
-            }
-        }
-        let places = reclaim
-            .placement
-            .iter()
-            .map(|(at, count)| (self.rooms[*at].worker.clone(), *count))
-            .collect();
-        Some(Claim {
-            places,
-            until_ms: self.now_ms + self.dispatcher.timing().stop_timeout_ms + CLAIM_SLACK_MS,
-        })
-    }
-
-    /// Runs that may be stopped for `unit`, and those that are being stopped.
-    fn borrowers(&self, unit: &Unit) -> Vec<Borrower> {
-        let mut services = Availability::new(self.workload, self.dispatcher, &self.plan.evictions);
-        let mut borrowers = Vec::new();
-        for worker in self.workload.workers() {
-            let Some(room) = self.index.get(&worker.info.id) else {
-                continue;
-            };
-            let target = self.dispatcher.view(&worker.info.id);
-            for (run, needs) in &worker.runs {
-                let watch = target.and_then(|target| target.runs.get(run));
-                let evicted = self.plan.evictions.iter().any(|(_, other)| other == run);
-                let stopping = evicted
-                    || !self.workload.wants(*run)
-                    || watch.is_some_and(|watch| watch.give_up);
-                let lent =
-                    !self.entitled.contains(&run.task.step.job) && self.gives_way(*run, unit);
-                let given = stopping || lent && services.may_miss(*run);
-                if !given {
-                    continue;
-                }
-                let ran_ms = watch.map_or(0, |watch| self.now_ms.saturating_sub(watch.since_ms));
-                borrowers.push(Borrower {
-                    run: *run,
-                    room: *room,
-                    needs: *needs,
-                    loss: if stopping { 0 } else { self.loss(*run, ran_ms) },
-                    stopping,
-                });
-            }
-        }
-        borrowers
-    }
-
-    /// Whether a run that no guarantee covers gives way to `unit`.
-    fn gives_way(&self, run: RunId, unit: &Unit) -> bool {
-        let serves = self
-            .workload
-            .step_spec(run.task.step)
-            .is_some_and(|spec| spec.long_running);
-        if unit.entitled {
-            return true;
-        }
-        !serves && (unit.spec.long_running || self.priority_of(run) > unit.priority)
-    }
-
-    fn priority_of(&self, run: RunId) -> u32 {
-        self.workload
-            .job(run.task.step.job)
-            .map_or(u32::MAX, |job| self.workload.queue_of(job).priority)
-    }
-
-    /// Work that is lost when a run is stopped, its gang's with it.
-    fn loss(&self, run: RunId, ran_ms: u64) -> u64 {
-        let job = self.workload.job(run.task.step.job);
-        let Some(spec) = job.and_then(|job| job.step_spec(run.task.step)) else {
-            return 0;
-        };
-        // A stop saves what was done; only the time to go on from there is lost.
-        let lost_ms = if spec.checkpoints {
-            ran_ms.min(self.dispatcher.timing().restore_ms)
-        } else {
-            ran_ms
-        };
-        let members = if spec.gang { u64::from(spec.count) } else { 1 };
-        spec.needs.weight() * lost_ms.max(1) * members * worth(self.priority_of(run))
-    }
-}
-
-/// What room is worth to a queue of this rank, as a multiple of the least: it falls with the square of the rank, as the values of the
-/// users' kinds of work do against the room they take.
-fn worth(priority: u32) -> u64 {
-    const FIRST: u64 = 9;
-    let rank = u64::from(priority) + 1;
-    (FIRST / (rank * rank)).max(1)
 }
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -30,17 +30,30 @@
     rank: u64,
 }
 
-/// Finds workers for the whole gang; `None` when it shall wait.
+/// Why a gang is not placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unplaced {
+    /// There is too little room for it.
+    NoRoom,
+    /// There is room, but it is better to wait for some in one rack.
+    Waits,
+}
+
+/// Finds workers for the whole gang.
+///
+/// # Errors
+///
+/// [`Unplaced`].
 pub fn place_gang(
     unit: &Unit,
     rooms: &[Room],
     avoid: &BTreeSet<Arc<str>>,
     wall_ms: u64,
-) -> Option<Placement> {
+) -> Result<Placement, Unplaced> {
     let sites = sites(unit, rooms, avoid);
     let total: u64 = sites.iter().map(|site| site.places).sum();
     if total < unit.count() {
-        return None;
+        return Err(Unplaced::NoRoom);
     }
     let racks = by_rack(&sites, rooms);
     if wants_rack(unit) {
@@ -49,13 +62,13 @@
             .filter(|(rack, sites)| suits(unit, rack) && places(sites) >= unit.count())
             .min_by_key(|(_, sites)| (rank_of(sites), spare(sites)));
         if let Some((_, sites)) = tightest {
-            return fill(sites, unit.count());
+            return Ok(fill_some(sites, unit.count()));
         }
         if waits_for_rack(unit, rooms, wall_ms) && !spreads_in_time(unit, rooms, wall_ms) {
-            return None;
+            return Err(Unplaced::Waits);
         }
     }
-    fill(&sites, unit.count())
+    Ok(fill_some(&sites, unit.count()))
 }
 
 /// Whether the unit is on time if it is spread over several racks now, hardly if it waits any longer, and the pool is idle enough to bear
@@ -202,7 +215,3 @@
     }
     placement
 }
-
-fn fill(sites: &[Site], count: u64) -> Option<Placement> {
-    (places(sites) >= count).then(|| fill_some(sites, count))
-}
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -6,12 +6,11 @@
 use super::Runtimes;
 use super::Speeds;
 use super::Unit;
+use super::claim::Claim;
 use super::collect;
 use super::entitled_jobs;
 use super::overdue::overdue;
-use super::pass::Claim;
 use super::pass::Pass;
-use super::place;
 use super::reserve::Reserve;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Question;
@@ -213,23 +212,24 @@
                 continue;
             }
             pass.ask(unit);
-            let avoid = avoided(failed_on, unit, &pass.rooms);
-            if !unit.spec.gang {
-                let placement = place::place_tasks(unit, &pass.rooms, &avoid, wall_ms);
-                let placed = placement.iter().map(|(_, count)| count).sum();
-                pass.start(unit, &placement);
-                if placed < unit.count() {
-                    pass.claim(claims, &unit.without_first(placed));
+            if unit.spec.gang {
+                let avoid = avoided(failed_on, unit, &pass.rooms);
+                if let Some(placement) = pass.place_gang(unit, &avoid) {
+                    pass.start(unit, &placement);
+                } else if pass.claim(claims, unit) {
+                    continue;
+                } else if kept < KEPT_GANGS {
+                    kept += 1;
+                    pass.keep_room(unit);
                 }
                 continue;
             }
-            if let Some(placement) = place::place_gang(unit, &pass.rooms, &avoid, wall_ms) {
-                pass.start(unit, &placement);
-            } else if pass.claim(claims, unit) {
-                continue;
-            } else if kept < KEPT_GANGS {
-                kept += 1;
-                pass.keep_room(unit);
+            let avoid = avoided(failed_on, unit, &pass.rooms);
+            let placement = pass.place_tasks(unit, &avoid);
+            let placed = placement.iter().map(|(_, count)| count).sum();
+            pass.start(unit, &placement);
+            if placed < unit.count() {
+                pass.claim(claims, &unit.without_first(placed));
             }
         }
         pass.plan
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -134,7 +134,7 @@
 
     /// How many of a unit's tasks may be placed here now.
     pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
-        let kept = self.kept && unit.priority > 0 && !unit.last_chance;
+        let kept = self.kept && !unit.may_use_kept();
         if !self.admits(unit) || kept || avoid.contains(&self.worker) {
             return 0;
         }
--- /dev/null
+++ b/crates/bh-workload/src/plan/tried.rs
@@ -0,0 +1,68 @@
+//! What was looked for in vain during a pass.
+
+use super::Unit;
+use crate::job::Needs;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Asks remembered of one class at most: those of a queue differ in size, and looking through more of them would cost as much as it saves.
+const REMEMBERED: usize = 32;
+
+/// An ask for room: so many tasks that need so much each.
+struct Ask {
+    needs: Needs,
+    count: u64,
+}
+
+/// Work that may be put on the same workers: its pool, the label that it asks for, and what else `C` tells apart.
+type Class<C> = (Arc<str>, Option<Arc<str>>, C);
+
+/// Asks for which there is no room.
+///
+/// Room only shrinks during a pass, so what did not fit will not, nor will anything that asks for as much or more. Without this memory a long
+/// queue in front of a full fleet costs a look at every worker for each job that waits: 60 ms a pass with 540 workers and 100 such jobs,
+/// 2 ms with it.
+pub(super) struct Tried<C> {
+    asks: BTreeMap<Class<C>, Vec<Ask>>,
+}
+
+impl<C: Ord + Clone> Tried<C> {
+    /// Nothing was tried yet.
+    pub fn new() -> Self {
+        Self {
+            asks: BTreeMap::new(),
+        }
+    }
+
+    /// Whether `count` tasks of `unit` surely find no room.
+    pub fn covers(&self, class: &C, unit: &Unit, count: u64) -> bool {
+        let class = class_of(class.clone(), unit);
+        self.asks.get(&class).is_some_and(|asks| {
+            asks.iter()
+                .any(|ask| ask.count <= count && ask.needs.fits(&unit.needs))
+        })
+    }
+
+    /// Notes that there is no room for `count` tasks of `unit`. A unit that not all workers of its class may take says nothing of others.
+    pub fn note(&mut self, class: C, unit: &Unit, count: u64) {
+        if unit.permitted.is_some() || unit.spec.most_per_worker.is_some() {
+            return;
+        }
+        let needs = unit.needs;
+        let asks = self.asks.entry(class_of(class, unit)).or_default();
+        asks.retain(|ask| !(count <= ask.count && needs.fits(&ask.needs)));
+        if asks.len() < REMEMBERED {
+            asks.push(Ask { needs, count });
+        }
+    }
+
+    /// Forgets all: there may be more room.
+    pub fn clear(&mut self) {
+        self.asks.clear();
+    }
+}
+
+fn class_of<C>(class: C, unit: &Unit) -> Class<C> {
+    let label = unit.spec.required_label.clone();
+    (unit.pool.clone(), label, class)
+}
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -49,6 +49,11 @@
 }
 
 impl Unit {
+    /// Whether it may use workers that are kept for work of priority 0.
+    pub fn may_use_kept(&self) -> bool {
+        self.priority == 0 || self.last_chance
+    }
+
     /// Work of the tasks to place, in thousandths of core-milliseconds.
     pub fn work(&self) -> u64 {
         self.spec.needs.weight() * self.expected_ms * self.count()
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -184,6 +184,15 @@
         id
     }
 
+    pub fn cancel(&mut self, priority: u32, customer: &str, job: JobId) {
+        let reply = self.workload.apply(Command::Cancel {
+            place: place(priority, customer, job),
+            now_ms: self.wall_ms(),
+        });
+        assert_eq!(reply, Reply::Done);
+        self.take_news();
+    }
+
     pub fn plan(&mut self) -> Plan {
         self.planner.plan(
             self.now_ms,
