--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -4,6 +4,8 @@
 use bh_protocol::Failure;
 use bh_protocol::number::whole;
 use bh_workload::dispatch::Timing;
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 use serde::Deserialize;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -76,6 +78,9 @@
     /// Bounds that workers and callers were promised.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Files and connections that the process may have open; what the system allows when the file does not say.
+    #[serde(default)]
+    pub descriptors: Option<usize>,
     /// Whether logs are JSON rather than text.
     #[serde(default)]
     pub log_json: bool,
@@ -206,6 +211,16 @@
         2 * self.tolerated_losses.unwrap_or(DEFAULT_LOSSES).max(1) + 1
     }
 
+    /// Files and connections that the process may have open.
+    pub fn descriptors(&self) -> usize {
+        self.descriptors.unwrap_or_else(|| {
+            let allowed = getrlimit(Resource::Nofile).current;
+            allowed
+                .and_then(|allowed| usize::try_from(allowed).ok())
+                .unwrap_or(usize::MAX / 100)
+        })
+    }
+
     /// Time for a graceful end, in milliseconds.
     pub fn grace_ms(&self) -> u64 {
         self.grace_s.map_or(DEFAULT_GRACE_MS, whole_ms)
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -1,11 +1,11 @@
 //! Answers calls as the leader.
 
 use super::core_node::CoreNode;
+use super::heartbeats::hear;
 use super::records::propose;
 use crate::calls::Answer;
 use crate::calls::Call;
 use crate::calls::RETRY_AFTER_MS;
-use crate::calls::WorkerHeartbeat;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_workload::state::Command;
@@ -14,7 +14,6 @@
 use bh_workload::state::Reply;
 use bh_workload::state::WorkerChange;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Wait until a read is known to be of the newest state, in milliseconds: one round between the cores, with room for a slow one.
 const READ_MS: u64 = 1_000;
@@ -105,7 +104,7 @@
         .map_err(|_| Answer::NotLeader)
 }
 
-async fn change(core: &Rc<CoreNode>, command: Command) -> Answer {
+pub(super) async fn change(core: &Rc<CoreNode>, command: Command) -> Answer {
     let reply = propose(core, command).await;
     core.wake();
     match reply {
@@ -136,62 +135,3 @@
         Err(refusal) => refused(refusal),
     }
 }
-
-/// Takes a worker's heartbeat. What changes what may run there is recorded before the worker is answered: whoever leads next must not
-/// give work to a worker whose leaving was acknowledged.
-async fn hear(core: &Rc<CoreNode>, heartbeat: WorkerHeartbeat) -> Answer {
-    let now_ms = core.clock.now_ms();
-    let id = heartbeat.info.id.clone();
-    if !core.group.machine.read().may_be_worker(&heartbeat.info) {
-        core.metrics.count("heartbeats_unknown_pool", 1);
-        log::info!(worker = &*id, pool = &*heartbeat.info.pool; "heartbeat names no pool of the rules");
-        return Answer::Heard {
-            next_address: core.config.control_address,
-        };
-    }
-    let changes = {
-        let mut held = core.leadership.borrow_mut();
-        let Some(leadership) = held.as_mut() else {
-            return Answer::NotLeader;
-        };
-        let newest = leadership.sequences.entry(id.clone()).or_default();
-        let held_up = heartbeat.sequence < *newest;
-        *newest = (*newest).max(heartbeat.sequence);
-        let answered = leadership.dispatcher.answers(&id);
-        let alive = leadership
-            .dispatcher
-            .note_heartbeat(now_ms, &id, heartbeat.clock_ms);
-        leadership.plan_due |= !answered && leadership.dispatcher.answers(&id);
-        if held_up || !alive {
-            Vec::new()
-        } else {
-            changes(core, &heartbeat)
-        }
-    };
-    if !changes.is_empty() {
-        for change in &changes {
-            log::info!(worker = &*id, sequence = heartbeat.sequence, change:? = change; "worker changed");
-        }
-        let answer = change(core, Command::Workers(changes)).await;
-        if answer != Answer::Done {
-            return answer;
-        }
-    }
-    Answer::Heard {
-        next_address: core.config.control_address,
-    }
-}
-
-fn changes(core: &Rc<CoreNode>, heartbeat: &WorkerHeartbeat) -> Vec<WorkerChange> {
-    let id: &Arc<str> = &heartbeat.info.id;
-    let workload = core.group.machine.read();
-    let known = workload.worker(id);
-    let mut changes = Vec::new();
-    if known.is_none_or(|worker| worker.info != heartbeat.info) {
-        changes.push(WorkerChange::Known(heartbeat.info.clone()));
-    }
-    if heartbeat.draining && known.is_none_or(|worker| !worker.draining) {
-        changes.push(WorkerChange::Draining(id.clone()));
-    }
-    changes
-}
--- /dev/null
+++ b/crates/bh-control/src/core/carriers.rs
@@ -0,0 +1,43 @@
+//! Which core talks to which worker.
+
+use bh_workload::state::WorkerInfo;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Connections of one worker: its heartbeats, the look that always waits, and an order now and then.
+const CONNECTIONS_EACH: usize = 3;
+/// Share of its descriptors up to which the leader talks to all workers itself, in percent. What is left is for idle connections, links to
+/// entries and files; beyond it the cores share the workers. Below it that would only add a second process that may be lost.
+const DIRECT_PERCENT: usize = 25;
+
+/// A core that can be reached now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Carrier {
+    /// Where it takes links.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Where it takes heartbeats.
+    pub control_address: Option<SocketAddr>,
+}
+
+/// Whether the cores share the workers, rather than the leader talking to all of them.
+pub fn are_shared(workers: usize, descriptors: usize) -> bool {
+    workers * CONNECTIONS_EACH * 100 > descriptors * DIRECT_PERCENT
+}
+
+/// The core among `cores` that talks to a worker: one of its own data centre if there is any, since they are cut off together and what they
+/// say to each other stays there.
+///
+/// Each core reckons alike, and when one is lost only its own workers move.
+pub fn carrier_of<'a>(worker: &WorkerInfo, cores: &'a [Carrier]) -> Option<&'a Carrier> {
+    cores.iter().max_by_key(|core| {
+        let near = core.data_centre == worker.data_centre;
+        (near, weight(&worker.id, core.address), core.address)
+    })
+}
+
+fn weight(worker: &str, core: SocketAddr) -> u64 {
+    xxh3_64(format!("{worker} {core}").as_bytes())
+}
--- /dev/null
+++ b/crates/bh-control/src/core/carry.rs
@@ -0,0 +1,174 @@
+//! Orders that the leader gives through other cores.
+//!
+//! A leader that talked to every worker of a large fleet itself would need more connections than a small VM has descriptors, and its
+//! processor would be spent on HTTP while the other cores idle. So the cores share the workers; the leader alone decides, records and
+//! writes orders, and whoever carries one changes nothing in it.
+//!
+//! To the worker a carried order is like one that the network held up or repeated: it is fenced by the leader's term and carries the end of its
+//! lease, so a carrier that is lost, cut off or suspended can do no more harm than a bad connection.
+
+use super::core_node::CoreNode;
+use bh_net::link::CallError;
+use bh_protocol::wire::CarryOutcome;
+use bh_protocol::wire::CarryReply;
+use bh_protocol::wire::CarryRequest;
+use bh_protocol::wire::Header;
+use bh_protocol::wire::RpcKind;
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use prost::Message;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time that the way over the carrier may take beside the worker's answer, in milliseconds: two hops of some milliseconds, with room for a
+/// busy processor.
+const HOP_MS: u64 = 150;
+
+/// What became of an order.
+pub(super) enum Sent {
+    /// The worker answered.
+    Answered(Response<Bytes>),
+    /// The worker did not answer.
+    NoAnswer(String),
+    /// The core that was to carry it was lost or refused: nothing is known of the worker, and it may have been carried out.
+    CarrierLost(String),
+}
+
+/// Sends an order to a worker, over the core that talks to it or directly when there is none.
+pub(super) async fn send(
+    core: &Rc<CoreNode>,
+    term: u64,
+    worker: (&str, SocketAddr),
+    request: Request<Bytes>,
+    limit_ms: u64,
+) -> Sent {
+    let (worker, address) = worker;
+    if let Some(carrier) = core.carrier_of(worker) {
+        let carry = CarryRequest {
+            term,
+            sent_ms: core.clock.now_ms(),
+            limit_ms,
+            address: address.to_string(),
+            method: request.method().to_string(),
+            path: request.uri().to_string(),
+            headers: headers(&request),
+            body: request.body().to_vec(),
+        };
+        if let Some(peer) = core.mesh.peer(carrier) {
+            core.metrics.count("orders_carried", 1);
+            let call = peer.call(RpcKind::Carry, carry.encode_to_vec(), limit_ms + HOP_MS);
+            let reply = monoio::select! {
+                reply = call => reply,
+                () = peer.fallen_silent() => Err(CallError::Lost),
+            };
+            match reply.map(|reply| CarryReply::decode(&*reply.body)) {
+                Ok(Ok(reply)) => return sent(reply),
+                Ok(Err(error)) => return Sent::CarrierLost(format!("its answer: {error}")),
+                Err(CallError::Lost) => return Sent::CarrierLost("no answer".to_owned()),
+                // Nothing left this core yet.
+                Err(CallError::NotSent) => {}
+            }
+        }
+    }
+    match core.workers.send(address, request, limit_ms).await {
+        Ok(response) => Sent::Answered(response),
+        Err(error) => Sent::NoAnswer(error.to_string()),
+    }
+}
+
+fn headers(request: &Request<Bytes>) -> Vec<Header> {
+    let headers = request.headers().iter().map(|(name, value)| Header {
+        name: name.to_string(),
+        value: value.as_bytes().to_vec(),
+    });
+    headers.collect()
+}
+
+fn sent(reply: CarryReply) -> Sent {
+    let why = || String::from_utf8_lossy(&reply.body).into_owned();
+    match reply.outcome() {
+        CarryOutcome::NotCarried => Sent::CarrierLost(why()),
+        CarryOutcome::NoAnswer => Sent::NoAnswer(why()),
+        CarryOutcome::Answered => {
+            let status = u16::try_from(reply.status)
+                .ok()
+                .and_then(|status| StatusCode::from_u16(status).ok());
+            let Some(status) = status else {
+                return Sent::NoAnswer(format!("status {}", reply.status));
+            };
+            let mut response = Response::new(Bytes::from(reply.body));
+            *response.status_mut() = status;
+            Sent::Answered(response)
+        }
+    }
+}
+
+/// Carries an order of the leader to a worker; returns the encoded answer.
+pub(super) async fn carry(core: &Rc<CoreNode>, body: &[u8]) -> Vec<u8> {
+    let reply = match CarryRequest::decode(body) {
+        Ok(request) => carried(core, request).await,
+        Err(error) => not_carried(error.to_string()),
+    };
+    reply.encode_to_vec()
+}
+
+async fn carried(core: &Rc<CoreNode>, carry: CarryRequest) -> CarryReply {
+    let known = core.group.status().term;
+    if carry.term < known {
+        return not_carried(format!("term {} is over, this is {known}", carry.term));
+    }
+    // An order that was held up, because this VM or the link stood still, is given up by its sender already.
+    let late_ms =
+        core.carry_delay
+            .borrow_mut()
+            .note(carry.term, carry.sent_ms, core.clock.now_ms());
+    if late_ms > carry.limit_ms {
+        return not_carried(format!("{late_ms} ms late"));
+    }
+    let Ok(address) = carry.address.parse() else {
+        return not_carried(format!("no address: {}", carry.address));
+    };
+    let limit_ms = carry.limit_ms;
+    let Some(request) = request(carry) else {
+        return not_carried("no request".to_owned());
+    };
+    match core.workers.send(address, request, limit_ms).await {
+        Ok(response) => CarryReply {
+            outcome: CarryOutcome::Answered.into(),
+            status: response.status().as_u16().into(),
+            body: response.into_body().to_vec(),
+        },
+        Err(error) => CarryReply {
+            outcome: CarryOutcome::NoAnswer.into(),
+            status: 0,
+            body: error.to_string().into_bytes(),
+        },
+    }
+}
+
+fn not_carried(why: String) -> CarryReply {
+    log::info!("order not carried: {why}");
+    CarryReply {
+        outcome: CarryOutcome::NotCarried.into(),
+        status: 0,
+        body: why.into_bytes(),
+    }
+}
+
+fn request(carry: CarryRequest) -> Option<Request<Bytes>> {
+    let mut request = Request::new(Bytes::from(carry.body));
+    *request.method_mut() = Method::from_bytes(carry.method.as_bytes()).ok()?;
+    *request.uri_mut() = carry.path.parse::<Uri>().ok()?;
+    for header in carry.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&header.value).ok()?;
+        request.headers_mut().append(name, value);
+    }
+    Some(request)
+}
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -1,5 +1,9 @@
 //! A core process: its replica, its links, and what it does while it leads.
 
+use super::carriers;
+use super::carriers::Carrier;
+use super::carry_delay::CarryDelay;
+use super::heartbeats::Sign;
 use super::leadership::Leadership;
 use super::worker_calls::WorkerCalls;
 use crate::config::LocalConfig;
@@ -14,8 +18,10 @@
 use local_sync::mpsc::unbounded;
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
 /// State of a core process.
@@ -36,6 +42,10 @@
     pub workers: WorkerCalls,
     /// What it does as the leader; `None` while it does not lead.
     pub leadership: RefCell<Option<Leadership>>,
+    /// How long orders that it carries were on their way.
+    pub carry_delay: RefCell<CarryDelay>,
+    /// Heartbeats that the leader has not heard of yet, by worker.
+    pub signs: RefCell<BTreeMap<Arc<str>, Sign>>,
     /// Cancelled when the process is told to stop.
     pub draining: CancellationToken,
     /// Counters and times.
@@ -72,9 +82,53 @@
             rules_version,
             cores,
             draining: self.draining.is_cancelled(),
+            control_address: self
+                .config
+                .control_address
+                .map(|address| address.to_string())
+                .unwrap_or_default(),
         }
     }
 
+    /// Whether the cores share the workers.
+    pub fn shares_workers(&self) -> bool {
+        let workers = self.group.machine.read().workers().count();
+        carriers::are_shared(workers, self.config.descriptors())
+    }
+
+    /// The cores that can be reached now, this one among them.
+    pub fn cores(&self) -> Vec<Carrier> {
+        let now_ms = self.clock.now_ms();
+        let peers = self.mesh.peers();
+        let reached = peers
+            .iter()
+            .filter(|peer| peer.is_fresh(now_ms) && !peer.status.borrow().draining);
+        let mut cores: Vec<Carrier> = reached
+            .map(|peer| Carrier {
+                address: peer.address,
+                data_centre: peer.data_centre.borrow().clone(),
+                control_address: peer.status.borrow().control_address.parse().ok(),
+            })
+            .collect();
+        cores.push(Carrier {
+            address: self.config.peer_address(),
+            data_centre: self.config.data_centre.clone(),
+            control_address: self.config.control_address,
+        });
+        cores
+    }
+
+    /// The other core that talks to a worker; `None` when this one shall.
+    pub fn carrier_of(&self, worker: &str) -> Option<SocketAddr> {
+        if !self.shares_workers() {
+            return None;
+        }
+        let cores = self.cores();
+        let workload = self.group.machine.read();
+        let carrier = carriers::carrier_of(&workload.worker(worker)?.info, &cores)?;
+        (carrier.address != self.config.peer_address()).then_some(carrier.address)
+    }
+
     /// Wakes the leader's loop, once for many reasons at a time.
     pub fn wake(&self) {
         if !self.woken.replace(true) {
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -80,7 +80,9 @@
 
 fn step_down(core: &Rc<CoreNode>, why: &str) {
     *core.leadership.borrow_mut() = None;
-    core.workers.close();
+    if !core.shares_workers() {
+        core.workers.close();
+    }
     log::info!(core = &*core.config.name; "stops leading: {why}");
     core.inbound.tell_all(&core.status());
 }
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -2,8 +2,12 @@
 
 mod advice;
 mod answer_call;
+mod carriers;
+mod carry;
+mod carry_delay;
 mod core_node;
 mod formation;
+mod heartbeats;
 mod leader_loop;
 mod leadership;
 mod operator;
@@ -14,6 +18,10 @@
 mod upkeep;
 mod worker_calls;
 
+pub use carriers::Carrier;
+pub use carriers::are_shared;
+pub use carriers::carrier_of;
+pub use carry_delay::CarryDelay;
 pub use core_node::CoreNode;
 pub use leadership::Leadership;
 pub use operator::CoreReport;
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -1,5 +1,7 @@
 //! The leader's orders to workers and their answers.
 
+use super::carry;
+use super::carry::Sent;
 use super::core_node::CoreNode;
 use super::records::record;
 use bh_workload::dispatch::Answer;
@@ -42,8 +44,9 @@
     core.metrics.count("orders", 1);
     let began_ms = core.clock.now_ms();
     let request = (core.dialect.write_order)(&order);
-    let answer = match core.workers.send(order.to.address, request, limit_ms).await {
-        Ok(response) => {
+    let to = (&*order.to.worker, order.to.address);
+    let answer = match carry::send(&core, order.token, to, request, limit_ms).await {
+        Sent::Answered(response) => {
             // A look waits for an end; how long says nothing of the worker.
             if !matches!(order.body, OrderBody::Look { .. }) {
                 let took_ms = core.clock.now_ms().saturating_sub(began_ms);
@@ -51,11 +54,16 @@
             }
             (core.dialect.read_answer)(&order, &response)
         }
-        Err(error) => {
+        Sent::NoAnswer(why) => {
             core.metrics.count("orders_lost", 1);
-            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {error}");
+            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {why}");
             Answer::Lost
         }
+        Sent::CarrierLost(why) => {
+            core.metrics.count("orders_uncarried", 1);
+            log::info!(worker = &*order.to.worker, order = order.body.to_string(); "an order's carrier was lost: {why}");
+            Answer::CarrierLost
+        }
     };
     note_answer(&core, &order, &answer);
 }
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -1,8 +1,11 @@
 //! Starts a core, keeps it running, and ends it gracefully.
 
 use super::answer_call::answer_call;
+use super::carry;
+use super::carry_delay::CarryDelay;
 use super::core_node::CoreNode;
 use super::formation;
+use super::heartbeats;
 use super::leader_loop;
 use super::operator;
 use super::worker_calls::WorkerCalls;
@@ -44,6 +47,7 @@
 use local_sync::oneshot;
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -115,7 +119,7 @@
     let control_listener = server::bind(control)?;
     let (wake, wakes) = unbounded::channel();
     let core = Rc::new(CoreNode {
-        workers: WorkerCalls::new(clock.clone()),
+        workers: WorkerCalls::new(clock.clone(), config.descriptors()),
         config,
         dialect,
         clock,
@@ -123,6 +127,8 @@
         mesh: mesh.clone(),
         inbound: Rc::new(Inbound::default()),
         leadership: RefCell::new(None),
+        carry_delay: RefCell::new(CarryDelay::default()),
+        signs: RefCell::new(BTreeMap::new()),
         draining: CancellationToken::new(),
         metrics: Rc::new(Metrics::new()),
         in_progress: Cell::new(0),
@@ -158,6 +164,7 @@
         }
     });
     monoio::spawn(leader_loop::run(core.clone(), wakes));
+    monoio::spawn(heartbeats::tell_leader(core.clone()));
     let serving = core.clone();
     monoio::spawn(server::serve(
         control_listener,
@@ -256,6 +263,13 @@
         let formation = Formation::of(&core.group, core.mesh.hello().replica);
         return serde_json::to_vec(&formation).unwrap_or_default();
     }
+    if request.kind == i32::from(RpcKind::Carry) {
+        return carry::carry(&core, &request.body).await;
+    }
+    if request.kind == i32::from(RpcKind::Signs) {
+        heartbeats::hear_signs(&core, &request.body);
+        return Vec::new();
+    }
     let answer = match serde_json::from_slice::<Call>(&request.body) {
         Ok(call) => counted(&core, answer_call(&core, call)).await,
         Err(error) => {
@@ -287,7 +301,7 @@
     let patience_ms = received.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
     let answer = counted(&core, async {
         match answer_call(&core, received.call.clone()).await {
-            Answer::NotLeader => forward(&core.mesh, &received.call, patience_ms).await,
+            Answer::NotLeader => as_follower(&core, &received.call, patience_ms).await,
             answer => answer,
         }
     })
@@ -296,6 +310,16 @@
     (core.dialect.write_answer)(&received.call, &answer)
 }
 
+/// A call that came to a core that does not lead.
+async fn as_follower(core: &Rc<CoreNode>, call: &Call, patience_ms: u64) -> Answer {
+    if let Call::Heartbeat(heartbeat) = call
+        && let Some(answer) = heartbeats::hear_for_leader(core, heartbeat)
+    {
+        return answer;
+    }
+    forward(&core.mesh, call, patience_ms).await
+}
+
 fn log_control(call: &Call, answer: &Answer) {
     match call {
         Call::SetRules(Ok(rules)) => {
@@ -334,6 +358,7 @@
 async fn drain(core: &Rc<CoreNode>) {
     log::info!(core = &*core.config.name, in_progress = core.in_progress.get(); "core drains");
     core.draining.cancel();
+    core.inbound.tell_all(&core.status());
     let until_ms = core.clock.now_ms() + core.config.grace_ms() * FINISH_PERCENT / 100;
     while core.in_progress.get() > 0 && core.clock.now_ms() < until_ms {
         sleep_ms(POLL_MS).await;
--- a/crates/bh-control/src/core/worker_calls.rs
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -19,6 +19,10 @@
 /// 350 workers took two thirds of a small VM's descriptors, and without descriptors every worker seems lost.
 const KEEP_EACH: usize = 4;
 
+/// Share of the process's descriptors that unused connections to workers take at most, in percent. A process without descriptors can neither call
+/// a worker nor write its record.
+const KEEP_PERCENT: usize = 25;
+
 /// Connections to workers.
 pub struct WorkerCalls {
     pool: Pool,
@@ -26,11 +30,12 @@
 }
 
 impl WorkerCalls {
-    /// No connections yet.
-    pub fn new(clock: Clock) -> Self {
+    /// No connections yet; the process may have `descriptors` open files and connections.
+    pub fn new(clock: Clock, descriptors: usize) -> Self {
         Self {
             pool: Pool::new()
                 .with_max_idle(KEEP_EACH)
+                .with_max_total(descriptors * KEEP_PERCENT / 100)
                 .with_max_idle_ms(KEEP_MS),
             clock,
         }
--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -15,6 +15,7 @@
 use monoio::net::TcpStream;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// First wait before dialling again, in milliseconds; doubles up to the longest.
 const FIRST_WAIT_MS: u64 = 50;
@@ -49,6 +50,7 @@
         .await
         .ok_or_else(timed_out)??;
     peer.replica.set(opened.hello.replica);
+    *peer.data_centre.borrow_mut() = Arc::from(&*opened.hello.data_centre);
     Ok(opened)
 }
 
@@ -69,7 +71,7 @@
 ) {
     while let Some(Ok(Some(frame))) = within_ms(SILENCE_MS, reader.next()).await {
         mesh.note_life(|| {
-            peer.heard_ms.set(mesh.now_ms());
+            peer.note_heard(mesh.now_ms());
             if let Some(Payload::Core(status)) = &frame.payload {
                 *peer.status.borrow_mut() = status.clone();
             }
@@ -88,6 +90,7 @@
     while !mesh.stop.is_cancelled() {
         peer.channel.send(Payload::Heartbeat(Heartbeat::default()));
         sleep_ms(SIGN_OF_LIFE_MS).await;
+        peer.note_silence(mesh.now_ms());
     }
 }
 
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -16,7 +16,7 @@
 pub const SIGN_OF_LIFE_MS: u64 = 200;
 /// Silence after which no call is sent into a link, in milliseconds. A call that was sent may have been recorded, and its caller can only be
 /// told that nobody knows; one that was held back can be refused and tried elsewhere.
-const FRESH_MS: u64 = 500;
+pub(super) const FRESH_MS: u64 = 500;
 /// Silence after which a link is given up and dialled anew, in milliseconds. A connection can go silent for good while new ones
 /// work; callers wait about three seconds, so half of that is left for another try.
 pub const SILENCE_MS: u64 = 1_300;
@@ -142,8 +142,7 @@
     /// The same, when it was heard lately enough to be sent a call.
     pub fn fresh_leader(&self) -> Option<Rc<Peer>> {
         let now_ms = self.now_ms();
-        self.leader()
-            .filter(|leader| now_ms < leader.heard_ms.get() + FRESH_MS)
+        self.leader().filter(|leader| leader.is_fresh(now_ms))
     }
 
     /// The term in which [`Self::fresh_leader`] leads, if there is one.
--- a/crates/bh-control/src/mesh/peer.rs
+++ b/crates/bh-control/src/mesh/peer.rs
@@ -1,5 +1,6 @@
 //! A core that this process dials.
 
+use super::mesh::FRESH_MS;
 use bh_net::link::CallError;
 use bh_net::link::Channel;
 use bh_protocol::wire::CoreStatus;
@@ -10,6 +11,8 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
 
 /// Another core and the link to it.
 pub struct Peer {
@@ -17,11 +20,15 @@
     pub address: SocketAddr,
     /// Identity of its replica, once it has said hello.
     pub replica: Cell<u64>,
+    /// Its data centre, once it has said hello.
+    pub data_centre: RefCell<Arc<str>>,
     /// What it last said of itself.
     pub status: RefCell<CoreStatus>,
     /// When that was, on the process's clock in milliseconds.
     pub heard_ms: Cell<u64>,
     pub(super) channel: Channel,
+    /// Cancelled while the link is silent.
+    silence: RefCell<CancellationToken>,
 }
 
 impl Peer {
@@ -32,7 +39,9 @@
             replica: Cell::new(0),
             status: RefCell::new(CoreStatus::default()),
             heard_ms: Cell::new(0),
+            data_centre: RefCell::new(Arc::from("")),
             channel: Channel::new(),
+            silence: RefCell::new(CancellationToken::new()),
         }
     }
 
@@ -41,6 +50,32 @@
         self.channel.is_open()
     }
 
+    /// Whether it was heard so lately at `now_ms` that calls may be sent to it.
+    pub fn is_fresh(&self, now_ms: u64) -> bool {
+        self.is_linked() && now_ms < self.heard_ms.get() + FRESH_MS
+    }
+
+    /// Notes at `now_ms` whether the link is silent: calls that wait for an answer on it are told by [`Self::fallen_silent`].
+    pub(super) fn note_silence(&self, now_ms: u64) {
+        if !self.is_fresh(now_ms) {
+            self.silence.borrow().cancel();
+        }
+    }
+
+    /// Notes that it was heard at `now_ms`.
+    pub(super) fn note_heard(&self, now_ms: u64) {
+        self.heard_ms.set(now_ms);
+        if self.silence.borrow().is_cancelled() {
+            self.silence.replace(CancellationToken::new());
+        }
+    }
+
+    /// Returns once nothing was heard of it for so long that no call would be sent to it.
+    pub async fn fallen_silent(&self) {
+        let silence = self.silence.borrow().clone();
+        silence.cancelled().await;
+    }
+
     /// Notes that it said it does not lead; it is asked again once it says otherwise.
     pub fn note_not_leading(&self) {
         self.status.borrow_mut().leads = false;
--- a/crates/bh-net/src/http_client/pool.rs
+++ b/crates/bh-net/src/http_client/pool.rs
@@ -22,6 +22,7 @@
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
     max_idle: usize,
     max_idle_ms: u64,
+    max_total: usize,
 }
 
 impl Default for Pool {
@@ -30,6 +31,7 @@
             idle: RefCell::new(BTreeMap::new()),
             max_idle: MAX_IDLE,
             max_idle_ms: MAX_IDLE_MS,
+            max_total: usize::MAX,
         }
     }
 }
@@ -52,6 +54,17 @@
         self
     }
 
+    /// Keeps at most `max_total` idle connections to all addresses together.
+    pub fn with_max_total(mut self, max_total: usize) -> Self {
+        self.max_total = max_total;
+        self
+    }
+
+    /// Idle connections to all addresses.
+    fn total(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Takes the connection to `address` that was used last, if it is fresh enough.
     pub fn take(&self, address: SocketAddr, now_ms: u64) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -65,7 +78,7 @@
 
     /// Gives a connection back, if it can be used again.
     pub fn give_back(&self, address: SocketAddr, connection: Connection, now_ms: u64) {
-        if !connection.is_reusable() {
+        if !connection.is_reusable() || self.total() >= self.max_total {
             return;
         }
         let mut idle = self.idle.borrow_mut();
--- a/crates/bh-protocol/src/wire/core_status.rs
+++ b/crates/bh-protocol/src/wire/core_status.rs
@@ -18,4 +18,7 @@
     /// Whether the sender is shutting down.
     #[prost(bool, tag = "5")]
     pub draining: bool,
+    /// Address at which the sender takes heartbeats; empty when it takes none.
+    #[prost(string, tag = "6")]
+    pub control_address: String,
 }
--- a/crates/bh-protocol/src/wire/mod.rs
+++ b/crates/bh-protocol/src/wire/mod.rs
@@ -1,10 +1,17 @@
 //! Messages between entry processes, encoded with `prost`.
 
+mod carry;
 mod core_status;
 mod heartbeat;
 mod peer;
 mod raft;
 
+pub use carry::CarryOutcome;
+pub use carry::CarryReply;
+pub use carry::CarryRequest;
+pub use carry::Header;
+pub use carry::SignOfLife;
+pub use carry::SignsOfLife;
 pub use core_status::CoreStatus;
 pub use heartbeat::Heartbeat;
 pub use peer::Frame;
--- a/crates/bh-protocol/src/wire/peer.rs
+++ b/crates/bh-protocol/src/wire/peer.rs
@@ -40,6 +40,10 @@
     Formation = 4,
     /// A call for the leader of the workload; body: the call as JSON.
     Workload = 5,
+    /// An order to a worker that the receiver shall carry; body: a [`super::CarryRequest`].
+    Carry = 6,
+    /// Heartbeats of workers for the leader; body: [`super::SignsOfLife`].
+    Signs = 7,
 }
 
 /// A call from one entry to another.
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -56,6 +56,7 @@
             ..
         }
         | Answer::Lost
+        | Answer::CarrierLost
         | Answer::OtherIncarnation => {
             watch.start = StartPhase::Unsure {
                 retry_ms: now_ms + RETRY_MS,
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -28,6 +28,9 @@
 
 /// Wait before a worker that does not answer is looked at again, in milliseconds.
 const FAILING_LOOK_MS: u64 = 400;
+/// Wait before a worker whose carrier was lost is looked at over another one, in milliseconds: next to nothing, but a carrier that refuses
+/// shall not be asked without a pause.
+const NEXT_CARRIER_MS: u64 = 30;
 /// Time that a deposed leader may have gone on giving orders after this one was elected, in milliseconds: it stops when it has not
 /// heard from a majority for an election time; twice the longest one used.
 const OVERLAP_MS: u64 = 2_000;
@@ -117,17 +120,16 @@
             return false;
         }
         let target = self.targets.entry(worker.clone()).or_default();
-        target.heard_ms = Some(now_ms);
+        target.heard_ms = target.heard_ms.max(Some(now_ms));
         if let Some(worker_ms) = clock_ms {
             target.note_clock(now_ms, worker_ms);
         }
         true
     }
 
-    /// Whether a worker's clock is known and its last order was answered: without that it gets no work.
+    /// Whether a worker is known to answer, as [`Target::answers`].
     pub fn answers(&self, worker: &str) -> bool {
-        self.view(worker)
-            .is_some_and(|target| target.clock.is_some() && !target.is_failing())
+        self.view(worker).is_some_and(Target::answers)
     }
 
     /// Takes over what has changed in the record.
@@ -254,6 +256,7 @@
                 target.note_answer(now_ms, *clock_ms);
             }
             Answer::Lost => target.note_silence(now_ms),
+            Answer::CarrierLost => target.note_lost_carrier(),
             Answer::OtherIncarnation => {
                 return Some(Command::Workers(vec![WorkerChange::Gone(id.clone())]));
             }
@@ -297,6 +300,11 @@
                         let worker = workload.worker(id)?;
                         note_report(now_ms, order, target, (workload, worker), report)
                     }
+                    // Another core can carry the next one.
+                    Answer::CarrierLost => {
+                        target.next_look_ms = now_ms + NEXT_CARRIER_MS;
+                        None
+                    }
                     _ => {
                         target.next_look_ms = now_ms + FAILING_LOOK_MS;
                         None
--- a/crates/bh-workload/src/dispatch/order.rs
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -136,6 +136,8 @@
     OtherIncarnation,
     /// No whole answer: it may have been carried out, or may still be.
     Lost,
+    /// The core that was to carry it was lost: as without an answer, but it says nothing of the worker.
+    CarrierLost,
 }
 
 /// What a worker says of its runs.
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -33,6 +33,8 @@
     pub heard_ms: Option<u64>,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
+    /// Whether a core that carried an order to it was lost, and nothing was heard of it since.
+    pub carrier_lost: bool,
     /// End of the longest lease granted, on the worker's clock in milliseconds.
     pub granted_ms: u64,
     /// When everything that runs there has surely ended unless it is granted more, on the leader's clock in milliseconds.
@@ -65,6 +67,7 @@
     /// Notes an answer: the worker is there, and its clock shows `clock_ms`.
     pub fn note_answer(&mut self, now_ms: u64, clock_ms: Option<u64>) {
         self.failing_since_ms = None;
+        self.carrier_lost = false;
         if let Some(worker_ms) = clock_ms {
             self.note_clock(now_ms, worker_ms);
         }
@@ -88,6 +91,16 @@
         self.failing_since_ms.get_or_insert(now_ms);
     }
 
+    /// Notes that the core that carried an order was lost.
+    pub fn note_lost_carrier(&mut self) {
+        self.carrier_lost = true;
+    }
+
+    /// Whether its clock is known and its last order was answered: without that it gets no work.
+    pub fn answers(&self) -> bool {
+        self.clock.is_some() && !self.is_failing() && !self.carrier_lost
+    }
+
     /// Whether orders to it have had no answer lately.
     pub fn is_failing(&self) -> bool {
         self.failing_since_ms.is_some()
@@ -111,15 +124,21 @@
         self.acknowledged_to < self.recorded_to
     }
 
+    /// Whether it must be looked at whatever runs there.
+    pub fn must_be_asked(&self) -> bool {
+        self.is_behind() || self.is_back() || self.is_unheard() || self.carrier_lost
+    }
+
     /// Whether there is anything to order or ask.
     pub fn needs_orders(&self) -> bool {
-        !self.runs.is_empty() || self.is_behind() || self.is_back() || self.is_unheard()
+        !self.runs.is_empty() || self.must_be_asked()
     }
 
     /// Grants a lease from `now_ms` on; returns its end on the worker's clock. While the worker does not answer nothing more is
-    /// granted: it may hear us without our hearing it, and a lease renewed so would never run out.
+    /// granted: it may hear us without our hearing it, and a lease renewed so would never run out. Nor after its carrier was lost, until the
+    /// first answer over another one: carriers that are lost again and again would do the same.
     pub fn grant(&mut self, now_ms: u64, timing: &Timing) -> Option<u64> {
-        if self.is_failing() {
+        if self.is_failing() || self.carrier_lost {
             return (self.granted_ms > 0).then_some(self.granted_ms);
         }
         let reading = self.clock?;
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -222,14 +222,15 @@
             .runs
             .values()
             .all(|watch| watch.start == StartPhase::InFlight);
-        if first_starts && !target.is_behind() && !target.is_back() && !target.is_unheard() {
+        if first_starts && !target.must_be_asked() {
             return;
         }
         let unsure = target
             .runs
             .values()
             .any(|watch| matches!(watch.start, StartPhase::Unsure { .. }));
-        let settled = target.runs.is_empty() || unsure || target.is_failing();
+        let settled =
+            target.runs.is_empty() || unsure || target.is_failing() || target.carrier_lost;
         let wait_ms = if settled {
             0
         } else if pacing::is_shared(self.workload, self.worker) {
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -50,8 +50,7 @@
         let silence_ms = dispatcher.timing().heartbeat_ms * MISSED_HEARTBEATS;
         let ready = |target: &Target| {
             let since_ms = target.heard_ms.unwrap_or(dispatcher.elected_ms());
-            !target.is_failing()
-                && target.clock.is_some()
+            target.answers()
                 && now_ms <= since_ms + silence_ms
                 && now_ms >= target.set_aside_until_ms
         };
