--- a/crates/bh-node/src/node/calls.rs
+++ b/crates/bh-node/src/node/calls.rs
@@ -233,7 +233,7 @@
                 .await
                 .map(|body| (String::new(), body)),
             RpcKind::RunRequest => requests::serve_forwarded(self, request).await,
-            RpcKind::Workload => Err(Failure::new(
+            RpcKind::Workload | RpcKind::Carry | RpcKind::Signs => Err(Failure::new(
                 Code::Internal,
                 "an entry with jobs of its own keeps no workload",
             )),
