--- a/crates/beechhollow/tests/soak.rs
+++ b/crates/beechhollow/tests/soak.rs
@@ -5,15 +5,21 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// Too few for a leader that talks to the four workers of the soak itself.
+const FEW_DESCRIPTORS: usize = 40;
+
 /// Callers hand in and take back jobs, an operator changes the rules, while cores and entries are killed, paused, told to stop, cut off and
-/// emptied, and workers crash or fall silent. Nothing runs twice, nothing refused runs, no rules go back, and every accepted job ends.
+/// emptied, and workers crash or fall silent. Nothing runs twice, nothing refused runs, no rules go back, and every accepted job ends. The same where
+/// cores have so few descriptors that they share the workers: then the core that carries an order may be lost as well as the one that gives it.
 #[rstest]
-#[case(11)]
-#[case(12)]
-fn promises_hold_under_faults(#[case] seed: u64) {
+#[case(11, None)]
+#[case(12, None)]
+#[case(13, Some(FEW_DESCRIPTORS))]
+#[case(14, Some(FEW_DESCRIPTORS))]
+fn promises_hold_under_faults(#[case] seed: u64, #[case] descriptors: Option<usize>) {
     const FAULTY: Duration = Duration::from_secs(12);
     let binary = Path::new(env!("CARGO_BIN_EXE_beechhollow"));
-    let report = run(binary, seed, FAULTY);
+    let report = run(binary, seed, FAULTY, descriptors);
     assert!(
         report.problems.is_empty(),
         "seed {seed}\n{}\n{}\n{}",
--- /dev/null
+++ b/crates/bh-control/tests/carriers.rs
@@ -0,0 +1,98 @@
+//! Which core talks to which worker.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+use bh_control::core::Carrier;
+use bh_control::core::CarryDelay;
+use bh_control::core::are_shared;
+use bh_control::core::carrier_of;
+use bh_workload::job::Needs;
+use bh_workload::state::WorkerInfo;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const DATA_CENTRES: u8 = 5;
+
+fn core(data_centre: u8, number: u8) -> Carrier {
+    let address: SocketAddr = format!("10.{data_centre}.0.{number}:7000").parse().unwrap();
+    Carrier {
+        address,
+        data_centre: Arc::from(format!("dc{data_centre}")),
+        control_address: Some(address),
+    }
+}
+
+fn worker(number: u16) -> WorkerInfo {
+    WorkerInfo {
+        id: Arc::from(format!("w{number}")),
+        vm: None,
+        pool: Arc::from("pool"),
+        address: "10.9.0.1:80".parse().unwrap(),
+        data_centre: Arc::from(format!("dc{}", number % u16::from(DATA_CENTRES))),
+        rack: Arc::from("rack"),
+        labels: Vec::new(),
+        capacity: Needs::default(),
+    }
+}
+
+fn cores() -> Vec<Carrier> {
+    (0..DATA_CENTRES).map(|place| core(place, 1)).collect()
+}
+
+/// One leader holds some three connections to each worker. With three thousand workers and four thousand descriptors it could no longer open its
+/// own files, and ended; with a few dozen a second core in between is only one more that can be lost.
+#[test]
+fn workers_are_shared_when_they_would_take_much_of_a_cores_descriptors() {
+    assert!(!are_shared(48, 4_096));
+    assert!(are_shared(540, 4_096));
+    assert!(are_shared(3_000, 4_096));
+    assert!(!are_shared(3_000, usize::MAX / 100));
+}
+
+#[test]
+fn a_worker_is_talked_to_from_its_own_data_centre() {
+    let cores = cores();
+    for number in 0..100 {
+        let worker = worker(number);
+        let carrier = carrier_of(&worker, &cores).unwrap();
+        assert_eq!(carrier.data_centre, worker.data_centre);
+    }
+}
+
+/// A core is lost. Its workers are spread over the others, so that none takes all of them, and no other worker moves: each that does costs a
+/// connection and a look.
+#[test]
+fn the_workers_of_a_lost_core_are_spread_and_no_others_move() {
+    let all = cores();
+    let left = &all[1..];
+    let mut taken_over: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for number in 0..500 {
+        let worker = worker(number);
+        let before = carrier_of(&worker, &all).unwrap();
+        let after = carrier_of(&worker, left).unwrap();
+        if before.address == all[0].address {
+            *taken_over.entry(after.address).or_default() += 1;
+        } else {
+            assert_eq!(before, after);
+        }
+    }
+    assert_eq!(taken_over.len(), left.len());
+    assert!(taken_over.values().all(|count| (10..=45).contains(count)));
+}
+
+/// A core is suspended with an order in its buffers, and reads it seconds later. Its sender has given the order up by then; a start that was sent
+/// on all the same could begin a run whose job was taken back meanwhile.
+#[test]
+fn an_order_that_was_held_up_is_told_from_one_that_came_at_once() {
+    let mut delay = CarryDelay::default();
+    // The clocks differ by an hour.
+    assert_eq!(delay.note(3, 3_600_000, 500), 0);
+    assert_eq!(delay.note(3, 3_601_000, 1_502), 2);
+    assert_eq!(delay.note(3, 3_602_000, 5_500), 3_000);
+    assert_eq!(delay.note(3, 3_605_000, 5_501), 1);
+    // Another leader has another clock.
+    assert_eq!(delay.note(4, 10, 6_000), 0);
+}
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -59,6 +59,8 @@
     Cancel { job: usize },
     /// A share of all orders has no answer and is carried out seconds later, percent.
     Late { percent: u64, for_ms: u64 },
+    /// The cores that carry a share of all orders are lost, percent: the order is not sent, is carried out at once, or seconds later.
+    Carriers { percent: u64, for_ms: u64 },
     /// The worker leaves.
     Drain { worker: usize },
 }
@@ -76,11 +78,19 @@
     (0..FAULTY_MS, kind)
 }
 
+/// The same where other cores carry the leader's orders.
+fn carried_fault() -> impl Strategy<Value = (u64, Fault)> {
+    let carriers = (0..FAULTY_MS, 10u64..100, 200u64..6_000)
+        .prop_map(|(at_ms, percent, for_ms)| (at_ms, Fault::Carriers { percent, for_ms }));
+    prop_oneof![2 => fault(), 1 => carriers]
+}
+
 /// An order on its way, or held up.
 struct Held {
     at_ms: u64,
     order: Order,
-    answered: bool,
+    /// What the leader is told of it; `None` when it is carried out late and nobody hears the answer.
+    told: Option<Answer>,
 }
 
 struct Run<'a> {
@@ -137,18 +147,53 @@
         })
     }
 
-    fn late_percent(&self) -> u64 {
+    /// The largest share in percent among the faults of a kind that go on now.
+    fn percent(&self, of: impl Fn(&Fault) -> Option<(u64, u64)>) -> u64 {
         let now_ms = self.site.now_ms;
-        self.faults
-            .iter()
-            .filter_map(|(at_ms, fault)| match fault {
-                Fault::Late { percent, for_ms } if now_ms >= *at_ms && now_ms < at_ms + for_ms => {
-                    Some(*percent)
-                }
-                _ => None,
-            })
-            .max()
-            .unwrap_or(0)
+        let shares = self.faults.iter().filter_map(|(at_ms, fault)| {
+            let (percent, for_ms) = of(fault)?;
+            (now_ms >= *at_ms && now_ms < at_ms + for_ms).then_some(percent)
+        });
+        shares.max().unwrap_or(0)
+    }
+
+    fn late_percent(&self) -> u64 {
+        self.percent(|fault| match fault {
+            Fault::Late { percent, for_ms } => Some((*percent, *for_ms)),
+            _ => None,
+        })
+    }
+
+    fn carriers_lost_percent(&self) -> u64 {
+        self.percent(|fault| match fault {
+            Fault::Carriers { percent, for_ms } => Some((*percent, *for_ms)),
+            _ => None,
+        })
+    }
+
+    /// The core that carried an order is lost with it: before it sent the order, after that, or it is suspended and sends it later.
+    fn lose_carrier(&mut self, order: Order, cut: bool) {
+        const NOTICED_MS: u64 = 500;
+        match self.random.below(3) {
+            0 if !cut => {
+                self.carry_out(&order);
+            }
+            1 => {
+                let at_ms = self.site.now_ms + 2_000 + self.random.below(10_000);
+                self.held.push(Held {
+                    at_ms,
+                    order: order.clone(),
+                    told: None,
+                });
+            }
+            _ => {}
+        }
+        let at_ms = self.site.now_ms + self.random.below(NOTICED_MS);
+        self.held.push(Held {
+            at_ms,
+            order,
+            told: Some(Answer::CarrierLost),
+        });
     }
 
     fn record(&mut self, command: Command) {
@@ -344,7 +389,10 @@
                     let change = WorkerChange::Draining(id);
                     self.site.workload.apply(Command::Workers(vec![change]));
                 }
-                Fault::Cut { .. } | Fault::OneWay { .. } | Fault::Late { .. } => {}
+                Fault::Cut { .. }
+                | Fault::OneWay { .. }
+                | Fault::Late { .. }
+                | Fault::Carriers { .. } => {}
             }
         }
     }
@@ -397,6 +445,11 @@
             .position(|worker| *worker.id == *order.to.worker);
         let cut = index.is_some_and(|index| self.cut(index));
         let mute = index.is_some_and(|index| self.mute(index));
+        let carriers_lost_percent = self.carriers_lost_percent();
+        if carriers_lost_percent > 0 && self.random.below(100) < carriers_lost_percent {
+            self.lose_carrier(order, cut);
+            return;
+        }
         let late_percent = self.late_percent();
         let late = self.random.below(100) < late_percent;
         const LOST_MS: u64 = 800;
@@ -405,7 +458,7 @@
             self.held.push(Held {
                 at_ms,
                 order: order.clone(),
-                answered: true,
+                told: None,
             });
         }
         let answer = if cut || late {
@@ -418,7 +471,7 @@
             self.held.push(Held {
                 at_ms: self.site.now_ms + LOST_MS,
                 order,
-                answered: false,
+                told: Some(Answer::Lost),
             });
         } else {
             self.answer(&order, &answer);
@@ -462,17 +515,16 @@
             .partition(|held| held.at_ms <= now_ms);
         self.held = later;
         for held in due {
-            if held.answered {
-                // Carried out late; nobody hears the answer.
-                let index = self
-                    .workers
-                    .iter()
-                    .position(|worker| *worker.id == *held.order.to.worker);
-                if index.is_some_and(|index| !self.cut(index)) {
-                    self.carry_out(&held.order);
-                }
-            } else {
-                self.answer(&held.order, &Answer::Lost);
+            if let Some(answer) = held.told {
+                self.answer(&held.order, &answer);
+                continue;
+            }
+            let index = self
+                .workers
+                .iter()
+                .position(|worker| *worker.id == *held.order.to.worker);
+            if index.is_some_and(|index| !self.cut(index)) {
+                self.carry_out(&held.order);
             }
         }
         if now_ms.is_multiple_of(1_500) {
@@ -597,6 +649,20 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_203), ..ProptestConfig::default() })]
+
+    /// The same promises where orders go over other cores, which are lost with them, or suspended and send them seconds later.
+    #[test]
+    fn fuzz_carried_orders_keep_the_promises(
+        seed in any::<u64>(),
+        failing_percent in prop_oneof![3 => Just(0u64), 1 => 1u64..15],
+        faults in proptest::collection::vec(carried_fault(), 0..12),
+    ) {
+        run(seed, failing_percent, &faults, Planted::Nothing);
+    }
+}
+
 /// Each fault is planted in the workers in turn. A check that lets all of them pass would prove nothing of the leader.
 #[rstest]
 #[case(Planted::HalfClock)]
