Questions whose leader was lost may be asked again

Cause: a call that was sent to a leader which died counted as 'may be recorded' for the rest of its caller's time, also when it only asks. Ruled out: that the answers were lost behind entries (the entry itself answered). Now such a call is answered 503 with the time to come back. The test fails without the change.

--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -25,7 +25,7 @@
 /// Hands `call` to the leader and returns its answer, for `limit_ms` at most.
 ///
 /// A call that may have been recorded is repeated until its outcome is known; only one that was surely never recorded is called
-/// unavailable, since its caller is told that nothing will run.
+/// unavailable, since its caller is told that nothing will run. One that asks and changes nothing never is: its caller may ask again at once.
 pub async fn forward(mesh: &Rc<Mesh>, call: &Call, limit_ms: u64) -> Answer {
     let Ok(body) = serde_json::to_vec(call) else {
         return Answer::Refused(Refusal::BadJob("the call cannot be written".to_owned()));
@@ -41,10 +41,10 @@
             match reply.map(|reply| serde_json::from_slice::<Answer>(&reply.body)) {
                 Ok(Ok(Answer::NotLeader)) | Err(CallError::NotSent) => leader.note_not_leading(),
                 Ok(Ok(Answer::Unknown)) | Ok(Err(_)) | Err(CallError::Lost) => {
-                    may_be_recorded = true;
+                    may_be_recorded = changes(call);
                 }
                 Ok(Ok(Answer::Unavailable { .. })) => {}
-                Ok(Ok(Answer::Refused(_))) if may_be_recorded && changes(call) => {
+                Ok(Ok(Answer::Refused(_))) if may_be_recorded => {
                     return Answer::Unknown;
                 }
                 Ok(Ok(answer)) => return answer,
--- a/crates/bh-control/tests/silent_leader.rs
+++ b/crates/bh-control/tests/silent_leader.rs
@@ -100,6 +100,29 @@
     .unwrap();
 }
 
+/// The leader is lost while a caller asks for its job's state, and no other is elected in time. Asking again does no harm, so the caller is told
+/// when to; told that the outcome is unknown it would have to find out what became of something that it never sent.
+#[test]
+fn a_question_whose_leader_is_lost_may_be_asked_again() {
+    let addresses = ports::free(2);
+    let link = Link::start(addresses[0], addresses[1]);
+    runtime::run(1, async move {
+        let calls = Calls::default();
+        leader(addresses[1], Rc::new(Cell::new(1)), calls.clone());
+        let entry = Mesh::new(Hello::default(), Clock::new(), CancellationToken::new());
+        entry.learn([addresses[0]]);
+        while entry.leader().is_none() {
+            sleep_ms(20).await;
+        }
+        link.silence_open_connections();
+        let answer = forward(&entry, &Call::GetRules, PATIENCE_MS).await;
+        assert!(matches!(answer, Answer::Unavailable { .. }), "{answer:?}");
+        let answer = forward(&entry, &leave(), PATIENCE_MS).await;
+        assert_eq!(answer, Answer::Unknown);
+    })
+    .unwrap();
+}
+
 /// The leader is suspended while calls are on their way to it, more calls come, and another core is elected. Each call must reach the new
 /// leader as soon as that is known, and none ahead of an earlier one. Else the first caller is answered later than the second and on newer
 /// rules, and their entry seems to have gone back to older rules for the second.
