Running out of descriptors is waited out

Cause: with 3,000 workers the leader of a fleet of 300 machines ended with status 9. Ruled out: memory (81 of 312 MB) and a full disk. What takes descriptors is bounded: callers and workers' heartbeats, calls to workers in progress, unused connections, each a share of what the process may have, which is a setting.

--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -135,6 +135,11 @@
 /// Grace when the file does not say, in milliseconds.
 const DEFAULT_GRACE_MS: u64 = 6_000;
 
+/// Share of its descriptors that an entry gives to callers, in percent; the rest is for links and files.
+const ENTRY_CALLERS_PERCENT: usize = 85;
+/// The same of a core, which needs as many again for the workers that it talks to itself.
+const CORE_CALLERS_PERCENT: usize = 45;
+
 /// Seconds as whole milliseconds.
 fn whole_ms(seconds: f64) -> u64 {
     const MS_PER_S: f64 = 1_000.0;
@@ -221,6 +226,15 @@
         })
     }
 
+    /// Connections that the process takes at a time from those who call it.
+    pub fn most_callers(&self) -> usize {
+        let percent = match self.role {
+            Role::Entry => ENTRY_CALLERS_PERCENT,
+            Role::Core => CORE_CALLERS_PERCENT,
+        };
+        self.descriptors() * percent / 100
+    }
+
     /// Time for a graceful end, in milliseconds.
     pub fn grace_ms(&self) -> u64 {
         self.grace_s.map_or(DEFAULT_GRACE_MS, whole_ms)
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -169,7 +169,7 @@
     monoio::spawn(server::serve(
         control_listener,
         core.draining.clone(),
-        Rc::new(Cell::new(0)),
+        (Rc::new(Cell::new(0)), core.config.most_callers()),
         move |request| handle(serving.clone(), request),
     ));
     let signal = runtime::stop_on_signal()
--- a/crates/bh-control/src/core/worker_calls.rs
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -4,9 +4,11 @@
 use bh_net::http_client::Connection;
 use bh_net::http_client::Pool;
 use bh_net::http_client::SendError;
+use bh_net::runtime::sleep_ms;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use std::cell::Cell;
 use std::net::SocketAddr;
 
 /// Time to open a connection, in milliseconds. Within a region it takes a few; a VM without power never answers.
@@ -23,10 +25,19 @@
 /// a worker nor write its record.
 const KEEP_PERCENT: usize = 25;
 
+/// Share of the process's descriptors that calls in progress take at most, in percent.
+const BUSY_PERCENT: usize = 25;
+/// Calls in progress at least, however few descriptors there are.
+const FEWEST_BUSY: usize = 8;
+/// Time between looks for a call that has ended, in milliseconds, while as many are in progress as may be.
+const POLL_MS: u64 = 5;
+
 /// Connections to workers.
 pub struct WorkerCalls {
     pool: Pool,
     clock: Clock,
+    busy: Cell<usize>,
+    most_busy: usize,
 }
 
 impl WorkerCalls {
@@ -38,9 +49,16 @@
                 .with_max_total(descriptors * KEEP_PERCENT / 100)
                 .with_max_idle_ms(KEEP_MS),
             clock,
+            busy: Cell::new(0),
+            most_busy: (descriptors * BUSY_PERCENT / 100).max(FEWEST_BUSY),
         }
     }
 
+    /// Calls in progress.
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
     /// Closes the connections that nothing is sent on: a core that stops leading calls no workers, and each takes descriptors and memory
     /// at both ends.
     pub fn close(&self) {
@@ -65,6 +83,26 @@
         address: SocketAddr,
         request: Request<Bytes>,
         limit_ms: u64,
+    ) -> Result<Response<Bytes>, SendError> {
+        let until_ms = self.clock.now_ms() + limit_ms;
+        // A process without descriptors can do nothing any more, so calls wait for each other instead.
+        while self.busy.get() >= self.most_busy {
+            if self.clock.now_ms() >= until_ms {
+                return Err(SendError::NotConnected);
+            }
+            sleep_ms(POLL_MS).await;
+        }
+        self.busy.set(self.busy.get() + 1);
+        let result = self.exchange(address, request, limit_ms).await;
+        self.busy.set(self.busy.get() - 1);
+        result
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit_ms: u64,
     ) -> Result<Response<Bytes>, SendError> {
         if let Some(mut connection) = self.pool.take(address, self.clock.now_ms()) {
             let copy = copy(&request);
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -183,14 +183,14 @@
     monoio::spawn(server::serve(
         callers,
         entry.closing.clone(),
-        entry.connections.clone(),
+        (entry.connections.clone(), entry.config.most_callers()),
         move |request| serving.clone().handle(request),
     ));
     let answering = entry.clone();
     monoio::spawn(server::serve(
         readiness,
         stop.clone(),
-        Rc::new(Cell::new(0)),
+        (Rc::new(Cell::new(0)), entry.config.most_callers()),
         move |request| {
             let entry = answering.clone();
             async move {
--- a/crates/bh-control/src/observe/serve_metrics.rs
+++ b/crates/bh-control/src/observe/serve_metrics.rs
@@ -15,6 +15,8 @@
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
+/// Readers at a time.
+const MOST_READERS: usize = 16;
 /// Path of the metrics.
 const PATH: &str = "/metrics";
 
@@ -68,7 +70,7 @@
     monoio::spawn(server::serve(
         listener,
         stop,
-        Rc::new(Cell::new(0)),
+        (Rc::new(Cell::new(0)), MOST_READERS),
         handler,
     ));
     Ok(())
--- a/crates/bh-control/src/server.rs
+++ b/crates/bh-control/src/server.rs
@@ -17,8 +17,6 @@
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
-/// Connections open at a time at most: below the descriptors that a small VM gives a process, with room for links and files.
-const MAX_CONNECTIONS: usize = 3_500;
 /// Time after which a connection without a request is closed, in milliseconds.
 const IDLE_MS: u64 = 60_000;
 /// Wait after a connection could not be taken, in milliseconds.
@@ -47,11 +45,11 @@
     response
 }
 
-/// Serves connections until `closing` is cancelled; `open` counts those that are open.
+/// Serves connections until `closing` is cancelled, `most` at a time; `open` counts those that are open.
 pub async fn serve<F: Future<Output = Response<Bytes>> + 'static>(
     listener: TcpListener,
     closing: CancellationToken,
-    open: Rc<Cell<usize>>,
+    (open, most): (Rc<Cell<usize>>, usize),
     handler: impl Fn(Request<Bytes>) -> F + Clone + 'static,
 ) {
     let limits = Limits::new(IDLE_MS);
@@ -64,7 +62,7 @@
             sleep_ms(ACCEPT_RETRY_MS).await;
             continue;
         };
-        if open.get() >= MAX_CONNECTIONS {
+        if open.get() >= most {
             log::warn!(open = open.get(); "a connection was refused: too many are open");
             continue;
         }
--- a/crates/bh-group/src/persist.rs
+++ b/crates/bh-group/src/persist.rs
@@ -9,8 +9,9 @@
 use bh_storage::Vote;
 use std::collections::VecDeque;
 
-/// Wait before a write is tried again on a full disk, in milliseconds: others lead meanwhile, so nothing is won by more haste.
-const FULL_DISK_WAIT_MS: u64 = 200;
+/// Wait before a write is tried again that found no room on the disk or no descriptor, in milliseconds: others lead meanwhile, so nothing is won
+/// by more haste.
+const NO_ROOM_WAIT_MS: u64 = 200;
 
 /// Writes and syncs the `Save*` outputs of a batch, on a helper thread; the others are returned.
 ///
@@ -42,9 +43,9 @@
         match result {
             Ok(()) => break,
             // Nothing leaves this replica until the write succeeds: to the others it is silent, as with a disk that hangs.
-            Err(failure) if failure.code == Code::DiskFull => {
+            Err(failure) if matches!(failure.code, Code::DiskFull | Code::NoDescriptors) => {
                 log::warn!(code = failure.code.number(); "waiting for room: {failure}");
-                sleep_ms(FULL_DISK_WAIT_MS).await;
+                sleep_ms(NO_ROOM_WAIT_MS).await;
             }
             Err(failure) => return Err(failure),
         }
--- a/crates/bh-protocol/src/code.rs
+++ b/crates/bh-protocol/src/code.rs
@@ -108,6 +108,7 @@
     FolderInUse = 503, 500, 9, No, "The data folder belongs to another VM", "Give each VM a data folder of its own.";
     DiskFailed = 504, 500, 9, No, "The data folder could not be written", "Check the disk; the entry stops because it can no longer keep its promises.";
     DiskFull = 505, 500, 9, No, "The data folder has no room left", "Make room on the disk; the process goes on once there is some.";
+    NoDescriptors = 506, 500, 9, No, "Too many files and connections are open to write the data folder", "Raise the process's limit of open files; it goes on once some are closed.";
     Unreachable = 600, 503, 10, Unknown, "The entry did not answer in time", "Try another entry, or raise --timeout-ms.";
     Internal = 601, 500, 10, Unknown, "An unexpected fault in beechhollow", "Please report it with the log lines around it.";
 }
--- a/crates/bh-storage/src/journal.rs
+++ b/crates/bh-storage/src/journal.rs
@@ -9,6 +9,7 @@
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::wire::LogEntry;
+use rustix::io::Errno;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io::ErrorKind;
@@ -136,7 +137,7 @@
     ///
     /// # Errors
     ///
-    /// [`Code::DiskFull`], after which the old journal is still in force. [`Code::DiskFailed`].
+    /// [`Code::DiskFull`], [`Code::NoDescriptors`], after which the old journal is still in force. [`Code::DiskFailed`].
     pub fn replace(
         &mut self,
         vote: Vote,
@@ -185,16 +186,25 @@
         .map_err(|error| disk_failed(path, &error))
 }
 
-/// A write that failed for want of room may succeed later; any other failure is final.
+/// A write that failed for want of room or of descriptors may succeed later; any other failure is final.
 fn write_failed(path: &Path, error: &std::io::Error) -> Failure {
     match error.kind() {
         ErrorKind::StorageFull | ErrorKind::QuotaExceeded => {
             Failure::new(Code::DiskFull, format!("{}: {error}", path.display()))
         }
+        _ if is_out_of_descriptors(error) => {
+            Failure::new(Code::NoDescriptors, format!("{}: {error}", path.display()))
+        }
         _ => disk_failed(path, error),
     }
 }
 
+/// Whether a file could not be opened because too many are open, in this process or on the machine.
+fn is_out_of_descriptors(error: &std::io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    matches!(errno, Some(Errno::MFILE | Errno::NFILE))
+}
+
 fn cut(file: &File, at: usize) -> std::io::Result<()> {
     file.set_len(u64::try_from(at).unwrap_or(u64::MAX))?;
     file.sync_all()
