Plans: racks are looked at for work that wants one, runs are found by name

Cause: in a pass with 100 jobs waiting 22 % went into the racks that could hold a unit, also of units that want none, and 25 % into looking for stopped runs among all.

--- a/crates/bh-storage/tests/out_of_descriptors.rs
+++ b/crates/bh-storage/tests/out_of_descriptors.rs
@@ -37,7 +37,7 @@
     let limit = getrlimit(Resource::Nofile);
     let none_left = Rlimit {
         current: Some(0),
-        ..limit.clone()
+        ..limit
     };
     setrlimit(Resource::Nofile, none_left).unwrap();
     let refused = journal.replace(vote, &snapshot, &[]);
--- a/crates/bh-workload/src/plan/claim.rs
+++ b/crates/bh-workload/src/plan/claim.rs
@@ -31,6 +31,24 @@
     pub until_ms: u64,
 }
 
+/// All recorded runs, to be found by their names.
+pub(super) struct Borrowers {
+    runs: Vec<Borrower>,
+    by_run: BTreeMap<RunId, usize>,
+}
+
+impl Borrowers {
+    fn new(runs: Vec<Borrower>) -> Self {
+        let by_run = runs.iter().enumerate();
+        let by_run = by_run.map(|(at, borrower)| (borrower.run, at)).collect();
+        Self { runs, by_run }
+    }
+
+    fn of(&mut self, run: RunId) -> Option<&mut Borrower> {
+        self.runs.get_mut(*self.by_run.get(&run)?)
+    }
+}
+
 impl Pass<'_> {
     /// Makes room for `unit` if it may displace others; returns whether it does.
     pub fn claim(&mut self, claims: &mut BTreeMap<StepId, Claim>, unit: &Unit) -> bool {
@@ -55,9 +73,9 @@
         }
         let all = match self.borrowers.take() {
             Some(borrowers) => borrowers,
-            None => self.all_borrowers(),
+            None => Borrowers::new(self.all_borrowers()),
         };
-        let made = self.make_room(unit, &all);
+        let made = self.make_room(unit, &all.runs);
         self.borrowers = Some(all);
         let reclaim = match made {
             Ok(reclaim) => reclaim,
@@ -99,18 +117,19 @@
                     && (!borrower.limited || services.may_miss(borrower.run))
         };
         let borrowers: Vec<&Borrower> = all.iter().filter(&mut may_stop).collect();
-        let waits = place::waits_for_rack(unit, &self.rooms, self.wall_ms);
+        let waits =
+            place::wants_rack(unit) && place::waits_for_rack(unit, &self.rooms, self.wall_ms);
         evict::reclaim(unit, &self.rooms, &borrowers, self.workload, waits)
     }
 
     fn stop(&mut self, runs: &BTreeSet<RunId>) {
-        if runs.is_empty() {
+        let Some(borrowers) = self.borrowers.as_mut() else {
             return;
-        }
-        for borrower in self.borrowers.iter_mut().flatten() {
-            if borrower.stopping || !runs.contains(&borrower.run) {
+        };
+        for run in runs {
+            let Some(borrower) = borrowers.of(*run).filter(|run| !run.stopping) else {
                 continue;
-            }
+            };
             borrower.stopping = true;
             borrower.loss = 0;
             let worker = self.rooms[borrower.room].worker.clone();
--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -5,6 +5,7 @@
 use super::place;
 use crate::job::Needs;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -13,8 +14,12 @@
     /// small tasks would take every place that becomes free, and a gang that needs several at once would never begin. A gang that
     /// wants one rack has them kept in the rack that is free soonest.
     pub fn keep_room(&mut self, unit: &Unit) {
-        let able = place::able_racks(unit, &self.rooms);
-        let one_rack = place::wants_rack(unit) && !able.is_empty();
+        let able = if place::wants_rack(unit) {
+            place::able_racks(unit, &self.rooms)
+        } else {
+            BTreeSet::new()
+        };
+        let one_rack = !able.is_empty();
         let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize)>> = BTreeMap::new();
         for at in 0..self.rooms.len() {
             let room = &self.rooms[at];
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -1,6 +1,5 @@
 //! One pass of planning.
 
-use super::Borrower;
 use super::Placement;
 use super::Plan;
 use super::Room;
@@ -8,6 +7,7 @@
 use super::Speeds;
 use super::Unclaimed;
 use super::Unit;
+use super::claim::Borrowers;
 use super::claim::Claim;
 use super::place;
 use super::place::Unplaced;
@@ -38,7 +38,7 @@
     pub rooms: Vec<Room>,
     pub(super) index: BTreeMap<Arc<str>, usize>,
     /// Recorded runs, once somebody asks for room that they take.
-    pub(super) borrowers: Option<Vec<Borrower>>,
+    pub(super) borrowers: Option<Borrowers>,
     /// When runs of each worker are expected to end, once somebody asks.
     pub(super) ends: BTreeMap<usize, Rc<[(u64, Needs)]>>,
     /// What finds no free room; told apart by whether it may use kept room.
