The first election after a start does not wait for a silence

Cause: after a loss of all cores callers are refused until one leads. It is meant for a leader that may have been missed; a replica that has just started has not heard one, and whoever has refuses its question. Ruled out: looks of the new leader at 540 workers (250 ends recorded and first starts within 50 ms). Change: until it has heard a leader since its start, a replica asks after two to four heartbeats (240 to 480 ms). Elections that raise the term keep the longer wait, so that a slow disk does not lead to one after the other.

--- a/crates/bh-consensus/src/config.rs
+++ b/crates/bh-consensus/src/config.rs
@@ -54,6 +54,8 @@
 pub(crate) const MAX_ENTRIES: usize = 512;
 /// Bytes of commands in one message, after which no further entry is added.
 pub(crate) const MAX_BATCH_BYTES: usize = 512 << 10;
+/// Heartbeats for which a replica that has just started waits for a sign of a leader before it asks for votes; it adds up to as many again.
+pub(crate) const FIRST_HEARTBEATS: u64 = 2;
 /// Heartbeats without a sign of life after which an observer is forgotten.
 pub(crate) const OBSERVER_HEARTBEATS: u64 = 50;
 /// Heartbeats between an observer's announcements of itself.
--- a/crates/bh-consensus/src/election.rs
+++ b/crates/bh-consensus/src/election.rs
@@ -11,7 +11,7 @@
     /// Asks whether an election would succeed. A VM cut off from the others keeps asking without raising its term, so
     /// that it does not depose a working leader when it comes back.
     pub(crate) fn start_pre_vote(&mut self, now_ms: u64) {
-        self.restart_election_timer(now_ms);
+        self.restart_pre_vote_timer(now_ms);
         self.leader = None;
         self.role = Role::PreCandidate {
             granted: BTreeSet::from([self.config.id]),
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -1,6 +1,7 @@
 //! One replica of a group: state, time and messages.
 
 use crate::config::Config;
+use crate::config::FIRST_HEARTBEATS;
 use crate::config::OBSERVE_HEARTBEATS;
 use crate::event::Event;
 use crate::log::Log;
@@ -74,7 +75,7 @@
             random,
             next_observe_ms: now_ms,
         };
-        replica.restart_election_timer(now_ms);
+        replica.restart_pre_vote_timer(now_ms);
         replica
     }
 
@@ -349,9 +350,25 @@
     }
 
     pub(crate) fn restart_election_timer(&mut self, now_ms: u64) {
-        let spread_ms = self.next_random() % self.config.election_ms.max(1);
-        self.election_at_ms =
-            now_ms + self.config.election_ms + self.config.election_delay_ms + spread_ms;
+        self.call_election_after(now_ms, self.config.election_ms);
+    }
+
+    /// The same before the others are asked whether an election would succeed.
+    ///
+    /// A replica that has heard no leader since it started need not wait for a silence: a leader shows itself within a heartbeat or two, and those
+    /// who hear one refuse. After a loss of all replicas nobody hears one, and the longer wait is most of the time until the group serves again.
+    pub(crate) fn restart_pre_vote_timer(&mut self, now_ms: u64) {
+        let least_ms = if self.heard_ms.is_none() {
+            (self.config.heartbeat_ms * FIRST_HEARTBEATS).min(self.config.election_ms)
+        } else {
+            self.config.election_ms
+        };
+        self.call_election_after(now_ms, least_ms);
+    }
+
+    fn call_election_after(&mut self, now_ms: u64, least_ms: u64) {
+        let spread_ms = self.next_random() % least_ms.max(1);
+        self.election_at_ms = now_ms + least_ms + self.config.election_delay_ms + spread_ms;
     }
 
     /// Xorshift: spreads the elections of replicas; nothing depends on its quality.
