--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -53,6 +53,29 @@
     assert!(tried, "the broken worker was never asked");
 }
 
+/// One of two workers answers with other requests' answers. Whichever entry a caller asks, and whichever entry owns the broken worker, an
+/// idempotent request is answered by the sound one.
+#[test]
+fn every_entry_finds_the_sound_worker() {
+    let cluster = small_system();
+    let workers = workers(&cluster, 2);
+    workers[0].set_faults(fault(|f| f.swaps_answers = true));
+    for number in 0..6 {
+        request(&cluster, "a1", "book", Some(&format!("k{number}")), "b");
+    }
+    let entries = ["a2", "a1", "a3"];
+    for (number, entry) in (0..12).flat_map(|number| entries.map(|entry| (number, entry))) {
+        let body = format!("body {number}");
+        let answer = request(&cluster, entry, "read", None, &body);
+        assert_eq!(
+            (answer.code(), answer.text()),
+            (Some(0), format!("w1 ran: {body}")),
+            "over {entry}\n{}",
+            cluster.logs()
+        );
+    }
+}
+
 /// Callers send non-idempotent requests through all entries and resend each through others, while the leader and then
 /// another entry are killed and one worker answers late. No key runs twice, "not run" is never said of one that ran, and
 /// all whole answers to a key are the same.
--- a/crates/bh-consensus/src/config.rs
+++ b/crates/bh-consensus/src/config.rs
@@ -44,6 +44,8 @@
     pub heartbeat_ms: u64,
     /// Least silence before an election, in milliseconds; each replica adds up to as much again.
     pub election_ms: u64,
+    /// The same for a replica that has heard no leader since it started, before it asks whether an election would succeed.
+    pub first_election_ms: u64,
     /// Added to that, in milliseconds: a replica that shall lead only when no other can waits longer.
     pub election_delay_ms: u64,
     /// Seed of the election spread.
@@ -54,8 +56,6 @@
 pub(crate) const MAX_ENTRIES: usize = 512;
 /// Bytes of commands in one message, after which no further entry is added.
 pub(crate) const MAX_BATCH_BYTES: usize = 512 << 10;
-/// Heartbeats for which a replica that has just started waits for a sign of a leader before it asks for votes; it adds up to as many again.
-pub(crate) const FIRST_HEARTBEATS: u64 = 2;
 /// Heartbeats without a sign of life after which an observer is forgotten.
 pub(crate) const OBSERVER_HEARTBEATS: u64 = 50;
 /// Heartbeats between an observer's announcements of itself.
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -1,7 +1,6 @@
 //! One replica of a group: state, time and messages.
 
 use crate::config::Config;
-use crate::config::FIRST_HEARTBEATS;
 use crate::config::OBSERVE_HEARTBEATS;
 use crate::event::Event;
 use crate::log::Log;
@@ -359,7 +358,7 @@
     /// who hear one refuse. After a loss of all replicas nobody hears one, and the longer wait is most of the time until the group serves again.
     pub(crate) fn restart_pre_vote_timer(&mut self, now_ms: u64) {
         let least_ms = if self.heard_ms.is_none() {
-            (self.config.heartbeat_ms * FIRST_HEARTBEATS).min(self.config.election_ms)
+            self.config.first_election_ms
         } else {
             self.config.election_ms
         };
--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -182,6 +182,7 @@
             wanted_voters: self.wanted(),
             heartbeat_ms: HEARTBEAT_MS,
             election_ms: ELECTION_MS,
+            first_election_ms: 2 * HEARTBEAT_MS,
             election_delay_ms: 0,
             seed: SEED + index as u64,
         };
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -60,6 +60,8 @@
 /// Least silence before an election, in milliseconds: a sync may take tens of milliseconds, and a small VM's share of a processor may
 /// pause for a tenth of a second.
 const ELECTION_MS: u64 = 700;
+/// The same for a core that has heard no leader since it started, in milliseconds: two heartbeats, in which a leader would have shown itself.
+const FIRST_ELECTION_MS: u64 = 2 * HEARTBEAT_MS;
 /// Silence after which a core's vote passes to another one that has caught up, in milliseconds. A restart is over sooner; a core that is
 /// gone for good must be replaced before the next one may be lost.
 const REPLACE_AFTER_MS: u64 = 2_000;
@@ -206,6 +208,7 @@
         },
         heartbeat_ms: HEARTBEAT_MS,
         election_ms: ELECTION_MS,
+        first_election_ms: FIRST_ELECTION_MS,
         election_delay_ms: 0,
         seed: folder.replica(),
     };
