Try: room is kept for a gang in each rack of a large fleet

Room is kept for eight gangs at a time, a number found with six racks of workers; here there are 45.

--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -26,9 +26,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// Gangs that do not fit yet and have room kept for them at a time. One would let the next large gang starve behind it; many would
-/// leave much of the pool idle.
-const KEPT_GANGS: usize = 8;
+/// Gangs that do not fit yet and have room kept for them at a time, at least; in a larger fleet one for each rack. One would let the next large gang
+/// starve behind it; many in a small fleet would leave much of it idle. Few in a large fleet let those starve that want most of a rack: room comes
+/// free in some rack all the time, and smaller work takes it.
+const FEWEST_KEPT_GANGS: usize = 8;
 
 /// What shall happen now.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -203,6 +204,8 @@
         let stop_ms = dispatcher.timing().stop_timeout_ms;
         reserve.keep((now_ms, stop_ms), &mut pass.rooms);
         let mut kept = 0;
+        let racks: BTreeSet<&Arc<str>> = pass.rooms.iter().map(|room| &room.rack).collect();
+        let most_kept = racks.len().max(FEWEST_KEPT_GANGS);
         for unit in &units {
             if let Some(claim) = claims.get(&unit.step) {
                 if let Some(placement) = pass.placement_of(claim, unit) {
@@ -218,7 +221,7 @@
                     pass.start(unit, &placement);
                 } else if pass.claim(claims, unit) {
                     continue;
-                } else if kept < KEPT_GANGS {
+                } else if kept < most_kept {
                     kept += 1;
                     pass.keep_room(unit);
                 }
--- a/crates/bh-workload/tests/racks.rs
+++ b/crates/bh-workload/tests/racks.rs
@@ -71,3 +71,37 @@
     site.advance(5_000);
     assert!(site.plan().starts.is_empty(), "it is late whatever happens");
 }
+
+/// A fleet of twenty racks is full, and as many gangs wait that need a whole rack each. A worker comes free in every rack, and small tasks wait as
+/// well. Were room kept for a few gangs only, small tasks would take the rest as it comes, and the other gangs would find no rack until nothing
+/// else waits any more; their callers would get no answer at all.
+#[test]
+fn in_a_large_fleet_every_rack_is_kept_for_a_gang_that_waits_for_one() {
+    const RACKS: usize = 20;
+    const PER_RACK: usize = 12;
+    let mut site = Site::new(RACKS * PER_RACK, PER_RACK);
+    // No urgent work has come for long, so that no room is kept for it.
+    site.advance(20_000);
+    let whole = step(u32::try_from(RACKS * PER_RACK).unwrap(), 8);
+    site.submit(2, "other", vec![whole]);
+    site.plan_and_start();
+    site.send_starts();
+    for _ in 0..RACKS {
+        let rack = StepSpec {
+            gang: true,
+            rack_local: true,
+            ..step(u32::try_from(PER_RACK).unwrap(), 8)
+        };
+        site.submit(1, "other", vec![rack]);
+    }
+    site.submit(2, "other", vec![step(400, 1)]);
+    assert!(site.plan_and_start().starts.is_empty());
+    for (worker, run) in site.open_runs() {
+        let number: usize = worker[1..].parse().unwrap();
+        if number.is_multiple_of(PER_RACK) {
+            site.end(run, EndKind::Done);
+        }
+    }
+    site.advance(50);
+    assert_eq!(site.plan_and_start().starts, Vec::new());
+}
