--- a/crates/bh-control/src/core/carry.rs
+++ b/crates/bh-control/src/core/carry.rs
@@ -8,12 +8,14 @@
 //! lease, so a carrier that is lost, cut off or suspended can do no more harm than a bad connection.
 
 use super::core_node::CoreNode;
+use crate::mesh::Peer;
 use bh_net::link::CallError;
 use bh_protocol::wire::CarryOutcome;
 use bh_protocol::wire::CarryReply;
 use bh_protocol::wire::CarryRequest;
 use bh_protocol::wire::Header;
 use bh_protocol::wire::RpcKind;
+use bh_workload::dispatch::Recipient;
 use bytes::Bytes;
 use http::HeaderName;
 use http::HeaderValue;
@@ -23,7 +25,6 @@
 use http::StatusCode;
 use http::Uri;
 use prost::Message;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Time that the way over the carrier may take beside the worker's answer, in milliseconds: two hops of some milliseconds, with room for a
@@ -40,48 +41,55 @@
     CarrierLost(String),
 }
 
-/// Sends an order to a worker, over the core that talks to it or directly when there is none.
+/// Sends an order of the leader of `term` to a worker, over the core that talks to it or directly when there is none.
 pub(super) async fn send(
     core: &Rc<CoreNode>,
     term: u64,
-    worker: (&str, SocketAddr),
+    to: &Recipient,
     request: Request<Bytes>,
     limit_ms: u64,
 ) -> Sent {
-    let (worker, address) = worker;
-    if let Some(carrier) = core.carrier_of(worker) {
+    let carrier = core
+        .carrier_of(&to.worker)
+        .and_then(|carrier| core.mesh.peer(carrier));
+    if let Some(carrier) = carrier {
         let carry = CarryRequest {
             term,
             sent_ms: core.clock.now_ms(),
             limit_ms,
-            address: address.to_string(),
+            address: to.address.to_string(),
             method: request.method().to_string(),
             path: request.uri().to_string(),
             headers: headers(&request),
             body: request.body().to_vec(),
         };
-        if let Some(peer) = core.mesh.peer(carrier) {
-            core.metrics.count("orders_carried", 1);
-            let call = peer.call(RpcKind::Carry, carry.encode_to_vec(), limit_ms + HOP_MS);
-            let reply = monoio::select! {
-                reply = call => reply,
-                () = peer.fallen_silent() => Err(CallError::Lost),
-            };
-            match reply.map(|reply| CarryReply::decode(&*reply.body)) {
-                Ok(Ok(reply)) => return sent(reply),
-                Ok(Err(error)) => return Sent::CarrierLost(format!("its answer: {error}")),
-                Err(CallError::Lost) => return Sent::CarrierLost("no answer".to_owned()),
-                // Nothing left this core yet.
-                Err(CallError::NotSent) => {}
-            }
+        core.metrics.count("orders_carried", 1);
+        match over(&carrier, &carry).await {
+            Ok(reply) => return sent(reply),
+            Err(CallError::Lost) => return Sent::CarrierLost("no answer".to_owned()),
+            // Nothing left this core yet.
+            Err(CallError::NotSent) => {}
         }
     }
-    match core.workers.send(address, request, limit_ms).await {
+    match core.workers.send(to.address, request, limit_ms).await {
         Ok(response) => Sent::Answered(response),
         Err(error) => Sent::NoAnswer(error.to_string()),
     }
 }
 
+/// Has `carrier` carry an order, until it answers or is lost.
+async fn over(carrier: &Peer, carry: &CarryRequest) -> Result<CarryReply, CallError> {
+    let limit_ms = carry.limit_ms + HOP_MS;
+    let reply = monoio::select! {
+        reply = carrier.call(RpcKind::Carry, carry.encode_to_vec(), limit_ms) => reply?,
+        () = carrier.fallen_silent() => return Err(CallError::Lost),
+    };
+    CarryReply::decode(&*reply.body).map_err(|error| {
+        log::warn!(core = carrier.address.to_string(); "an answer of a carrier cannot be read: {error}");
+        CallError::Lost
+    })
+}
+
 fn headers(request: &Request<Bytes>) -> Vec<Header> {
     let headers = request.headers().iter().map(|(name, value)| Header {
         name: name.to_string(),
--- /dev/null
+++ b/crates/bh-control/src/core/driver.rs
@@ -0,0 +1,117 @@
+//! The core's replica of the record: how it is set up, and what it tells the core.
+
+use super::core_node::CoreNode;
+use crate::config::LocalConfig;
+use bh_consensus::Config;
+use bh_consensus::Wanted;
+use bh_group::Driver;
+use bh_group::Group;
+use bh_group::Hooks;
+use bh_group::Machine;
+use bh_net::Clock;
+use bh_protocol::Failure;
+use bh_protocol::wire::RaftMessage;
+use bh_storage::Folder;
+use bh_workload::state::Workload;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Name of the replicated group.
+const GROUP: &str = "workload";
+/// Time between a leader's heartbeats, in milliseconds. Cores stand milliseconds apart; the rest is room for a busy processor.
+const HEARTBEAT_MS: u64 = 120;
+/// Least silence before an election, in milliseconds: a sync may take tens of milliseconds, and a small VM's share of a processor may
+/// pause for a tenth of a second.
+const ELECTION_MS: u64 = 700;
+/// The same for a core that has heard no leader since it started, in milliseconds: two heartbeats, in which a leader would have shown itself.
+const FIRST_ELECTION_MS: u64 = 2 * HEARTBEAT_MS;
+/// Silence after which a core's vote passes to another one that has caught up, in milliseconds. A restart is over sooner; a core that is
+/// gone for good must be replaced before the next one may be lost.
+const REPLACE_AFTER_MS: u64 = 2_000;
+/// Commands after which the record is written as a whole.
+const SNAPSHOT_ENTRIES: u64 = 4_000;
+
+/// The core once it is built; the driver's hooks exist before.
+#[derive(Clone, Default)]
+pub(super) struct Late {
+    core: Rc<RefCell<Option<Rc<CoreNode>>>>,
+}
+
+impl Late {
+    /// Makes the core known.
+    pub fn set(&self, core: Rc<CoreNode>) {
+        *self.core.borrow_mut() = Some(core);
+    }
+
+    fn get(&self) -> Option<Rc<CoreNode>> {
+        self.core.borrow().clone()
+    }
+}
+
+/// The driver of this core's replica, with what its folder holds, and the handle to it.
+///
+/// # Errors
+///
+/// A log that cannot be read.
+pub(super) fn build(
+    config: &LocalConfig,
+    folder: &Folder,
+    clock: &Clock,
+    late: &Late,
+) -> Result<(Driver<Workload>, Group<Workload>), Failure> {
+    let consensus = Config {
+        group: Arc::from(GROUP),
+        id: folder.replica(),
+        // A VM is named by its address: a replaced one comes back under another, a wiped one under the same.
+        name: Arc::from(config.ip.to_string()),
+        durable: true,
+        wanted_voters: Wanted::Count {
+            count: config.voters(),
+            replace_after_ms: REPLACE_AFTER_MS,
+        },
+        heartbeat_ms: HEARTBEAT_MS,
+        election_ms: ELECTION_MS,
+        first_election_ms: FIRST_ELECTION_MS,
+        election_delay_ms: 0,
+        seed: folder.replica(),
+    };
+    let machine = Machine::new(Workload::default(), Workload::CODEC);
+    let storage = Some(folder.journal(GROUP)?);
+    let hooks = hooks(late);
+    let (driver, group) = Driver::new(consensus, machine, storage, clock.clone(), hooks)?;
+    Ok((driver.with_snapshot_entries(SNAPSHOT_ENTRIES), group))
+}
+
+fn hooks(late: &Late) -> Hooks {
+    let (sending, applying, changing) = (late.clone(), late.clone(), late.clone());
+    Hooks {
+        send: Box::new(move |message| {
+            if let Some(core) = sending.get() {
+                send_raft(&core, message);
+            }
+        }),
+        applied: Box::new(move |_, _| {
+            if let Some(core) = applying.get()
+                && core.leadership.borrow().is_some()
+            {
+                core.wake();
+            }
+        }),
+        changed: Box::new(move || {
+            if let Some(core) = changing.get() {
+                core.wake();
+            }
+        }),
+    }
+}
+
+fn send_raft(core: &Rc<CoreNode>, message: RaftMessage) {
+    if message.to == 0 {
+        for peer in core.mesh.peers() {
+            peer.send_raft(message.clone());
+        }
+    } else if let Some(peer) = core.mesh.by_replica(message.to) {
+        peer.send_raft(message);
+    }
+}
--- /dev/null
+++ b/crates/bh-control/src/core/incoming.rs
@@ -0,0 +1,112 @@
+//! Calls that come to a core: over links from other processes, and over HTTP from workers and operators.
+
+use super::answer_call::answer_call;
+use super::carry;
+use super::core_node::CoreNode;
+use super::heartbeats;
+use crate::calls::Answer;
+use crate::calls::Call;
+use crate::calls::forward;
+use crate::mesh::Service;
+use crate::server;
+use bh_group::Formation;
+use bh_protocol::wire::RpcKind;
+use bh_protocol::wire::RpcRequest;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use std::rc::Rc;
+
+/// Longest time that a call is worked on when its sender does not say how long it waits, in milliseconds; workers and operators turn to
+/// another core after a second.
+const DEFAULT_PATIENCE_MS: u64 = 900;
+
+/// What this core does with what comes over links.
+pub(super) fn service(core: &Rc<CoreNode>) -> Service {
+    let (delivering, answering, telling) = (core.clone(), core.clone(), core.clone());
+    Service {
+        deliver: Box::new(move |message| delivering.group.deliver(message)),
+        answer: Box::new(move |request| Box::pin(serve_rpc(answering.clone(), request))),
+        status: Box::new(move || telling.status()),
+    }
+}
+
+async fn serve_rpc(core: Rc<CoreNode>, request: RpcRequest) -> Vec<u8> {
+    if request.kind == i32::from(RpcKind::Formation) {
+        let formation = Formation::of(&core.group, core.mesh.hello().replica);
+        return serde_json::to_vec(&formation).unwrap_or_default();
+    }
+    if request.kind == i32::from(RpcKind::Carry) {
+        return carry::carry(&core, &request.body).await;
+    }
+    if request.kind == i32::from(RpcKind::Signs) {
+        heartbeats::hear_signs(&core, &request.body);
+        return Vec::new();
+    }
+    let answer = match serde_json::from_slice::<Call>(&request.body) {
+        Ok(call) => counted(&core, answer_call(&core, call)).await,
+        Err(error) => {
+            log::warn!("a call between processes cannot be read: {error}");
+            Answer::Unknown
+        }
+    };
+    serde_json::to_vec(&answer).unwrap_or_default()
+}
+
+/// Counts a call as in progress, so that a graceful end waits for it.
+async fn counted<T>(core: &Rc<CoreNode>, work: impl Future<Output = T>) -> T {
+    core.in_progress.set(core.in_progress.get() + 1);
+    let result = work.await;
+    core.in_progress.set(core.in_progress.get() - 1);
+    result
+}
+
+/// A call of a worker or operator: answered here when this core leads, else handed on.
+pub(super) async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
+    let received = match (core.dialect.read_control)(&request) {
+        Ok(received) => received,
+        Err(status) => {
+            core.metrics.count("calls_unreadable", 1);
+            log::info!(path = request.uri().path(), status = status.as_u16(); "call not read");
+            return server::status(status);
+        }
+    };
+    let patience_ms = received.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+    let answer = counted(&core, async {
+        match answer_call(&core, received.call.clone()).await {
+            Answer::NotLeader => as_follower(&core, &received.call, patience_ms).await,
+            answer => answer,
+        }
+    })
+    .await;
+    log_control(&received.call, &answer);
+    (core.dialect.write_answer)(&received.call, &answer)
+}
+
+/// A call that came to a core that does not lead.
+async fn as_follower(core: &Rc<CoreNode>, call: &Call, patience_ms: u64) -> Answer {
+    if let Call::Heartbeat(heartbeat) = call
+        && let Some(answer) = heartbeats::hear_for_leader(core, heartbeat)
+    {
+        return answer;
+    }
+    forward(&core.mesh, call, patience_ms).await
+}
+
+fn log_control(call: &Call, answer: &Answer) {
+    match call {
+        Call::SetRules(Ok(rules)) => {
+            log::info!(version = rules.version, answer:? = answer; "rules sent");
+        }
+        Call::SetRules(Err(problem)) => {
+            log::info!(problem = &**problem, answer:? = answer; "unreadable rules sent");
+        }
+        Call::Leave { worker } => {
+            log::info!(worker = &**worker, answer:? = answer; "worker leaves");
+        }
+        Call::Heartbeat(heartbeat) if !matches!(answer, Answer::Heard { .. }) => {
+            log::info!(worker = &*heartbeat.info.id, answer:? = answer; "heartbeat not taken");
+        }
+        _ => {}
+    }
+}
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -44,8 +44,7 @@
     core.metrics.count("orders", 1);
     let began_ms = core.clock.now_ms();
     let request = (core.dialect.write_order)(&order);
-    let to = (&*order.to.worker, order.to.address);
-    let answer = match carry::send(&core, order.token, to, request, limit_ms).await {
+    let answer = match carry::send(&core, order.token, &order.to, request, limit_ms).await {
         Sent::Answered(response) => {
             // A look waits for an end; how long says nothing of the worker.
             if !matches!(order.body, OrderBody::Look { .. }) {
