A refusal counts against an entry until it has slots again

Cause: a request that another entry refused for want of a slot was never handed there again; one whose own workers fail it then waits for its whole time beside free slots. Found while tracing every_entry_finds_the_sound_worker.

--- a/crates/bh-router/src/queue.rs
+++ b/crates/bh-router/src/queue.rs
@@ -105,6 +105,18 @@
         ahead
     }
 
+    /// Lets waiting requests be handed to `entry` again. It refused them because it had no slot for the moment: held to that, a request whose own
+    /// targets fail it would wait for its whole time beside slots that are free.
+    pub fn forget_refusals_of(&mut self, entry: &Arc<str>) {
+        let lanes = self
+            .priorities
+            .values_mut()
+            .flat_map(|lanes| lanes.values_mut());
+        for ticket in lanes.flat_map(|lane| lane.waiting.iter_mut()) {
+            ticket.refused_by.remove(entry);
+        }
+    }
+
     /// Takes out the requests that `dead` picks.
     pub fn remove_where(&mut self, dead: impl Fn(&Ticket) -> bool) -> Vec<Ticket> {
         let mut removed = Vec::new();
--- a/crates/bh-router/src/router.rs
+++ b/crates/bh-router/src/router.rs
@@ -90,6 +90,9 @@
     pub fn note_sibling(&mut self, entry: &Arc<str>, free_slots: Option<u32>) {
         match free_slots {
             Some(free_slots) => {
+                if free_slots > 0 {
+                    self.queue.forget_refusals_of(entry);
+                }
                 self.siblings.insert(entry.clone(), Sibling { free_slots });
             }
             None => {
