Ports that tests choose are marked as taken for other processes

Two processes of ours had chosen the same port between its choice and its use. A datagram socket on each chosen port, held until the process ends, tells the other one.

--- a/crates/bh-testkit/src/ports.rs
+++ b/crates/bh-testkit/src/ports.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
@@ -13,6 +16,9 @@
 const STRIDE: u32 = 97;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
+/// Datagram sockets on the ports that were given out, held until the process ends. Nothing here uses datagrams: they tell other processes that choose
+/// ports at the same time, such as a soak beside the tests, that a port is taken though nobody listens on it yet.
+static GIVEN: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
 
 /// Addresses that nobody listens on, all different.
 ///
@@ -30,8 +36,13 @@
         let step = NEXT.fetch_add(1, Ordering::SeqCst) % COUNT;
         let port = FIRST + (offset + step) % COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let Ok(mark) = UdpSocket::bind(address) else {
+            continue;
+        };
         if TcpListener::bind(address).is_ok() {
             addresses.push(address);
+            let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+            given.push(mark);
         }
     }
     panic!("no {count} free ports");
