--- a/crates/bh-control/src/core/carry.rs
+++ b/crates/bh-control/src/core/carry.rs
@@ -49,10 +49,7 @@
     request: Request<Bytes>,
     limit_ms: u64,
 ) -> Sent {
-    let carrier = core
-        .carrier_of(&to.worker)
-        .and_then(|carrier| core.mesh.peer(carrier));
-    if let Some(carrier) = carrier {
+    if let Some(carrier) = carrier_of(core, &to.worker) {
         let carry = CarryRequest {
             term,
             sent_ms: core.clock.now_ms(),
@@ -81,6 +78,13 @@
     }
 }
 
+/// The other core that talks to a worker of the record.
+fn carrier_of(core: &Rc<CoreNode>, worker: &str) -> Option<Rc<Peer>> {
+    let workload = core.group.machine.read();
+    let carrier = core.carrier_of(&workload.worker(worker)?.info)?;
+    core.mesh.peer(carrier.address)
+}
+
 /// Has `carrier` carry an order, until it answers or is lost.
 async fn over(carrier: &Peer, carry: &CarryRequest) -> Result<CarryReply, CallError> {
     let limit_ms = carry.limit_ms + HOP_MS;
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -14,6 +14,7 @@
 use bh_group::Group;
 use bh_net::Clock;
 use bh_protocol::wire::CoreStatus;
+use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
 use local_sync::mpsc::unbounded;
 use std::cell::Cell;
@@ -129,14 +130,14 @@
     }
 
     /// The other core that talks to a worker; `None` when this one shall.
-    pub fn carrier_of(&self, worker: &str) -> Option<SocketAddr> {
+    pub fn carrier_of(&self, worker: &WorkerInfo) -> Option<Carrier> {
         if !self.shares_workers() {
             return None;
         }
         let cores = self.cores();
-        let workload = self.group.machine.read();
-        let carrier = carriers::carrier_of(&workload.worker(worker)?.info, &cores)?;
-        (carrier.address != self.config.peer_address()).then_some(carrier.address)
+        carriers::carrier_of(worker, &cores)
+            .filter(|carrier| carrier.address != self.config.peer_address())
+            .cloned()
     }
 
     /// Wakes the leader's loop, once for many reasons at a time.
--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -1,6 +1,5 @@
 //! Heartbeats of workers.
 
-use super::carriers;
 use super::core_node::CoreNode;
 use crate::calls::Answer;
 use crate::calls::WorkerHeartbeat;
@@ -91,11 +90,7 @@
 
 /// Where a worker's next heartbeats go: to the core that talks to it.
 fn next_address(core: &Rc<CoreNode>, worker: &WorkerInfo) -> Option<SocketAddr> {
-    let cores = core.cores();
-    if !core.shares_workers() {
-        return core.config.control_address;
-    }
-    carriers::carrier_of(worker, &cores)
+    core.carrier_of(worker)
         .and_then(|carrier| carrier.control_address)
         .or(core.config.control_address)
 }
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -28,8 +28,8 @@
 
 /// Wait before a worker that does not answer is looked at again, in milliseconds.
 const FAILING_LOOK_MS: u64 = 400;
-/// Wait before a worker whose carrier was lost is looked at over another one, in milliseconds: next to nothing, but a carrier that refuses
-/// shall not be asked without a pause.
+/// Wait before a worker whose carrier was lost is looked at over another one, in milliseconds: next to nothing, but a link that is lost
+/// again and again shall not be tried without a pause.
 const NEXT_CARRIER_MS: u64 = 30;
 /// Time that a deposed leader may have gone on giving orders after this one was elected, in milliseconds: it stops when it has not
 /// heard from a majority for an election time; twice the longest one used.
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -215,8 +215,8 @@
                 continue;
             }
             pass.ask(unit);
+            let avoid = avoided(failed_on, unit, &pass.rooms);
             if unit.spec.gang {
-                let avoid = avoided(failed_on, unit, &pass.rooms);
                 if let Some(placement) = pass.place_gang(unit, &avoid) {
                     pass.start(unit, &placement);
                 } else if pass.claim(claims, unit) {
@@ -227,7 +227,6 @@
                 }
                 continue;
             }
-            let avoid = avoided(failed_on, unit, &pass.rooms);
             let placement = pass.place_tasks(unit, &avoid);
             let placed = placement.iter().map(|(_, count)| count).sum();
             pass.start(unit, &placement);
