Sight: a line for each worker that is gone and each run lost with it

Cause: the ends that come with a lost worker were written nowhere, so the logs of the incident cannot tell whether crashes count for nothing or are counted and forgotten. Now 'worker gone' (how it was learnt, term, draining) and 'run lost with its worker', the metric workers_gone_total, and the term in 'run planned'. Ruled out: nothing yet. No change of behaviour.

--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -1,6 +1,8 @@
 //! Answers calls as the leader.
 
 use super::core_node::CoreNode;
+use super::departures::Learnt;
+use super::departures::log_departures;
 use super::heartbeats::hear;
 use super::records::propose;
 use crate::calls::Answer;
@@ -56,6 +58,7 @@
         Call::Heartbeat(heartbeat) => hear(core, heartbeat).await,
         Call::Leave { worker } => {
             let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
+            log_departures(core, core.group.status().term, &gone, Learnt::Leave);
             change(core, gone).await
         }
         Call::SetRules(Ok(rules)) => change(core, Command::SetRules(rules)).await,
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod carry;
 mod carry_delay;
 mod core_node;
+mod departures;
 mod driver;
 mod formation;
 mod heartbeats;
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -3,6 +3,8 @@
 use super::carry;
 use super::carry::Sent;
 use super::core_node::CoreNode;
+use super::departures::Learnt;
+use super::departures::log_departures;
 use super::records::record;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
@@ -91,6 +93,7 @@
     drop(workload);
     drop(held);
     if let Some(command) = command {
+        log_departures(core, order.token, &command, Learnt::OtherIncarnation);
         record(core, command);
     }
     core.wake();
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -104,7 +104,7 @@
             .and_then(|target| target.clock);
         let heard_ms_ago = clock.map_or(0, |clock| now_ms.saturating_sub(clock.at_ms));
         log::info!(
-            run = start.run.to_string(), worker = &*start.worker, priority, waited_ms, rules_version, heard_ms_ago;
+            run = start.run.to_string(), worker = &*start.worker, term = leadership.term, priority, waited_ms, rules_version, heard_ms_ago;
             "run planned"
         );
     }
--- a/crates/bh-control/src/core/upkeep.rs
+++ b/crates/bh-control/src/core/upkeep.rs
@@ -1,6 +1,8 @@
 //! Carries waves of upkeep out.
 
 use super::core_node::CoreNode;
+use super::departures::Learnt;
+use super::departures::log_departures;
 use super::records::propose;
 use bh_workload::state::Command;
 use bh_workload::upkeep::Step;
@@ -80,6 +82,7 @@
         .filter(|leadership| leadership.term == order.token)
         .and_then(|leadership| leadership.keeper.note_answer(now_ms, &order, answer));
     if let Some(command) = command {
+        log_departures(&core, order.token, &command, Learnt::Upkeep);
         record(core, command).await;
     }
 }
