Known red: a task that crashes its workers is started without end

Cause, as far as the test shows it: in the record a lost worker's runs end as lost, and nothing counts that. The test needs neither several leaders nor repeated orders, which rules out the second and third hypotheses as the cause (docs/incidents/crashing-tasks.md).

--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -237,6 +237,25 @@
         }
     }
 
+    /// A worker crashes; another incarnation answers at its address from now on.
+    pub fn crash(&mut self, worker: &Arc<str>) {
+        let mut info = self.workload.worker(worker).unwrap().info.clone();
+        let (orders, _) = self.dispatcher.orders(self.now_ms, &self.workload, true);
+        let order = orders.iter().find(|order| order.to.worker == *worker);
+        let command = self.dispatcher.note_answer(
+            self.now_ms,
+            order.expect("a worker with runs is looked at"),
+            &Answer::OtherIncarnation,
+            &self.workload,
+        );
+        self.workload.apply(command.expect("the worker is gone"));
+        info.id = Arc::from(format!("{worker}'"));
+        let known = WorkerChange::Known(info);
+        self.workload.apply(Command::Workers(vec![known]));
+        self.take_news();
+        self.heartbeats();
+    }
+
     /// Records the end of a run wherever it is.
     pub fn end(&mut self, run: RunId, kind: EndKind) {
         let worker = self
