A task under which workers crash is given up; what crashed beside it is not

The class: a retry after an end that is nobody's fault has no bound of its own. Mend: a crash (another incarnation answers, and the worker had not said that it leaves) is a command of its own with the runs that may be the cause, and is counted at their tasks in the record. Given up after two crashes just as the task began, when it was alone on the second worker; after three in any case; after four where starts had no answer. A task under which a worker crashed begins on a worker where nothing has just begun, and nothing else begins beside it until it was seen at work. Also: a silent worker whose address a new one has is looked at, so that idle workers that crash leave the record, and a crash heard only after the lease counts. Ruled out: counts lost with the leader, repeated orders (the test needs neither).

--- a/crates/beechctl/src/commands/core_explain.rs
+++ b/crates/beechctl/src/commands/core_explain.rs
@@ -4,10 +4,12 @@
 use crate::client::Client;
 use crate::output::Output;
 use crate::output::table;
+use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_workload::plan::JobReport;
 use bh_workload::plan::StepReport;
 use bh_workload::plan::Wait;
+use bh_workload::state::GiveUp;
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
@@ -40,13 +42,21 @@
     let steps: Vec<Vec<String>> = report.steps.iter().map(step_row).collect();
     let runs: Vec<Vec<String>> = report.steps.iter().flat_map(run_rows).collect();
     format!(
-        "job {} of {customer} in queue {}, priority {}{guaranteed}: {:?}\n\n{}\n\n{}",
+        "job {} of {customer} in queue {}, priority {}{guaranteed}: {:?}{}\n\n{}\n\n{}",
         report.job,
         report.queue,
         report.priority,
         report.state,
+        report.given_up.map_or(String::new(), given_up_text),
         table(
-            &["step", "tasks", "done", "failed runs", "waits for"],
+            &[
+                "step",
+                "tasks",
+                "done",
+                "failed runs",
+                "crashes",
+                "waits for"
+            ],
             &steps
         ),
         table(&["run", "worker", "percent", "reported", "state"], &runs),
@@ -59,6 +69,7 @@
         step.tasks.to_string(),
         step.done.to_string(),
         step.failures.to_string(),
+        step.crashes.to_string(),
         step.wait.as_ref().map_or("-".to_owned(), wait_text),
     ]
 }
@@ -76,6 +87,16 @@
     step.runs.iter().map(row).collect()
 }
 
+fn given_up_text(why: GiveUp) -> String {
+    let reason = match why {
+        GiveUp::Failures { step } => format!("step {step} failed as often as its queue allows"),
+        GiveUp::Crashes { run } => {
+            format!("workers crashed under its task, the last one under run {run}")
+        }
+    };
+    format!(" ({}: {reason})", Code::JobFailed)
+}
+
 fn wait_text(wait: &Wait) -> String {
     match wait {
         Wait::NotDue { due_ms } => format!("its time, {due_ms} ms since 1970"),
@@ -85,6 +106,9 @@
         Wait::NoWorkerLargeEnough => "a worker that is large enough".to_owned(),
         Wait::RoomIsMade { workers } => format!("room that is being made on {workers} workers"),
         Wait::NoRoom { tasks, places } => format!("room: {places} places for {tasks} tasks"),
+        Wait::Apart { crashes } => {
+            format!("workers on which nothing has just begun, since {crashes} crashed under it")
+        }
         Wait::Placing => "the next plan, or room that is kept for what comes first".to_owned(),
     }
 }
--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -1,8 +1,13 @@
 //! What is told of workers that are gone, and of what ran on them.
 
 use super::core_node::CoreNode;
+use bh_workload::job::JobId;
 use bh_workload::state::Command;
+use bh_workload::state::GiveUp;
+use bh_workload::state::Suspect;
+use bh_workload::state::Task;
 use bh_workload::state::WorkerChange;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -20,13 +25,22 @@
 /// One line for each worker that `command` says to be gone, and one for each run that is lost with it. The ends of such runs are not recorded one by
 /// one, so without these lines nothing would tell why their tasks begin anew.
 pub(super) fn log_departures(core: &Rc<CoreNode>, term: u64, command: &Command, learnt: Learnt) {
-    let Command::Workers(changes) = command else {
-        return;
-    };
-    for change in changes {
-        if let WorkerChange::Gone(worker) = change {
+    match command {
+        Command::Workers(changes) => {
+            for change in changes {
+                if let WorkerChange::Gone(worker) = change {
+                    log_departure(core, term, worker, learnt);
+                }
+            }
+        }
+        Command::Crash {
+            worker, suspects, ..
+        } => {
+            core.metrics.count("workers_crashed", 1);
             log_departure(core, term, worker, learnt);
+            log_suspects(core, term, worker, suspects);
         }
+        _ => {}
     }
 }
 
@@ -44,3 +58,27 @@
         log::info!(run = run.to_string(), worker = &**id, term; "run lost with its worker");
     }
 }
+
+/// What speaks against each run that may have crashed the worker, with the crashes counted before this one.
+fn log_suspects(core: &Rc<CoreNode>, term: u64, worker: &Arc<str>, suspects: &[Suspect]) {
+    let workload = core.group.machine.read();
+    for Suspect { run, evidence } in suspects {
+        let crashes_before = workload.task(run.task).map_or(0, Task::all_crashes);
+        log::info!(run = run.to_string(), worker = &**worker, term, evidence:? = evidence, crashes_before; "worker crashed under a run");
+    }
+}
+
+/// One line for each job that was given up since a worker crashed under these runs.
+pub(super) fn log_given_up(core: &Rc<CoreNode>, suspects: &[Suspect]) {
+    let workload = core.group.machine.read();
+    let jobs: BTreeSet<JobId> = suspects.iter().map(|s| s.run.task.step.job).collect();
+    for id in jobs {
+        let given_up = workload.job(id).and_then(|job| job.given_up);
+        let Some(GiveUp::Crashes { run }) = given_up else {
+            continue;
+        };
+        let crashes = workload.task(run.task).map_or(0, Task::all_crashes);
+        core.metrics.count("jobs_given_up_after_crashes", 1);
+        log::warn!(job = id.to_string(), run = run.to_string(), crashes; "job given up: workers crashed under it");
+    }
+}
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -8,6 +8,7 @@
 use bh_workload::state::Command;
 use bh_workload::state::Reply;
 use bh_workload::state::Start;
+use bh_workload::state::Task;
 use std::rc::Rc;
 
 /// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
@@ -97,6 +98,7 @@
     for start in starts {
         let job = workload.job(start.run.task.step.job);
         let priority = job.map_or(0, |job| workload.queue_of(job).priority);
+        let crashes = workload.task(start.run.task).map_or(0, Task::all_crashes);
         let waited_ms = job.map_or(0, |job| wall_ms.saturating_sub(job.accepted_ms));
         let clock = leadership
             .dispatcher
@@ -104,7 +106,7 @@
             .and_then(|target| target.clock);
         let heard_ms_ago = clock.map_or(0, |clock| now_ms.saturating_sub(clock.at_ms));
         log::info!(
-            run = start.run.to_string(), worker = &*start.worker, term = leadership.term, priority, waited_ms, rules_version, heard_ms_ago;
+            run = start.run.to_string(), worker = &*start.worker, term = leadership.term, crashes, priority, waited_ms, rules_version, heard_ms_ago;
             "run planned"
         );
     }
--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -1,6 +1,7 @@
 //! What the leader records.
 
 use super::core_node::CoreNode;
+use super::departures::log_given_up;
 use bh_group::encode;
 use bh_protocol::Failure;
 use bh_workload::state::Command;
@@ -28,7 +29,12 @@
             }
             _ => BTreeSet::new(),
         };
+        let suspects = match &command {
+            Command::Crash { suspects, .. } => suspects.clone(),
+            _ => Vec::new(),
+        };
         let result = propose(&core, command).await;
+        log_given_up(&core, &suspects);
         if let Err(failure) = &result {
             log::warn!(core = &*core.config.name; "not recorded: {failure}");
         }
@@ -66,14 +72,8 @@
 /// # Errors
 ///
 /// Those of [`bh_group::Group::propose`].
-pub(super) async fn propose(core: &Rc<CoreNode>, mut command: Command) -> Result<Reply, Failure> {
-    if let Command::Ends { now_ms, .. }
-    | Command::Accept { now_ms, .. }
-    | Command::Cancel { now_ms, .. }
-    | Command::StartWave { now_ms, .. } = &mut command
-    {
-        *now_ms = core.wall_ms();
-    }
+pub(super) async fn propose(core: &Rc<CoreNode>, command: Command) -> Result<Reply, Failure> {
+    let command = command.at(core.wall_ms());
     let bytes = encode(&command)?;
     let began_ms = core.clock.now_ms();
     let reply = core.group.propose(bytes, RECORD_MS).await?;
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -102,6 +102,7 @@
                 watch.percent = running.percent;
                 watch.progress_ms = now_ms;
             }
+            watch.seen_ms = Some(now_ms);
             watch.load = running.load;
             if running.checkpoint.is_some() {
                 watch.checkpoint = running.checkpoint.clone();
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -0,0 +1,102 @@
+//! Which runs may have crashed a worker.
+
+use super::RunWatch;
+use super::StartPhase;
+use super::Target;
+use crate::job::RunId;
+use crate::state::Evidence;
+use crate::state::Suspect;
+use crate::state::Workload;
+
+/// Time at work, as the worker reports it, from which a run is no longer one that has just begun, in milliseconds. What crashes its worker by its start
+/// does so within a fraction of it, and a report comes every second or two.
+const JUST_BEGUN_MS: u64 = 1_000;
+/// Time after the worker's word that it has a run, in milliseconds, within which contact must be lost for the run to be suspected of crashing it by its start. A process
+/// that crashes breaks its connections off at once, while an order that is lost behind a cut is known to be lost after half a second at the soonest: a run may go on behind a
+/// cut, and end well, before the worker crashes for another reason.
+const AT_ONCE_MS: u64 = 400;
+/// Time at work after which a run is no suspect at all, in milliseconds. It is far above the time in which a start does its harm, and below what most long
+/// jobs run: these must not be given up because, over hours, some of their workers crashed for other reasons.
+const OUTLASTED_MS: u64 = 30_000;
+
+/// How long a run must have been at work until other runs may begin beside it again, in milliseconds, when `crashes` workers have crashed under its
+/// task. Were others begun beside it sooner, they would be lost with it if it crashes its worker, and nothing would tell which of them did.
+/// After two crashes that proved nothing it may be one that crashes its worker later on.
+pub fn apart_ms(crashes: u32) -> u64 {
+    match crashes {
+        0 => 0,
+        1 => JUST_BEGUN_MS,
+        _ => OUTLASTED_MS,
+    }
+}
+
+impl RunWatch {
+    /// How long the run had been at work when its worker last reported it, in milliseconds.
+    pub fn at_work_ms(&self) -> u64 {
+        match (self.start, self.seen_ms) {
+            (StartPhase::Confirmed { at_ms }, Some(seen_ms)) => seen_ms.saturating_sub(at_ms),
+            _ => 0,
+        }
+    }
+
+    /// Whether the worker said that it has the run, or has had it.
+    pub fn is_confirmed(&self) -> bool {
+        matches!(self.start, StartPhase::Confirmed { .. })
+    }
+
+    /// Whether it surely began at `since_ms` or later. When a run began whose order once had no answer is not known.
+    fn began_since(&self, since_ms: u64) -> bool {
+        !self.was_unsure
+            && matches!(self.start, StartPhase::Confirmed { at_ms } if at_ms >= since_ms)
+    }
+
+    /// Whether it may have begun, and was not yet seen at work for long.
+    pub fn has_just_begun(&self) -> bool {
+        self.start != StartPhase::Unsent && self.at_work_ms() < JUST_BEGUN_MS
+    }
+}
+
+/// The runs that may have crashed the worker behind `target`.
+///
+/// A worker that crashed tells nothing any more; what remains is what it had answered before. A run that was never ordered is no suspect, nor one that was
+/// seen at work for long. A start without an answer may never have come to the worker: where another run had surely just begun, that one is the cause.
+pub(super) fn suspects(now_ms: u64, target: &Target, workload: &Workload) -> Vec<Suspect> {
+    let silent_ms = target.failing_since_ms.unwrap_or(now_ms);
+    let runs = || target.runs.iter().chain(&target.lapsed);
+    let just_begun: Vec<(&RunId, bool)> = runs()
+        .filter(|(_, watch)| watch.has_just_begun())
+        .map(|(run, watch)| (run, watch.is_confirmed()))
+        .collect();
+    let surely_begun = just_begun.iter().any(|(_, confirmed)| *confirmed);
+    let evidence = |run: &RunId, watch: &RunWatch| {
+        let others = || {
+            let mut others = just_begun.iter().map(|(other, _)| other);
+            others.all(|other| are_together(workload, run, other))
+        };
+        if !watch.is_confirmed() {
+            Evidence::Possible
+        } else if !watch.began_since(silent_ms.saturating_sub(AT_ONCE_MS)) {
+            Evidence::Present
+        } else if others() {
+            Evidence::Alone
+        } else {
+            Evidence::JustBegun
+        }
+    };
+    runs()
+        .filter(|(_, watch)| watch.start != StartPhase::Unsent)
+        .filter(|(_, watch)| watch.at_work_ms() < OUTLASTED_MS)
+        .filter(|(_, watch)| watch.is_confirmed() || !surely_begun)
+        .map(|(run, watch)| Suspect {
+            run: *run,
+            evidence: evidence(run, watch),
+        })
+        .collect()
+}
+
+/// Whether two runs are one, or members of one gang.
+fn are_together(workload: &Workload, run: &RunId, other: &RunId) -> bool {
+    let step = run.task.step;
+    let gang = || workload.step_spec(step).is_some_and(|spec| spec.gang);
+    run == other || step == other.task.step && gang()
+}
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -13,6 +13,7 @@
 use super::Timing;
 use super::answers::note_report;
 use super::answers::note_start;
+use super::crash::suspects;
 use super::order::RETRY_MS;
 use super::worker_turn::WorkerTurn;
 use super::worker_turn::look_wait_ms;
@@ -20,6 +21,7 @@
 use crate::state::Command;
 use crate::state::End;
 use crate::state::News;
+use crate::state::Worker;
 use crate::state::WorkerChange;
 use crate::state::Workload;
 use std::collections::BTreeMap;
@@ -53,6 +55,22 @@
     departed: BTreeSet<Arc<str>>,
 }
 
+/// What to record of a worker in whose place another incarnation answered. One that said that it leaves, or whose VM has its upkeep, has ended as it should;
+/// any other has crashed, for whatever reason: a task, the VM, or a rack without power all look the same from here, and
+/// [`Suspect`](crate::state::Suspect) says what makes the difference.
+fn departure(now_ms: u64, id: &Arc<str>, target: &Target, workload: &Workload) -> Command {
+    let worker = workload.worker(id);
+    let announced = worker.is_some_and(|worker| worker.draining) || workload.is_in_upkeep(id);
+    if announced {
+        return Command::Workers(vec![WorkerChange::Gone(id.clone())]);
+    }
+    Command::Crash {
+        worker: id.clone(),
+        suspects: suspects(now_ms, target, workload),
+        now_ms: 0,
+    }
+}
+
 impl Dispatcher {
     /// The orders of the leader that was elected at `now_ms` with `token`, its term.
     ///
@@ -140,6 +158,9 @@
                 self.departed.insert(id.clone());
                 continue;
             };
+            if !self.targets.contains_key(id) {
+                self.check_predecessors(worker, workload);
+            }
             let target = self.target(id);
             target.runs.retain(|run, _| worker.runs.contains_key(run));
             for run in worker.runs.keys() {
@@ -151,6 +172,19 @@
         }
     }
 
+    /// Looks at the workers whose address a new one has.
+    fn check_predecessors(&mut self, newcomer: &Worker, workload: &Workload) {
+        let at_address = workload.workers().filter(|other| {
+            other.info.address == newcomer.info.address && other.info.id != newcomer.info.id
+        });
+        for other in at_address {
+            if let Some(target) = self.targets.get_mut(&other.info.id) {
+                target.note_successor();
+                self.due.insert(other.info.id.clone());
+            }
+        }
+    }
+
     /// Wants a run to end though the record would let it go on.
     pub fn give_up(&mut self, worker: &Arc<str>, run: RunId) {
         let target = self.target(worker);
@@ -258,7 +292,11 @@
             Answer::Lost => target.note_silence(now_ms),
             Answer::CarrierLost => target.note_lost_carrier(),
             Answer::OtherIncarnation => {
-                return Some(Command::Workers(vec![WorkerChange::Gone(id.clone())]));
+                if let OrderBody::Start { run, .. } = &order.body {
+                    target.note_never_begun(*run);
+                }
+                let news = target.note_gone(now_ms);
+                return news.then(|| departure(now_ms, id, target, workload));
             }
         }
         match &order.body {
--- a/crates/bh-workload/src/dispatch/mod.rs
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's orders to workers.
 
 mod answers;
+mod crash;
 mod dispatcher;
 mod fill_pace;
 mod order;
@@ -12,6 +13,7 @@
 mod timing;
 mod worker_turn;
 
+pub use crash::apart_ms;
 pub use dispatcher::Dispatcher;
 pub use fill_pace::FillPace;
 pub use order::Answer;
--- a/crates/bh-workload/src/dispatch/run_watch.rs
+++ b/crates/bh-workload/src/dispatch/run_watch.rs
@@ -60,6 +60,8 @@
     pub percent: u64,
     /// When that progress last changed, on the leader's clock in milliseconds.
     pub progress_ms: u64,
+    /// When the worker last reported it as running, on the leader's clock in milliseconds.
+    pub seen_ms: Option<u64>,
     /// Load that the worker last reported, as in [`super::Running`].
     pub load: u64,
     /// How fast it shall work and was told to.
@@ -80,6 +82,7 @@
             since_ms: now_ms,
             percent: 0,
             progress_ms: now_ms,
+            seen_ms: None,
             load: 0,
             pace: Pace::new(start == StartPhase::Unsent),
             checkpoint: None,
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -2,6 +2,7 @@
 
 use super::FillPace;
 use super::RunWatch;
+use super::StartPhase;
 use super::Timing;
 use crate::job::JobId;
 use crate::job::RunId;
@@ -53,6 +54,12 @@
     pub recording_to: Option<u64>,
     /// Its runs.
     pub runs: BTreeMap<RunId, RunWatch>,
+    /// Runs given up because its lease had run out unseen, until it is heard again: whether it has crashed shows later, if at all.
+    pub lapsed: BTreeMap<RunId, RunWatch>,
+    /// Looks that shall tell whether it has crashed, since another worker says that it is reached at the same address.
+    pub checks_left: u32,
+    /// When it was last found to be gone, on the leader's clock in milliseconds.
+    pub gone_ms: Option<u64>,
     /// How fast tasks that only use idle processors work there.
     pub filling: FillPace,
     /// Jobs that failed there since the last success.
@@ -68,6 +75,8 @@
     pub fn note_answer(&mut self, now_ms: u64, clock_ms: Option<u64>) {
         self.failing_since_ms = None;
         self.carrier_lost = false;
+        self.checks_left = 0;
+        self.lapsed.clear();
         if let Some(worker_ms) = clock_ms {
             self.note_clock(now_ms, worker_ms);
         }
@@ -126,7 +135,38 @@
 
     /// Whether it must be looked at whatever runs there.
     pub fn must_be_asked(&self) -> bool {
-        self.is_behind() || self.is_back() || self.is_unheard() || self.carrier_lost
+        self.is_behind()
+            || self.is_back()
+            || self.is_unheard()
+            || self.carrier_lost
+            || self.checks_left > 0
+    }
+
+    /// Another worker says that it is reached where this one was. An idle worker that is gone without a word would stay in the record for ever, and a
+    /// crash after a silence for which its runs were given up would count against none of them.
+    pub fn note_successor(&mut self) {
+        /// One look may be lost, and a new worker may not answer at once.
+        const CHECKS: u32 = 3;
+        self.checks_left = CHECKS;
+    }
+
+    /// Notes that a start came to another incarnation: unless an earlier send had no answer, the run never began here.
+    pub fn note_never_begun(&mut self, run: RunId) {
+        if let Some(watch) = self.runs.get_mut(&run).filter(|watch| !watch.was_unsure) {
+            watch.start = StartPhase::Unsent;
+        }
+    }
+
+    /// Notes that another incarnation answered in its place; returns whether that is news. Several orders may be on their way, and each is answered
+    /// so; the record tells soon.
+    pub fn note_gone(&mut self, now_ms: u64) -> bool {
+        /// Time after which it is recorded again, in milliseconds, should the record have failed.
+        const AGAIN_MS: u64 = 1_000;
+        let known = self.gone_ms.is_some_and(|at_ms| now_ms < at_ms + AGAIN_MS);
+        if !known {
+            self.gone_ms = Some(now_ms);
+        }
+        !known
     }
 
     /// Whether there is anything to order or ask.
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -82,6 +82,7 @@
                 continue;
             }
             watch.settled = true;
+            target.lapsed.insert(*run, watch.clone());
             self.ends.push(End {
                 run: *run,
                 worker: self.worker.info.id.clone(),
@@ -244,6 +245,7 @@
             target.grant(self.now_ms, self.timing)
         };
         target.looking = true;
+        target.checks_left = target.checks_left.saturating_sub(1);
         let recorded_to = target.recorded_to;
         self.order(OrderBody::Look {
             lease_until_ms,
--- a/crates/bh-workload/src/plan/claim.rs
+++ b/crates/bh-workload/src/plan/claim.rs
@@ -63,7 +63,8 @@
     /// Makes room for work that a guarantee covers, for a service that misses a task, or for work that comes first of all and is worth
     /// more than what is lost for it.
     fn reclaim(&mut self, unit: &Unit) -> Option<Claim> {
-        let first = unit.priority == 0 && unit.on_time;
+        // Sound work is not stopped for what may crash the worker.
+        let first = unit.priority == 0 && unit.on_time && !unit.is_suspect();
         if !unit.entitled && !unit.spec.long_running && !first {
             return None;
         }
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -8,6 +8,7 @@
 use crate::rules::Queue;
 use crate::state::Job;
 use crate::state::Step;
+use crate::state::Task;
 use crate::state::TaskState;
 use crate::state::Workload;
 use bh_protocol::number::whole;
@@ -153,8 +154,10 @@
             }
             units.push(Unit {
                 step,
-                indices,
                 attempts,
+                crashes: crashes(progress, &indices),
+                apart: false,
+                indices,
                 spec: spec.clone(),
                 pool: queue.pool.clone(),
                 needs: spec.reserved(),
@@ -195,6 +198,15 @@
     }
 }
 
+/// Workers that crashed under one of these tasks, of the one with most of them.
+fn crashes(progress: &Step, indices: &[u32]) -> u32 {
+    let tasks = indices
+        .iter()
+        .filter_map(|index| progress.tasks.get(usize::try_from(*index).ok()?));
+    tasks.map(Task::all_crashes).max().unwrap_or(0)
+}
+
+/// Tasks that wait, and the numbers of their next runs. Tasks under which a worker has crashed go first and by themselves, a gang always whole.
 fn waiting(progress: &Step, spec: &StepSpec) -> (Vec<u32>, Vec<u32>) {
     if spec.gang {
         if !progress.gang_waits() {
@@ -205,12 +217,13 @@
         let attempts = vec![attempt; indices.len()];
         return (indices, attempts);
     }
-    let waits = progress
-        .tasks
-        .iter()
-        .zip(0..)
-        .filter(|(task, _)| task.state == TaskState::Waiting);
-    waits
+    let waits = || {
+        let tasks = progress.tasks.iter().zip(0..);
+        tasks.filter(|(task, _)| task.state == TaskState::Waiting)
+    };
+    let any_suspect = waits().any(|(task, _)| task.all_crashes() > 0);
+    waits()
+        .filter(|(task, _)| !any_suspect || task.all_crashes() > 0)
         .map(|(task, index): (_, u32)| (index, task.attempt + 1))
         .unzip()
 }
--- a/crates/bh-workload/src/plan/explain.rs
+++ b/crates/bh-workload/src/plan/explain.rs
@@ -9,8 +9,10 @@
 use crate::job::JobId;
 use crate::job::StepId;
 use crate::job::StepSpec;
+use crate::state::GiveUp;
 use crate::state::Job;
 use crate::state::JobState;
+use crate::state::Task;
 use crate::state::Workload;
 use serde::Deserialize;
 use serde::Serialize;
@@ -32,6 +34,8 @@
     pub is_guaranteed: bool,
     /// What its caller is told.
     pub state: JobState,
+    /// Why it was given up, if it was.
+    pub given_up: Option<GiveUp>,
     /// When it was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
     /// Its steps that are not done.
@@ -49,6 +53,8 @@
     pub done: u32,
     /// Failed runs, of the task with most of them.
     pub failures: u32,
+    /// Workers that crashed under one task, of the task with most of them.
+    pub crashes: u32,
     /// Where its runs are.
     pub runs: Vec<RunReport>,
     /// Why the others wait.
@@ -102,6 +108,11 @@
         /// Places.
         places: u64,
     },
+    /// A worker has crashed under one of the tasks, which wait for workers on which nothing has just begun.
+    Apart {
+        /// Workers that crashed.
+        crashes: u32,
+    },
     /// There are places enough; kept for a rack, a larger gang or work that comes first, or taken at the next plan.
     Placing,
 }
@@ -148,6 +159,7 @@
             customer: job.customer.clone(),
             is_guaranteed: entitled.contains(&id),
             state: job.state(),
+            given_up: job.given_up,
             accepted_ms: job.accepted_ms,
             steps,
         })
@@ -201,6 +213,10 @@
         let tasks = unit.count();
         return Wait::NoRoom { tasks, places };
     }
+    if unit.is_suspect() {
+        let crashes = unit.crashes;
+        return Wait::Apart { crashes };
+    }
     Wait::Placing
 }
 
@@ -230,12 +246,14 @@
             });
         }
     }
+    let crashes = progress.tasks.iter().map(Task::all_crashes).max();
     let failed = progress.tasks.iter().map(|task| task.failures).max();
     Some(StepReport {
         step: step.to_string(),
         tasks: u32::try_from(progress.tasks.len()).unwrap_or(u32::MAX),
         done: progress.done,
         failures: failed.unwrap_or(0).max(progress.failures),
+        crashes: crashes.unwrap_or(0),
         runs,
         wait,
     })
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -212,6 +212,8 @@
     pub fn start(&mut self, unit: &Unit, placement: &Placement) {
         let mut tasks = unit.indices.iter().zip(&unit.attempts);
         for (at, count) in placement {
+            self.rooms[*at].just_begun = true;
+            self.rooms[*at].usable &= !unit.is_suspect();
             for _ in 0..*count {
                 self.rooms[*at].free.subtract(&unit.needs);
                 let Some((index, attempt)) = tasks.next() else {
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -169,7 +169,10 @@
 /// Tight work goes where runs are fastest, the rest where they are slowest: it has time to spare, and leaves the fast room to others.
 fn rank(unit: &Unit, room: &Room) -> u64 {
     const SLOWEST_PERCENT: u64 = 1_000;
-    if unit.spec.fills_idle {
+    if unit.is_suspect() {
+        // Where least is lost should it crash the worker.
+        room.runs.values().sum()
+    } else if unit.spec.fills_idle {
         // Beside a service that is near its bound they would be held back as well.
         SLOWEST_PERCENT.saturating_sub(room.fill_percent)
     } else if unit.tight {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -31,6 +31,10 @@
 /// free in some rack all the time, and smaller work takes it.
 const FEWEST_KEPT_GANGS: usize = 8;
 
+/// How long work under which a worker has crashed waits for workers on which nothing has just begun, in milliseconds. Reports come every second or two, so
+/// that one is found within this time unless something begins everywhere all the time; and a service that misses a task must not wait for longer.
+const APART_PATIENCE_MS: u64 = 2_000;
+
 /// What shall happen now.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
@@ -69,6 +73,8 @@
     /// Tasks that were begun anew because they were slow. One that is as slow elsewhere takes that long, and begun anew each time it would
     /// never end.
     was_slow: BTreeSet<TaskId>,
+    /// Since when work under which a worker has crashed waits, on the leader's clock in milliseconds.
+    apart_since_ms: BTreeMap<StepId, u64>,
 }
 
 impl Planner {
@@ -177,6 +183,7 @@
             claims,
             failed_on,
             was_slow: _,
+            apart_since_ms,
         } = self;
         let entitled = entitled_jobs(workload);
         let mut units = collect::collect(
@@ -190,6 +197,7 @@
             unit.permitted = Some(permissions.permitted(unit.step, now_ms));
         }
         let waiting = collect::steps(&units);
+        keep_apart(now_ms, &mut units, apart_since_ms);
         let mut pass = Pass::new(
             (now_ms, wall_ms),
             workload,
@@ -238,6 +246,16 @@
     }
 }
 
+/// Notes which units wait for workers of their own.
+fn keep_apart(now_ms: u64, units: &mut [Unit], since_ms: &mut BTreeMap<StepId, u64>) {
+    let before = std::mem::take(since_ms);
+    for unit in units.iter_mut().filter(|unit| unit.is_suspect()) {
+        let since = before.get(&unit.step).copied().unwrap_or(now_ms);
+        since_ms.insert(unit.step, since);
+        unit.apart = now_ms < since + APART_PATIENCE_MS;
+    }
+}
+
 /// Workers that a unit's tasks failed on, unless nothing else is there.
 fn avoided(
     failed_on: &BTreeMap<TaskId, BTreeSet<Arc<str>>>,
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -3,9 +3,12 @@
 use super::Speeds;
 use super::Unit;
 use crate::dispatch::Dispatcher;
+use crate::dispatch::RunWatch;
 use crate::dispatch::Target;
+use crate::dispatch::apart_ms;
 use crate::job::Needs;
 use crate::job::StepId;
+use crate::state::Task;
 use crate::state::Worker;
 use crate::state::Workload;
 use std::collections::BTreeMap;
@@ -15,6 +18,32 @@
 /// Heartbeats without which a worker gets no new work; one may be late, two in a row hardly are.
 const MISSED_HEARTBEATS: u64 = 3;
 
+/// What has just begun on a worker.
+struct Begun {
+    /// Whether anything has.
+    any: bool,
+    /// Whether a task has under which a worker crashed before: nothing else may begin there until it was seen at work.
+    suspect: bool,
+}
+
+impl Begun {
+    /// What has just begun on `worker`, of which `target` is known.
+    fn new(worker: &Worker, target: Option<&Target>, workload: &Workload) -> Self {
+        let mut begun = Self {
+            any: false,
+            suspect: false,
+        };
+        for run in worker.runs.keys() {
+            let watch = target.and_then(|target| target.runs.get(run));
+            let at_work_ms = watch.map_or(0, RunWatch::at_work_ms);
+            let crashes = workload.task(run.task).map_or(0, Task::all_crashes);
+            begun.any |= watch.is_none_or(RunWatch::has_just_begun);
+            begun.suspect |= at_work_ms < apart_ms(crashes);
+        }
+        begun
+    }
+}
+
 /// Free room of one worker.
 #[derive(Clone, Debug)]
 pub struct Room {
@@ -40,13 +69,21 @@
     pub fill_percent: u64,
     /// Whether only work of priority 0 may use it, and gangs that are late unless they begin soon.
     pub kept: bool,
+    /// Whether something has just begun there, which may yet crash the worker.
+    pub just_begun: bool,
     /// Whether it may be given work now.
     pub usable: bool,
 }
 
 impl Room {
-    /// The room of `worker`, of which `target` is known at `now_ms`.
-    fn new(worker: &Worker, dispatcher: &Dispatcher, speeds: &Speeds, now_ms: u64) -> Self {
+    /// The room of `worker` at `now_ms`.
+    fn new(
+        worker: &Worker,
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+        speeds: &Speeds,
+        now_ms: u64,
+    ) -> Self {
         let silence_ms = dispatcher.timing().heartbeat_ms * MISSED_HEARTBEATS;
         let ready = |target: &Target| {
             let since_ms = target.heard_ms.unwrap_or(dispatcher.elected_ms());
@@ -54,10 +91,13 @@
                 && now_ms <= since_ms + silence_ms
                 && now_ms >= target.set_aside_until_ms
         };
+        let view = dispatcher.view(&worker.info.id);
+        let begun = Begun::new(worker, view, workload);
         let usable = !worker.draining
+            && !begun.suspect
             && !dispatcher.is_emptied(&worker.info.id)
             && !speeds.is_slow(&worker.info.id)
-            && dispatcher.view(&worker.info.id).is_some_and(ready);
+            && view.is_some_and(ready);
         let mut runs = BTreeMap::new();
         for run in worker.runs.keys() {
             *runs.entry(run.task.step).or_default() += 1;
@@ -71,10 +111,9 @@
             free: worker.free(),
             promised: Needs::default(),
             runs,
-            fill_percent: dispatcher
-                .view(&worker.info.id)
-                .map_or(100, |target| target.filling.percent()),
+            fill_percent: view.map_or(100, |target| target.filling.percent()),
             kept: false,
+            just_begun: begun.any,
             pace_percent: speeds.percent(&worker.info.data_centre),
             usable,
         }
@@ -89,7 +128,7 @@
     ) -> Vec<Room> {
         let workers = workload.workers();
         workers
-            .map(|worker| Room::new(worker, dispatcher, speeds, now_ms))
+            .map(|worker| Room::new(worker, workload, dispatcher, speeds, now_ms))
             .collect()
     }
 
@@ -124,17 +163,24 @@
 
     /// How many more of a unit's tasks may be on this worker, whatever room it has: those already there count.
     pub fn most(&self, unit: &Unit) -> u64 {
+        // Two on one worker that crashes would tell nothing of either.
+        let at_once = if unit.is_suspect() && !unit.spec.gang {
+            1
+        } else {
+            unit.count()
+        };
         let there = self.runs.get(&unit.step).copied().unwrap_or(0);
         unit.spec
             .most_on_worker()
             .saturating_sub(there)
-            .min(unit.count())
+            .min(at_once)
     }
 
     /// How many of a unit's tasks may be placed here now.
     pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
         let kept = self.kept && !unit.may_use_kept();
-        if !self.admits(unit) || kept || avoid.contains(&self.worker) {
+        let unclear = unit.apart && self.just_begun;
+        if !self.admits(unit) || kept || unclear || avoid.contains(&self.worker) {
             return 0;
         }
         unit.needs.times_in(&self.open(), self.most(unit))
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -18,6 +18,10 @@
     pub attempts: Vec<u32>,
     /// What was asked of the step.
     pub spec: StepSpec,
+    /// Workers that crashed under one of its tasks, of the task with most of them.
+    pub crashes: u32,
+    /// Whether it waits for workers on which nothing has just begun: should one of them crash, it tells whether the unit's tasks are the cause.
+    pub apart: bool,
     /// Pool that runs it.
     pub pool: Arc<str>,
     /// What each task takes.
@@ -54,6 +58,11 @@
         self.priority == 0 || self.last_chance
     }
 
+    /// Whether a worker has crashed under one of its tasks, which may be the cause.
+    pub fn is_suspect(&self) -> bool {
+        self.crashes > 0
+    }
+
     /// Work of the tasks to place, in thousandths of core-milliseconds.
     pub fn work(&self) -> u64 {
         self.spec.needs.weight() * self.expected_ms * self.count()
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -37,6 +37,14 @@
                 }
                 Reply::Done
             }
+            Command::Crash {
+                worker,
+                suspects,
+                now_ms,
+            } => {
+                self.crash(&worker, &suspects, now_ms);
+                Reply::Done
+            }
             Command::StartWave { spec, now_ms } => {
                 // A wave that is known was ordered again because its acknowledgement was lost.
                 self.waves
@@ -155,7 +163,7 @@
         Reply::Done
     }
 
-    fn remove_worker(&mut self, id: &Arc<str>) {
+    pub(super) fn remove_worker(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -1,5 +1,6 @@
 //! What is replicated: every change of the record, in one order.
 
+use super::Suspect;
 use super::VmUpkeep;
 use super::WaveSpec;
 use super::WorkerInfo;
@@ -44,6 +45,15 @@
         /// When the leader learnt of them, in milliseconds since 1970.
         now_ms: u64,
     },
+    /// A worker crashed: another incarnation lives at its address, and it had not said that it leaves.
+    Crash {
+        /// The worker.
+        worker: Arc<str>,
+        /// Runs that may have crashed it.
+        suspects: Vec<Suspect>,
+        /// When the leader learnt of it, in milliseconds since 1970.
+        now_ms: u64,
+    },
     /// An operator orders a wave of upkeep.
     StartWave {
         /// What is asked for.
@@ -68,6 +78,21 @@
     },
 }
 
+impl Command {
+    /// The command as of `at_ms`, in milliseconds since 1970, where it holds a time.
+    pub fn at(mut self, at_ms: u64) -> Self {
+        if let Command::Ends { now_ms, .. }
+        | Command::Crash { now_ms, .. }
+        | Command::Accept { now_ms, .. }
+        | Command::Cancel { now_ms, .. }
+        | Command::StartWave { now_ms, .. } = &mut self
+        {
+            *now_ms = at_ms;
+        }
+        self
+    }
+}
+
 /// Which queue and job a call concerns, and who calls.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -2,6 +2,7 @@
 
 use super::End;
 use super::EndKind;
+use super::GiveUp;
 use super::Outcome;
 use super::TaskState;
 use super::Workload;
@@ -38,7 +39,8 @@
         step.count_done();
         let others_open = spec.gang && step.open_runs > 0;
         if failed_too_often && !spec.long_running {
-            self.close(id, Outcome::Failed, now_ms);
+            let step = end.run.task.step;
+            self.give_up(id, GiveUp::Failures { step }, now_ms);
         } else if job.outcome.is_none() && job.is_done() {
             self.close(id, Outcome::Completed, now_ms);
         } else if others_open {
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -1,5 +1,6 @@
 //! One accepted job and its progress.
 
+use super::GiveUp;
 use super::Step;
 use super::TaskState;
 use crate::job::JobSpec;
@@ -16,7 +17,7 @@
 pub enum Outcome {
     /// All tasks are done.
     Completed,
-    /// A task or gang failed too often.
+    /// A task or gang failed too often, or too many workers crashed under a task.
     Failed,
     /// Its caller took it back.
     Cancelled,
@@ -46,6 +47,9 @@
     pub accepted_ms: u64,
     /// How it ended.
     pub outcome: Option<Outcome>,
+    /// Why it was given up, if it was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub given_up: Option<GiveUp>,
     /// When it ended, in milliseconds since 1970.
     pub ended_ms: u64,
     /// Whether a task has ever started.
@@ -71,6 +75,7 @@
             customer,
             accepted_ms,
             outcome: None,
+            given_up: None,
             ended_ms: 0,
             started: false,
             steps,
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -16,6 +16,12 @@
     Done,
 }
 
+/// Whether a count need not be written.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "what serde asks for")]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 /// One task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Task {
@@ -25,6 +31,15 @@
     pub attempt: u32,
     /// Runs that failed.
     pub failures: u32,
+    /// Workers that crashed while a run of it was there and had not been at work for long. Hardly any task has one, and the record holds very many tasks.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// Those of them that crashed when the run had just begun.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes_at_start: u32,
+    /// Workers that crashed when a run of it had been ordered and may have begun.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub possible_crashes: u32,
     /// Saved progress.
     pub checkpoint: Option<Arc<str>>,
 }
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -6,12 +6,31 @@
 
 mod support;
 
+use bh_group::Machine;
+use bh_workload::dispatch::Answer;
+use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::job::TaskId;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::Evidence;
+use bh_workload::state::GiveUp;
+use bh_workload::state::JobState;
 use bh_workload::state::Outcome;
+use bh_workload::state::Suspect;
+use bh_workload::state::WorkerChange;
+use bh_workload::state::Workload;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use support::Site;
 use support::step;
+use support::task;
 
 /// Workers that may crash under one task at most.
 const MOST_CRASHES: usize = 3;
+/// Time at work after which a run cannot have crashed its worker by its start, in milliseconds.
+const OUTLASTED_MS: u64 = 30_000;
 
 /// A caller hands in a job whose task crashes each worker that starts it, 10 ms later. The worker is back after 3 s under another identity, the lost run
 /// counts as nobody's fault, and the task begins anew on the next worker: the caller waits for ever, and the fleet loses a worker every few
@@ -42,3 +61,291 @@
     let outcome = site.workload.job(job).unwrap().outcome;
     assert_eq!(outcome, Some(Outcome::Failed));
 }
+
+/// Starts what waits and lets it be seen at work for `for_ms`.
+fn start_and_run(site: &mut Site, for_ms: u64) {
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(for_ms);
+    site.report();
+}
+
+fn crashes(site: &Site, task: TaskId) -> u32 {
+    site.workload.task(task).unwrap().all_crashes()
+}
+
+/// A job that crashes its worker is started beside sound ones, which lose their runs with it and begin anew. Were every run that is lost with a worker held against its
+/// task, a few such jobs would have all their neighbours given up; what had been at work for long is no suspect, and the others are cleared by their next run.
+#[test]
+fn neighbours_of_a_crashing_task_are_done() {
+    let mut site = Site::new(1, 1);
+    let long = site.submit(1, "other", vec![step(1, 1)]);
+    start_and_run(&mut site, OUTLASTED_MS);
+    let young = site.submit(1, "other", vec![step(2, 1)]);
+    start_and_run(&mut site, 1_500);
+    let crashing = site.submit(0, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    site.crash(&Arc::from("w00"));
+    assert_eq!(crashes(&site, task(long, 0, 0)), 0);
+    assert_eq!(crashes(&site, task(young, 0, 0)), 1);
+    assert_eq!(crashes(&site, task(crashing, 0, 0)), 1);
+    for _ in 0..4 {
+        site.advance(3_000);
+        start_and_run(&mut site, 1_500);
+        for (_, run) in site.open_runs() {
+            if run.task.step.job != crashing {
+                site.end(run, EndKind::Done);
+            }
+        }
+    }
+    for job in [long, young] {
+        let outcome = site.workload.job(job).unwrap().outcome;
+        assert_eq!(outcome, Some(Outcome::Completed));
+    }
+}
+
+/// A worker crashed under two tasks that had just begun there. Until either is seen at work, nothing else may begin beside it, nor both on one worker: should that one
+/// crash too, its other work would be lost with it and nothing would tell which task is the cause.
+#[test]
+fn suspects_begin_apart() {
+    let mut site = Site::new(3, 3);
+    let job = site.submit(0, "other", vec![step(2, 1)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    let (worker, _) = site.open_runs()[0].clone();
+    site.crash(&worker);
+    assert_eq!(crashes(&site, task(job, 0, 0)), 1);
+    assert_eq!(crashes(&site, task(job, 0, 1)), 1);
+
+    let plan = site.plan_and_start();
+    let hosts: BTreeSet<_> = plan
+        .starts
+        .iter()
+        .map(|start| start.worker.clone())
+        .collect();
+    assert_eq!(
+        (plan.starts.len(), hosts.len()),
+        (2, 2),
+        "one on each worker"
+    );
+    site.send_starts();
+    site.submit(0, "other", vec![step(4, 1)]);
+    let plan = site.plan();
+    assert_eq!(plan.starts.len(), 4);
+    assert!(
+        plan.starts
+            .iter()
+            .all(|start| !hosts.contains(&start.worker))
+    );
+
+    site.advance(1_100);
+    site.report();
+    site.submit(0, "other", vec![step(24, 1)]);
+    let plan = site.plan();
+    assert!(
+        plan.starts
+            .iter()
+            .any(|start| hosts.contains(&start.worker))
+    );
+}
+
+/// Two workers crash under a task that was alone on the second one, and the job is given up at once. Its caller reads that it failed, and an operator why.
+#[test]
+fn a_crash_under_a_task_alone_is_proof() {
+    let mut site = Site::new(4, 2);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    for _ in 0..2 {
+        assert_eq!(site.workload.job(job).unwrap().outcome, None);
+        site.plan_and_start();
+        site.send_starts();
+        site.advance(10);
+        let (worker, _) = site.open_runs()[0].clone();
+        site.crash(&worker);
+    }
+    let report = site
+        .planner
+        .explain(
+            (site.now_ms, site.wall_ms()),
+            &site.workload,
+            &site.dispatcher,
+            job,
+        )
+        .unwrap();
+    assert_eq!(report.state, JobState::Ended(Outcome::Failed));
+    let given_up = report.given_up.unwrap();
+    assert!(matches!(given_up, GiveUp::Crashes { run } if run.attempt == 2));
+    assert!(
+        site.workload.job(job).unwrap().ended_ms > 0,
+        "it is kept for its caller"
+    );
+}
+
+/// Workers leave, have their upkeep, are cut off past their lease and come back, or crash before an order reaches them, each three times under the same task. None of these
+/// is a crash under it, and a job that is given up for it is a broken promise.
+#[rstest]
+#[case::drained(Away::Drained)]
+#[case::left(Away::Left)]
+#[case::silent(Away::Silent)]
+#[case::never_reached(Away::NeverReached)]
+fn what_is_no_crash_counts_for_nothing(#[case] away: Away) {
+    let mut site = Site::new(6, 3);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    for _ in 0..3 {
+        site.plan_and_start();
+        if away != Away::NeverReached {
+            site.send_starts();
+        }
+        site.advance(10);
+        let (worker, run) = site.open_runs()[0].clone();
+        match away {
+            Away::Drained => {
+                let change = WorkerChange::Draining(worker.clone());
+                site.workload.apply(Command::Workers(vec![change]));
+                site.take_news();
+                site.crash(&worker);
+            }
+            Away::Left => {
+                let change = WorkerChange::Gone(worker.clone());
+                site.workload.apply(Command::Workers(vec![change]));
+                site.take_news();
+            }
+            Away::Silent => site.end(run, EndKind::Lost),
+            Away::NeverReached => site.crash(&worker),
+        }
+        assert_eq!(crashes(&site, task(job, 0, 0)), 0);
+        site.advance(5_000);
+    }
+    site.plan_and_start();
+    assert_eq!(site.open_runs().len(), 1, "the task goes on");
+}
+
+/// How a worker came to be away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Away {
+    Drained,
+    Left,
+    Silent,
+    NeverReached,
+}
+
+/// A worker falls silent under a task, its lease runs out, and only then another incarnation answers at its address. The crash counts all the same: it had not been heard
+/// when the task was begun anew, and three such rounds must not pass unseen.
+#[test]
+fn a_crash_that_shows_after_the_lease_counts() {
+    let mut site = Site::new(2, 2);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    let (worker, run) = site.open_runs()[0].clone();
+    site.fall_silent(&worker);
+    site.now_ms += 12_000;
+    let (looks, ends) = site.dispatcher.orders(site.now_ms, &site.workload, true);
+    for look in &looks {
+        site.dispatcher
+            .note_answer(site.now_ms, look, &Answer::Lost, &site.workload);
+    }
+    assert_eq!(ends.len(), 1);
+    assert_eq!((ends[0].run, ends[0].kind), (run, EndKind::Lost));
+    let now_ms = site.wall_ms();
+    site.workload.apply(Command::Ends { ends, now_ms });
+    site.take_news();
+    site.comes_back_as_another(&worker);
+    assert_eq!(crashes(&site, task(job, 0, 0)), 1);
+    assert!(site.workload.worker(&worker).is_none(), "it is forgotten");
+}
+
+/// The leader changes, all cores restart from a snapshot, and a deposed leader records the crash once more. The count stays what it was.
+#[test]
+fn the_count_outlives_the_leader() {
+    let mut site = Site::new(3, 3);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    let (worker, run) = site.open_runs()[0].clone();
+    let again = Command::Crash {
+        worker: worker.clone(),
+        suspects: vec![Suspect {
+            run,
+            evidence: Evidence::Alone,
+        }],
+        now_ms: site.wall_ms(),
+    };
+    site.crash(&worker);
+    site.workload.apply(again);
+    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
+    let snapshot = machine.snapshot().unwrap();
+    machine.restore(&snapshot).unwrap();
+    site.workload = machine.read().clone();
+    site.take_over(2);
+    assert_eq!(crashes(&site, task(job, 0, 0)), 1);
+}
+
+/// A record written before crashes were counted is read, and counts none.
+#[test]
+fn a_record_without_counts_is_read() {
+    let mut site = Site::new(1, 1);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
+    let snapshot = String::from_utf8(machine.snapshot().unwrap()).unwrap();
+    assert!(!snapshot.contains("crashes") && !snapshot.contains("given_up"));
+    machine.restore(snapshot.as_bytes()).unwrap();
+    site.workload = machine.read().clone();
+    assert_eq!(crashes(&site, task(job, 0, 0)), 0);
+}
+
+/// One member of a gang crashes its worker, and the others are broken off with it. Each attempt costs the whole gang, so it is given up after the second one; members on other
+/// workers are no suspects.
+#[test]
+fn a_gang_with_a_crashing_member_is_given_up() {
+    let mut site = Site::new(4, 2);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    let job = site.submit(0, "other", vec![gang]);
+    for _ in 0..2 {
+        assert_eq!(site.workload.job(job).unwrap().outcome, None);
+        site.plan_and_start();
+        site.send_starts();
+        site.advance(10);
+        let is_first = |(_, run): &(Arc<str>, RunId)| run.task.index == 0;
+        let (worker, _) = site.open_runs().into_iter().find(is_first).unwrap();
+        site.crash(&worker);
+        for (_, run) in site.open_runs() {
+            site.end(run, EndKind::Broken);
+        }
+    }
+    assert_eq!(crashes(&site, task(job, 0, 1)), 0);
+    let outcome = site.workload.job(job).unwrap().outcome;
+    assert_eq!(outcome, Some(Outcome::Failed));
+}
+
+/// A service lasts for weeks, and its workers crash now and then for reasons of their own. Nothing of that is held against it; but a service that crashes each worker as
+/// it begins is given up like any other work, since it would take the fleet down.
+#[rstest]
+#[case::for_long(OUTLASTED_MS, None)]
+#[case::at_its_start(10, Some(Outcome::Failed))]
+fn a_service_is_given_up_only_for_crashes_at_its_start(
+    #[case] at_work_ms: u64,
+    #[case] expected: Option<Outcome>,
+) {
+    let mut site = Site::new(6, 3);
+    let service = StepSpec {
+        long_running: true,
+        ..step(1, 8)
+    };
+    let job = site.submit(0, "other", vec![service]);
+    for _ in 0..4 {
+        start_and_run(&mut site, at_work_ms);
+        if let Some((worker, _)) = site.open_runs().first().cloned() {
+            site.crash(&worker);
+        }
+        site.advance(3_000);
+    }
+    assert_eq!(site.workload.job(job).unwrap().outcome, expected);
+}
