--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -11,9 +11,8 @@
 /// Time at work, as the worker reports it, from which a run is no longer one that has just begun, in milliseconds. What crashes its worker by its start
 /// does so within a fraction of it, and a report comes every second or two.
 const JUST_BEGUN_MS: u64 = 1_000;
-/// Time after the worker's word that it has a run, in milliseconds, within which contact must be lost for the run to be suspected of crashing it by its start. A process
-/// that crashes breaks its connections off at once, while an order that is lost behind a cut is known to be lost after half a second at the soonest: a run may go on behind a
-/// cut, and end well, before the worker crashes for another reason.
+/// Time after the worker's word that it has a run, in milliseconds, within which it must be lost for the run to be suspected of crashing it by its start. A process that
+/// crashes breaks its connections off, which shows within some milliseconds.
 const AT_ONCE_MS: u64 = 400;
 /// Time at work after which a run is no suspect at all, in milliseconds. It is far above the time in which a start does its harm, and below what most long
 /// jobs run: these must not be given up because, over hours, some of their workers crashed for other reasons.
@@ -59,8 +58,10 @@
 /// The runs that may have crashed the worker behind `target`.
 ///
 /// A worker that crashed tells nothing any more; what remains is what it had answered before. A run that was never ordered is no suspect, nor one that was
-/// seen at work for long. A start without an answer may never have come to the worker: where another run had surely just begun, that one is the cause.
+/// seen at work for long. A start without an answer may never have come to the worker: where another run had surely just begun, that one is the cause. Behind a
+/// cut a run may have ended well before the worker crashed for another reason, so where the silence did not begin at once nothing is certain.
 pub(super) fn suspects(now_ms: u64, target: &Target, workload: &Workload) -> Vec<Suspect> {
+    let at_once = target.went_at_once();
     let silent_ms = target.failing_since_ms.unwrap_or(now_ms);
     let runs = || target.runs.iter().chain(&target.lapsed);
     let just_begun: Vec<(&RunId, bool)> = runs()
@@ -73,7 +74,7 @@
             let mut others = just_begun.iter().map(|(other, _)| other);
             others.all(|other| are_together(workload, run, other))
         };
-        if !watch.is_confirmed() {
+        if !watch.is_confirmed() || !at_once {
             Evidence::Possible
         } else if !watch.began_since(silent_ms.saturating_sub(AT_ONCE_MS)) {
             Evidence::Present
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -289,7 +289,7 @@
             Answer::Done { clock_ms, .. } | Answer::Denied { clock_ms, .. } => {
                 target.note_answer(now_ms, *clock_ms);
             }
-            Answer::Lost => target.note_silence(now_ms),
+            Answer::Lost => target.note_silence(now_ms, order),
             Answer::CarrierLost => target.note_lost_carrier(),
             Answer::OtherIncarnation => {
                 if let OrderBody::Start { run, .. } = &order.body {
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of one worker beyond the record.
 
 use super::FillPace;
+use super::Order;
 use super::RunWatch;
 use super::StartPhase;
 use super::Timing;
@@ -34,6 +35,8 @@
     pub heard_ms: Option<u64>,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
+    /// Whether the first of them ended sooner than its time: its connection was broken off, as a process that ends does.
+    pub broke_off: bool,
     /// Whether a core that carried an order to it was lost, and nothing was heard of it since.
     pub carrier_lost: bool,
     /// End of the longest lease granted, on the worker's clock in milliseconds.
@@ -95,9 +98,20 @@
         }
     }
 
-    /// Notes that an order had no answer.
-    pub fn note_silence(&mut self, now_ms: u64) {
-        self.failing_since_ms.get_or_insert(now_ms);
+    /// Notes that `order` had no answer.
+    pub fn note_silence(&mut self, now_ms: u64, order: &Order) {
+        /// Lateness of timers and of the loop, in milliseconds.
+        const SLACK_MS: u64 = 50;
+        if self.is_failing() {
+            return;
+        }
+        self.failing_since_ms = Some(now_ms);
+        self.broke_off = now_ms + SLACK_MS < order.sent_ms + order.answer_within_ms();
+    }
+
+    /// Whether it answered until it was found to be gone, or broke off: what ran there then had no time to end unheard.
+    pub fn went_at_once(&self) -> bool {
+        !self.is_failing() || self.broke_off
     }
 
     /// Notes that the core that carried an order was lost.
--- a/crates/bh-workload/src/state/suspect.rs
+++ b/crates/bh-workload/src/state/suspect.rs
@@ -23,11 +23,11 @@
 /// What is known of a run on a worker that crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Evidence {
-    /// Its start had no answer: it may have begun.
+    /// Its start had no answer, so that it may not have begun; or the worker was silent before it crashed, so that it may have ended.
     Possible,
-    /// It had begun. It may even have ended, if the worker fell silent before it could say so, and crashed later.
+    /// It was there.
     Present,
-    /// It had just begun when the worker fell silent.
+    /// It had just begun.
     JustBegun,
     /// The same, and nothing else had but members of its gang.
     Alone,
