Crashing tasks: what the last worker tells weighs more than what may have been

An unanswered start is now dropped as a suspect only where another run surely had just begun; a worker that was leaving counts what it began at the very last; a task that was alone on the last worker is given up with two others that may have crashed under it.

--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -60,39 +60,53 @@
 /// A worker that crashed tells nothing any more; what remains is what it had answered before. A run that was never ordered is no suspect, nor one that was
 /// seen at work for long. A start without an answer may never have come to the worker: where another run had surely just begun, that one is the cause. Behind a
 /// cut a run may have ended well before the worker crashed for another reason, so where the silence did not begin at once nothing is certain.
-pub(super) fn suspects(now_ms: u64, target: &Target, workload: &Workload) -> Vec<Suspect> {
-    let at_once = target.went_at_once();
+///
+/// A worker that said that it leaves may have left; only what it began at the very last may have crashed it before.
+pub(super) fn suspects(
+    now_ms: u64,
+    target: &Target,
+    workload: &Workload,
+    leaving: bool,
+) -> Vec<Suspect> {
     let silent_ms = target.failing_since_ms.unwrap_or(now_ms);
+    let since_ms = silent_ms.saturating_sub(AT_ONCE_MS);
     let runs = || target.runs.iter().chain(&target.lapsed);
-    let just_begun: Vec<(&RunId, bool)> = runs()
-        .filter(|(_, watch)| watch.has_just_begun())
-        .map(|(run, watch)| (run, watch.is_confirmed()))
-        .collect();
-    let surely_begun = just_begun.iter().any(|(_, confirmed)| *confirmed);
+    let alone = |run: &RunId| {
+        runs()
+            .filter(|(_, watch)| watch.has_just_begun())
+            .all(|(other, _)| are_together(workload, run, other))
+    };
     let evidence = |run: &RunId, watch: &RunWatch| {
-        let others = || {
-            let mut others = just_begun.iter().map(|(other, _)| other);
-            others.all(|other| are_together(workload, run, other))
-        };
-        if !watch.is_confirmed() || !at_once {
+        if !watch.is_confirmed() || !target.went_at_once() {
             Evidence::Possible
-        } else if !watch.began_since(silent_ms.saturating_sub(AT_ONCE_MS)) {
+        } else if !watch.began_since(since_ms) {
             Evidence::Present
-        } else if others() {
+        } else if alone(run) {
             Evidence::Alone
         } else {
             Evidence::JustBegun
         }
     };
-    runs()
+    let mut suspects: Vec<Suspect> = runs()
         .filter(|(_, watch)| watch.start != StartPhase::Unsent)
         .filter(|(_, watch)| watch.at_work_ms() < OUTLASTED_MS)
-        .filter(|(_, watch)| watch.is_confirmed() || !surely_begun)
         .map(|(run, watch)| Suspect {
             run: *run,
             evidence: evidence(run, watch),
         })
-        .collect()
+        .collect();
+    let cause_is_known = suspects.iter().any(Suspect::had_just_begun);
+    suspects.retain(|suspect| match suspect.evidence {
+        Evidence::Possible => !cause_is_known && !leaving,
+        Evidence::Present => !leaving,
+        Evidence::JustBegun | Evidence::Alone => true,
+    });
+    if leaving {
+        for suspect in &mut suspects {
+            suspect.evidence = Evidence::Possible;
+        }
+    }
+    suspects
 }
 
 /// Whether two runs are one, or members of one gang.
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -55,18 +55,18 @@
     departed: BTreeSet<Arc<str>>,
 }
 
-/// What to record of a worker in whose place another incarnation answered. One that said that it leaves, or whose VM has its upkeep, has ended as it should;
-/// any other has crashed, for whatever reason: a task, the VM, or a rack without power all look the same from here, and
-/// [`Suspect`](crate::state::Suspect) says what makes the difference.
+/// What to record of a worker in whose place another incarnation answered. One that had not said that it leaves, and whose VM has no upkeep, has crashed, for whatever
+/// reason: a task, the VM, or a rack without power all look the same from here, and [`Evidence`](crate::state::Evidence) says what makes the difference.
 fn departure(now_ms: u64, id: &Arc<str>, target: &Target, workload: &Workload) -> Command {
-    let worker = workload.worker(id);
-    let announced = worker.is_some_and(|worker| worker.draining) || workload.is_in_upkeep(id);
+    let leaving = workload.worker(id).is_some_and(|worker| worker.draining);
+    let suspects = suspects(now_ms, target, workload, leaving);
+    let announced = leaving && suspects.is_empty() || workload.is_in_upkeep(id);
     if announced {
         return Command::Workers(vec![WorkerChange::Gone(id.clone())]);
     }
     Command::Crash {
         worker: id.clone(),
-        suspects: suspects(now_ms, target, workload),
+        suspects,
         now_ms: 0,
     }
 }
--- a/crates/bh-workload/src/state/suspect.rs
+++ b/crates/bh-workload/src/state/suspect.rs
@@ -13,11 +13,13 @@
 /// Workers that crash under one task before it is given up, whatever ran beside it. The users bear three: with a lower number, neighbours of tasks
 /// that crash their workers would be given up with them.
 const MOST_CRASHES: u32 = 3;
-/// The same for workers that crashed just as the task had begun, when the last one crashed under this task alone: nothing else can have crashed that one, and a
-/// second worker hardly crashes by chance just as the same task begins.
+/// The same for workers that crashed just as the task had begun, when it was alone on the last one: nothing else can have crashed that one, and a second worker hardly
+/// crashes by chance just as the same task begins.
 const MOST_CRASHES_AT_START: u32 = 2;
-/// The same when crashes count under which it is not certain that the task had begun. One that crashes its workers before they answer shows no others, so there
-/// must be a bound; it leaves a sound task more room for orders that came to nothing than one start after the third crash would need.
+/// The same for all crashes that count or may, when the task was alone on the last one.
+const MOST_BEFORE_ALONE: u32 = 3;
+/// The same without that. One that crashes its workers before they answer shows no other crashes, so there must be a bound; it leaves a sound task more room for orders
+/// that came to nothing than one start after the third crash would need.
 const MOST_POSSIBLE_CRASHES: u32 = 4;
 
 /// What is known of a run on a worker that crashed.
@@ -42,6 +44,13 @@
     pub evidence: Evidence,
 }
 
+impl Suspect {
+    /// Whether the run had surely just begun.
+    pub fn had_just_begun(&self) -> bool {
+        matches!(self.evidence, Evidence::JustBegun | Evidence::Alone)
+    }
+}
+
 impl Task {
     /// Workers that crashed under it or may have.
     pub fn all_crashes(&self) -> u32 {
@@ -63,7 +72,9 @@
     /// one to crash a worker. Two are no proof while a newer run goes on, which may show that the task is sound.
     fn is_given_up(&self, evidence: Evidence) -> bool {
         let often = self.crashes >= MOST_CRASHES || self.all_crashes() >= MOST_POSSIBLE_CRASHES;
-        let proven = evidence == Evidence::Alone && self.crashes_at_start >= MOST_CRASHES_AT_START;
+        let proven = evidence == Evidence::Alone
+            && (self.crashes_at_start >= MOST_CRASHES_AT_START
+                || self.all_crashes() >= MOST_BEFORE_ALONE);
         match self.state {
             TaskState::Done => false,
             TaskState::Open(_) => often,
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -191,6 +191,8 @@
 #[case::silent(Away::Silent)]
 #[case::never_reached(Away::NeverReached)]
 fn what_is_no_crash_counts_for_nothing(#[case] away: Away) {
+    /// Time that a worker goes on after it said that it leaves.
+    const DRAIN_MS: u64 = 2_000;
     let mut site = Site::new(6, 3);
     let job = site.submit(0, "other", vec![step(1, 8)]);
     for _ in 0..3 {
@@ -205,6 +207,7 @@
                 let change = WorkerChange::Draining(worker.clone());
                 site.workload.apply(Command::Workers(vec![change]));
                 site.take_news();
+                site.advance(DRAIN_MS);
                 site.crash(&worker);
             }
             Away::Left => {
