Workers that shrink: starts that no longer fit are withdrawn, room is reckoned from the excess, late heartbeats bring nothing back

Cause: a run recorded before its worker shrank was sent, or sent again after a lost answer, whatever the worker had by then; room to reclaim was reckoned as if a worker over its capacity were just full; and after a change of leader a heartbeat from before the shrink could set the capacity back, since only the leader counted heartbeats. Ruled out as faults: plans (they reckon with what is recorded now), growth (used with the next plan).

--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -79,8 +79,12 @@
     let workload = core.group.machine.read();
     let known = workload.worker(id);
     let mut changes = Vec::new();
-    if known.is_none_or(|worker| worker.info != heartbeat.info) {
-        changes.push(WorkerChange::Known(heartbeat.info.clone()));
+    let is_newest = known.is_none_or(|worker| heartbeat.sequence >= worker.sequence);
+    if is_newest && known.is_none_or(|worker| worker.info != heartbeat.info) {
+        changes.push(WorkerChange::Reported {
+            info: heartbeat.info.clone(),
+            sequence: heartbeat.sequence,
+        });
     }
     if heartbeat.draining && known.is_none_or(|worker| !worker.draining) {
         changes.push(WorkerChange::Draining(id.clone()));
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -11,11 +11,13 @@
 use super::Timing;
 use super::pacing;
 use super::pacing::SHARED_LOOK_MS;
+use crate::job::Needs;
 use crate::job::RunId;
 use crate::state::End;
 use crate::state::EndKind;
 use crate::state::Worker;
 use crate::state::Workload;
+use std::collections::BTreeSet;
 
 /// Shortest wait of a look in milliseconds, where few workers have runs. A worker that is cut off is found silent when its look is not answered,
 /// and until then urgent work is placed on it, or waits for room that never becomes free there: such work has a second or two to spare.
@@ -56,6 +58,7 @@
         if target.is_failing() && self.now_ms >= target.lapse_ms {
             self.give_up_lapsed(target);
         }
+        let too_much = self.too_much(target);
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
         for run in runs {
             let recorded = self.worker.runs.contains_key(&run);
@@ -63,7 +66,9 @@
             let Some(watch) = target.runs.get(&run).filter(|watch| !watch.settled) else {
                 continue;
             };
-            if wanted && !watch.give_up {
+            if wanted && !watch.give_up && too_much.contains(&run) {
+                self.withdraw(target, run);
+            } else if wanted && !watch.give_up {
                 self.start(target, run);
                 if pacing::fills(self.workload, run) {
                     self.pace(target, run);
@@ -123,7 +128,7 @@
         let step = run.task.step;
         let permission = self.permissions.proof(step, &self.worker.info.id, now_ms);
         if permission.is_none() && self.workload.queue_of(job).advised.is_some() {
-            self.without_permission(target, run);
+            self.withdraw(target, run);
             return;
         }
         let Some(lease_until_ms) = target.grant(now_ms, self.timing) else {
@@ -147,9 +152,36 @@
         self.order(body);
     }
 
-    /// The worker would refuse a start without a valid permission. Whether an earlier one was carried out is settled by a stop; the plan
-    /// asks for another permission before it tries again.
-    fn without_permission(&mut self, target: &mut Target, run: RunId) {
+    /// Runs that are not known to have begun, and for which the worker has no room beside those that are: it has shrunk since they were recorded. A worker that does not guard
+    /// its capacity would begin them all the same, and everything there would slow down or be killed.
+    fn too_much(&self, target: &Target) -> BTreeSet<RunId> {
+        let mut too_much = BTreeSet::new();
+        if self.worker.excess() == Needs::default() {
+            return too_much;
+        }
+        let is_confirmed = |run: &RunId| target.runs.get(run).is_some_and(RunWatch::is_confirmed);
+        let mut free = self.worker.info.capacity;
+        for (run, needs) in &self.worker.runs {
+            if is_confirmed(run) {
+                free.subtract(needs);
+            }
+        }
+        for (run, needs) in &self.worker.runs {
+            if is_confirmed(run) {
+                continue;
+            }
+            if needs.fits(&free) {
+                free.subtract(needs);
+            } else {
+                too_much.insert(*run);
+            }
+        }
+        too_much
+    }
+
+    /// Takes back a run whose start shall not be sent any more, for want of a permission or of room. Whether an earlier one was carried out is settled by a stop; the plan
+    /// finds another place, or asks for another permission, before it tries again.
+    fn withdraw(&mut self, target: &mut Target, run: RunId) {
         let unsent = target
             .runs
             .get(&run)
@@ -157,6 +189,9 @@
         if unsent {
             self.never_began(target, run);
         } else if !target.is_failing() {
+            if let Some(watch) = target.runs.get_mut(&run) {
+                watch.give_up = true;
+            }
             self.stop(target, run, true);
         }
     }
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -59,6 +59,8 @@
     pub capacity: Needs,
     /// What no recorded run takes.
     pub free: Needs,
+    /// What recorded runs take beyond what it has, since it has shrunk.
+    pub excess: Needs,
     /// What is promised to work that waits for it, free already or not.
     pub promised: Needs,
     /// Recorded runs by step.
@@ -109,6 +111,7 @@
             labels: worker.info.labels.clone(),
             capacity: worker.info.capacity,
             free: worker.free(),
+            excess: worker.excess(),
             promised: Needs::default(),
             runs,
             fill_percent: view.map_or(100, |target| target.filling.percent()),
@@ -153,10 +156,12 @@
         self.open_with(&Needs::default())
     }
 
-    /// What would be open if runs that take `more` were gone as well.
+    /// What would be open if runs that take `more` were gone as well. On a worker that has shrunk the first of them leave no room.
     pub fn open_with(&self, more: &Needs) -> Needs {
+        let mut gained = *more;
+        gained.subtract(&self.excess);
         let mut open = self.free;
-        open.add(more);
+        open.add(&gained);
         open.subtract(&self.promised);
         open
     }
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -11,6 +11,7 @@
 use super::Wave;
 use super::Worker;
 use super::WorkerChange;
+use super::WorkerInfo;
 use super::Workload;
 use crate::job::JobId;
 use crate::job::JobSpec;
@@ -140,17 +141,8 @@
     fn change_workers(&mut self, changes: Vec<WorkerChange>) -> Reply {
         for change in changes {
             match change {
-                WorkerChange::Known(info) => {
-                    self.news.note_worker(&info.id);
-                    match self.workers.get_mut(&info.id) {
-                        Some(worker) => worker.info = info,
-                        None => {
-                            self.arrivals += 1;
-                            let worker = Worker::new(info, self.arrivals);
-                            self.workers.insert(worker.info.id.clone(), worker);
-                        }
-                    }
-                }
+                WorkerChange::Known(info) => self.note_worker(info, None),
+                WorkerChange::Reported { info, sequence } => self.note_worker(info, Some(sequence)),
                 WorkerChange::Draining(id) => {
                     if let Some(worker) = self.workers.get_mut(&id) {
                         worker.draining = true;
@@ -163,6 +155,24 @@
         Reply::Done
     }
 
+    /// Takes over what a worker says of itself; an older heartbeat than the last one that changed something changes nothing.
+    fn note_worker(&mut self, info: WorkerInfo, sequence: Option<u64>) {
+        let last = self.workers.get(&info.id).map_or(0, |known| known.sequence);
+        let sequence = sequence.unwrap_or(last);
+        if sequence < last {
+            return;
+        }
+        self.news.note_worker(&info.id);
+        if let Some(worker) = self.workers.get_mut(&info.id) {
+            worker.info = info;
+            worker.sequence = sequence;
+            return;
+        }
+        self.arrivals += 1;
+        let worker = Worker::new(info, self.arrivals).with_sequence(sequence);
+        self.workers.insert(worker.info.id.clone(), worker);
+    }
+
     pub(super) fn remove_worker(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else {
             return;
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -107,8 +107,16 @@
 /// What became of a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum WorkerChange {
-    /// A new one, or a known one with other particulars.
+    /// A new one, or a known one with other particulars, whatever was known before.
     Known(WorkerInfo),
+    /// The same as its heartbeat said with this number, which grows during its life. A heartbeat that was held up says what is no longer so: taken for new, it would have a
+    /// worker that has shrunk filled beyond what it has.
+    Reported {
+        /// What it says of itself.
+        info: WorkerInfo,
+        /// Number of the heartbeat.
+        sequence: u64,
+    },
     /// It gets no new work.
     Draining(Arc<str>),
     /// It has ended, and everything that ran on it.
--- a/crates/bh-workload/src/state/worker.rs
+++ b/crates/bh-workload/src/state/worker.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// What a worker says of itself that does not change during its life.
+/// What a worker says of itself. Only its capacity may change during its life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerInfo {
     /// Identity of this life of the worker; another one after each restart.
@@ -26,7 +26,7 @@
     pub rack: Arc<str>,
     /// Labels, its rack among them.
     pub labels: Vec<Arc<str>>,
-    /// What it has.
+    /// What it has now.
     pub capacity: Needs,
 }
 
@@ -38,6 +38,9 @@
     /// Place in the order in which workers came: of two on one VM the later one lives.
     #[serde(default)]
     pub arrival: u64,
+    /// Number of the last heartbeat that changed what is known of it.
+    #[serde(default)]
+    pub sequence: u64,
     /// Whether it is leaving.
     pub draining: bool,
     /// Runs recorded there and not known to be over, with what each takes.
@@ -51,17 +54,34 @@
         Self {
             info,
             arrival,
+            sequence: 0,
             draining: false,
             runs: BTreeMap::new(),
         }
     }
 
+    /// The same, as its heartbeat said with that number.
+    pub fn with_sequence(mut self, sequence: u64) -> Self {
+        self.sequence = sequence;
+        self
+    }
+
     /// Recorded runs of tasks of `step`.
     pub fn runs_of(&self, step: StepId) -> u64 {
         let count = self.runs.keys().filter(|run| run.task.step == step).count();
         u64::try_from(count).unwrap_or(u64::MAX)
     }
 
+    /// What recorded runs take beyond what the worker has: it may have shrunk since they began.
+    pub fn excess(&self) -> Needs {
+        let mut excess = Needs::default();
+        for needs in self.runs.values() {
+            excess.add(needs);
+        }
+        excess.subtract(&self.info.capacity);
+        excess
+    }
+
     /// What recorded runs leave free. A run counts until its end is known: it may still use the worker while it is being stopped.
     pub fn free(&self) -> Needs {
         let mut free = self.info.capacity;
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -27,6 +27,7 @@
 use bh_workload::state::Outcome;
 use bh_workload::state::TaskState;
 use bh_workload::state::WorkerChange;
+use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -63,6 +64,8 @@
     Carriers { percent: u64, for_ms: u64 },
     /// The worker leaves.
     Drain { worker: usize },
+    /// The worker has only so many accelerators for a while.
+    Shrink { worker: usize, to: u64, for_ms: u64 },
 }
 
 fn fault() -> impl Strategy<Value = (u64, Fault)> {
@@ -85,6 +88,17 @@
     prop_oneof![2 => fault(), 1 => carriers]
 }
 
+/// The same where workers shrink and grow as well.
+fn shrinking_fault() -> impl Strategy<Value = (u64, Fault)> {
+    let shrink = (0..FAULTY_MS, 0..WORKERS, 0u64..8, 300u64..9_000).prop_map(
+        |(at_ms, worker, to, for_ms)| {
+            let fault = Fault::Shrink { worker, to, for_ms };
+            (at_ms, fault)
+        },
+    );
+    prop_oneof![2 => carried_fault(), 1 => shrink]
+}
+
 /// An order on its way, or held up.
 struct Held {
     at_ms: u64,
@@ -119,6 +133,8 @@
     crashed_under: BTreeMap<TaskId, u32>,
     /// Starts of a task after three workers had crashed under it.
     started_after: BTreeMap<TaskId, u32>,
+    /// What each worker has had, the newest last: when it changed, on the site's clock in milliseconds, and how many accelerators.
+    sizes: Vec<Vec<(u64, u64)>>,
     /// Workers that are down after a crash: position, and when they are back.
     down: BTreeMap<usize, u64>,
 }
@@ -243,7 +259,7 @@
         let (answer, began) =
             self.workers[index].take(now_ms, order.token, &order.body, run_ms, fails);
         if let Some(run) = began {
-            self.check_begin(&before, run, index);
+            self.check_begin(&before, run, index, order.sent_ms);
             self.check_crashes(run);
             if self.crashing.contains(&run.task) {
                 self.crash(index);
@@ -259,7 +275,7 @@
         answer
     }
 
-    fn check_begin(&self, workload: &Workload, run: RunId, index: usize) {
+    fn check_begin(&self, workload: &Workload, run: RunId, index: usize, sent_ms: u64) {
         let now_ms = self.site.now_ms;
         let others = self
             .workers
@@ -301,7 +317,44 @@
             .keys()
             .map(|run| accelerators(workload, run.task))
             .sum();
-        assert!(used <= 8, "{used} of 8 accelerators on a worker");
+        let had = self.most_lately(index, sent_ms);
+        assert!(used <= had, "{used} of {had} accelerators on a worker");
+    }
+
+    /// The most that a worker has had since the leader could not know of it: a heartbeat comes every 1.5 s, and may be lost for as long as a worker may go
+    /// unheard. What was sent by then may come later.
+    fn most_lately(&self, index: usize, sent_ms: u64) -> u64 {
+        const UNHEARD_MS: u64 = 4_500;
+        let since_ms = sent_ms.saturating_sub(UNHEARD_MS);
+        let sizes = &self.sizes[index];
+        let before = sizes.iter().rfind(|(at_ms, _)| *at_ms <= since_ms);
+        let after = sizes.iter().filter(|(at_ms, _)| *at_ms > since_ms);
+        let sizes = before.into_iter().chain(after).map(|(_, size)| *size);
+        sizes.max().unwrap_or(0)
+    }
+
+    /// Workers that shrink or grow at this time do so, and say it with their next heartbeat.
+    fn resize(&mut self) {
+        let now_ms = self.site.now_ms;
+        for index in 0..WORKERS {
+            let left = self.faults.iter().filter_map(|(at_ms, fault)| match fault {
+                Fault::Shrink { worker, to, for_ms } if *worker == index => {
+                    (now_ms >= *at_ms && now_ms < at_ms + for_ms).then_some(*to)
+                }
+                _ => None,
+            });
+            let size = left.min().unwrap_or(8);
+            if self.sizes[index].last().map(|(_, size)| *size) != Some(size) {
+                self.sizes[index].push((now_ms, size));
+            }
+        }
+    }
+
+    fn info(&self, index: usize) -> WorkerInfo {
+        let mut info = worker_info(index, 2);
+        info.id = Arc::from(&*self.workers[index].id);
+        info.capacity.accelerators = self.sizes[index].last().map_or(8, |(_, size)| *size);
+        info
     }
 
     /// A task under which three workers have crashed may be on its way to others once or twice more, but no more often.
@@ -444,7 +497,8 @@
                 Fault::Cut { .. }
                 | Fault::OneWay { .. }
                 | Fault::Late { .. }
-                | Fault::Carriers { .. } => {}
+                | Fault::Carriers { .. }
+                | Fault::Shrink { .. } => {}
             }
         }
     }
@@ -457,8 +511,7 @@
         let rate = if index == 0 { 980 } else { 1_000 };
         let offset_ms = 5_000 * self.lives[index] as u64;
         self.workers[index] = ModelWorker::new(id.clone(), rate, offset_ms, self.planted);
-        let mut info = worker_info(index, 2);
-        info.id = Arc::from(id);
+        let info = self.info(index);
         self.record(Command::Workers(vec![WorkerChange::Known(info)]));
     }
 
@@ -485,6 +538,11 @@
                 continue;
             }
             let id: Arc<str> = Arc::from(&*self.workers[index].id);
+            let info = self.info(index);
+            let known = self.site.workload.worker(&id);
+            if known.is_some_and(|known| known.info != info) {
+                self.record(Command::Workers(vec![WorkerChange::Known(info)]));
+            }
             let clock_ms = self.workers[index].clock_ms(self.site.now_ms);
             self.site
                 .dispatcher
@@ -566,6 +624,7 @@
         self.site.now_ms += STEP_MS;
         let now_ms = self.site.now_ms;
         self.begin_faults();
+        self.resize();
         self.bring_back();
         for worker in &mut self.workers {
             worker.pass(now_ms);
@@ -681,6 +740,7 @@
         crashed_under: BTreeMap::new(),
         started_after: BTreeMap::new(),
         down: BTreeMap::new(),
+        sizes: vec![vec![(0, 8)]; WORKERS],
     };
     for job in run.jobs.iter().take(crashing) {
         let step = StepId {
@@ -778,6 +838,21 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_205), ..ProptestConfig::default() })]
+
+    /// Workers shrink and grow among all other faults, and guard nothing. The same promises hold, and no start brings a worker over what it has, or had when the leader last could
+    /// have heard of it.
+    #[test]
+    fn fuzz_shrinking_workers_are_not_overfilled(
+        seed in any::<u64>(),
+        crashing in 0usize..3,
+        faults in proptest::collection::vec(shrinking_fault(), 2..14),
+    ) {
+        run_with_crashing(seed, 0, &faults, Planted::Nothing, crashing);
+    }
+}
+
 /// Tasks that crash their workers, and no other fault: two workers are lost to each where that is enough to know it, three at most, and no sound job is given up
 /// whatever it loses to its neighbours.
 #[test]
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -239,6 +239,35 @@
         }
     }
 
+    /// A worker says that it has this many accelerators.
+    pub fn set_accelerators(&mut self, worker: &Arc<str>, accelerators: u64) {
+        let mut info = self.workload.worker(worker).unwrap().info.clone();
+        info.capacity.accelerators = accelerators;
+        let known = WorkerChange::Known(info);
+        self.workload.apply(Command::Workers(vec![known]));
+        self.take_news();
+    }
+
+    /// The answer of a worker that did as it was told.
+    pub fn done(&self) -> Answer {
+        Answer::Done {
+            clock_ms: Some(self.now_ms),
+            report: None,
+        }
+    }
+
+    /// The answer of a worker that is looked at and runs what is recorded, but for `except`.
+    pub fn looked(&self, worker: &str, except: &[RunId]) -> Answer {
+        let mut report = self.report_of(worker);
+        report
+            .running
+            .retain(|running| !except.contains(&running.run));
+        Answer::Done {
+            clock_ms: Some(self.now_ms),
+            report: Some(report),
+        }
+    }
+
     /// What is asked now is answered: workers report what is recorded for them as at work.
     pub fn report(&mut self) {
         let (orders, _) = self.dispatcher.orders(self.now_ms, &self.workload, true);
