Work is given by what a worker said lately: after a silence, or a time without a leader, its next heartbeat comes first

Cause: a worker that was cut off, or whose cores were all down, may shrink with nobody to tell; a start that was unsure was sent again as soon as the worker answered, and a leader after such a time filled idle workers before they were heard. Both now wait for the next heartbeat; a change of leader of two seconds or less does not. Seen to fail before: the two new tests in shrinking_workers.rs need the new field, so they were seen to fail with is_current always true.

--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -43,6 +43,8 @@
     pub workers: WorkerCalls,
     /// What it does as the leader; `None` while it does not lead.
     pub leadership: RefCell<Option<Leadership>>,
+    /// When somebody was last known to lead, on the process's clock in milliseconds; `None` since the process began.
+    pub led_ms: Cell<Option<u64>>,
     /// Whether the cores shared the workers when that was last asked.
     pub shared_workers: Cell<bool>,
     /// How long orders that it carries were on their way.
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -30,6 +30,10 @@
 /// Time between looks for ended jobs that nobody asks for any more and for connections that nobody uses, in milliseconds.
 const FORGET_EVERY_MS: u64 = 10_000;
 
+/// Time without a leader, in milliseconds, after which workers must be heard before they get work. A worker's room may change at any time, and what it said of itself is good for
+/// some three heartbeats; an election takes about a second.
+const SHORT_GAP_MS: u64 = 2_000;
+
 /// Runs until the process ends.
 pub async fn run(core: Rc<CoreNode>, mut wakes: unbounded::Rx<()>) {
     let mut forgot_ms = core.clock.now_ms();
@@ -53,6 +57,7 @@
     let status = core.group.status();
     let led_term = core.leadership.borrow().as_ref().map(|held| held.term);
     if !status.is_leader {
+        core.led_ms.set(status.heard_ms);
         if led_term.is_some() {
             step_down(core, "another leads, or no majority answers");
         }
@@ -72,6 +77,7 @@
     if !confirmed {
         return;
     }
+    core.led_ms.set(Some(now_ms));
     check_overdue(core, now_ms);
     upkeep::keep(core, now_ms);
     give_orders(core, now_ms);
@@ -95,7 +101,14 @@
     let now_ms = core.clock.now_ms();
     core.group.machine.with_local(Workload::take_news);
     let workload = core.group.machine.read();
-    let dispatcher = Dispatcher::new(core.config.timing(), term, now_ms, &workload);
+    let gap_ms = core
+        .led_ms
+        .get()
+        .map(|led_ms| now_ms.saturating_sub(led_ms));
+    let mut dispatcher = Dispatcher::new(core.config.timing(), term, now_ms, &workload);
+    if gap_ms.is_none_or(|gap_ms| gap_ms > SHORT_GAP_MS) {
+        dispatcher = dispatcher.with_old_record();
+    }
     let runs: usize = workload.workers().map(|worker| worker.runs.len()).sum();
     drop(workload);
     let keeper = Keeper::new(
@@ -118,7 +131,7 @@
         sequences: BTreeMap::new(),
     });
     core.metrics.count("leads", 1);
-    log::info!(core = &*core.config.name, term, runs; "leads");
+    log::info!(core = &*core.config.name, term, runs, gap_ms:? = gap_ms; "leads");
     core.inbound.tell_all(&core.status());
 }
 
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -82,6 +82,7 @@
         mesh: mesh.clone(),
         inbound: Rc::new(Inbound::default()),
         leadership: RefCell::new(None),
+        led_ms: Cell::new(None),
         shared_workers: Cell::new(false),
         carry_delay: RefCell::new(CarryDelay::default()),
         signs: RefCell::new(BTreeMap::new()),
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -91,6 +91,7 @@
         for worker in workload.workers() {
             let target = dispatcher.target(&worker.info.id);
             target.filling = FillPace::taken_over();
+            target.said_ms = Some(now_ms);
             target.lapse_ms = now_ms + OVERLAP_MS + timing.lapse_after_ms(timing.lease_ms);
             for run in worker.runs.keys() {
                 let start = StartPhase::Unsure {
@@ -102,6 +103,15 @@
         dispatcher
     }
 
+    /// The same for a leader before whom nobody had led for a while, or none knows for how long: workers may have shrunk with nobody to tell, and each must be heard before it is
+    /// given work.
+    pub fn with_old_record(mut self) -> Self {
+        for target in self.targets.values_mut() {
+            target.said_ms = None;
+        }
+        self
+    }
+
     /// The leader's term.
     pub fn token(&self) -> u64 {
         self.token
@@ -139,6 +149,7 @@
         }
         let target = self.targets.entry(worker.clone()).or_default();
         target.heard_ms = target.heard_ms.max(Some(now_ms));
+        target.said_ms = target.said_ms.max(Some(now_ms));
         if let Some(worker_ms) = clock_ms {
             target.note_clock(now_ms, worker_ms);
         }
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -33,6 +33,8 @@
     pub clock: Option<ClockReading>,
     /// When its last heartbeat came, on the leader's clock in milliseconds.
     pub heard_ms: Option<u64>,
+    /// When the record last had what it said of itself, on the leader's clock in milliseconds: its last heartbeat, or the election when the leader before had heard it.
+    pub said_ms: Option<u64>,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
     /// Whether the first of them ended sooner than its time: its connection was broken off, as a process that ends does.
@@ -124,6 +126,12 @@
         self.clock.is_some() && !self.is_failing() && !self.carrier_lost
     }
 
+    /// Whether what it said of itself is recent enough to give it work.
+    pub fn is_current(&self, now_ms: u64, timing: &Timing) -> bool {
+        self.said_ms
+            .is_some_and(|said_ms| now_ms <= said_ms + timing.current_ms())
+    }
+
     /// Whether orders to it have had no answer lately.
     pub fn is_failing(&self) -> bool {
         self.failing_since_ms.is_some()
--- a/crates/bh-workload/src/dispatch/timing.rs
+++ b/crates/bh-workload/src/dispatch/timing.rs
@@ -38,6 +38,13 @@
         restore_ms: 250,
     };
 
+    /// Longest time since a worker's last heartbeat for which it is given work, by what it said of itself, in milliseconds. One may be late, two in a row hardly are;
+    /// and by the third a worker may have shrunk without the leader's knowing.
+    pub fn current_ms(&self) -> u64 {
+        const HEARTBEATS_PERCENT: u64 = 275;
+        self.heartbeat_ms * HEARTBEATS_PERCENT / 100
+    }
+
     /// Longest time after a grant that anything under it may run, given that the worker's clock was read `age_ms` ago. A worker's
     /// clock may be two percent slow, and so is what it shows now behind what was reckoned from the last reading.
     pub fn lapse_after_ms(&self, age_ms: u64) -> u64 {
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -119,7 +119,8 @@
                 StartPhase::Unsure { retry_ms } => now_ms >= retry_ms,
                 StartPhase::InFlight | StartPhase::Confirmed { .. } => false,
             });
-        if !ready {
+        // After a silence it may have shrunk: its next heartbeat tells.
+        if !ready || !target.is_current(now_ms, self.timing) {
             return;
         }
         let Some(job) = self.workload.job(run.task.step.job) else {
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -15,9 +15,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// Heartbeats without which a worker gets no new work; one may be late, two in a row hardly are.
-const MISSED_HEARTBEATS: u64 = 3;
-
 /// What has just begun on a worker.
 struct Begun {
     /// Whether anything has.
@@ -86,11 +83,9 @@
         speeds: &Speeds,
         now_ms: u64,
     ) -> Self {
-        let silence_ms = dispatcher.timing().heartbeat_ms * MISSED_HEARTBEATS;
         let ready = |target: &Target| {
-            let since_ms = target.heard_ms.unwrap_or(dispatcher.elected_ms());
             target.answers()
-                && now_ms <= since_ms + silence_ms
+                && target.is_current(now_ms, dispatcher.timing())
                 && now_ms >= target.set_aside_until_ms
         };
         let view = dispatcher.view(&worker.info.id);
--- a/crates/bh-workload/tests/shrinking_workers.rs
+++ b/crates/bh-workload/tests/shrinking_workers.rs
@@ -7,7 +7,9 @@
 mod support;
 
 use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Timing;
 use bh_workload::job::RunId;
 use bh_workload::state::Command;
 use bh_workload::state::WorkerChange;
@@ -111,3 +113,40 @@
     assert_eq!(says(8, 4), 2);
     assert_eq!(says(6, 6), 6);
 }
+
+/// A worker is cut off while a start to it has no answer, and shrinks meanwhile. It answers again before its next heartbeat: the start is not sent again until that tells what
+/// it has.
+#[test]
+fn nothing_is_sent_after_a_silence_before_a_heartbeat() {
+    let mut site = Site::new(1, 1);
+    site.submit(0, "other", vec![step(1, 4)]);
+    site.plan_and_start();
+    let sent = starts_sent(&mut site, true, &[]);
+    assert_eq!(sent.len(), 1);
+    site.now_ms += 6_000;
+    for _ in 0..5 {
+        site.now_ms += 100;
+        assert!(starts_sent(&mut site, false, &sent).is_empty());
+    }
+    site.heartbeats();
+    site.now_ms += 100;
+    assert_eq!(starts_sent(&mut site, false, &sent).len(), 1);
+}
+
+/// All cores were down for longer than what workers said of themselves is good for. The next leader looks at the workers and gets answers, but some may have shrunk with nobody
+/// to tell: each gets work once its heartbeat has come, not before.
+#[test]
+fn after_a_time_without_a_leader_workers_are_heard_first() {
+    let mut site = Site::new(2, 2);
+    site.now_ms += 10_000;
+    site.dispatcher =
+        Dispatcher::new(Timing::DEFAULT, 2, site.now_ms, &site.workload).with_old_record();
+    site.submit(0, "other", vec![step(2, 8)]);
+    site.report();
+    assert!(site.plan().starts.is_empty());
+    site.dispatcher
+        .note_heartbeat(site.now_ms, &Arc::from("w00"), Some(site.now_ms));
+    let starts = site.plan().starts;
+    assert_eq!(starts.len(), 1);
+    assert_eq!(&*starts[0].worker, "w00");
+}
