--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -70,7 +70,12 @@
 ) -> Vec<Suspect> {
     let silent_ms = target.failing_since_ms.unwrap_or(now_ms);
     let since_ms = silent_ms.saturating_sub(AT_ONCE_MS);
-    let runs = || target.runs.iter().chain(&target.lapsed);
+    // A run whose lease has just run out is in both until that is recorded.
+    let lapsed = || {
+        let lapsed = target.lapsed.iter();
+        lapsed.filter(|(run, _)| !target.runs.contains_key(run))
+    };
+    let runs = || target.runs.iter().chain(lapsed());
     let alone = |run: &RunId| {
         runs()
             .filter(|(_, watch)| watch.has_just_begun())
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -853,6 +853,15 @@
     }
 }
 
+/// A worker is silent for its whole lease, and answers as another incarnation in the very moment in which its runs are given up. The crash counts once for each; counted twice,
+/// it had a job given up under whose tasks one worker had crashed.
+#[test]
+fn a_crash_in_the_moment_of_the_lapse_counts_once() {
+    let late = |percent, for_ms| Fault::Late { percent, for_ms };
+    let faults = [(8_451, late(28, 5_950)), (14_401, late(40, 5_900))];
+    run_with_crashing(18_040_824_988_759_608_289, 0, &faults, Planted::Nothing, 3);
+}
+
 /// Tasks that crash their workers, and no other fault: two workers are lost to each where that is enough to know it, three at most, and no sound job is given up
 /// whatever it loses to its neighbours.
 #[test]
