--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -22,6 +22,7 @@
 impl Workload {
     /// Applies one command.
     pub fn apply(&mut self, command: Command) -> Reply {
+        self.latest_ms = self.latest_ms.max(command.made_ms().unwrap_or(0));
         match command {
             Command::SetRules(rules) => self.set_rules(*rules),
             Command::Accept {
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -79,6 +79,18 @@
 }
 
 impl Command {
+    /// When the leader made it, in milliseconds since 1970, where it holds a time.
+    pub fn made_ms(&self) -> Option<u64> {
+        match self {
+            Command::Ends { now_ms, .. }
+            | Command::Crash { now_ms, .. }
+            | Command::Accept { now_ms, .. }
+            | Command::Cancel { now_ms, .. }
+            | Command::StartWave { now_ms, .. } => Some(*now_ms),
+            _ => None,
+        }
+    }
+
     /// The command as of `at_ms`, in milliseconds since 1970, where it holds a time.
     pub fn at(mut self, at_ms: u64) -> Self {
         if let Command::Ends { now_ms, .. }
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -35,6 +35,9 @@
     /// Workers that have ever come.
     #[serde(default)]
     pub(super) arrivals: u64,
+    /// The latest time at which a leader recorded something, in milliseconds since 1970.
+    #[serde(default)]
+    pub latest_ms: u64,
     /// Waves of upkeep by number.
     #[serde(default)]
     pub(super) waves: BTreeMap<u64, Wave>,
