--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -31,8 +31,8 @@
 const FORGET_EVERY_MS: u64 = 10_000;
 
 /// Time without a leader, in milliseconds, after which workers must be heard before they get work. A worker's room may change at any time, and what it said of itself is good for
-/// some three heartbeats; an election takes about a second.
-const SHORT_GAP_MS: u64 = 2_000;
+/// some three heartbeats: one since the last, and this time. Most losses of all cores are over sooner.
+const SHORT_GAP_MS: u64 = 2_500;
 
 /// Runs until the process ends.
 pub async fn run(core: Rc<CoreNode>, mut wakes: unbounded::Rx<()>) {
@@ -101,12 +101,9 @@
     let now_ms = core.clock.now_ms();
     core.group.machine.with_local(Workload::take_news);
     let workload = core.group.machine.read();
-    let gap_ms = core
-        .led_ms
-        .get()
-        .map(|led_ms| now_ms.saturating_sub(led_ms));
+    let gap_ms = gap_ms(core, now_ms, &workload);
     let mut dispatcher = Dispatcher::new(core.config.timing(), term, now_ms, &workload);
-    if gap_ms.is_none_or(|gap_ms| gap_ms > SHORT_GAP_MS) {
+    if gap_ms > SHORT_GAP_MS {
         dispatcher = dispatcher.with_old_record();
     }
     let runs: usize = workload.workers().map(|worker| worker.runs.len()).sum();
@@ -131,10 +128,18 @@
         sequences: BTreeMap::new(),
     });
     core.metrics.count("leads", 1);
-    log::info!(core = &*core.config.name, term, runs, gap_ms:? = gap_ms; "leads");
+    log::info!(core = &*core.config.name, term, runs, gap_ms; "leads");
     core.inbound.tell_all(&core.status());
 }
 
+/// How long nobody has led, in milliseconds. A core that was restarted with all others knows it by the last time in the record.
+fn gap_ms(core: &CoreNode, now_ms: u64, workload: &Workload) -> u64 {
+    match core.led_ms.get() {
+        Some(led_ms) => now_ms.saturating_sub(led_ms),
+        None => core.wall_ms().saturating_sub(workload.latest_ms),
+    }
+}
+
 fn check_overdue(core: &Rc<CoreNode>, now_ms: u64) {
     let mut held = core.leadership.borrow_mut();
     let Some(leadership) = held.as_mut() else {
