Crashes are recorded beside the ends of the runs, which older cores read too

Cause: found by reading: a command of its own is skipped by a core of an older version, whose record would then hold runs as open that others know to be over; were it elected during an upgrade, it would refuse or repeat what others do not. The same for heartbeats' numbers, which are now part of what a worker says. Test: older_cores_read_a_crash_as_ends. Also: what a crashed worker had last reported as saved is kept for its tasks' next runs, as after a lease that ran out.

--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -3,6 +3,7 @@
 use super::core_node::CoreNode;
 use bh_workload::job::JobId;
 use bh_workload::state::Command;
+use bh_workload::state::Crash;
 use bh_workload::state::GiveUp;
 use bh_workload::state::Suspect;
 use bh_workload::state::Task;
@@ -33,8 +34,9 @@
                 }
             }
         }
-        Command::Crash {
-            worker, suspects, ..
+        Command::Ends {
+            crash: Some(Crash { worker, suspects }),
+            ..
         } => {
             core.metrics.count("workers_crashed", 1);
             log_departure(core, term, worker, learnt);
--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -79,12 +79,16 @@
     let workload = core.group.machine.read();
     let known = workload.worker(id);
     let mut changes = Vec::new();
-    let is_newest = known.is_none_or(|worker| heartbeat.sequence >= worker.sequence);
-    if is_newest && known.is_none_or(|worker| worker.info != heartbeat.info) {
-        changes.push(WorkerChange::Reported {
-            info: heartbeat.info.clone(),
-            sequence: heartbeat.sequence,
-        });
+    // A core of an older version hands heartbeats on without the number in the info.
+    let info = WorkerInfo {
+        sequence: heartbeat.sequence,
+        ..heartbeat.info.clone()
+    };
+    let is_news = known.is_none_or(|worker| {
+        info.sequence >= worker.info.sequence && !worker.info.says_the_same(&info)
+    });
+    if is_news {
+        changes.push(WorkerChange::Known(info));
     }
     if heartbeat.draining && known.is_none_or(|worker| !worker.draining) {
         changes.push(WorkerChange::Draining(id.clone()));
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -37,7 +37,7 @@
         monoio::spawn(send_order(core.clone(), order));
     }
     if !ends.is_empty() {
-        record(core, Command::Ends { ends, now_ms: 0 });
+        record(core, Command::ends(ends));
     }
 }
 
--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -30,7 +30,9 @@
             _ => BTreeSet::new(),
         };
         let suspects = match &command {
-            Command::Crash { suspects, .. } => suspects.clone(),
+            Command::Ends {
+                crash: Some(crash), ..
+            } => crash.suspects.clone(),
             _ => Vec::new(),
         };
         let result = propose(&core, command).await;
--- a/crates/bh-control/tests/carriers.rs
+++ b/crates/bh-control/tests/carriers.rs
@@ -35,6 +35,7 @@
         rack: Arc::from("rack"),
         labels: Vec::new(),
         capacity: Needs::default(),
+        sequence: 0,
     }
 }
 
--- a/crates/bh-workload/benches/days/day.rs
+++ b/crates/bh-workload/benches/days/day.rs
@@ -231,7 +231,7 @@
                 .collect();
             self.planner
                 .note_ends(now_ms, &ends, &self.workload, &self.dispatcher);
-            self.workload.apply(Command::Ends { ends, now_ms });
+            self.workload.apply(Command::ends(ends).at(now_ms));
         }
     }
 
@@ -350,5 +350,6 @@
         labels: vec![rack.clone()],
         rack,
         capacity: shape.capacity,
+        sequence: 0,
     }
 }
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -20,7 +20,7 @@
 
 /// Ends as a command, with the time left for the caller to fill in.
 fn ends_command(ends: Vec<End>) -> Option<Command> {
-    (!ends.is_empty()).then_some(Command::Ends { ends, now_ms: 0 })
+    (!ends.is_empty()).then(|| Command::ends(ends))
 }
 
 /// Takes the answer to a start order; returns what must be recorded.
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -19,7 +19,9 @@
 use super::worker_turn::look_wait_ms;
 use crate::job::RunId;
 use crate::state::Command;
+use crate::state::Crash;
 use crate::state::End;
+use crate::state::EndKind;
 use crate::state::News;
 use crate::state::Worker;
 use crate::state::WorkerChange;
@@ -64,10 +66,25 @@
     if announced {
         return Command::Workers(vec![WorkerChange::Gone(id.clone())]);
     }
-    Command::Crash {
-        worker: id.clone(),
-        suspects,
+    let recorded = workload.worker(id).into_iter();
+    let ends = recorded
+        .flat_map(|worker| worker.runs.keys())
+        .map(|run| End {
+            run: *run,
+            worker: id.clone(),
+            kind: EndKind::Lost,
+            checkpoint: target
+                .runs
+                .get(run)
+                .and_then(|watch| watch.checkpoint.clone()),
+        });
+    Command::Ends {
+        ends: ends.collect(),
         now_ms: 0,
+        crash: Some(Crash {
+            worker: id.clone(),
+            suspects,
+        }),
     }
 }
 
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -33,18 +33,12 @@
             Command::Cancel { place, now_ms } => self.cancel(&place, now_ms),
             Command::Workers(changes) => self.change_workers(changes),
             Command::Starts(starts) => self.start(starts),
-            Command::Ends { ends, now_ms } => {
-                for end in ends {
-                    self.end(end, now_ms);
-                }
-                Reply::Done
-            }
-            Command::Crash {
-                worker,
-                suspects,
+            Command::Ends {
+                ends,
                 now_ms,
+                crash,
             } => {
-                self.crash(&worker, &suspects, now_ms);
+                self.end_all(ends, now_ms, crash);
                 Reply::Done
             }
             Command::StartWave { spec, now_ms } => {
@@ -142,8 +136,7 @@
     fn change_workers(&mut self, changes: Vec<WorkerChange>) -> Reply {
         for change in changes {
             match change {
-                WorkerChange::Known(info) => self.note_worker(info, None),
-                WorkerChange::Reported { info, sequence } => self.note_worker(info, Some(sequence)),
+                WorkerChange::Known(info) => self.note_worker(info),
                 WorkerChange::Draining(id) => {
                     if let Some(worker) = self.workers.get_mut(&id) {
                         worker.draining = true;
@@ -156,21 +149,20 @@
         Reply::Done
     }
 
-    /// Takes over what a worker says of itself; an older heartbeat than the last one that changed something changes nothing.
-    fn note_worker(&mut self, info: WorkerInfo, sequence: Option<u64>) {
-        let last = self.workers.get(&info.id).map_or(0, |known| known.sequence);
-        let sequence = sequence.unwrap_or(last);
-        if sequence < last {
+    /// Takes over what a worker says of itself. A heartbeat that was held up says what is no longer so: taken for new, it would have a worker that has shrunk filled beyond
+    /// what it has. So an older one than the last that changed something changes nothing.
+    fn note_worker(&mut self, info: WorkerInfo) {
+        let known = self.workers.get_mut(&info.id);
+        if let Some(worker) = known {
+            if info.sequence >= worker.info.sequence {
+                self.news.note_worker(&info.id);
+                worker.info = info;
+            }
             return;
         }
         self.news.note_worker(&info.id);
-        if let Some(worker) = self.workers.get_mut(&info.id) {
-            worker.info = info;
-            worker.sequence = sequence;
-            return;
-        }
         self.arrivals += 1;
-        let worker = Worker::new(info, self.arrivals).with_sequence(sequence);
+        let worker = Worker::new(info, self.arrivals);
         self.workers.insert(worker.info.id.clone(), worker);
     }
 
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -1,6 +1,6 @@
 //! What is replicated: every change of the record, in one order.
 
-use super::Suspect;
+use super::Crash;
 use super::VmUpkeep;
 use super::WaveSpec;
 use super::WorkerInfo;
@@ -44,15 +44,9 @@
         ends: Vec<End>,
         /// When the leader learnt of them, in milliseconds since 1970.
         now_ms: u64,
-    },
-    /// A worker crashed: another incarnation lives at its address, and it had not said that it leaves.
-    Crash {
-        /// The worker.
-        worker: Arc<str>,
-        /// Runs that may have crashed it.
-        suspects: Vec<Suspect>,
-        /// When the leader learnt of it, in milliseconds since 1970.
-        now_ms: u64,
+        /// The crash that ended them, if one did. A core of an older version, which does not know it, still ends the runs.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        crash: Option<Crash>,
     },
     /// An operator orders a wave of upkeep.
     StartWave {
@@ -79,11 +73,19 @@
 }
 
 impl Command {
+    /// Runs that are over, as of a time that is still to be filled in.
+    pub fn ends(ends: Vec<End>) -> Self {
+        Command::Ends {
+            ends,
+            now_ms: 0,
+            crash: None,
+        }
+    }
+
     /// When the leader made it, in milliseconds since 1970, where it holds a time.
     pub fn made_ms(&self) -> Option<u64> {
         match self {
             Command::Ends { now_ms, .. }
-            | Command::Crash { now_ms, .. }
             | Command::Accept { now_ms, .. }
             | Command::Cancel { now_ms, .. }
             | Command::StartWave { now_ms, .. } => Some(*now_ms),
@@ -94,7 +96,6 @@
     /// The command as of `at_ms`, in milliseconds since 1970, where it holds a time.
     pub fn at(mut self, at_ms: u64) -> Self {
         if let Command::Ends { now_ms, .. }
-        | Command::Crash { now_ms, .. }
         | Command::Accept { now_ms, .. }
         | Command::Cancel { now_ms, .. }
         | Command::StartWave { now_ms, .. } = &mut self
@@ -121,14 +122,6 @@
 pub enum WorkerChange {
     /// A new one, or a known one with other particulars, whatever was known before.
     Known(WorkerInfo),
-    /// The same as its heartbeat said with this number, which grows during its life. A heartbeat that was held up says what is no longer so: taken for new, it would have a
-    /// worker that has shrunk filled beyond what it has.
-    Reported {
-        /// What it says of itself.
-        info: WorkerInfo,
-        /// Number of the heartbeat.
-        sequence: u64,
-    },
     /// It gets no new work.
     Draining(Arc<str>),
     /// It has ended, and everything that ran on it.
--- a/crates/bh-workload/src/state/mod.rs
+++ b/crates/bh-workload/src/state/mod.rs
@@ -26,6 +26,7 @@
 pub use job::JobState;
 pub use job::Outcome;
 pub use news::News;
+pub use suspect::Crash;
 pub use suspect::Evidence;
 pub use suspect::Suspect;
 pub use task::Step;
--- a/crates/bh-workload/src/state/suspect.rs
+++ b/crates/bh-workload/src/state/suspect.rs
@@ -1,5 +1,6 @@
 //! Runs that may have crashed the worker they were on.
 
+use super::End;
 use super::GiveUp;
 use super::Task;
 use super::TaskState;
@@ -83,26 +84,40 @@
     }
 }
 
+/// A crashed worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The worker.
+    pub worker: Arc<str>,
+    /// Runs that may have crashed it.
+    pub suspects: Vec<Suspect>,
+}
+
 impl Workload {
-    /// Takes a crashed worker out of the record and counts the crash for each suspect. The count is in the record, so that it outlives the leader, a
+    /// Notes runs that are over. A crashed worker is taken out of the record, and the crash counts at the task of each suspect. The count is in the record, so that it outlives the leader, a
     /// loss of all cores and a snapshot; a second leader that records the same crash finds no such worker, so none counts twice.
     ///
     /// Without the count a task that crashes each worker that starts it takes one worker after the other down, with all that runs there, and its
     /// caller waits for ever.
-    pub(super) fn crash(&mut self, worker: &Arc<str>, suspects: &[Suspect], now_ms: u64) {
-        if !self.workers.contains_key(worker) {
+    pub(super) fn end_all(&mut self, ends: Vec<End>, now_ms: u64, crash: Option<Crash>) {
+        for end in ends {
+            self.end(end, now_ms);
+        }
+        let Some(Crash { worker, suspects }) = crash else {
+            return;
+        };
+        if !self.workers.contains_key(&worker) {
             return;
         }
-        for suspect in suspects {
+        self.remove_worker(&worker);
+        for suspect in &suspects {
             if let Some(task) = self.task_mut(suspect.run.task) {
                 task.count_crash(suspect.evidence);
             }
         }
-        self.remove_worker(worker);
-        for suspect in suspects {
-            let run = suspect.run;
+        for Suspect { run, evidence } in suspects {
             let task = self.task(run.task);
-            if task.is_some_and(|task| task.is_given_up(suspect.evidence)) {
+            if task.is_some_and(|task| task.is_given_up(evidence)) {
                 self.give_up(run.task.step.job, GiveUp::Crashes { run }, now_ms);
             }
         }
--- a/crates/bh-workload/src/state/worker.rs
+++ b/crates/bh-workload/src/state/worker.rs
@@ -28,6 +28,20 @@
     pub labels: Vec<Arc<str>>,
     /// What it has now.
     pub capacity: Needs,
+    /// Number of the heartbeat that said so; it grows during its life.
+    #[serde(default)]
+    pub sequence: u64,
+}
+
+impl WorkerInfo {
+    /// Whether two heartbeats say the same, whichever came first.
+    pub fn says_the_same(&self, other: &WorkerInfo) -> bool {
+        let renumbered = WorkerInfo {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == renumbered
+    }
 }
 
 /// A worker incarnation and what was ordered to run there.
@@ -38,9 +52,6 @@
     /// Place in the order in which workers came: of two on one VM the later one lives.
     #[serde(default)]
     pub arrival: u64,
-    /// Number of the last heartbeat that changed what is known of it.
-    #[serde(default)]
-    pub sequence: u64,
     /// Whether it is leaving.
     pub draining: bool,
     /// Runs recorded there and not known to be over, with what each takes.
@@ -54,18 +65,11 @@
         Self {
             info,
             arrival,
-            sequence: 0,
             draining: false,
             runs: BTreeMap::new(),
         }
     }
 
-    /// The same, as its heartbeat said with that number.
-    pub fn with_sequence(mut self, sequence: u64) -> Self {
-        self.sequence = sequence;
-        self
-    }
-
     /// Recorded runs of tasks of `step`.
     pub fn runs_of(&self, step: StepId) -> u64 {
         let count = self.runs.keys().filter(|run| run.task.step == step).count();
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -12,6 +12,7 @@
 use bh_workload::job::StepSpec;
 use bh_workload::job::TaskId;
 use bh_workload::state::Command;
+use bh_workload::state::Crash;
 use bh_workload::state::EndKind;
 use bh_workload::state::Evidence;
 use bh_workload::state::GiveUp;
@@ -254,7 +255,7 @@
     assert_eq!(ends.len(), 1);
     assert_eq!((ends[0].run, ends[0].kind), (run, EndKind::Lost));
     let now_ms = site.wall_ms();
-    site.workload.apply(Command::Ends { ends, now_ms });
+    site.workload.apply(Command::ends(ends).at(now_ms));
     site.take_news();
     site.comes_back_as_another(&worker);
     assert_eq!(crashes(&site, task(job, 0, 0)), 1);
@@ -270,13 +271,17 @@
     site.send_starts();
     site.advance(10);
     let (worker, run) = site.open_runs()[0].clone();
-    let again = Command::Crash {
-        worker: worker.clone(),
-        suspects: vec![Suspect {
-            run,
-            evidence: Evidence::Alone,
-        }],
+    let suspects = vec![Suspect {
+        run,
+        evidence: Evidence::Alone,
+    }];
+    let again = Command::Ends {
+        ends: Vec::new(),
         now_ms: site.wall_ms(),
+        crash: Some(Crash {
+            worker: worker.clone(),
+            suspects,
+        }),
     };
     site.crash(&worker);
     site.workload.apply(again);
@@ -301,6 +306,25 @@
     assert_eq!(crashes(&site, task(job, 0, 0)), 0);
 }
 
+/// A core of an older version leads or follows beside newer ones while all are replaced. It reads the record of a crash as the ends of the runs that were there, so that no core takes a run
+/// for open that others know to be over; only the count is missing there.
+#[test]
+fn older_cores_read_a_crash_as_ends() {
+    let mut site = Site::new(1, 1);
+    site.submit(0, "other", vec![step(2, 1)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    let worker: Arc<str> = Arc::from("w00");
+    let runs = site.open_runs();
+    let command = site.departure_of(&worker);
+    let text = serde_json::to_value(&command).unwrap();
+    let ends = text["Ends"]["ends"].as_array().unwrap();
+    assert_eq!(ends.len(), runs.len());
+    assert!(ends.iter().all(|end| end["kind"] == "Lost"));
+    assert!(text["Ends"]["crash"].is_object());
+}
+
 /// One member of a gang crashes its worker, and the others are broken off with it. Each attempt costs the whole gang, so it is given up after the second one; members on other
 /// workers are no suspects.
 #[test]
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -656,7 +656,7 @@
                 .dispatcher
                 .orders(now_ms, &self.site.workload, now_ms.is_multiple_of(100));
         if !ends.is_empty() {
-            self.record(Command::Ends { ends, now_ms: 0 });
+            self.record(Command::ends(ends));
         }
         for order in orders {
             self.send(order);
--- a/crates/bh-workload/tests/shrinking_workers.rs
+++ b/crates/bh-workload/tests/shrinking_workers.rs
@@ -1,9 +1,4 @@
 //! Workers whose capacity shrinks and grows while they run.
-#![expect(
-    clippy::unwrap_used,
-    reason = "a test that meets the unexpected shall end"
-)]
-
 mod support;
 
 use bh_workload::dispatch::Answer;
@@ -98,8 +93,8 @@
     let mut info = site.workload.worker("w00").unwrap().info.clone();
     let mut says = |accelerators: u64, sequence: u64| {
         info.capacity.accelerators = accelerators;
-        let info = info.clone();
-        let change = WorkerChange::Reported { info, sequence };
+        info.sequence = sequence;
+        let change = WorkerChange::Known(info.clone());
         site.workload.apply(Command::Workers(vec![change]));
         site.workload
             .worker("w00")
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -99,6 +99,7 @@
             memory_mb: 512_000,
             accelerators: 8,
         },
+        sequence: 0,
     }
 }
 
@@ -318,6 +319,20 @@
         self.take_news();
     }
 
+    /// What is recorded when another incarnation answers in a worker's place.
+    pub fn departure_of(&mut self, worker: &Arc<str>) -> Command {
+        const NEXT_LOOK_MS: u64 = 400;
+        self.now_ms += NEXT_LOOK_MS;
+        let (orders, _) = self.dispatcher.orders(self.now_ms, &self.workload, true);
+        let own = orders.iter().filter(|order| order.to.worker == *worker);
+        let mut commands = own.filter_map(|order| {
+            let answer = Answer::OtherIncarnation;
+            self.dispatcher
+                .note_answer(self.now_ms, order, &answer, &self.workload)
+        });
+        commands.next().unwrap()
+    }
+
     /// What a worker is asked from now on has no answer.
     pub fn fall_silent(&mut self, worker: &Arc<str>) {
         self.answer_for(worker, &Answer::Lost);
@@ -360,10 +375,7 @@
             checkpoint: None,
         };
         let now_ms = self.wall_ms();
-        self.workload.apply(Command::Ends {
-            ends: vec![end],
-            now_ms,
-        });
+        self.workload.apply(Command::ends(vec![end]).at(now_ms));
         self.take_news();
     }
 
