A new leader knows the workers that it heard while nobody led

Workers whose heartbeats are not taken turn to core after core, so the next leader has heard most of them itself.

--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -5,6 +5,7 @@
 use super::carry_delay::CarryDelay;
 use super::heartbeats::Sign;
 use super::leadership::Leadership;
+use super::unheard::Unheard;
 use super::worker_calls::WorkerCalls;
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
@@ -49,6 +50,8 @@
     pub shared_workers: Cell<bool>,
     /// How long orders that it carries were on their way.
     pub carry_delay: RefCell<CarryDelay>,
+    /// Heartbeats that came while nobody led.
+    pub unheard: RefCell<Unheard>,
     /// Heartbeats that the leader has not heard of yet, by worker.
     pub signs: RefCell<BTreeMap<Arc<str>, Sign>>,
     /// Cancelled when the process is told to stop.
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -72,6 +72,7 @@
         }
     };
     let patience_ms = received.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+    let came_ms = core.clock.now_ms();
     let answer = counted(&core, async {
         match answer_call(&core, received.call.clone()).await {
             Answer::NotLeader => as_follower(&core, &received.call, patience_ms).await,
@@ -79,6 +80,9 @@
         }
     })
     .await;
+    if let Call::Heartbeat(heartbeat) = &received.call {
+        core.unheard.borrow_mut().note(came_ms, heartbeat, &answer);
+    }
     log_control(&received.call, &answer);
     (core.dialect.write_answer)(&received.call, &answer)
 }
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -106,6 +106,7 @@
     if gap_ms > SHORT_GAP_MS {
         dispatcher = dispatcher.with_old_record();
     }
+    core.unheard.borrow_mut().tell(&mut dispatcher, &workload);
     let runs: usize = workload.workers().map(|worker| worker.runs.len()).sum();
     drop(workload);
     let keeper = Keeper::new(
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -18,6 +18,7 @@
 mod planning;
 mod records;
 mod serve;
+mod unheard;
 mod upkeep;
 mod worker_calls;
 
@@ -29,4 +30,5 @@
 pub use leadership::Leadership;
 pub use operator::CoreReport;
 pub use serve::serve;
+pub use unheard::Unheard;
 pub use worker_calls::WorkerCalls;
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -9,6 +9,7 @@
 use super::incoming;
 use super::leader_loop;
 use super::operator;
+use super::unheard::Unheard;
 use super::worker_calls::WorkerCalls;
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
@@ -85,6 +86,7 @@
         led_ms: Cell::new(None),
         shared_workers: Cell::new(false),
         carry_delay: RefCell::new(CarryDelay::default()),
+        unheard: RefCell::new(Unheard::default()),
         signs: RefCell::new(BTreeMap::new()),
         draining: CancellationToken::new(),
         metrics: Rc::new(Metrics::new()),
--- a/crates/bh-workload/src/dispatch/timing.rs
+++ b/crates/bh-workload/src/dispatch/timing.rs
@@ -39,9 +39,9 @@
     };
 
     /// Longest time since a worker's last heartbeat for which it is given work, by what it said of itself, in milliseconds. One may be late, two in a row hardly are;
-    /// and by the third a worker may have shrunk without the leader's knowing.
+    /// by the third a worker may have shrunk for longer than it bears being filled by what it had.
     pub fn current_ms(&self) -> u64 {
-        const HEARTBEATS_PERCENT: u64 = 275;
+        const HEARTBEATS_PERCENT: u64 = 295;
         self.heartbeat_ms * HEARTBEATS_PERCENT / 100
     }
 
