Own interface: a request handed over is not kept in vain; the two known red tests are mended

Cause, every_entry_finds_the_sound_worker: an entry handed a request to the owner of the broken worker, where it failed and then waited for its whole time, since nothing else was there and a request that was handed over is not handed on. It is refused at once now; unit test failed before. Cause, answers_are_whole_and_the_callers_own case 2: the test. wait_owned sees the owner in the record; its lease came into force later, so the only entry that was asked for it had no slots (/v1/status in a failed run: slots 0 at the recorded owner). It waits now until every entry knows all slots; it checks what it checked.

--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -22,6 +22,7 @@
 use support::prepare;
 use support::request;
 use support::small_system;
+use support::wait_in_force;
 use support::wait_owned;
 use support::workers;
 
@@ -34,6 +35,7 @@
 fn answers_are_whole_and_the_callers_own(#[case] broken: Faults) {
     let cluster = small_system();
     let workers = workers(&cluster, 2);
+    wait_in_force(&cluster, 2);
     workers[0].set_faults(broken);
     for number in 0..6 {
         let answer = request(&cluster, "a1", "book", Some(&format!("k{number}")), "b");
--- a/crates/beechhollow/tests/support/mod.rs
+++ b/crates/beechhollow/tests/support/mod.rs
@@ -87,6 +87,22 @@
     workers
 }
 
+/// Waits until `count` targets have an owner, and every entry of their data centre knows the slots that the owners hold: an owner is recorded before its lease is in force, and the others
+/// are told after that.
+pub fn wait_in_force(cluster: &Cluster, count: usize) {
+    const SLOTS: u64 = 8;
+    wait_owned(cluster, count);
+    let wanted = SLOTS * u64::try_from(count).unwrap_or(u64::MAX);
+    for name in ["a1", "a2", "a3"] {
+        cluster.wait_until("all slots known", SOON, || {
+            let status = http_raw::get(cluster.http(name), "/v1/status").json();
+            let peers = status["peers"].as_array().into_iter().flatten();
+            let of_peers: u64 = peers.filter_map(|peer| peer["free_slots"].as_u64()).sum();
+            status["free_slots"].as_u64().unwrap_or(0) + of_peers == wanted
+        });
+    }
+}
+
 /// Waits until `count` targets have an owner.
 pub fn wait_owned(cluster: &Cluster, count: usize) {
     let address = cluster.http("b1");
--- a/crates/bh-router/src/router.rs
+++ b/crates/bh-router/src/router.rs
@@ -294,6 +294,10 @@
                 continue;
             }
             if let Some(ticket) = self.dispatch(now_ms, ticket) {
+                if self.waits_in_vain(now_ms, &ticket) {
+                    self.refuse_late(now_ms, ticket);
+                    continue;
+                }
                 let none_left = self.free_slots(now_ms) == 0;
                 stuck.push(ticket);
                 if none_left {
@@ -307,6 +311,18 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Whether a request that another entry handed over can't be served here: all targets that may get one have failed it. The other entry may own a sound one; waiting here to the
+    /// deadline leaves it no time, and its caller is told that there was no slot beside a target that is free.
+    fn waits_in_vain(&self, now_ms: u64, ticket: &Ticket) -> bool {
+        let admitted = |name: &Arc<str>| {
+            let health = self.targets.get(name);
+            health.is_none_or(|health| health.admits(now_ms))
+        };
+        let mut usable = self.holdings.usable(now_ms);
+        let others = usable.any(|(name, _, _)| !ticket.failed_on.contains(name) && admitted(name));
+        ticket.forwarded && !ticket.failed_on.is_empty() && !others
+    }
+
     /// Sends or hands over the request; gives it back when neither is possible.
     fn dispatch(&mut self, now_ms: u64, mut ticket: Ticket) -> Option<Ticket> {
         if let Some((target, address)) = self.choose_target(now_ms, &ticket)
--- a/crates/bh-router/tests/refusals.rs
+++ b/crates/bh-router/tests/refusals.rs
@@ -1,7 +1,10 @@
 //! Requests that another entry could not take.
 
+use bh_membership::GrantedTarget;
 use bh_membership::Holdings;
+use bh_protocol::target::Announcement;
 use bh_router::Decision;
+use bh_router::Outcome;
 use bh_router::Router;
 use bh_router::Ticket;
 use std::collections::BTreeSet;
@@ -43,3 +46,43 @@
     router.note_sibling(&other, Some(1));
     assert_eq!(router.tick(200), vec![handed]);
 }
+
+fn granted(name: &str) -> GrantedTarget {
+    let target = Announcement {
+        name: Arc::from(name),
+        incarnation: 1,
+        data_centre: Arc::from("a"),
+        rack: Arc::from("r0"),
+        address: Arc::from("10.0.0.1:80"),
+        cores: 1,
+        memory_mib: 1,
+        accelerators: 0,
+        slots: 8,
+        connections: 64,
+        busy_slots: 0,
+        leaving: false,
+        tasks: Vec::new(),
+    };
+    GrantedTarget {
+        target,
+        withheld: 0,
+        release: false,
+    }
+}
+
+/// An entry without workers hands a request to one that owns a broken worker only. The worker fails it, and nothing else is there to try: the request goes back at once, so that
+/// the first entry can ask the owner of a sound worker. Were it kept, its caller would be told after its whole time that no slot came free.
+#[test]
+fn a_request_that_was_handed_over_is_not_kept_in_vain() {
+    let mut holdings = Holdings::new("a1", 1);
+    holdings.accept_alone(0, 10_000, vec![granted("w0")]);
+    let mut router = Router::new(holdings);
+    let handed_over = Ticket {
+        forwarded: true,
+        ..ticket(1)
+    };
+    let sent = router.arrive(0, handed_over);
+    assert!(matches!(&sent[..], [Decision::Send { id: 1, .. }]));
+    let (_, decisions) = router.finished(5, 1, &Arc::from("w0"), Outcome::Failed, 5);
+    assert!(matches!(&decisions[..], [Decision::Refuse { id: 1, .. }]));
+}
