Own interface: a gang that crashes its workers is given up

Three such restarts within 30 s of a start end the job, with the reason. What ran for an hour before each restart goes on.

--- a/crates/bh-scheduler/src/job.rs
+++ b/crates/bh-scheduler/src/job.rs
@@ -71,6 +71,8 @@
     pub failed_on: BTreeSet<WorkerId>,
     /// Attempts that failed or were refused, whatever the reason.
     pub failures: u32,
+    /// Workers whose process died and came back soon after it had started there.
+    pub crashes: u32,
     /// Times it was stopped for another job.
     pub preempted: u32,
     pub not_before_ms: u64,
@@ -90,6 +92,7 @@
             cell: None,
             failed_on: BTreeSet::new(),
             failures: 0,
+            crashes: 0,
             preempted: 0,
             not_before_ms: 0,
             started_ms: 0,
--- a/crates/bh-scheduler/src/scheduler/workers.rs
+++ b/crates/bh-scheduler/src/scheduler/workers.rs
@@ -12,6 +12,12 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+/// Workers that restart under one job soon after its start before it is given up. Two may come by chance; a job that crashes the workers that start it would take
+/// one after the other down, with all that runs there.
+const MOST_CRASHES: u32 = 3;
+/// Time after a job's start within which a restart of its worker counts, in milliseconds: what a start does to a worker it does at once, and the worker is back some seconds later.
+const SOON_MS: u64 = 30_000;
+
 impl Scheduler {
     pub(super) fn worker_announced(
         &mut self,
@@ -31,6 +37,7 @@
         });
         if restarted {
             // Its process died and came back within its lease: every task it held is gone.
+            self.count_crash(now_ms, name);
             self.worker_lost(now_ms, name);
         }
         let (_, changed) = self
@@ -42,6 +49,31 @@
         }
     }
 
+    /// Counts a worker's restart against the jobs that had just started there, and ends those under which it happened too often.
+    fn count_crash(&mut self, now_ms: u64, name: &Arc<str>) {
+        let jobs = self
+            .cells
+            .find(name)
+            .and_then(|id| self.on_worker.get(&id))
+            .cloned()
+            .unwrap_or_default();
+        for number in jobs {
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            let soon = now_ms < job.started_ms + SOON_MS;
+            if !soon || !matches!(job.state, State::Running { .. }) {
+                continue;
+            }
+            job.crashes += 1;
+            if job.crashes >= MOST_CRASHES {
+                let reason = format!("{} workers crashed under it, last {name}", job.crashes);
+                let phase = bh_protocol::job::Phase::Failed;
+                self.stop(now_ms, number, AfterStop::End { phase, reason }, false);
+            }
+        }
+    }
+
     pub(super) fn worker_lost(&mut self, now_ms: u64, name: &Arc<str>) {
         let Some(id) = self.cells.find(name) else {
             return;
