--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -23,7 +23,7 @@
     Upkeep,
 }
 
-/// One line for each worker that `command` says to be gone, and one for each run that is lost with it. The ends of such runs are not recorded one by
+/// One line for each worker that `command` says to be gone, and for each run that is lost with it or may be the cause. The ends of runs on a worker that left are not recorded one by
 /// one, so without these lines nothing would tell why their tasks begin anew.
 pub(super) fn log_departures(core: &Rc<CoreNode>, term: u64, command: &Command, learnt: Learnt) {
     match command {
@@ -31,6 +31,7 @@
             for change in changes {
                 if let WorkerChange::Gone(worker) = change {
                     log_departure(core, term, worker, learnt);
+                    log_lost_runs(core, term, worker);
                 }
             }
         }
@@ -53,9 +54,16 @@
     };
     let (runs, draining) = (worker.runs.len(), worker.draining);
     core.metrics.count("workers_gone", 1);
-    core.metrics
-        .count("runs_lost", runs.try_into().unwrap_or(u64::MAX));
     log::info!(worker = &**id, term, learnt:? = learnt, draining, runs; "worker gone");
+}
+
+fn log_lost_runs(core: &Rc<CoreNode>, term: u64, id: &Arc<str>) {
+    let workload = core.group.machine.read();
+    let Some(worker) = workload.worker(id) else {
+        return;
+    };
+    let lost = u64::try_from(worker.runs.len()).unwrap_or(u64::MAX);
+    core.metrics.count("runs_lost", lost);
     for run in worker.runs.keys() {
         log::info!(run = run.to_string(), worker = &**id, term; "run lost with its worker");
     }
