A worker that was slow is tried again after a while

It is forgotten after 15 s without a run. Ruled out: closed beside a suspect (nothing ran there), shrunk (it said 8), set aside (no failures). The test failed before ('left out for good').

--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -145,8 +145,12 @@
         let took_ms = now_ms.saturating_sub(at_ms);
         let expected_ms = self.runtimes.expected_ms(&job.queue.name, step, spec);
         let alone = (!spec.gang).then_some(&end.worker);
-        self.speeds
-            .note(&worker.info.data_centre, alone, took_ms, expected_ms);
+        self.speeds.note(
+            &worker.info.data_centre,
+            alone,
+            now_ms,
+            (took_ms, expected_ms),
+        );
         self.runtimes.note(&job.queue.name, step, spec, took_ms);
     }
 
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -93,7 +93,7 @@
         let usable = !worker.draining
             && !begun.suspect
             && !dispatcher.is_emptied(&worker.info.id)
-            && !speeds.is_slow(&worker.info.id)
+            && !speeds.is_slow(&worker.info.id, now_ms)
             && view.is_some_and(ready);
         let mut runs = BTreeMap::new();
         for run in worker.runs.keys() {
--- a/crates/bh-workload/src/plan/speeds.rs
+++ b/crates/bh-workload/src/plan/speeds.rs
@@ -11,19 +11,38 @@
 /// were seen.
 const SLOW_FACTOR: f64 = 2.5;
 
+/// Runs on a worker before it may count as slow: one may be long by chance.
+const SLOW_RUNS: f64 = 2.0;
+/// Time without a run after which a slow worker is tried again, in milliseconds. It gets no work while it counts as slow, so nothing else would show that it is well again; trying one that is not costs
+/// two slow runs each time.
+const SLOW_FOR_MS: u64 = 15_000;
+
 /// Mean logarithm of real against expected run times.
 #[derive(Clone, Copy, Debug, Default)]
 struct Pace {
     runs: f64,
     mean: f64,
+    /// When the last run ended, on the leader's clock in milliseconds.
+    last_ms: u64,
 }
 
 impl Pace {
-    fn note(&mut self, value: f64) {
+    fn note(&mut self, now_ms: u64, value: f64) {
+        self.last_ms = now_ms;
         self.runs += 1.0;
         self.mean += (value - self.mean) * (1.0 / self.runs).max(NEWEST);
     }
 
+    /// Whether runs take so long that this is no chance.
+    fn is_slow(&self) -> bool {
+        self.runs >= SLOW_RUNS && self.mean > SLOW_FACTOR.ln()
+    }
+
+    /// Whether it has not been tried for so long that what is known of it says little.
+    fn is_old(&self, now_ms: u64) -> bool {
+        now_ms >= self.last_ms + SLOW_FOR_MS
+    }
+
     fn trusted(&self) -> Option<f64> {
         (self.runs >= TRUSTED_RUNS).then_some(self.mean)
     }
@@ -37,14 +56,14 @@
 }
 
 impl Speeds {
-    /// Notes a run that took `took_ms` where `expected_ms` was expected. `worker` is left out for a gang, whose members wait for the
+    /// Notes a run that ended at `now_ms` and took `took_ms` where `expected_ms` was expected. `worker` is left out for a gang, whose members wait for the
     /// slowest of them.
     pub fn note(
         &mut self,
         data_centre: &Arc<str>,
         worker: Option<&Arc<str>>,
-        took_ms: u64,
-        expected_ms: u64,
+        now_ms: u64,
+        (took_ms, expected_ms): (u64, u64),
     ) {
         #[expect(
             clippy::cast_precision_loss,
@@ -54,9 +73,13 @@
         self.data_centres
             .entry(data_centre.clone())
             .or_default()
-            .note(value);
+            .note(now_ms, value);
         if let Some(worker) = worker {
-            self.workers.entry(worker.clone()).or_default().note(value);
+            let pace = self.workers.entry(worker.clone()).or_default();
+            if pace.is_slow() && pace.is_old(now_ms) {
+                *pace = Pace::default();
+            }
+            pace.note(now_ms, value);
         }
     }
 
@@ -74,12 +97,11 @@
         }
     }
 
-    /// Whether runs on this worker take far longer than expected.
-    pub fn is_slow(&self, worker: &str) -> bool {
+    /// Whether runs on this worker take far longer than expected, as far as is known at `now_ms`.
+    pub fn is_slow(&self, worker: &str, now_ms: u64) -> bool {
         self.workers
             .get(worker)
-            .filter(|pace| pace.runs >= 2.0)
-            .is_some_and(|pace| pace.mean > SLOW_FACTOR.ln())
+            .is_some_and(|pace| pace.is_slow() && !pace.is_old(now_ms))
     }
 }
 
--- a/crates/bh-workload/tests/slow_runs.rs
+++ b/crates/bh-workload/tests/slow_runs.rs
@@ -101,3 +101,45 @@
     assert_ne!(other, worker);
     assert_eq!(run_slowly(&mut site, again), Vec::new());
 }
+
+/// The way to a worker is slow for some seconds, and runs there seem to take ten times as long. It gets no more work, so nothing shows that it is well again: a fleet would lose one worker after the
+/// other for as long as its leader leads. After a while it is tried again.
+#[test]
+fn a_worker_that_was_slow_is_tried_again() {
+    /// Longest time for which a worker may be left out for what it did before, in milliseconds.
+    const LEFT_OUT_MS: u64 = 20_000;
+    let mut site = learnt_site();
+    let uses = |site: &Site, worker: &Arc<str>| {
+        let mut all = site.clone();
+        all.submit(1, "other", vec![step(4, 8)]);
+        all.plan()
+            .starts
+            .iter()
+            .any(|start| start.worker == *worker)
+    };
+    site.submit(1, "other", vec![step(4, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    let (slow, run) = site.open_runs()[0].clone();
+    for (worker, other) in site.open_runs().into_iter().skip(1) {
+        note_end(&mut site, &worker, other, EndKind::Stopped);
+    }
+    site.advance(20 * USUAL_MS);
+    note_end(&mut site, &slow, run, EndKind::Done);
+    while uses(&site, &slow) {
+        site.submit(1, "other", vec![step(4, 8)]);
+        site.plan_and_start();
+        site.send_starts();
+        site.advance(40 * USUAL_MS);
+        for (worker, run) in site.open_runs() {
+            let kind = if worker == slow {
+                EndKind::Done
+            } else {
+                EndKind::Stopped
+            };
+            note_end(&mut site, &worker, run, kind);
+        }
+    }
+    site.advance(LEFT_OUT_MS);
+    assert!(uses(&site, &slow), "{slow} is left out for good");
+}
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -38,6 +38,7 @@
 /// Wall time at which every site starts, in milliseconds since 1970.
 pub const START_WALL_MS: u64 = 1_000_000;
 
+#[derive(Clone)]
 pub struct Site {
     pub workload: Workload,
     pub dispatcher: Dispatcher,
