--- a/crates/beechhollow/tests/support/mod.rs
+++ b/crates/beechhollow/tests/support/mod.rs
@@ -87,8 +87,8 @@
     workers
 }
 
-/// Waits until `count` targets have an owner, and every entry of their data centre knows the slots that the owners hold: an owner is recorded before its lease is in force, and the others
-/// are told after that.
+/// Waits until `count` targets have an owner, and every entry of their data centre knows the slots that the owners hold: an owner is
+/// recorded before its lease is in force, and the others are told after that.
 pub fn wait_in_force(cluster: &Cluster, count: usize) {
     const SLOTS: u64 = 8;
     wait_owned(cluster, count);
--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -23,8 +23,8 @@
     Upkeep,
 }
 
-/// One line for each worker that `command` says to be gone, and for each run that is lost with it or may be the cause. The ends of runs on a worker that left are not recorded one by
-/// one, so without these lines nothing would tell why their tasks begin anew.
+/// One line for each worker that `command` says to be gone, and for each run that is lost with it or may be the cause. The ends of runs on
+/// a worker that left are not recorded one by one, so without these lines nothing would tell why their tasks begin anew.
 pub(super) fn log_departures(core: &Rc<CoreNode>, term: u64, command: &Command, learnt: Learnt) {
     match command {
         Command::Workers(changes) => {
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -30,8 +30,9 @@
 /// Time between looks for ended jobs that nobody asks for any more and for connections that nobody uses, in milliseconds.
 const FORGET_EVERY_MS: u64 = 10_000;
 
-/// Time without a leader, in milliseconds, after which workers must be heard before they get work. A worker's room may change at any time, and what it said of itself is good for
-/// some three heartbeats: one since the last, and this time. Most losses of all cores are over sooner.
+/// Time without a leader, in milliseconds, after which workers must be heard before they get work. A worker's room may change at any time,
+/// and what it said of itself is good for some three heartbeats: one since the last, and this time. Most losses of all cores are over
+/// sooner.
 const SHORT_GAP_MS: u64 = 2_500;
 
 /// Runs until the process ends.
--- a/crates/bh-control/src/core/unheard.rs
+++ b/crates/bh-control/src/core/unheard.rs
@@ -12,8 +12,9 @@
 
 /// The last heartbeat of each worker that no leader took, and when it came on this core's clock, in milliseconds.
 ///
-/// A worker whose heartbeat is not taken turns to core after core, so when one of them is elected it has heard most workers itself. It may give them work at once where they say what the
-/// record says; were each to be waited for until its next heartbeat, urgent work would wait for a second or more after each longer time without a leader.
+/// A worker whose heartbeat is not taken turns to core after core, so when one of them is elected it has heard most workers itself. It may
+/// give them work at once where they say what the record says; were each to be waited for until its next heartbeat, urgent work would wait
+/// for a second or more after each longer time without a leader.
 #[derive(Clone, Debug, Default)]
 pub struct Unheard {
     by_worker: BTreeMap<Arc<str>, (u64, WorkerHeartbeat)>,
--- a/crates/bh-control/tests/carriers.rs
+++ b/crates/bh-control/tests/carriers.rs
@@ -94,8 +94,8 @@
     assert!(taken_over.values().all(|count| (10..=45).contains(count)));
 }
 
-/// The leader's VM is suspended for two seconds and goes on leading. Its clock stood still, so all its orders look two seconds late from then on. Were
-/// they refused for the rest of its term, it would have to talk to every worker itself.
+/// The leader's VM is suspended for two seconds and goes on leading. Its clock stood still, so all its orders look two seconds late from
+/// then on. Were they refused for the rest of its term, it would have to talk to every worker itself.
 #[test]
 fn a_leader_whose_clock_stood_still_is_refused_for_seconds_only() {
     let mut delay = CarryDelay::default();
--- a/crates/bh-control/tests/unheard.rs
+++ b/crates/bh-control/tests/unheard.rs
@@ -41,8 +41,9 @@
     }
 }
 
-/// All cores were down for some seconds. Three workers turn to a core that cannot take their heartbeats yet, and is elected a moment later: one says what the record says, one has shrunk,
-/// one turns out to be taken by another leader. The first gets work at once, though nobody has waited for its next heartbeat; the second only once its new size is recorded.
+/// All cores were down for some seconds. Three workers turn to a core that cannot take their heartbeats yet, and is elected a moment later:
+/// one says what the record says, one has shrunk, one turns out to be taken by another leader. The first gets work at once, though nobody
+/// has waited for its next heartbeat; the second only once its new size is recorded.
 #[test]
 fn a_new_leader_knows_what_it_heard_before() {
     let known = ["same", "shrunk", "taken"].map(|id| WorkerChange::Known(heartbeat(id, 8).info));
--- a/crates/bh-router/src/router.rs
+++ b/crates/bh-router/src/router.rs
@@ -311,8 +311,9 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Whether a request that another entry handed over can't be served here: all targets that may get one have failed it. The other entry may own a sound one; waiting here to the
-    /// deadline leaves it no time, and its caller is told that there was no slot beside a target that is free.
+    /// Whether a request that another entry handed over can't be served here: all targets that may get one have failed it. The other entry
+    /// may own a sound one; waiting here to the deadline leaves it no time, and its caller is told that there was no slot beside a target
+    /// that is free.
     fn waits_in_vain(&self, now_ms: u64, ticket: &Ticket) -> bool {
         let admitted = |name: &Arc<str>| {
             let health = self.targets.get(name);
--- a/crates/bh-router/tests/refusals.rs
+++ b/crates/bh-router/tests/refusals.rs
@@ -70,8 +70,9 @@
     }
 }
 
-/// An entry without workers hands a request to one that owns a broken worker only. The worker fails it, and nothing else is there to try: the request goes back at once, so that
-/// the first entry can ask the owner of a sound worker. Were it kept, its caller would be told after its whole time that no slot came free.
+/// An entry without workers hands a request to one that owns a broken worker only. The worker fails it, and nothing else is there to try:
+/// the request goes back at once, so that the first entry can ask the owner of a sound worker. Were it kept, its caller would be told after
+/// its whole time that no slot came free.
 #[test]
 fn a_request_that_was_handed_over_is_not_kept_in_vain() {
     let mut holdings = Holdings::new("a1", 1);
--- a/crates/bh-scheduler/src/scheduler/workers.rs
+++ b/crates/bh-scheduler/src/scheduler/workers.rs
@@ -12,10 +12,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-/// Workers that restart under one job soon after its start before it is given up. Two may come by chance; a job that crashes the workers that start it would take
-/// one after the other down, with all that runs there.
+/// Workers that restart under one job soon after its start before it is given up. Two may come by chance; a job that crashes the workers
+/// that start it would take one after the other down, with all that runs there.
 const MOST_CRASHES: u32 = 3;
-/// Time after a job's start within which a restart of its worker counts, in milliseconds: what a start does to a worker it does at once, and the worker is back some seconds later.
+/// Time after a job's start within which a restart of its worker counts, in milliseconds: what a start does to a worker it does at once,
+/// and the worker is back some seconds later.
 const SOON_MS: u64 = 30_000;
 
 impl Scheduler {
--- a/crates/bh-scheduler/tests/crashes.rs
+++ b/crates/bh-scheduler/tests/crashes.rs
@@ -11,8 +11,8 @@
 use site::Site;
 use std::sync::Arc;
 
-/// A worker dies each time it starts the caller's job, and is back a moment later. A job that does that at once is ended after three of them, and its caller told why; one that had run for an hour
-/// each time had bad luck, and is started again.
+/// A worker dies each time it starts the caller's job, and is back a moment later. A job that does that at once is ended after three of
+/// them, and its caller told why; one that had run for an hour each time had bad luck, and is started again.
 #[rstest]
 #[case::at_once(500, Some(Phase::Failed))]
 #[case::after_an_hour(3_600_000, None)]
--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -8,14 +8,14 @@
 use crate::state::Suspect;
 use crate::state::Workload;
 
-/// Time at work, as the worker reports it, from which a run is no longer one that has just begun, in milliseconds. What crashes its worker by its start
-/// does so within a fraction of it, and a report comes every second or two.
+/// Time at work, as the worker reports it, from which a run is no longer one that has just begun, in milliseconds. What crashes its worker
+/// by its start does so within a fraction of it, and a report comes every second or two.
 const JUST_BEGUN_MS: u64 = 1_000;
-/// Time after the worker's word that it has a run, in milliseconds, within which it must be lost for the run to be suspected of crashing it by its start. A process that
-/// crashes breaks its connections off, which shows within some milliseconds.
+/// Time after the worker's word that it has a run, in milliseconds, within which it must be lost for the run to be suspected of crashing it
+/// by its start. A process that crashes breaks its connections off, which shows within some milliseconds.
 const AT_ONCE_MS: u64 = 400;
-/// Time at work after which a run is no suspect at all, in milliseconds. It is far above the time in which a start does its harm, and below what most long
-/// jobs run: these must not be given up because, over hours, some of their workers crashed for other reasons.
+/// Time at work after which a run is no suspect at all, in milliseconds. It is far above the time in which a start does its harm, and below
+/// what most long jobs run: these must not be given up because, over hours, some of their workers crashed for other reasons.
 const OUTLASTED_MS: u64 = 30_000;
 
 /// How long a run must have been at work until other runs may begin beside it again, in milliseconds, when `crashes` workers have crashed under its
@@ -57,9 +57,10 @@
 
 /// The runs that may have crashed the worker behind `target`.
 ///
-/// A worker that crashed tells nothing any more; what remains is what it had answered before. A run that was never ordered is no suspect, nor one that was
-/// seen at work for long. A start without an answer may never have come to the worker: where another run had surely just begun, that one is the cause. Behind a
-/// cut a run may have ended well before the worker crashed for another reason, so where the silence did not begin at once nothing is certain.
+/// A worker that crashed tells nothing any more; what remains is what it had answered before. A run that was never ordered is no suspect,
+/// nor one that was seen at work for long. A start without an answer may never have come to the worker: where another run had surely just
+/// begun, that one is the cause. Behind a cut a run may have ended well before the worker crashed for another reason, so where the silence
+/// did not begin at once nothing is certain.
 ///
 /// A worker that said that it leaves may have left; only what it began at the very last may have crashed it before.
 pub(super) fn suspects(
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -57,8 +57,9 @@
     departed: BTreeSet<Arc<str>>,
 }
 
-/// What to record of a worker in whose place another incarnation answered. One that had not said that it leaves, and whose VM has no upkeep, has crashed, for whatever
-/// reason: a task, the VM, or a rack without power all look the same from here, and [`Evidence`](crate::state::Evidence) says what makes the difference.
+/// What to record of a worker in whose place another incarnation answered. One that had not said that it leaves, and whose VM has no
+/// upkeep, has crashed, for whatever reason: a task, the VM, or a rack without power all look the same from here, and
+/// [`Evidence`](crate::state::Evidence) says what makes the difference.
 fn departure(now_ms: u64, id: &Arc<str>, target: &Target, workload: &Workload) -> Command {
     let leaving = workload.worker(id).is_some_and(|worker| worker.draining);
     let suspects = suspects(now_ms, target, workload, leaving);
@@ -120,8 +121,8 @@
         dispatcher
     }
 
-    /// The same for a leader before whom nobody had led for a while, or none knows for how long: workers may have shrunk with nobody to tell, and each must be heard before it is
-    /// given work.
+    /// The same for a leader before whom nobody had led for a while, or none knows for how long: workers may have shrunk with nobody to
+    /// tell, and each must be heard before it is given work.
     pub fn with_old_record(mut self) -> Self {
         for target in self.targets.values_mut() {
             target.said_ms = None;
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -33,7 +33,8 @@
     pub clock: Option<ClockReading>,
     /// When its last heartbeat came, on the leader's clock in milliseconds.
     pub heard_ms: Option<u64>,
-    /// When the record last had what it said of itself, on the leader's clock in milliseconds: its last heartbeat, or the election when the leader before had heard it.
+    /// When the record last had what it said of itself, on the leader's clock in milliseconds: its last heartbeat, or the election when the
+    /// leader before had heard it.
     pub said_ms: Option<u64>,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
--- a/crates/bh-workload/src/dispatch/timing.rs
+++ b/crates/bh-workload/src/dispatch/timing.rs
@@ -38,8 +38,8 @@
         restore_ms: 250,
     };
 
-    /// Longest time since a worker's last heartbeat for which it is given work, by what it said of itself, in milliseconds. One may be late, two in a row hardly are;
-    /// by the third a worker may have shrunk for longer than it bears being filled by what it had.
+    /// Longest time since a worker's last heartbeat for which it is given work, by what it said of itself, in milliseconds. One may be
+    /// late, two in a row hardly are; by the third a worker may have shrunk for longer than it bears being filled by what it had.
     pub fn current_ms(&self) -> u64 {
         const HEARTBEATS_PERCENT: u64 = 295;
         self.heartbeat_ms * HEARTBEATS_PERCENT / 100
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -153,8 +153,9 @@
         self.order(body);
     }
 
-    /// Runs that are not known to have begun, and for which the worker has no room beside those that are: it has shrunk since they were recorded. A worker that does not guard
-    /// its capacity would begin them all the same, and everything there would slow down or be killed.
+    /// Runs that are not known to have begun, and for which the worker has no room beside those that are: it has shrunk since they were
+    /// recorded. A worker that does not guard its capacity would begin them all the same, and everything there would slow down or be
+    /// killed.
     fn too_much(&self, target: &Target) -> BTreeSet<RunId> {
         let mut too_much = BTreeSet::new();
         if self.worker.excess() == Needs::default() {
@@ -180,8 +181,8 @@
         too_much
     }
 
-    /// Takes back a run whose start shall not be sent any more, for want of a permission or of room. Whether an earlier one was carried out is settled by a stop; the plan
-    /// finds another place, or asks for another permission, before it tries again.
+    /// Takes back a run whose start shall not be sent any more, for want of a permission or of room. Whether an earlier one was carried out
+    /// is settled by a stop; the plan finds another place, or asks for another permission, before it tries again.
     fn withdraw(&mut self, target: &mut Target, run: RunId) {
         let unsent = target
             .runs
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -31,8 +31,9 @@
 /// free in some rack all the time, and smaller work takes it.
 const FEWEST_KEPT_GANGS: usize = 8;
 
-/// How long work under which a worker has crashed waits for workers on which nothing has just begun, in milliseconds. Reports come every second or two, so
-/// that one is found within this time unless something begins everywhere all the time; and a service that misses a task must not wait for longer.
+/// How long work under which a worker has crashed waits for workers on which nothing has just begun, in milliseconds. Reports come every
+/// second or two, so that one is found within this time unless something begins everywhere all the time; and a service that misses a task
+/// must not wait for longer.
 const APART_PATIENCE_MS: u64 = 2_000;
 
 /// What shall happen now.
--- a/crates/bh-workload/src/plan/speeds.rs
+++ b/crates/bh-workload/src/plan/speeds.rs
@@ -13,8 +13,8 @@
 
 /// Runs on a worker before it may count as slow: one may be long by chance.
 const SLOW_RUNS: f64 = 2.0;
-/// Time without a run after which a slow worker is tried again, in milliseconds. It gets no work while it counts as slow, so nothing else would show that it is well again; trying one that is not costs
-/// two slow runs each time.
+/// Time without a run after which a slow worker is tried again, in milliseconds. It gets no work while it counts as slow, so nothing else
+/// would show that it is well again; trying one that is not costs two slow runs each time.
 const SLOW_FOR_MS: u64 = 15_000;
 
 /// Mean logarithm of real against expected run times.
@@ -56,8 +56,8 @@
 }
 
 impl Speeds {
-    /// Notes a run that ended at `now_ms` and took `took_ms` where `expected_ms` was expected. `worker` is left out for a gang, whose members wait for the
-    /// slowest of them.
+    /// Notes a run that ended at `now_ms` and took `took_ms` where `expected_ms` was expected. `worker` is left out for a gang, whose
+    /// members wait for the slowest of them.
     pub fn note(
         &mut self,
         data_centre: &Arc<str>,
--- a/crates/bh-workload/src/plan/tried.rs
+++ b/crates/bh-workload/src/plan/tried.rs
@@ -43,8 +43,8 @@
         })
     }
 
-    /// Notes that there is no room for `count` tasks of `unit`. A unit that not all workers of its class may take says nothing of others, nor does one that
-    /// waits for workers of its own.
+    /// Notes that there is no room for `count` tasks of `unit`. A unit that not all workers of its class may take says nothing of others,
+    /// nor does one that waits for workers of its own.
     pub fn note(&mut self, class: C, unit: &Unit, count: u64) {
         let picky = unit.permitted.is_some() || unit.spec.most_per_worker.is_some();
         if picky || unit.is_suspect() {
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -149,8 +149,8 @@
         Reply::Done
     }
 
-    /// Takes over what a worker says of itself. A heartbeat that was held up says what is no longer so: taken for new, it would have a worker that has shrunk filled beyond
-    /// what it has. So an older one than the last that changed something changes nothing.
+    /// Takes over what a worker says of itself. A heartbeat that was held up says what is no longer so: taken for new, it would have a
+    /// worker that has shrunk filled beyond what it has. So an older one than the last that changed something changes nothing.
     fn note_worker(&mut self, info: WorkerInfo) {
         let known = self.workers.get_mut(&info.id);
         if let Some(worker) = known {
--- a/crates/bh-workload/src/state/suspect.rs
+++ b/crates/bh-workload/src/state/suspect.rs
@@ -14,13 +14,13 @@
 /// Workers that crash under one task before it is given up, whatever ran beside it. The users bear three: with a lower number, neighbours of tasks
 /// that crash their workers would be given up with them.
 const MOST_CRASHES: u32 = 3;
-/// The same for workers that crashed just as the task had begun, when it was alone on the last one: nothing else can have crashed that one, and a second worker hardly
-/// crashes by chance just as the same task begins.
+/// The same for workers that crashed just as the task had begun, when it was alone on the last one: nothing else can have crashed that one,
+/// and a second worker hardly crashes by chance just as the same task begins.
 const MOST_CRASHES_AT_START: u32 = 2;
 /// The same for all crashes that count or may, when the task was alone on the last one.
 const MOST_BEFORE_ALONE: u32 = 3;
-/// The same without that. One that crashes its workers before they answer shows no other crashes, so there must be a bound; it leaves a sound task more room for orders
-/// that came to nothing than one start after the third crash would need.
+/// The same without that. One that crashes its workers before they answer shows no other crashes, so there must be a bound; it leaves a
+/// sound task more room for orders that came to nothing than one start after the third crash would need.
 const MOST_POSSIBLE_CRASHES: u32 = 4;
 
 /// What is known of a run on a worker that crashed.
@@ -69,8 +69,8 @@
         }
     }
 
-    /// Whether it is given up once a worker has crashed under it with that evidence. With three crashes no newer run is waited for: it would be the next
-    /// one to crash a worker. Two are no proof while a newer run goes on, which may show that the task is sound.
+    /// Whether it is given up once a worker has crashed under it with that evidence. With three crashes no newer run is waited for: it
+    /// would be the next one to crash a worker. Two are no proof while a newer run goes on, which may show that the task is sound.
     fn is_given_up(&self, evidence: Evidence) -> bool {
         let often = self.crashes >= MOST_CRASHES || self.all_crashes() >= MOST_POSSIBLE_CRASHES;
         let proven = evidence == Evidence::Alone
@@ -94,8 +94,9 @@
 }
 
 impl Workload {
-    /// Notes runs that are over. A crashed worker is taken out of the record, and the crash counts at the task of each suspect. The count is in the record, so that it outlives the leader, a
-    /// loss of all cores and a snapshot; a second leader that records the same crash finds no such worker, so none counts twice.
+    /// Notes runs that are over. A crashed worker is taken out of the record, and the crash counts at the task of each suspect. The count
+    /// is in the record, so that it outlives the leader, a loss of all cores and a snapshot; a second leader that records the same crash
+    /// finds no such worker, so none counts twice.
     ///
     /// Without the count a task that crashes each worker that starts it takes one worker after the other down, with all that runs there, and its
     /// caller waits for ever.
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -31,7 +31,8 @@
     pub attempt: u32,
     /// Runs that failed.
     pub failures: u32,
-    /// Workers that crashed while a run of it was there and had not been at work for long. Hardly any task has one, and the record holds very many tasks.
+    /// Workers that crashed while a run of it was there and had not been at work for long. Hardly any task has one, and the record holds
+    /// very many tasks.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
     /// Those of them that crashed when the run had just begun.
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -33,10 +33,10 @@
 /// Time at work after which a run cannot have crashed its worker by its start, in milliseconds.
 const OUTLASTED_MS: u64 = 30_000;
 
-/// A caller hands in a job whose task crashes each worker that starts it, 10 ms later. The worker is back after 3 s under another identity, the lost run
-/// counts as nobody's fault, and the task begins anew on the next worker: the caller waits for ever, and the fleet loses a worker every few
-/// seconds with all that ran there. Seen in two minutes: 33 starts of one task. What proved it: the rate is the same from the first run on, within one
-/// leader's term, and nothing in the record grows with the crashes.
+/// A caller hands in a job whose task crashes each worker that starts it, 10 ms later. The worker is back after 3 s under another identity,
+/// the lost run counts as nobody's fault, and the task begins anew on the next worker: the caller waits for ever, and the fleet loses a
+/// worker every few seconds with all that ran there. Seen in two minutes: 33 starts of one task. What proved it: the rate is the same from
+/// the first run on, within one leader's term, and nothing in the record grows with the crashes.
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up() {
     const DOWN_MS: u64 = 3_000;
@@ -75,8 +75,9 @@
     site.workload.task(task).unwrap().all_crashes()
 }
 
-/// A job that crashes its worker is started beside sound ones, which lose their runs with it and begin anew. Were every run that is lost with a worker held against its
-/// task, a few such jobs would have all their neighbours given up; what had been at work for long is no suspect, and the others are cleared by their next run.
+/// A job that crashes its worker is started beside sound ones, which lose their runs with it and begin anew. Were every run that is lost
+/// with a worker held against its task, a few such jobs would have all their neighbours given up; what had been at work for long is no
+/// suspect, and the others are cleared by their next run.
 #[test]
 fn neighbours_of_a_crashing_task_are_done() {
     let mut site = Site::new(1, 1);
@@ -107,8 +108,8 @@
     }
 }
 
-/// A worker crashed under two tasks that had just begun there. Until either is seen at work, nothing else may begin beside it, nor both on one worker: should that one
-/// crash too, its other work would be lost with it and nothing would tell which task is the cause.
+/// A worker crashed under two tasks that had just begun there. Until either is seen at work, nothing else may begin beside it, nor both on
+/// one worker: should that one crash too, its other work would be lost with it and nothing would tell which task is the cause.
 #[test]
 fn suspects_begin_apart() {
     let mut site = Site::new(3, 3);
@@ -153,7 +154,8 @@
     );
 }
 
-/// Two workers crash under a task that was alone on the second one, and the job is given up at once. Its caller reads that it failed, and an operator why.
+/// Two workers crash under a task that was alone on the second one, and the job is given up at once. Its caller reads that it failed, and
+/// an operator why.
 #[test]
 fn a_crash_under_a_task_alone_is_proof() {
     let mut site = Site::new(4, 2);
@@ -184,8 +186,8 @@
     );
 }
 
-/// Workers leave, have their upkeep, are cut off past their lease and come back, or crash before an order reaches them, each three times under the same task. None of these
-/// is a crash under it, and a job that is given up for it is a broken promise.
+/// Workers leave, have their upkeep, are cut off past their lease and come back, or crash before an order reaches them, each three times
+/// under the same task. None of these is a crash under it, and a job that is given up for it is a broken promise.
 #[rstest]
 #[case::drained(Away::Drained)]
 #[case::left(Away::Left)]
@@ -235,8 +237,8 @@
     NeverReached,
 }
 
-/// A worker falls silent under a task, its lease runs out, and only then another incarnation answers at its address. The crash counts all the same: it had not been heard
-/// when the task was begun anew, and three such rounds must not pass unseen.
+/// A worker falls silent under a task, its lease runs out, and only then another incarnation answers at its address. The crash counts all
+/// the same: it had not been heard when the task was begun anew, and three such rounds must not pass unseen.
 #[test]
 fn a_crash_that_shows_after_the_lease_counts() {
     let mut site = Site::new(2, 2);
@@ -306,8 +308,8 @@
     assert_eq!(crashes(&site, task(job, 0, 0)), 0);
 }
 
-/// A core of an older version leads or follows beside newer ones while all are replaced. It reads the record of a crash as the ends of the runs that were there, so that no core takes a run
-/// for open that others know to be over; only the count is missing there.
+/// A core of an older version leads or follows beside newer ones while all are replaced. It reads the record of a crash as the ends of the
+/// runs that were there, so that no core takes a run for open that others know to be over; only the count is missing there.
 #[test]
 fn older_cores_read_a_crash_as_ends() {
     let mut site = Site::new(1, 1);
@@ -325,8 +327,8 @@
     assert!(text["Ends"]["crash"].is_object());
 }
 
-/// One member of a gang crashes its worker, and the others are broken off with it. Each attempt costs the whole gang, so it is given up after the second one; members on other
-/// workers are no suspects.
+/// One member of a gang crashes its worker, and the others are broken off with it. Each attempt costs the whole gang, so it is given up
+/// after the second one; members on other workers are no suspects.
 #[test]
 fn a_gang_with_a_crashing_member_is_given_up() {
     let mut site = Site::new(4, 2);
@@ -352,8 +354,8 @@
     assert_eq!(outcome, Some(Outcome::Failed));
 }
 
-/// A service lasts for weeks, and its workers crash now and then for reasons of their own. Nothing of that is held against it; but a service that crashes each worker as
-/// it begins is given up like any other work, since it would take the fleet down.
+/// A service lasts for weeks, and its workers crash now and then for reasons of their own. Nothing of that is held against it; but a
+/// service that crashes each worker as it begins is given up like any other work, since it would take the fleet down.
 #[rstest]
 #[case::for_long(OUTLASTED_MS, None)]
 #[case::at_its_start(10, Some(Outcome::Failed))]
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -321,8 +321,8 @@
         assert!(used <= had, "{used} of {had} accelerators on a worker");
     }
 
-    /// The most that a worker has had since the leader could not know of it: a heartbeat comes every 1.5 s, and may be lost for as long as a worker may go
-    /// unheard. What was sent by then may come later.
+    /// The most that a worker has had since the leader could not know of it: a heartbeat comes every 1.5 s, and may be lost for as long as
+    /// a worker may go unheard. What was sent by then may come later.
     fn most_lately(&self, index: usize, sent_ms: u64) -> u64 {
         const UNHEARD_MS: u64 = 4_500;
         let since_ms = sent_ms.saturating_sub(UNHEARD_MS);
@@ -692,8 +692,8 @@
     run_with_crashing(seed, failing_percent, faults, planted, 0);
 }
 
-/// The same with tasks that crash their workers in the first `crashing` jobs, one in each; returns the crashes under the tasks that had most, and the sound jobs
-/// that were given up.
+/// The same with tasks that crash their workers in the first `crashing` jobs, one in each; returns the crashes under the tasks that had
+/// most, and the sound jobs that were given up.
 fn run_with_crashing(
     seed: u64,
     failing_percent: u64,
@@ -826,8 +826,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_204), ..ProptestConfig::default() })]
 
-    /// Some tasks crash each worker that starts them, among all other faults. The same promises hold, a task that crashes its workers is given up in time, and no
-    /// job is given up under whose tasks fewer than two workers have crashed.
+    /// Some tasks crash each worker that starts them, among all other faults. The same promises hold, a task that crashes its workers is
+    /// given up in time, and no job is given up under whose tasks fewer than two workers have crashed.
     #[test]
     fn fuzz_crashing_tasks_are_given_up_and_no_others(
         seed in any::<u64>(),
@@ -841,8 +841,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_205), ..ProptestConfig::default() })]
 
-    /// Workers shrink and grow among all other faults, and guard nothing. The same promises hold, and no start brings a worker over what it has, or had when the leader last could
-    /// have heard of it.
+    /// Workers shrink and grow among all other faults, and guard nothing. The same promises hold, and no start brings a worker over what it
+    /// has, or had when the leader last could have heard of it.
     #[test]
     fn fuzz_shrinking_workers_are_not_overfilled(
         seed in any::<u64>(),
@@ -853,8 +853,8 @@
     }
 }
 
-/// A worker is silent for its whole lease, and answers as another incarnation in the very moment in which its runs are given up. The crash counts once for each; counted twice,
-/// it had a job given up under whose tasks one worker had crashed.
+/// A worker is silent for its whole lease, and answers as another incarnation in the very moment in which its runs are given up. The crash
+/// counts once for each; counted twice, it had a job given up under whose tasks one worker had crashed.
 #[test]
 fn a_crash_in_the_moment_of_the_lapse_counts_once() {
     let late = |percent, for_ms| Fault::Late { percent, for_ms };
@@ -862,8 +862,8 @@
     run_with_crashing(18_040_824_988_759_608_289, 0, &faults, Planted::Nothing, 3);
 }
 
-/// Tasks that crash their workers, and no other fault: two workers are lost to each where that is enough to know it, three at most, and no sound job is given up
-/// whatever it loses to its neighbours.
+/// Tasks that crash their workers, and no other fault: two workers are lost to each where that is enough to know it, three at most, and no
+/// sound job is given up whatever it loses to its neighbours.
 #[test]
 fn crashing_tasks_cost_few_workers_and_no_sound_job() {
     const SEEDS: u64 = 300;
--- a/crates/bh-workload/tests/shrinking_workers.rs
+++ b/crates/bh-workload/tests/shrinking_workers.rs
@@ -32,8 +32,8 @@
     started
 }
 
-/// A start has no answer, and before it is sent again the worker says that half of it is gone. It does not guard its capacity, so the start would bring it over what it has, and
-/// slow down or kill what runs there. The run is withdrawn, and the task begins where there is room.
+/// A start has no answer, and before it is sent again the worker says that half of it is gone. It does not guard its capacity, so the start
+/// would bring it over what it has, and slow down or kill what runs there. The run is withdrawn, and the task begins where there is room.
 #[test]
 fn a_start_is_not_sent_again_to_a_worker_that_has_shrunk() {
     let mut site = Site::new(1, 1);
@@ -59,8 +59,9 @@
     assert!(site.workload.job(first).unwrap().outcome.is_none());
 }
 
-/// Two borrowers fill a worker, which shrinks to half. A guaranteed job needs the other half: stopping one of them gives no room at all, since the worker is over its capacity.
-/// Reckoned without that, one borrower loses its work in vain and the job waits until the claim lapses, past the time that its customer was promised.
+/// Two borrowers fill a worker, which shrinks to half. A guaranteed job needs the other half: stopping one of them gives no room at all,
+/// since the worker is over its capacity. Reckoned without that, one borrower loses its work in vain and the job waits until the claim
+/// lapses, past the time that its customer was promised.
 #[test]
 fn room_is_reclaimed_as_far_as_a_shrunk_worker_has_any() {
     let mut site = Site::new(1, 1);
@@ -85,8 +86,8 @@
     assert_eq!(site.plan().starts.len(), 1);
 }
 
-/// A worker shrinks, and a heartbeat that it sent before that was held up and comes last, to another leader, who has not counted its heartbeats. Taken for news it would have
-/// the worker filled to what it had before.
+/// A worker shrinks, and a heartbeat that it sent before that was held up and comes last, to another leader, who has not counted its
+/// heartbeats. Taken for news it would have the worker filled to what it had before.
 #[test]
 fn a_heartbeat_that_was_held_up_brings_nothing_back() {
     let mut site = Site::new(1, 1);
@@ -109,8 +110,8 @@
     assert_eq!(says(6, 6), 6);
 }
 
-/// A worker is cut off while a start to it has no answer, and shrinks meanwhile. It answers again before its next heartbeat: the start is not sent again until that tells what
-/// it has.
+/// A worker is cut off while a start to it has no answer, and shrinks meanwhile. It answers again before its next heartbeat: the start is
+/// not sent again until that tells what it has.
 #[test]
 fn nothing_is_sent_after_a_silence_before_a_heartbeat() {
     let mut site = Site::new(1, 1);
@@ -128,8 +129,8 @@
     assert_eq!(starts_sent(&mut site, false, &sent).len(), 1);
 }
 
-/// All cores were down for longer than what workers said of themselves is good for. The next leader looks at the workers and gets answers, but some may have shrunk with nobody
-/// to tell: each gets work once its heartbeat has come, not before.
+/// All cores were down for longer than what workers said of themselves is good for. The next leader looks at the workers and gets answers,
+/// but some may have shrunk with nobody to tell: each gets work once its heartbeat has come, not before.
 #[test]
 fn after_a_time_without_a_leader_workers_are_heard_first() {
     let mut site = Site::new(2, 2);
--- a/crates/bh-workload/tests/slow_runs.rs
+++ b/crates/bh-workload/tests/slow_runs.rs
@@ -102,8 +102,8 @@
     assert_eq!(run_slowly(&mut site, again), Vec::new());
 }
 
-/// The way to a worker is slow for some seconds, and runs there seem to take ten times as long. It gets no more work, so nothing shows that it is well again: a fleet would lose one worker after the
-/// other for as long as its leader leads. After a while it is tried again.
+/// The way to a worker is slow for some seconds, and runs there seem to take ten times as long. It gets no more work, so nothing shows that
+/// it is well again: a fleet would lose one worker after the other for as long as its leader leads. After a while it is tried again.
 #[test]
 fn a_worker_that_was_slow_is_tried_again() {
     /// Longest time for which a worker may be left out for what it did before, in milliseconds.
