A crash whose record failed is found again

Cause: found in the last reading: after an answer of another incarnation the look counted as on its way for ever, so a crash that could not be recorded was not asked about again while the same core led. The test failed before (no look, no second answer).

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -321,8 +321,14 @@
             Answer::Lost => target.note_silence(now_ms, order),
             Answer::CarrierLost => target.note_lost_carrier(),
             Answer::OtherIncarnation => {
-                if let OrderBody::Start { run, .. } = &order.body {
-                    target.note_never_begun(*run);
+                match &order.body {
+                    OrderBody::Start { run, .. } => target.note_never_begun(*run),
+                    // It is looked at again, should the record fail.
+                    OrderBody::Look { .. } => {
+                        target.looking = false;
+                        target.next_look_ms = now_ms + FAILING_LOOK_MS;
+                    }
+                    OrderBody::Stop { .. } | OrderBody::Pace { .. } => {}
                 }
                 let news = target.note_gone(now_ms);
                 return news.then(|| departure(now_ms, id, target, workload));
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -378,3 +378,21 @@
     }
     assert_eq!(site.workload.job(job).unwrap().outcome, expected);
 }
+
+/// The leader learns of a crash, and its record fails since no majority answers for a moment. The worker is looked at again and the crash
+/// recorded then; otherwise its runs would be taken for running for as long as the leader leads.
+#[test]
+fn a_crash_that_was_not_recorded_is_found_again() {
+    let mut site = Site::new(1, 1);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    let worker: Arc<str> = Arc::from("w00");
+    let lost = site.departure_of(&worker);
+    assert!(matches!(lost, Command::Ends { .. }));
+    site.advance(1_100);
+    let again = site.departure_of(&worker);
+    site.workload.apply(again.at(site.wall_ms()));
+    assert_eq!(crashes(&site, task(job, 0, 0)), 1);
+}
