--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -109,6 +109,10 @@
             return;
         }
         self.failing_since_ms = Some(now_ms);
+        // Whether the leader before had heard it lately is not known: it may have been silent, and have shrunk, for long.
+        if self.heard_ms.is_none() {
+            self.said_ms = None;
+        }
         self.broke_off = now_ms + SLACK_MS < order.sent_ms + order.answer_within_ms();
     }
 
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -862,6 +862,46 @@
     run_with_crashing(18_040_824_988_759_608_289, 0, &faults, Planted::Nothing, 3);
 }
 
+/// A worker is cut off, shrinks to nothing behind the cut, and another core is elected meanwhile, which finds it silent. It answers again a
+/// second before its next heartbeat. A leader that took the record for news filled it with what it no longer had.
+#[test]
+fn a_worker_that_was_silent_for_a_new_leader_is_heard_first() {
+    let faults = [
+        (
+            14_835,
+            Fault::Shrink {
+                worker: 2,
+                to: 0,
+                for_ms: 7_516,
+            },
+        ),
+        (
+            1_208,
+            Fault::Cut {
+                worker: 1,
+                for_ms: 500,
+            },
+        ),
+        (
+            901,
+            Fault::OneWay {
+                worker: 0,
+                for_ms: 3_500,
+            },
+        ),
+        (7_451, Fault::Leader),
+        (
+            8_220,
+            Fault::Cut {
+                worker: 2,
+                for_ms: 12_781,
+            },
+        ),
+        (18_151, Fault::Leader),
+    ];
+    run_with_crashing(5_824_376_788_456_637_682, 0, &faults, Planted::Nothing, 2);
+}
+
 /// Tasks that crash their workers, and no other fault: two workers are lost to each where that is enough to know it, three at most, and no
 /// sound job is given up whatever it loses to its neighbours.
 #[test]
