--- a/crates/beechctl/src/commands/all.rs
+++ b/crates/beechctl/src/commands/all.rs
@@ -1,6 +1,7 @@
 //! The tree of commands.
 
 use super::completion;
+use super::core_evacuate;
 use super::core_explain;
 use super::core_status;
 use super::job_cancel;
@@ -99,7 +100,9 @@
                 .about("Asks a core of a deployment, at its metrics address given as --entry")
                 .subcommand_required(true)
                 .subcommand(core_status::command())
-                .subcommand(core_explain::command()),
+                .subcommand(core_explain::command())
+                .subcommand(core_evacuate::begin_command())
+                .subcommand(core_evacuate::end_command()),
         )
         .subcommand(
             Command::new("report")
@@ -133,6 +136,8 @@
         ["status"] => status::run(client, output).await,
         ["core", "status"] => core_status::run(client, output).await,
         ["core", "explain"] => core_explain::run(client, output, leaf(matches)).await,
+        ["core", "evacuate"] => core_evacuate::begin(client, output, leaf(matches)).await,
+        ["core", "end-evacuation"] => core_evacuate::end(client, output, leaf(matches)).await,
         ["report", "burn"] => report_burn::run(client, output, leaf(matches)).await,
         ["report", "fragmentation"] => {
             report_fragmentation::run(client, output, leaf(matches)).await
--- /dev/null
+++ b/crates/beechctl/src/commands/core_evacuate.rs
@@ -0,0 +1,62 @@
+//! `beechctl core evacuate` and `beechctl core end-evacuation`: empties a data centre, and gives it back.
+
+use super::arguments::text as argument;
+use crate::client::Client;
+use crate::client::parse;
+use crate::output::Output;
+use bh_control::core::EvacuationOrdered;
+use bh_protocol::Failure;
+use bytes::Bytes;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+
+pub fn begin_command() -> Command {
+    Command::new("evacuate")
+        .about("Lets nothing more begin in a data centre; what runs there goes on")
+        .arg(data_centre())
+        .after_help("Example:\n  beechctl core evacuate ulemiste --entry 10.1.0.22:9464")
+}
+
+pub fn end_command() -> Command {
+    Command::new("end-evacuation")
+        .about("Lets work begin in a data centre again")
+        .arg(data_centre())
+        .after_help("Example:\n  beechctl core end-evacuation ulemiste --entry 10.1.0.22:9464")
+}
+
+fn data_centre() -> Arg {
+    Arg::new("DATA_CENTRE")
+        .required(true)
+        .help("The data centre's name")
+}
+
+pub async fn begin(client: &Client, output: &Output, matches: &ArgMatches) -> Result<u8, Failure> {
+    order(client, output, matches, "POST").await
+}
+
+pub async fn end(client: &Client, output: &Output, matches: &ArgMatches) -> Result<u8, Failure> {
+    order(client, output, matches, "DELETE").await
+}
+
+async fn order(
+    client: &Client,
+    output: &Output,
+    matches: &ArgMatches,
+    method: &str,
+) -> Result<u8, Failure> {
+    let path = format!("/v1/evacuations/{}", argument(matches, "DATA_CENTRE"));
+    let response = client.call(method, &path, Bytes::new(), &[]).await?;
+    let ordered: EvacuationOrdered = parse(response.body())?;
+    output.show(&ordered, text);
+    Ok(0)
+}
+
+fn text(ordered: &EvacuationOrdered) -> String {
+    let name = &ordered.data_centre;
+    if ordered.is_evacuated {
+        format!("nothing more begins in {name}; `beechctl core status` tells what still runs there")
+    } else {
+        format!("work may begin in {name} again")
+    }
+}
--- a/crates/beechctl/src/commands/core_explain.rs
+++ b/crates/beechctl/src/commands/core_explain.rs
@@ -102,6 +102,10 @@
         Wait::NotDue { due_ms } => format!("its time, {due_ms} ms since 1970"),
         Wait::EarlierSteps { steps } => format!("earlier steps {steps:?}"),
         Wait::EarlierRuns => "its earlier runs to be over".to_owned(),
+        Wait::Evacuated { data_centres } => {
+            let names: Vec<&str> = data_centres.iter().map(|name| &**name).collect();
+            format!("the end of the evacuation of {}", names.join(", "))
+        }
         Wait::NoWorkerAllowed => "a worker that may run it".to_owned(),
         Wait::NoWorkerLargeEnough => "a worker that is large enough".to_owned(),
         Wait::RoomIsMade { workers } => format!("room that is being made on {workers} workers"),
--- a/crates/beechctl/src/commands/core_status.rs
+++ b/crates/beechctl/src/commands/core_status.rs
@@ -4,6 +4,7 @@
 use crate::output::Output;
 use crate::output::table;
 use bh_control::core::CoreReport;
+use bh_control::core::Evacuation;
 use bh_protocol::Failure;
 use clap::Command;
 
@@ -19,6 +20,15 @@
     Ok(0)
 }
 
+fn evacuation_text(evacuation: &Evacuation) -> String {
+    let Evacuation {
+        data_centre,
+        for_ms,
+        runs,
+    } = evacuation;
+    format!("{data_centre} for {for_ms} ms, {runs} runs left")
+}
+
 fn text(report: &CoreReport) -> String {
     let role = match (report.leads, report.is_voter) {
         (true, _) => "leads",
@@ -29,6 +39,7 @@
         .heard_ms_ago
         .map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
     let waves: Vec<String> = report.waves.iter().map(u64::to_string).collect();
+    let evacuated: Vec<String> = report.evacuations.iter().map(evacuation_text).collect();
     let rows = [
         ("role", role.to_owned()),
         ("leader", report.leader.clone().unwrap_or("-".to_owned())),
@@ -45,6 +56,7 @@
             format!("{} of {}", report.free_accelerators, report.accelerators),
         ),
         ("waves", waves.join(",")),
+        ("evacuated", evacuated.join(", ")),
     ];
     let rows: Vec<Vec<String>> = rows
         .into_iter()
--- a/crates/beechctl/src/commands/mod.rs
+++ b/crates/beechctl/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod all;
 mod arguments;
 mod completion;
+mod core_evacuate;
 mod core_explain;
 mod core_status;
 mod job_cancel;
--- a/crates/beechhollow/tests/serve.rs
+++ b/crates/beechhollow/tests/serve.rs
@@ -142,31 +142,70 @@
     assert!(process.child.wait().unwrap().success());
 }
 
-/// A core forms a group of its own and leads. An engineer sees that from outside, in its metrics and in the answers to operators; for a job
-/// that is not there the answer carries a numbered code.
-#[test]
-fn a_core_tells_what_it_is() {
+/// Starts a core with `more` in its file, and waits until it leads; returns where it takes operators and serves its metrics.
+fn leading_core(name: &str, more: &str) -> (Process, SocketAddr, SocketAddr) {
     let addresses = ports::free(3);
     let config = format!(
         "name: core\nrole: core\ndata_centre: dc\nip: 127.0.0.1\npeer_port: {}\ncontrol_address: {}\nmetrics_address: {}\n\
-         data_folder: FOLDER\nmay_form: true\nseeds: '{}'\ngrace_s: 1\n",
+         data_folder: FOLDER\nmay_form: true\nseeds: '{}'\ngrace_s: 1\n{more}",
         addresses[2].port(),
         addresses[0],
         addresses[1],
         addresses[0],
     );
-    let _process = Process::start("core", &config);
+    let process = Process::start(name, &config);
     wait_for(addresses[1]);
     let until = Instant::now() + Duration::from_secs(20);
     while metric(addresses[1], "leads") != Some(1) {
         assert!(Instant::now() < until, "it does not lead");
         thread::sleep(Duration::from_millis(50));
     }
-    assert_eq!(metric(addresses[1], "voters"), Some(1));
-    assert_eq!(metric(addresses[1], "workers"), Some(0));
-    let status = http_raw::get(addresses[1], "/v1/status").text();
+    (process, addresses[0], addresses[1])
+}
+
+/// A core forms a group of its own and leads. An engineer sees that from outside, in its metrics and in the answers to operators; for a job
+/// that is not there the answer carries a numbered code.
+#[test]
+fn a_core_tells_what_it_is() {
+    let (_process, _, metrics) = leading_core("core", "");
+    assert_eq!(metric(metrics, "voters"), Some(1));
+    assert_eq!(metric(metrics, "workers"), Some(0));
+    let status = http_raw::get(metrics, "/v1/status").text();
     assert!(status.contains("\"leads\":true"), "{status}");
-    let job = http_raw::get(addresses[1], "/v1/jobs/5c0e7a21d94b36f8");
+    let job = http_raw::get(metrics, "/v1/jobs/5c0e7a21d94b36f8");
     assert_eq!(job.status, 404);
     assert!(job.text().contains("\"code\":113"), "{}", job.text());
 }
+
+/// An operator evacuates a data centre by the product's own interface and reads that back, from outside the platform too; a name that the deployment does not have is
+/// told at once, and nothing is recorded. Sent twice, or ended without a beginning, an order is acknowledged all the same.
+#[test]
+fn a_core_takes_evacuations() {
+    const WAIT: Duration = Duration::from_secs(10);
+    let (_process, control, metrics) = leading_core("evacuations", "data_centres: 'dc,other'\n");
+    let send =
+        |address, method: &str, path: &str| http_raw::send(address, method, path, &[], &[], WAIT);
+    let ended = send(metrics, "DELETE", "/v1/evacuations/other");
+    assert_eq!(ended.status, 200);
+    for _ in 0..2 {
+        let begun = send(metrics, "POST", "/v1/evacuations/other");
+        assert_eq!(begun.status, 200, "{}", begun.text());
+    }
+    assert_eq!(metric(metrics, "data_centres_evacuated"), Some(1));
+    let status = http_raw::get(metrics, "/v1/status").text();
+    assert!(status.contains("\"data_centre\":\"other\""), "{status}");
+
+    let unknown = send(metrics, "POST", "/v1/evacuations/nowhere");
+    assert_eq!(unknown.status, 404);
+    assert!(
+        unknown.text().contains("\"code\":117"),
+        "{}",
+        unknown.text()
+    );
+    assert_eq!(send(control, "POST", "/-/evacuations/nowhere").status, 404);
+    assert_eq!(send(metrics, "PUT", "/v1/evacuations/other").status, 405);
+    assert_eq!(metric(metrics, "data_centres_evacuated"), Some(1));
+
+    assert_eq!(send(control, "DELETE", "/-/evacuations/other").status, 200);
+    assert_eq!(metric(metrics, "data_centres_evacuated"), Some(0));
+}
--- a/crates/bh-control/src/calls/call.rs
+++ b/crates/bh-control/src/calls/call.rs
@@ -40,6 +40,16 @@
     SetRules(Result<Box<Rules>, String>),
     /// An operator reads the rules.
     GetRules,
+    /// An operator evacuates a data centre.
+    Evacuate {
+        /// Its name.
+        data_centre: Arc<str>,
+    },
+    /// An operator ends the evacuation of a data centre.
+    EndEvacuation {
+        /// Its name.
+        data_centre: Arc<str>,
+    },
     /// An operator orders a wave of upkeep.
     StartWave(WaveSpec),
     /// An operator asks how far a wave is.
--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -35,6 +35,9 @@
     pub role: Role,
     /// Data centre of the VM.
     pub data_centre: Arc<str>,
+    /// All data centres of the deployment; none when the file does not say.
+    #[serde(default, deserialize_with = "separated_names")]
+    pub data_centres: Vec<Arc<str>>,
     /// Where an entry takes callers.
     #[serde(default)]
     pub callers_address: Option<SocketAddr>,
@@ -116,18 +119,31 @@
     pub restore_ms: Option<f64>,
 }
 
+/// The parts of a text that are separated by commas.
+fn parts(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
+
 /// Addresses in one text, separated by commas.
 fn separated<'de, D: serde::Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Vec<SocketAddr>, D::Error> {
     let text = Option::<String>::deserialize(deserializer)?.unwrap_or_default();
-    text.split(',')
-        .map(str::trim)
-        .filter(|part| !part.is_empty())
+    parts(&text)
         .map(|part| part.parse().map_err(serde::de::Error::custom))
         .collect()
 }
 
+/// Names in one text, separated by commas.
+fn separated_names<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<Arc<str>>, D::Error> {
+    let text = Option::<String>::deserialize(deserializer)?.unwrap_or_default();
+    Ok(parts(&text).map(Arc::from).collect())
+}
+
 /// Share of the longest lease that is asked for, in percent: the rest is for the time an order is on its way.
 const LEASE_PERCENT: u64 = 95;
 /// Cores that may be lost when the file does not say.
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -67,6 +67,19 @@
             Answer::Refused(Refusal::NoWave)
         }
         Call::StartWave(spec) => change(core, Command::StartWave { spec, now_ms: 0 }).await,
+        Call::Evacuate { data_centre } => {
+            let command = Command::Evacuate {
+                data_centre: data_centre.clone(),
+                now_ms: 0,
+            };
+            change_data_centre(core, &data_centre, command).await
+        }
+        Call::EndEvacuation { data_centre } => {
+            let command = Command::EndEvacuation {
+                data_centre: data_centre.clone(),
+            };
+            change_data_centre(core, &data_centre, command).await
+        }
         Call::GetWave { id } => match newest(core).await {
             Err(answer) => answer,
             Ok(()) => match core.group.machine.read().wave(id) {
@@ -86,6 +99,19 @@
     }
 }
 
+/// Records a change of a data centre, if there is such a one. A name that the file of this core does not list is known by the workers that came
+/// from there; where the file lists none, every name may come to be known.
+async fn change_data_centre(core: &Rc<CoreNode>, name: &str, command: Command) -> Answer {
+    let listed = &core.config.data_centres;
+    let is_known = listed.is_empty()
+        || listed.iter().any(|data_centre| **data_centre == *name)
+        || core.group.machine.read().knows_data_centre(name);
+    if !is_known {
+        return Answer::Refused(Refusal::NoDataCentre);
+    }
+    change(core, command).await
+}
+
 fn unavailable() -> Answer {
     Answer::Unavailable {
         retry_after_ms: RETRY_AFTER_MS,
--- /dev/null
+++ b/crates/bh-control/src/core/evacuations.rs
@@ -0,0 +1,102 @@
+//! Evacuations of data centres, as operators order and read them.
+
+use super::core_node::CoreNode;
+use super::incoming;
+use crate::calls::Answer;
+use crate::calls::Call;
+use crate::calls::RETRY_AFTER_MS;
+use bh_net::http_server::answer;
+use bh_protocol::Code;
+use bh_protocol::Failure;
+use bh_workload::state::Refusal;
+use bh_workload::state::Workload;
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use serde::Deserialize;
+use serde::Serialize;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Wait for the order to be recorded, in milliseconds: an operator at a command line waits for longer than a program, and an election may be
+/// going on.
+const ORDER_MS: u64 = 5_000;
+
+/// An evacuation that goes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// How long it has gone on, in milliseconds.
+    pub for_ms: u64,
+    /// Runs that began there before it and go on.
+    pub runs: usize,
+}
+
+/// What an operator is told of an order that is recorded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationOrdered {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// Whether it is under evacuation now.
+    pub is_evacuated: bool,
+}
+
+/// The evacuations that go on at `wall_ms` since 1970.
+pub(super) fn list(wall_ms: u64, workload: &Workload) -> Vec<Evacuation> {
+    let runs_in = |data_centre: &Arc<str>| {
+        let inside = workload
+            .workers()
+            .filter(|worker| worker.info.data_centre == *data_centre);
+        inside.map(|worker| worker.runs.len()).sum()
+    };
+    let evacuations = workload.evacuations();
+    evacuations
+        .map(|(data_centre, since_ms)| Evacuation {
+            data_centre: data_centre.clone(),
+            for_ms: wall_ms.saturating_sub(since_ms),
+            runs: runs_in(data_centre),
+        })
+        .collect()
+}
+
+/// Begins or ends an evacuation by the product's own interface; `None` for another method.
+pub(super) async fn order(
+    core: &Rc<CoreNode>,
+    method: &Method,
+    data_centre: &str,
+) -> Option<Response<Bytes>> {
+    let data_centre: Arc<str> = Arc::from(data_centre);
+    let is_evacuated = *method == Method::POST;
+    let call = match *method {
+        Method::POST => Call::Evacuate {
+            data_centre: data_centre.clone(),
+        },
+        Method::DELETE => Call::EndEvacuation {
+            data_centre: data_centre.clone(),
+        },
+        _ => return None,
+    };
+    let ordered = EvacuationOrdered {
+        data_centre,
+        is_evacuated,
+    };
+    Some(match incoming::decide(core, &call, ORDER_MS).await {
+        Answer::Done => answer::json(&ordered),
+        other => answer::failed(&failure(&ordered.data_centre, &other)),
+    })
+}
+
+fn failure(data_centre: &str, answer: &Answer) -> Failure {
+    match answer {
+        Answer::Refused(Refusal::NoDataCentre) => {
+            let label = format!("no data centre is named `{data_centre}`");
+            Failure::new(Code::UnknownDataCentre, label)
+        }
+        Answer::Unknown => {
+            let label = "the order may have been recorded; it may be sent again";
+            Failure::new(Code::Unreachable, label)
+        }
+        _ => Failure::new(Code::NoQuorum, "no core leads").with_retry_after_ms(RETRY_AFTER_MS),
+    }
+}
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -73,20 +73,26 @@
     };
     let patience_ms = received.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
     let came_ms = core.clock.now_ms();
-    let answer = counted(&core, async {
-        match answer_call(&core, received.call.clone()).await {
-            Answer::NotLeader => as_follower(&core, &received.call, patience_ms).await,
-            answer => answer,
-        }
-    })
-    .await;
+    let answer = decide(&core, &received.call, patience_ms).await;
     if let Call::Heartbeat(heartbeat) = &received.call {
         core.unheard.borrow_mut().note(came_ms, heartbeat, &answer);
     }
-    log_control(&received.call, &answer);
     (core.dialect.write_answer)(&received.call, &answer)
 }
 
+/// What is decided of a call, here when this core leads, else by the leader, within `patience_ms`.
+pub(super) async fn decide(core: &Rc<CoreNode>, call: &Call, patience_ms: u64) -> Answer {
+    let decided = async {
+        match answer_call(core, call.clone()).await {
+            Answer::NotLeader => as_follower(core, call, patience_ms).await,
+            answer => answer,
+        }
+    };
+    let answer = counted(core, decided).await;
+    log_control(call, &answer);
+    answer
+}
+
 /// A call that came to a core that does not lead.
 async fn as_follower(core: &Rc<CoreNode>, call: &Call, patience_ms: u64) -> Answer {
     if let Call::Heartbeat(heartbeat) = call
@@ -105,6 +111,12 @@
         Call::SetRules(Err(problem)) => {
             log::info!(problem = &**problem, answer:? = answer; "unreadable rules sent");
         }
+        Call::Evacuate { data_centre } => {
+            log::info!(data_centre = &**data_centre, answer:? = answer; "evacuation ordered");
+        }
+        Call::EndEvacuation { data_centre } => {
+            log::info!(data_centre = &**data_centre, answer:? = answer; "end of an evacuation ordered");
+        }
         Call::Leave { worker } => {
             log::info!(worker = &**worker, answer:? = answer; "worker leaves");
         }
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -1,6 +1,8 @@
 //! What operators read from a core, in the product's own words: JSON at the metrics address.
 
 use super::core_node::CoreNode;
+use super::evacuations;
+use super::evacuations::Evacuation;
 use crate::observe::Metrics;
 use crate::observe::Readings;
 use crate::observe::log_lines_dropped;
@@ -10,6 +12,7 @@
 use bh_workload::job::JobId;
 use bh_workload::plan::JobReport;
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
 use serde::Deserialize;
@@ -19,6 +22,7 @@
 
 const STATUS_PATH: &str = "/v1/status";
 const JOB_PATH: &str = "/v1/jobs/";
+const EVACUATION_PATH: &str = "/v1/evacuations/";
 
 /// What a core is and holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +57,9 @@
     pub free_accelerators: u64,
     /// Waves of upkeep that are not over, by number.
     pub waves: Vec<u64>,
+    /// Data centres under evacuation.
+    #[serde(default)]
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// What operators read from a core beside its counters.
@@ -77,23 +84,30 @@
         metrics.gauge("accelerators", report.accelerators);
         metrics.gauge("accelerators_free", report.free_accelerators);
         metrics.gauge("waves", size(report.waves.len()));
+        metrics.gauge("data_centres_evacuated", size(report.evacuations.len()));
         metrics.gauge("links_open", size(gauged.mesh.links_open()));
         metrics.gauge("worker_calls_in_progress", size(gauged.workers.busy()));
         metrics.gauge("shares_workers", u64::from(gauged.shares_workers()));
         metrics.gauge("calls_in_progress", size(gauged.in_progress.get()));
         metrics.gauge("log_lines_dropped", log_lines_dropped());
     };
-    Readings::new(refresh).with_answer(move |request| answer_call(&asked, request))
+    Readings::new(refresh).with_answer(move |request| answer_call(asked.clone(), request))
 }
 
 /// Answers an operator's call; `None` when it is none.
-fn answer_call(core: &Rc<CoreNode>, request: &Request<Bytes>) -> Option<Response<Bytes>> {
+async fn answer_call(core: Rc<CoreNode>, request: Request<Bytes>) -> Option<Response<Bytes>> {
     let path = request.uri().path();
+    if let Some(data_centre) = path.strip_prefix(EVACUATION_PATH) {
+        return evacuations::order(&core, request.method(), data_centre).await;
+    }
+    if request.method() != Method::GET {
+        return None;
+    }
     if path == STATUS_PATH {
-        return Some(answer::json(&report(core)));
+        return Some(answer::json(&report(&core)));
     }
     let name = path.strip_prefix(JOB_PATH)?;
-    Some(match job(core, name) {
+    Some(match job(&core, name) {
         Ok(report) => answer::json(&report),
         Err(failure) => answer::failed(&failure),
     })
@@ -129,6 +143,7 @@
             .filter(|(_, wave)| !wave.is_over())
             .map(|(id, _)| id)
             .collect(),
+        evacuations: evacuations::list(core.wall_ms(), &workload),
     }
 }
 
--- a/crates/bh-control/src/observe/serve_metrics.rs
+++ b/crates/bh-control/src/observe/serve_metrics.rs
@@ -11,7 +11,9 @@
 use http::StatusCode;
 use http::header;
 use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
@@ -21,7 +23,9 @@
 const PATH: &str = "/metrics";
 
 /// Answers a call of an operator, if it is one.
-type OperatorCall = dyn Fn(&Request<Bytes>) -> Option<Response<Bytes>>;
+type OperatorCall = dyn Fn(Request<Bytes>) -> OperatorAnswer;
+/// The answer, once it is known.
+type OperatorAnswer = Pin<Box<dyn Future<Output = Option<Response<Bytes>>>>>;
 
 /// What a process adds to its metrics when they are read.
 pub struct Readings {
@@ -36,16 +40,16 @@
     pub fn new(refresh: impl Fn(&Metrics) + 'static) -> Self {
         Self {
             refresh: Box::new(refresh),
-            answer: Box::new(|_| None),
+            answer: Box::new(|_| Box::pin(async { None })),
         }
     }
 
     /// The same, with `answer` for other calls.
-    pub fn with_answer(
+    pub fn with_answer<F: Future<Output = Option<Response<Bytes>>> + 'static>(
         mut self,
-        answer: impl Fn(&Request<Bytes>) -> Option<Response<Bytes>> + 'static,
+        answer: impl Fn(Request<Bytes>) -> F + 'static,
     ) -> Self {
-        self.answer = Box::new(answer);
+        self.answer = Box::new(move |request| Box::pin(answer(request)));
         self
     }
 }
@@ -65,7 +69,7 @@
     let readings = Rc::new(readings);
     let handler = move |request: Request<Bytes>| {
         let (metrics, readings) = (metrics.clone(), readings.clone());
-        async move { answer(&metrics, &readings, &request) }
+        async move { answer(&metrics, &readings, request).await }
     };
     monoio::spawn(server::serve(
         listener,
@@ -76,13 +80,23 @@
     Ok(())
 }
 
-fn answer(metrics: &Metrics, readings: &Readings, request: &Request<Bytes>) -> Response<Bytes> {
-    if request.method() != Method::GET {
-        return server::status(StatusCode::METHOD_NOT_ALLOWED);
-    }
+async fn answer(
+    metrics: &Metrics,
+    readings: &Readings,
+    request: Request<Bytes>,
+) -> Response<Bytes> {
+    let reads = request.method() == Method::GET;
     if request.uri().path() != PATH {
-        let other = (readings.answer)(request);
-        return other.unwrap_or_else(|| server::status(StatusCode::NOT_FOUND));
+        let missing = if reads {
+            StatusCode::NOT_FOUND
+        } else {
+            StatusCode::METHOD_NOT_ALLOWED
+        };
+        let other = (readings.answer)(request).await;
+        return other.unwrap_or_else(|| server::status(missing));
+    }
+    if !reads {
+        return server::status(StatusCode::METHOD_NOT_ALLOWED);
     }
     (readings.refresh)(metrics);
     let mut response = Response::new(Bytes::from(metrics.text()));
--- a/crates/bh-control/tests/config_problems.rs
+++ b/crates/bh-control/tests/config_problems.rs
@@ -60,3 +60,14 @@
     assert_eq!(problems(b"- a\n- b\n").len(), 1);
     assert!(!describes_deployment(b"- a\n"));
 }
+
+/// A core's file lists the data centres of the deployment in one text; one that does not say knows them by their workers only.
+#[test]
+fn data_centres_are_listed_in_one_text() {
+    let file = CORE.to_owned() + "data_centres: 'ulemiste, mustamae,kadaka'\n";
+    let config = LocalConfig::parse(file.as_bytes()).expect("it is valid");
+    let names: Vec<&str> = config.data_centres.iter().map(|name| &**name).collect();
+    assert_eq!(names, ["ulemiste", "mustamae", "kadaka"]);
+    let config = LocalConfig::parse(CORE.as_bytes()).expect("it is valid");
+    assert!(config.data_centres.is_empty());
+}
--- a/crates/bh-protocol/src/code.rs
+++ b/crates/bh-protocol/src/code.rs
@@ -87,6 +87,7 @@
     NeverFits = 114, 422, 2, No, "The shape can never be placed on the targets of this data centre", "Use a smaller shape, or wait until larger targets have announced themselves.";
     QuotaTooSmall = 115, 422, 2, No, "The job is larger than the quota", "Have quota_accelerators raised, or use a smaller shape.";
     KeyReused = 116, 409, 2, No, "The idempotency key was already used for something else", "Use a new key for a new request.";
+    UnknownDataCentre = 117, 404, 2, No, "There is no such data centre", "Check the name with `beechctl core status`, or the list of data centres in the core's file.";
     NotAuthorized = 120, 401, 3, No, "The token is missing or unknown", "Send `Authorization: Bearer TOKEN` with a token of the right team.";
     Forbidden = 121, 403, 3, No, "The token does not allow this change", "Use a token of the team that owns the subtree, or an administrator's.";
     RevisionConflict = 130, 409, 4, No, "The subtree has changed since the revision the change was made against", "Read the settings again, make the change against the new revision and resend.";
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -59,6 +59,7 @@
             self.give_up_lapsed(target);
         }
         let too_much = self.too_much(target);
+        let evacuated = self.workload.is_evacuated(&self.worker.info);
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
         for run in runs {
             let recorded = self.worker.runs.contains_key(&run);
@@ -68,6 +69,8 @@
             };
             if wanted && !watch.give_up && too_much.contains(&run) {
                 self.withdraw(target, run);
+            } else if wanted && !watch.give_up && evacuated && !watch.is_confirmed() {
+                self.hold_back(target, run);
             } else if wanted && !watch.give_up {
                 self.start(target, run);
                 if pacing::fills(self.workload, run) {
@@ -181,6 +184,22 @@
         too_much
     }
 
+    /// Sends no start of a run in a data centre under evacuation. Whether one that had no answer was carried out, also by the order of an
+    /// earlier leader, the next report tells: taken back unasked, work that goes on would be stopped, and a gang elsewhere with it.
+    fn hold_back(&mut self, target: &mut Target, run: RunId) {
+        let Some(watch) = target.runs.get(&run) else {
+            return;
+        };
+        let not_there = match watch.start {
+            StartPhase::Unsent => true,
+            StartPhase::Unsure { retry_ms } => target.reported_ms >= retry_ms,
+            StartPhase::InFlight | StartPhase::Confirmed { .. } => false,
+        };
+        if not_there {
+            self.withdraw(target, run);
+        }
+    }
+
     /// Takes back a run whose start shall not be sent any more, for want of a permission or of room. Whether an earlier one was carried out
     /// is settled by a stop; the plan finds another place, or asks for another permission, before it tries again.
     fn withdraw(&mut self, target: &mut Target, run: RunId) {
--- a/crates/bh-workload/src/plan/explain.rs
+++ b/crates/bh-workload/src/plan/explain.rs
@@ -92,6 +92,11 @@
     },
     /// Some of a gang's earlier runs may still go on.
     EarlierRuns,
+    /// All workers that may run them are in data centres under evacuation.
+    Evacuated {
+        /// The data centres.
+        data_centres: BTreeSet<Arc<str>>,
+    },
     /// No worker that can be used now may run them: label, pool, or the adviser.
     NoWorkerAllowed,
     /// The workers that may run them are too small.
@@ -202,7 +207,7 @@
 fn wait_for_room(unit: &Unit, rooms: &[Room]) -> Wait {
     let allowed: Vec<&Room> = rooms.iter().filter(|room| room.admits(unit)).collect();
     if allowed.is_empty() {
-        return Wait::NoWorkerAllowed;
+        return no_worker(unit, rooms);
     }
     if allowed.iter().all(|room| !unit.needs.fits(&room.capacity)) {
         return Wait::NoWorkerLargeEnough;
@@ -220,6 +225,18 @@
     Wait::Placing
 }
 
+/// Why no worker admits a unit.
+fn no_worker(unit: &Unit, rooms: &[Room]) -> Wait {
+    let closed = rooms
+        .iter()
+        .filter(|room| room.evacuated && room.suits(unit));
+    let data_centres: BTreeSet<Arc<str>> = closed.map(|room| room.data_centre.clone()).collect();
+    if data_centres.is_empty() {
+        return Wait::NoWorkerAllowed;
+    }
+    Wait::Evacuated { data_centres }
+}
+
 /// The report of a step; `None` when it is done.
 fn step_report(
     now_ms: u64,
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -50,6 +50,10 @@
     pub rack: Arc<str>,
     /// Its pool.
     pub pool: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Whether its data centre is under evacuation.
+    pub evacuated: bool,
     /// Its labels.
     pub labels: Vec<Arc<str>>,
     /// What it has in all.
@@ -90,7 +94,9 @@
         };
         let view = dispatcher.view(&worker.info.id);
         let begun = Begun::new(worker, view, workload);
+        let evacuated = workload.is_evacuated(&worker.info);
         let usable = !worker.draining
+            && !evacuated
             && !begun.suspect
             && !dispatcher.is_emptied(&worker.info.id)
             && !speeds.is_slow(&worker.info.id, now_ms)
@@ -103,6 +109,8 @@
             worker: worker.info.id.clone(),
             rack: worker.info.rack.clone(),
             pool: worker.info.pool.clone(),
+            data_centre: worker.info.data_centre.clone(),
+            evacuated,
             labels: worker.info.labels.clone(),
             capacity: worker.info.capacity,
             free: worker.free(),
@@ -137,8 +145,12 @@
 
     /// Whether tasks of a unit may be here at all, whatever room there is.
     pub fn admits(&self, unit: &Unit) -> bool {
-        self.usable
-            && self.pool == unit.pool
+        self.usable && self.suits(unit)
+    }
+
+    /// Whether tasks of a unit may be here once the worker can be given work.
+    pub fn suits(&self, unit: &Unit) -> bool {
+        self.pool == unit.pool
             && self.has_label(unit.spec.required_label.as_ref())
             && unit
                 .permitted
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -58,6 +58,22 @@
                 }
                 Reply::Done
             }
+            Command::Evacuate {
+                data_centre,
+                now_ms,
+            } => {
+                // One that is recorded already was ordered again because its acknowledgement was lost.
+                self.evacuations
+                    .entry(data_centre.clone())
+                    .or_insert(now_ms);
+                self.note_workers_in(&data_centre);
+                Reply::Done
+            }
+            Command::EndEvacuation { data_centre } => {
+                self.evacuations.remove(&data_centre);
+                self.note_workers_in(&data_centre);
+                Reply::Done
+            }
             Command::Forget { before_ms } => {
                 self.jobs
                     .retain(|_, job| job.outcome.is_none() || job.ended_ms >= before_ms);
@@ -133,6 +149,18 @@
         }
     }
 
+    /// What may begin on the workers of a data centre has changed.
+    fn note_workers_in(&mut self, data_centre: &str) {
+        let inside = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| *worker.info.data_centre == *data_centre);
+        for (id, _) in inside {
+            self.news.note_worker(id);
+        }
+        self.news.plan = true;
+    }
+
     fn change_workers(&mut self, changes: Vec<WorkerChange>) -> Reply {
         for change in changes {
             match change {
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -65,6 +65,18 @@
         /// How far it is.
         upkeep: VmUpkeep,
     },
+    /// An operator evacuates a data centre: nothing more begins on its workers until the evacuation is ended.
+    Evacuate {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// When the leader took the call, in milliseconds since 1970.
+        now_ms: u64,
+    },
+    /// An operator ends the evacuation of a data centre.
+    EndEvacuation {
+        /// The data centre.
+        data_centre: Arc<str>,
+    },
     /// Drops jobs that ended before a time, in milliseconds since 1970.
     Forget {
         /// The time.
@@ -88,7 +100,8 @@
             Command::Ends { now_ms, .. }
             | Command::Accept { now_ms, .. }
             | Command::Cancel { now_ms, .. }
-            | Command::StartWave { now_ms, .. } => Some(*now_ms),
+            | Command::StartWave { now_ms, .. }
+            | Command::Evacuate { now_ms, .. } => Some(*now_ms),
             _ => None,
         }
     }
@@ -98,7 +111,8 @@
         if let Command::Ends { now_ms, .. }
         | Command::Accept { now_ms, .. }
         | Command::Cancel { now_ms, .. }
-        | Command::StartWave { now_ms, .. } = &mut self
+        | Command::StartWave { now_ms, .. }
+        | Command::Evacuate { now_ms, .. } = &mut self
         {
             *now_ms = at_ms;
         }
@@ -195,6 +209,8 @@
     NoJob,
     /// There is no such wave.
     NoWave,
+    /// There is no such data centre.
+    NoDataCentre,
     /// The job cannot be read or breaks a limit.
     BadJob(String),
     /// The rules are invalid.
--- a/crates/bh-workload/src/state/start.rs
+++ b/crates/bh-workload/src/state/start.rs
@@ -97,6 +97,9 @@
         let Some(worker) = self.workers.get(worker).filter(|worker| !worker.draining) else {
             return false;
         };
+        if self.is_evacuated(&worker.info) {
+            return false;
+        }
         let Some(spec) = self.step_spec(step) else {
             return false;
         };
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -41,6 +41,9 @@
     /// Waves of upkeep by number.
     #[serde(default)]
     pub(super) waves: BTreeMap<u64, Wave>,
+    /// Data centres under evacuation, and since when, in milliseconds since 1970.
+    #[serde(default)]
+    pub(super) evacuations: BTreeMap<Arc<str>, u64>,
     /// Jobs that have not ended.
     #[serde(skip)]
     pub(super) active: BTreeSet<JobId>,
@@ -199,6 +202,25 @@
         self.waves.iter().map(|(id, wave)| (*id, wave))
     }
 
+    /// Data centres under evacuation, by name, and since when, in milliseconds since 1970.
+    pub fn evacuations(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.evacuations
+            .iter()
+            .map(|(data_centre, since_ms)| (data_centre, *since_ms))
+    }
+
+    /// Whether a worker's data centre is under evacuation, so that nothing may begin there.
+    pub fn is_evacuated(&self, worker: &WorkerInfo) -> bool {
+        self.evacuations.contains_key(&worker.data_centre)
+    }
+
+    /// Whether a data centre is known by its workers, or by an evacuation that was recorded.
+    pub fn knows_data_centre(&self, name: &str) -> bool {
+        let mut workers = self.workers.values();
+        self.evacuations.contains_key(name)
+            || workers.any(|worker| *worker.info.data_centre == *name)
+    }
+
     /// The worker that lives on a VM, as far as known.
     pub fn worker_on(&self, vm: &str) -> Option<&Worker> {
         self.workers
--- /dev/null
+++ b/crates/bh-workload/tests/evacuation.rs
@@ -0,0 +1,394 @@
+//! A data centre is evacuated and given back: nothing begins there meanwhile, whatever was on its way, and nothing is lost.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+mod support;
+
+use bh_group::Machine;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Report;
+use bh_workload::job::JobId;
+use bh_workload::job::StepSpec;
+use bh_workload::plan::Unclaimed;
+use bh_workload::plan::Wait;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::Reply;
+use bh_workload::state::Workload;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use support::FAR;
+use support::Site;
+use support::step;
+
+const NEAR: &str = "dc";
+/// Wait before a start without an answer is sent again, with some room, in milliseconds.
+const RETRY_MS: u64 = 400;
+
+fn gang(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(count, 8)
+    }
+}
+
+fn starts(orders: &[Order]) -> Vec<&Order> {
+    let is_start = |order: &&Order| matches!(order.body, OrderBody::Start { .. });
+    orders.iter().filter(is_start).collect()
+}
+
+fn wait(site: &Site, job: JobId) -> Option<Wait> {
+    let times = (site.now_ms, site.wall_ms());
+    let report = site
+        .planner
+        .explain(times, &site.workload, &site.dispatcher, job)
+        .unwrap();
+    report.steps[0].wait.clone()
+}
+
+/// An operator empties one of two data centres while callers hand in work of every kind. All of it begins in the other one, up to its last
+/// place; what finds none waits and begins once the data centre is given back.
+#[rstest]
+#[case::tasks(step(4, 8))]
+#[case::a_gang(gang(4, 8))]
+#[case::a_service(lasting(4))]
+fn work_begins_elsewhere_until_the_data_centre_is_given_back(#[case] spec: StepSpec) {
+    let mut site = Site::in_two_data_centres(4, 2);
+    site.evacuate(FAR);
+    site.submit(1, "other", vec![spec.clone()]);
+    let waits = site.submit(1, "other", vec![spec]);
+    let plan = site.plan_and_start();
+    assert_eq!(plan.starts.len(), 4);
+    assert!(plan.starts.iter().all(|start| !site.is_far(&start.worker)));
+    site.send_starts();
+    site.advance(1_000);
+    assert!(site.plan().starts.is_empty());
+    assert!(wait(&site, waits).is_some());
+
+    site.end_evacuation(FAR);
+    let plan = site.plan_and_start();
+    assert_eq!(plan.starts.len(), 4);
+    assert!(plan.starts.iter().all(|start| site.is_far(&start.worker)));
+}
+
+/// The leader plans, the evacuation is recorded, and only then the starts of that plan come to the record. Those in the evacuated data centre
+/// are refused there: the order of changes decides, not what the leader saw. Their tasks wait on and begin elsewhere.
+#[test]
+fn a_plan_made_before_is_refused_by_the_record() {
+    let mut site = Site::in_two_data_centres(2, 2);
+    let tasks = site.submit(1, "other", vec![step(4, 8)]);
+    let plan = site.plan();
+    let far = plan
+        .starts
+        .iter()
+        .filter(|start| site.is_far(&start.worker));
+    assert_eq!(far.count(), 2);
+    site.evacuate(FAR);
+    let reply = site.workload.apply(Command::Starts(plan.starts));
+    assert!(matches!(reply, Reply::Started(refused) if refused.len() == 2));
+    site.take_news();
+    assert!(
+        site.open_runs()
+            .iter()
+            .all(|(worker, _)| !site.is_far(worker))
+    );
+    let waiting = &site.workload.job(tasks).unwrap().steps[0].tasks;
+    assert_eq!(waiting.len(), 4);
+}
+
+/// A gang over both data centres is recorded, but not ordered yet. Its members in the evacuated one are taken back before any order, and so
+/// are the others: no part of a gang runs. It begins anew as a whole in the other data centre.
+#[test]
+fn a_gang_that_is_half_placed_there_begins_anew_elsewhere() {
+    let mut site = Site::in_two_data_centres(4, 2);
+    let filler = site.submit(1, "other", vec![step(2, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    let job = site.submit(1, "other", vec![gang(4, 8)]);
+    let plan = site.plan_and_start();
+    assert!(plan.starts.iter().any(|start| site.is_far(&start.worker)));
+    assert!(plan.starts.iter().any(|start| !site.is_far(&start.worker)));
+    site.evacuate(FAR);
+    assert!(
+        starts(&site.orders())
+            .iter()
+            .all(|order| !site.is_far(&order.to.worker))
+    );
+    for _ in 0..3 {
+        site.advance(RETRY_MS);
+        site.orders();
+    }
+    let left = site.open_runs();
+    assert!(
+        left.iter().all(|(worker, _)| !site.is_far(worker)),
+        "{left:?}"
+    );
+    site.end(support::run_of(&site, filler, 0), EndKind::Done);
+    site.end(support::run_of(&site, filler, 1), EndKind::Done);
+    for (_, run) in site.open_runs() {
+        site.end(run, EndKind::Stopped);
+    }
+    let plan = site.plan_and_start();
+    assert_eq!(plan.starts.len(), 4);
+    assert!(
+        plan.starts
+            .iter()
+            .all(|start| start.run.task.step.job == job)
+    );
+    assert!(plan.starts.iter().all(|start| !site.is_far(&start.worker)));
+}
+
+/// What runs in the data centre goes on: nothing is stopped, and its leases are renewed until it is done.
+#[test]
+fn what_runs_there_goes_on() {
+    let mut site = Site::in_two_data_centres(2, 2);
+    site.submit(1, "other", vec![gang(4, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.evacuate(FAR);
+    let mut renewed = BTreeSet::new();
+    for _ in 0..20 {
+        site.advance(200);
+        for order in site.orders() {
+            match order.body {
+                OrderBody::Look { lease_until_ms, .. } => {
+                    assert!(lease_until_ms.is_some());
+                    renewed.insert(order.to.worker.clone());
+                }
+                ref other => panic!("{other} to {}", order.to.worker),
+            }
+            let answer = site.looked(&order.to.worker, &[]);
+            site.dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+        }
+    }
+    assert_eq!(renewed.len(), 4);
+    assert_eq!(site.open_runs().len(), 4);
+}
+
+/// A start had no answer when the evacuation was recorded, so it may have been carried out. It is not sent again: the worker is looked at. If it
+/// runs the task, that goes on; if it does not, the run is stopped there, so that an order that comes late begins nothing, and the task begins
+/// elsewhere.
+#[rstest]
+#[case::the_order_came_through(true)]
+#[case::the_order_was_lost(false)]
+fn a_start_without_an_answer_is_looked_after_and_not_repeated(#[case] carried_out: bool) {
+    let mut site = Site::in_two_data_centres(1, 1);
+    site.submit(1, "other", vec![step(2, 8)]);
+    site.plan_and_start();
+    for order in site.orders() {
+        let answer = if site.is_far(&order.to.worker) {
+            Answer::Lost
+        } else {
+            site.done()
+        };
+        site.dispatcher
+            .note_answer(site.now_ms, &order, &answer, &site.workload);
+    }
+    site.evacuate(FAR);
+    let mut stopped = false;
+    for _ in 0..8 {
+        site.advance(RETRY_MS);
+        let orders = site.orders();
+        assert!(starts(&orders).is_empty(), "a start was sent again");
+        for order in orders {
+            stopped |= matches!(order.body, OrderBody::Stop { .. });
+            let there = carried_out || !site.is_far(&order.to.worker);
+            let answer = if there {
+                site.looked(&order.to.worker, &[])
+            } else {
+                Answer::Done {
+                    clock_ms: Some(site.now_ms),
+                    report: Some(Report::default()),
+                }
+            };
+            let command = site
+                .dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+            if let Some(command) = command {
+                let now_ms = site.wall_ms();
+                site.workload.apply(command.at(now_ms));
+                site.dispatcher.note_recorded(&order.to.worker, true);
+                site.take_news();
+            }
+        }
+    }
+    assert_eq!(stopped, !carried_out);
+    let runs = if carried_out { 2 } else { 1 };
+    assert_eq!(site.open_runs().len(), runs);
+}
+
+/// All cores lose power right after the evacuation was acknowledged, and the next leader reads the record from a disk. It knows the evacuation. Of the
+/// runs that it finds recorded there it does not know whether they began: it asks, starts none, and stops none that runs.
+#[test]
+fn an_evacuation_outlives_its_leader_and_a_snapshot() {
+    let mut site = Site::in_two_data_centres(1, 1);
+    site.submit(1, "other", vec![step(2, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.evacuate(FAR);
+    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
+    let bytes = machine.snapshot().unwrap();
+    machine.restore(&bytes).unwrap();
+    site.workload = machine.read().clone();
+    site.take_over(2);
+    let evacuated: Vec<&Arc<str>> = site.workload.evacuations().map(|(name, _)| name).collect();
+    assert_eq!(evacuated, [&Arc::from(FAR)]);
+    for _ in 0..4 {
+        site.advance(RETRY_MS);
+        for order in site.orders() {
+            let repeated = matches!(order.body, OrderBody::Start { .. });
+            let looks = matches!(order.body, OrderBody::Look { .. });
+            assert!(looks || repeated && !site.is_far(&order.to.worker));
+            let answer = site.looked(&order.to.worker, &[]);
+            site.dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+        }
+    }
+    assert_eq!(site.open_runs().len(), 2);
+}
+
+/// An operator whose acknowledgement was lost sends the same order again, to any core. It changes nothing the second time, and neither does the end of
+/// an evacuation that never began.
+#[test]
+fn orders_on_evacuations_are_idempotent() {
+    let mut site = Site::in_two_data_centres(1, 1);
+    site.end_evacuation(FAR);
+    site.evacuate(FAR);
+    let first: Vec<u64> = site
+        .workload
+        .evacuations()
+        .map(|(_, since)| since)
+        .collect();
+    site.advance(5_000);
+    site.evacuate(FAR);
+    let second: Vec<u64> = site
+        .workload
+        .evacuations()
+        .map(|(_, since)| since)
+        .collect();
+    assert_eq!(first, second);
+    site.end_evacuation(FAR);
+    site.end_evacuation(FAR);
+    assert_eq!(site.workload.evacuations().count(), 0);
+    assert!(site.workload.knows_data_centre(FAR));
+    assert!(!site.workload.knows_data_centre("elsewhere"));
+}
+
+/// A snapshot of a version that knew no evacuations is read as one without any.
+#[test]
+fn older_snapshots_hold_no_evacuation() {
+    let site = Site::in_two_data_centres(1, 1);
+    let mut older = serde_json::to_value(&site.workload).unwrap();
+    assert!(
+        older
+            .as_object_mut()
+            .unwrap()
+            .remove("evacuations")
+            .is_some()
+    );
+    let read: Workload = serde_json::from_value(older).unwrap();
+    assert_eq!(read.evacuations().count(), 0);
+    assert_eq!(read.worker_count(), 2);
+}
+
+/// Room is being made for urgent work in a data centre when its evacuation begins. It is no longer waited for: the work takes room elsewhere, or
+/// has it made there.
+#[test]
+fn room_that_is_being_made_there_is_given_up() {
+    let mut site = Site::in_two_data_centres(2, 2);
+    site.submit(2, "other", vec![step(4, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(100);
+    let urgent = site.submit(0, "guaranteed", vec![gang(2, 8)]);
+    let plan = site.plan();
+    assert_eq!(plan.claimed.len(), 1);
+    let claimed_far = plan.evictions.iter().any(|(worker, _)| site.is_far(worker));
+    let emptied = if claimed_far { FAR } else { NEAR };
+    site.evacuate(emptied);
+    let plan = site.plan();
+    let dropped: Vec<Unclaimed> = plan.unclaimed.iter().map(|(_, why)| *why).collect();
+    assert_eq!(dropped, [Unclaimed::WorkerUnusable]);
+    assert_eq!(plan.claimed.first().map(|(step, _)| step.job), Some(urgent));
+    let inside = |worker: &Arc<str>| site.is_far(worker) == claimed_far;
+    assert!(!plan.evictions.iter().any(|(worker, _)| inside(worker)));
+}
+
+/// All data centres are evacuated at once. Work that is handed in waits and is neither lost nor refused, an engineer is told why, and what was
+/// running when the order came ends as ever. Given back, the work begins.
+#[test]
+fn with_all_data_centres_evacuated_work_waits() {
+    let mut site = Site::in_two_data_centres(1, 1);
+    let before = site.submit(1, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.evacuate(FAR);
+    site.evacuate(NEAR);
+    let waits = site.submit(0, "guaranteed", vec![gang(2, 8)]);
+    for _ in 0..20 {
+        site.advance(500);
+        let plan = site.plan();
+        assert!(plan.starts.is_empty() && plan.evictions.is_empty());
+    }
+    let data_centres: BTreeSet<Arc<str>> = [Arc::from(FAR), Arc::from(NEAR)].into();
+    assert_eq!(wait(&site, waits), Some(Wait::Evacuated { data_centres }));
+    site.end(support::run_of(&site, before, 0), EndKind::Done);
+    assert!(site.workload.job(before).unwrap().outcome.is_some());
+    site.end_evacuation(FAR);
+    site.end_evacuation(NEAR);
+    assert_eq!(site.plan_and_start().starts.len(), 2);
+}
+
+/// The data of a task is in a rack of the evacuated data centre. It does not wait for that rack, which may come back in minutes or never, but begins
+/// elsewhere at once, however long that takes there.
+#[test]
+fn work_does_not_wait_for_a_rack_that_is_evacuated() {
+    let mut site = Site::in_two_data_centres(2, 2);
+    let near_rack = site.workload.worker("w02").unwrap().info.rack.clone();
+    assert!(site.is_far("w02"));
+    site.evacuate(FAR);
+    let spec = StepSpec {
+        near_rack: Some(near_rack),
+        ..step(1, 8)
+    };
+    site.submit(1, "other", vec![spec]);
+    let plan = site.plan_and_start();
+    assert_eq!(plan.starts.len(), 1);
+    assert!(!site.is_far(&plan.starts[0].worker));
+}
+
+/// A service task in the evacuated data centre fails by itself. It is restarted elsewhere.
+#[test]
+fn a_task_that_ends_there_begins_again_elsewhere() {
+    let mut site = Site::in_two_data_centres(2, 2);
+    let filler = site.submit(1, "other", vec![step(1, 8)]);
+    site.plan_and_start();
+    site.submit(1, "other", vec![lasting(2)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.end(support::run_of(&site, filler, 0), EndKind::Done);
+    site.evacuate(FAR);
+    let (_, run) = site
+        .open_runs()
+        .into_iter()
+        .find(|(worker, _)| site.is_far(worker))
+        .unwrap();
+    site.end(run, EndKind::Failed);
+    let plan = site.plan_and_start();
+    assert_eq!(plan.starts.len(), 1);
+    assert_eq!(plan.starts[0].run.task, run.task);
+    assert!(!site.is_far(&plan.starts[0].worker));
+}
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -34,12 +34,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use support::FAR;
 use support::Site;
 use support::place;
 use support::step;
 use support::worker_info;
 
 const WORKERS: usize = 4;
+const NEAR: &str = "dc";
 const STEP_MS: u64 = 50;
 /// Faults begin within this time.
 const FAULTY_MS: u64 = 25_000;
@@ -66,6 +68,26 @@
     Drain { worker: usize },
     /// The worker has only so many accelerators for a while.
     Shrink { worker: usize, to: u64, for_ms: u64 },
+    /// An operator evacuates one data centre, or both, and gives them back, each order sent once more than it has to be.
+    Evacuate { which: Evacuated, for_ms: u64 },
+}
+
+/// Which data centres an operator evacuates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evacuated {
+    Near,
+    Far,
+    Both,
+}
+
+impl Evacuated {
+    fn names(self) -> &'static [&'static str] {
+        match self {
+            Evacuated::Near => &[NEAR],
+            Evacuated::Far => &[FAR],
+            Evacuated::Both => &[NEAR, FAR],
+        }
+    }
 }
 
 fn fault() -> impl Strategy<Value = (u64, Fault)> {
@@ -99,6 +121,18 @@
     prop_oneof![2 => carried_fault(), 1 => shrink]
 }
 
+/// The same with evacuations, which may overlap.
+fn evacuating_fault() -> impl Strategy<Value = (u64, Fault)> {
+    let which = prop_oneof![
+        2 => Just(Evacuated::Near),
+        2 => Just(Evacuated::Far),
+        1 => Just(Evacuated::Both),
+    ];
+    let evacuate = (0..FAULTY_MS, which, 300u64..12_000)
+        .prop_map(|(at_ms, which, for_ms)| (at_ms, Fault::Evacuate { which, for_ms }));
+    prop_oneof![2 => carried_fault(), 1 => evacuate]
+}
+
 /// An order on its way, or held up.
 struct Held {
     at_ms: u64,
@@ -137,6 +171,8 @@
     sizes: Vec<Vec<(u64, u64)>>,
     /// Workers that are down after a crash: position, and when they are back.
     down: BTreeMap<usize, u64>,
+    /// Since when each data centre is under evacuation, on the site's clock in milliseconds.
+    evacuated_ms: BTreeMap<&'static str, u64>,
 }
 
 /// A gang at work.
@@ -312,6 +348,12 @@
                 "{run} begins long after its job was taken back"
             );
         }
+        if let Some(at_ms) = self.evacuated_ms.get(self.data_centre(index)) {
+            assert!(
+                sent_ms < *at_ms,
+                "{run} begins at {now_ms} ms by an order of {sent_ms} ms, though its data centre is evacuated since {at_ms} ms"
+            );
+        }
         let used: u64 = self.workers[index]
             .runs
             .keys()
@@ -350,8 +392,48 @@
         }
     }
 
+    /// The data centre of a worker: one for all, or two where any is evacuated.
+    fn data_centre(&self, index: usize) -> &'static str {
+        let evacuates = |fault: &Fault| matches!(fault, Fault::Evacuate { .. });
+        let two = self.faults.iter().any(|(_, fault)| evacuates(fault));
+        if two && index >= WORKERS / 2 {
+            FAR
+        } else {
+            NEAR
+        }
+    }
+
+    /// Evacuations that begin or end at this time are ordered, and each is ordered again a moment later.
+    fn evacuate(&mut self) {
+        const AGAIN_MS: u64 = 250;
+        let now_ms = self.site.now_ms;
+        let due = |at_ms: u64| (at_ms..at_ms + STEP_MS).contains(&now_ms);
+        let faults = self.faults;
+        for (at_ms, fault) in faults {
+            let Fault::Evacuate { which, for_ms } = fault else {
+                continue;
+            };
+            for name in which.names() {
+                if due(*at_ms) || due(*at_ms + AGAIN_MS) {
+                    self.record(Command::Evacuate {
+                        data_centre: Arc::from(*name),
+                        now_ms: 0,
+                    });
+                    self.evacuated_ms.entry(name).or_insert(now_ms);
+                }
+                if due(at_ms + for_ms) || due(at_ms + for_ms + AGAIN_MS) {
+                    self.record(Command::EndEvacuation {
+                        data_centre: Arc::from(*name),
+                    });
+                    self.evacuated_ms.remove(name);
+                }
+            }
+        }
+    }
+
     fn info(&self, index: usize) -> WorkerInfo {
         let mut info = worker_info(index, 2);
+        info.data_centre = Arc::from(self.data_centre(index));
         info.id = Arc::from(&*self.workers[index].id);
         info.capacity.accelerators = self.sizes[index].last().map_or(8, |(_, size)| *size);
         info
@@ -498,7 +580,8 @@
                 | Fault::OneWay { .. }
                 | Fault::Late { .. }
                 | Fault::Carriers { .. }
-                | Fault::Shrink { .. } => {}
+                | Fault::Shrink { .. }
+                | Fault::Evacuate { .. } => {}
             }
         }
     }
@@ -625,6 +708,7 @@
         let now_ms = self.site.now_ms;
         self.begin_faults();
         self.resize();
+        self.evacuate();
         self.bring_back();
         for worker in &mut self.workers {
             worker.pass(now_ms);
@@ -740,6 +824,7 @@
         crashed_under: BTreeMap::new(),
         started_after: BTreeMap::new(),
         down: BTreeMap::new(),
+        evacuated_ms: BTreeMap::new(),
         sizes: vec![vec![(0, 8)]; WORKERS],
     };
     for job in run.jobs.iter().take(crashing) {
@@ -752,6 +837,10 @@
         run.crashing.insert(TaskId { step, index });
     }
     run.site.now_ms = 0;
+    for index in 0..WORKERS {
+        let info = run.info(index);
+        run.record(Command::Workers(vec![WorkerChange::Known(info)]));
+    }
     run.elect();
     while run.site.now_ms < END_MS {
         run.turn();
@@ -853,6 +942,21 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_206), ..ProptestConfig::default() })]
+
+    /// Operators evacuate data centres and give them back among all other faults, and each order comes twice. The same promises hold, and no order
+    /// that is given after an evacuation was recorded begins anything there.
+    #[test]
+    fn fuzz_evacuated_data_centres_get_nothing(
+        seed in any::<u64>(),
+        crashing in 0usize..2,
+        faults in proptest::collection::vec(evacuating_fault(), 2..14),
+    ) {
+        run_with_crashing(seed, 0, &faults, Planted::Nothing, crashing);
+    }
+}
+
 /// A worker is silent for its whole lease, and answers as another incarnation in the very moment in which its runs are given up. The crash
 /// counts once for each; counted twice, it had a job given up under whose tasks one worker had crashed.
 #[test]
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
+use bh_workload::dispatch::Order;
 use bh_workload::dispatch::Report;
 use bh_workload::dispatch::Running;
 use bh_workload::dispatch::Timing;
@@ -35,6 +36,10 @@
 
 pub const HOST: &str = "jobs.example";
 pub const POOL: &str = "pool";
+/// Time after which no room is kept for urgent work that has not come, in milliseconds.
+const QUIET_MS: u64 = 60_000;
+/// The second data centre of a site that has two.
+pub const FAR: &str = "far";
 /// Wall time at which every site starts, in milliseconds since 1970.
 pub const START_WALL_MS: u64 = 1_000_000;
 
@@ -250,6 +255,57 @@
         self.take_news();
     }
 
+    /// A site of `workers` workers in each of the data centres `dc` and `far`, `per_rack` of them in a rack. No room is kept there for urgent
+    /// work.
+    pub fn in_two_data_centres(workers: usize, per_rack: usize) -> Self {
+        let mut site = Self::new(2 * workers, per_rack);
+        for index in workers..2 * workers {
+            let mut info = worker_info(index, per_rack);
+            info.data_centre = Arc::from(FAR);
+            let known = WorkerChange::Known(info);
+            site.workload.apply(Command::Workers(vec![known]));
+        }
+        site.take_news();
+        site.advance(QUIET_MS);
+        site
+    }
+
+    /// Whether a worker is in the data centre `far`.
+    pub fn is_far(&self, worker: &str) -> bool {
+        let worker = self.workload.worker(worker);
+        worker.is_some_and(|worker| &*worker.info.data_centre == FAR)
+    }
+
+    /// The evacuation of a data centre begins.
+    pub fn evacuate(&mut self, data_centre: &str) {
+        let reply = self.workload.apply(Command::Evacuate {
+            data_centre: Arc::from(data_centre),
+            now_ms: self.wall_ms(),
+        });
+        assert_eq!(reply, Reply::Done);
+        self.take_news();
+    }
+
+    /// The evacuation of a data centre ends.
+    pub fn end_evacuation(&mut self, data_centre: &str) {
+        let reply = self.workload.apply(Command::EndEvacuation {
+            data_centre: Arc::from(data_centre),
+        });
+        assert_eq!(reply, Reply::Done);
+        self.take_news();
+    }
+
+    /// Orders that are due now, of all workers.
+    pub fn orders(&mut self) -> Vec<Order> {
+        let (orders, ends) = self.dispatcher.orders(self.now_ms, &self.workload, true);
+        if !ends.is_empty() {
+            let now_ms = self.wall_ms();
+            self.workload.apply(Command::ends(ends).at(now_ms));
+            self.take_news();
+        }
+        orders
+    }
+
     /// The answer of a worker that did as it was told.
     pub fn done(&self) -> Answer {
         Answer::Done {
@@ -399,3 +455,10 @@
         index,
     }
 }
+
+/// The recorded run of a job's task in its first step.
+pub fn run_of(site: &Site, job: JobId, index: u32) -> RunId {
+    let runs = site.open_runs();
+    let mut own = runs.iter().map(|(_, run)| *run);
+    own.find(|run| run.task == task(job, 0, index)).unwrap()
+}
