Workers that have just started are slow: gangs take warm ones, and none is filled at once

Cause: heartbeats say how much longer a worker is slow after its start, and nobody read it. After an evacuation a whole data centre may come back cold: a gang with one cold member is as slow as that one, a worker that is filled at once is slow for all of it, and what ran there was taken for the usual time.

Change: the figure is kept with the worker's heartbeats (also those that come over other cores); warm workers first, for a gang a rack that needs no cold one; single tasks begin one by one on a cold worker, but for what a guarantee covers; runs that began there teach no times and are not begun anew as slow.

Ruled out: no gang on cold workers (where no warm one is free, one that began cold is done no later than one that waits for the same worker to get warm).

--- a/crates/bh-control/src/calls/call.rs
+++ b/crates/bh-control/src/calls/call.rs
@@ -70,4 +70,7 @@
     pub clock_ms: Option<u64>,
     /// Grows with each heartbeat of one life; a lower one after a higher one was held up on its way.
     pub sequence: u64,
+    /// How much longer it is slow after its start, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -34,7 +34,7 @@
         return heard;
     }
     let now_ms = core.clock.now_ms();
-    match note(core, now_ms, &id, heartbeat.sequence, heartbeat.clock_ms) {
+    match note(core, &id, &Sign::new(&heartbeat, now_ms)) {
         None => return Answer::NotLeader,
         Some(false) => return heard,
         Some(true) => {}
@@ -52,24 +52,22 @@
     }
 }
 
-/// Notes a sign of life that came at `heard_ms`; returns whether it is the newest of a worker that has not ended, or `None` when this core does
-/// not lead.
-fn note(
-    core: &Rc<CoreNode>,
-    heard_ms: u64,
-    worker: &Arc<str>,
-    sequence: u64,
-    clock_ms: Option<u64>,
-) -> Option<bool> {
+/// Notes a sign of life; returns whether it is the newest of a worker that has not ended, or `None` when this core does not lead.
+fn note(core: &Rc<CoreNode>, worker: &Arc<str>, sign: &Sign) -> Option<bool> {
     let mut held = core.leadership.borrow_mut();
     let leadership = held.as_mut()?;
     let newest = leadership.sequences.entry(worker.clone()).or_default();
-    let held_up = sequence < *newest;
-    *newest = (*newest).max(sequence);
+    let held_up = sign.sequence < *newest;
+    *newest = (*newest).max(sign.sequence);
     let answered = leadership.dispatcher.answers(worker);
     let alive = leadership
         .dispatcher
-        .note_heartbeat(heard_ms, worker, clock_ms);
+        .note_heartbeat(sign.heard_ms, worker, sign.clock_ms);
+    if alive && !held_up {
+        leadership
+            .dispatcher
+            .note_cold(sign.heard_ms, worker, sign.cold_ms);
+    }
     leadership.plan_due |= !answered && leadership.dispatcher.answers(worker);
     Some(alive && !held_up)
 }
@@ -111,11 +109,7 @@
     if changed || !core.shares_workers() || core.mesh.fresh_leader().is_none() {
         return None;
     }
-    let sign = Sign {
-        clock_ms: heartbeat.clock_ms,
-        sequence: heartbeat.sequence,
-        heard_ms: core.clock.now_ms(),
-    };
+    let sign = Sign::new(heartbeat, core.clock.now_ms());
     let worker = heartbeat.info.id.clone();
     core.signs.borrow_mut().insert(worker, sign);
     Some(Answer::Heard {
@@ -132,6 +126,20 @@
     sequence: u64,
     /// When it came, on this core's clock in milliseconds.
     heard_ms: u64,
+    /// How much longer the worker was slow then, in milliseconds.
+    cold_ms: u64,
+}
+
+impl Sign {
+    /// What a heartbeat that came at `heard_ms` says beside what is recorded.
+    fn new(heartbeat: &WorkerHeartbeat, heard_ms: u64) -> Self {
+        Self {
+            clock_ms: heartbeat.clock_ms,
+            sequence: heartbeat.sequence,
+            heard_ms,
+            cold_ms: heartbeat.cold_ms,
+        }
+    }
 }
 
 /// Tells the leader of the heartbeats that came here, until the process ends.
@@ -148,6 +156,7 @@
             clock_ms: sign.clock_ms,
             sequence: sign.sequence,
             age_ms: now_ms.saturating_sub(sign.heard_ms),
+            cold_ms: sign.cold_ms,
         });
         let body = SignsOfLife {
             signs: signs.collect(),
@@ -169,13 +178,18 @@
         }
     };
     let now_ms = core.clock.now_ms();
-    for sign in signs {
-        let worker: Arc<str> = Arc::from(sign.worker);
+    for told in signs {
+        let worker: Arc<str> = Arc::from(told.worker);
         let known = core.group.machine.read().worker(&worker).is_some();
         if known {
-            let heard_ms = now_ms.saturating_sub(sign.age_ms);
+            let sign = Sign {
+                clock_ms: told.clock_ms,
+                sequence: told.sequence,
+                heard_ms: now_ms.saturating_sub(told.age_ms),
+                cold_ms: told.cold_ms,
+            };
             // The next one of a core that no longer leads goes to another.
-            let _ = note(core, heard_ms, &worker, sign.sequence, sign.clock_ms);
+            let _ = note(core, &worker, &sign);
         }
     }
 }
--- a/crates/bh-control/src/core/unheard.rs
+++ b/crates/bh-control/src/core/unheard.rs
@@ -42,6 +42,7 @@
             });
             if is_known {
                 dispatcher.note_heartbeat(heard_ms, &id, heartbeat.clock_ms);
+                dispatcher.note_cold(heard_ms, &id, heartbeat.cold_ms);
             }
         }
     }
--- a/crates/bh-control/tests/unheard.rs
+++ b/crates/bh-control/tests/unheard.rs
@@ -38,6 +38,7 @@
         draining: false,
         clock_ms: Some(5_000),
         sequence: 7,
+        cold_ms: 0,
     }
 }
 
--- a/crates/bh-protocol/src/wire/carry.rs
+++ b/crates/bh-protocol/src/wire/carry.rs
@@ -81,6 +81,9 @@
     /// How long ago it came, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
+    /// How much longer the worker is slow after its start, in milliseconds, when it came.
+    #[prost(uint64, tag = "5")]
+    pub cold_ms: u64,
 }
 
 /// Heartbeats that came to one core within a moment.
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -174,6 +174,13 @@
         true
     }
 
+    /// Notes that a worker said at `heard_ms` that it is slow for `cold_ms` more.
+    pub fn note_cold(&mut self, heard_ms: u64, worker: &Arc<str>, cold_ms: u64) {
+        if let Some(target) = self.targets.get_mut(worker) {
+            target.cold_until_ms = heard_ms + cold_ms;
+        }
+    }
+
     /// Whether a worker is known to answer, as [`Target::answers`].
     pub fn answers(&self, worker: &str) -> bool {
         self.view(worker).is_some_and(Target::answers)
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -36,6 +36,8 @@
     /// When the record last had what it said of itself, on the leader's clock in milliseconds: its last heartbeat, or the election when the
     /// leader before had heard it.
     pub said_ms: Option<u64>,
+    /// Until when it is slow after its start, on the leader's clock in milliseconds, as it last said.
+    pub cold_until_ms: u64,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
     /// Whether the first of them ended sooner than its time: its connection was broken off, as a process that ends does.
--- a/crates/bh-workload/src/plan/overdue.rs
+++ b/crates/bh-workload/src/plan/overdue.rs
@@ -74,8 +74,9 @@
             let slowdown = slowdown_percent(workload, dispatcher, *run, spec);
             let expected_ms =
                 runtimes.expected_ms(&job.queue.name, run.task.step, spec) * slowdown / 100;
-            // A declared time is off by factors, and a gang is as slow as its slowest member, wherever that is.
-            let learnt_ms = (!spec.gang)
+            // A declared time is off by factors, a gang is as slow as its slowest member, wherever that is, and what began on a worker that had
+            // just started was slow for a while.
+            let learnt_ms = (!spec.gang && watch.since_ms >= target.cold_until_ms)
                 .then(|| runtimes.learnt_ms(&job.queue.name, run.task.step, spec))
                 .flatten()
                 .map(|learnt_ms| learnt_ms * slowdown / 100);
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -28,6 +28,8 @@
     spare: u64,
     /// Lower where the unit would rather be.
     rank: u64,
+    /// Whether the worker is slow since it has just started.
+    cold: bool,
 }
 
 /// Why a gang is not placed.
@@ -60,7 +62,13 @@
         let tightest = racks
             .iter()
             .filter(|(rack, sites)| suits(unit, rack) && places(sites) >= unit.count())
-            .min_by_key(|(_, sites)| (rank_of(sites), spare(sites)));
+            .min_by_key(|(_, sites)| {
+                (
+                    needs_cold(sites, unit.count()),
+                    rank_of(sites),
+                    spare(sites),
+                )
+            });
         if let Some((_, sites)) = tightest {
             return Ok(fill_some(sites, unit.count()));
         }
@@ -158,11 +166,12 @@
             places: room.places(unit, avoid),
             spare: room.open().accelerators,
             rank: rank(unit, room),
+            cold: room.cold,
         })
         .filter(|site| site.places > 0)
         .collect();
-    // The fullest workers first: whole free ones are kept for large tasks.
-    sites.sort_by_key(|site| (site.rank, site.spare, site.room));
+    // The fullest workers first: whole free ones are kept for large tasks. Cold ones last: one slow member holds a whole gang up.
+    sites.sort_by_key(|site| (site.cold, site.rank, site.spare, site.room));
     sites
 }
 
@@ -205,6 +214,12 @@
     sites.iter().map(|site| site.spare).sum()
 }
 
+/// Whether `count` places are more than the workers have that are not cold.
+fn needs_cold(sites: &[Site], count: u64) -> bool {
+    let warm = sites.iter().filter(|site| !site.cold);
+    warm.map(|site| site.places).sum::<u64>() < count
+}
+
 fn fill_some(sites: &[Site], count: u64) -> Placement {
     let mut left = count;
     let mut placement = Vec::new();
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -139,8 +139,11 @@
             .near_rack
             .as_ref()
             .is_some_and(|near| *near != worker.info.rack);
-        // Runs that went on from a checkpoint, or away from their data, say little about the usual time.
-        if resumed || away {
+        let cold = dispatcher
+            .view(&end.worker)
+            .is_some_and(|target| at_ms < target.cold_until_ms);
+        // Runs that went on from a checkpoint, away from their data, or on a worker that had just started, say little about the usual time.
+        if resumed || away || cold {
             return;
         }
         let took_ms = now_ms.saturating_sub(at_ms);
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -74,6 +74,8 @@
     pub kept: bool,
     /// Whether something has just begun there, which may yet crash the worker.
     pub just_begun: bool,
+    /// Whether it is slow since it has just started.
+    pub cold: bool,
     /// Whether it may be given work now.
     pub usable: bool,
 }
@@ -120,6 +122,7 @@
             fill_percent: view.map_or(100, |target| target.filling.percent()),
             kept: false,
             just_begun: begun.any,
+            cold: view.is_some_and(|target| now_ms < target.cold_until_ms),
             pace_percent: speeds.percent(&worker.info.data_centre),
             usable,
         }
@@ -176,7 +179,8 @@
     /// How many more of a unit's tasks may be on this worker, whatever room it has: those already there count.
     pub fn most(&self, unit: &Unit) -> u64 {
         // Two on one worker that crashes would tell nothing of either.
-        let at_once = if unit.is_suspect() && !unit.spec.gang {
+        let suspect = unit.is_suspect() && !unit.spec.gang;
+        let at_once = if suspect || self.takes_one_by_one(unit) {
             1
         } else {
             unit.count()
@@ -188,10 +192,16 @@
             .min(at_once)
     }
 
+    /// Whether tasks of a unit begin here one after the other. A worker that has just started and is filled at once is slow for all that it got, while
+    /// others stand idle a moment later. A gang begins together or not at all, and what a guarantee covers must begin in time.
+    fn takes_one_by_one(&self, unit: &Unit) -> bool {
+        self.cold && !unit.spec.gang && !unit.entitled
+    }
+
     /// How many of a unit's tasks may be placed here now.
     pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
         let kept = self.kept && !unit.may_use_kept();
-        let unclear = unit.apart && self.just_begun;
+        let unclear = self.just_begun && (unit.apart || self.takes_one_by_one(unit));
         if !self.admits(unit) || kept || unclear || avoid.contains(&self.worker) {
             return 0;
         }
--- a/crates/bh-workload/tests/slow_runs.rs
+++ b/crates/bh-workload/tests/slow_runs.rs
@@ -143,3 +143,17 @@
     site.advance(LEFT_OUT_MS);
     assert!(uses(&site, &slow), "{slow} is left out for good");
 }
+
+/// A worker has just started and is slow for ten seconds, as it said. A task that it got meanwhile seems to take ten times as long as others; it gets
+/// faster by itself, and begun anew elsewhere its caller would wait for longer.
+#[test]
+fn a_run_on_a_cold_worker_is_not_begun_anew() {
+    let mut site = learnt_site();
+    site.submit(1, "other", vec![short()]);
+    site.plan_and_start();
+    let (worker, run) = site.open_runs()[0].clone();
+    site.dispatcher
+        .note_cold(site.now_ms, &worker, 10 * USUAL_MS);
+    site.send_starts();
+    assert_eq!(run_slowly(&mut site, run), Vec::new());
+}
