Logs tell the end of each job, and beechctl core late tells from logs which jobs were late, by cause

Cause: the profile of the shifted work needs the cause of each late request; so far they were followed by hand. A leader now writes a line for each job that ends, with the time it took and its objective by the times learnt so far (counters jobs_over, jobs_late, histogram job), and the report shares each job's time out by cause.

No decision changes.

--- a/crates/beechctl/src/commands/all.rs
+++ b/crates/beechctl/src/commands/all.rs
@@ -3,6 +3,7 @@
 use super::completion;
 use super::core_evacuate;
 use super::core_explain;
+use super::core_late;
 use super::core_status;
 use super::job_cancel;
 use super::job_list;
@@ -101,6 +102,7 @@
                 .subcommand_required(true)
                 .subcommand(core_status::command())
                 .subcommand(core_explain::command())
+                .subcommand(core_late::command())
                 .subcommand(core_evacuate::begin_command())
                 .subcommand(core_evacuate::end_command()),
         )
@@ -136,6 +138,7 @@
         ["status"] => status::run(client, output).await,
         ["core", "status"] => core_status::run(client, output).await,
         ["core", "explain"] => core_explain::run(client, output, leaf(matches)).await,
+        ["core", "late"] => core_late::run(output, leaf(matches)),
         ["core", "evacuate"] => core_evacuate::begin(client, output, leaf(matches)).await,
         ["core", "end-evacuation"] => core_evacuate::end(client, output, leaf(matches)).await,
         ["report", "burn"] => report_burn::run(client, output, leaf(matches)).await,
--- a/crates/beechctl/src/commands/mod.rs
+++ b/crates/beechctl/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod completion;
 mod core_evacuate;
 mod core_explain;
+mod core_late;
 mod core_status;
 mod job_cancel;
 mod job_list;
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod formation;
 mod heartbeats;
 mod incoming;
+mod job_ends;
 mod leader_loop;
 mod leadership;
 mod operator;
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -5,6 +5,7 @@
 use super::core_node::CoreNode;
 use super::departures::Learnt;
 use super::departures::log_departures;
+use super::job_ends::log_job_ends;
 use super::records::record;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
@@ -25,6 +26,7 @@
     };
     let workload = core.group.machine.read();
     leadership.plan_due |= news.plan;
+    log_job_ends(core, leadership, &workload, &news.ended_jobs);
     leadership.dispatcher.note_news(now_ms, &news, &workload);
     let all = now_ms >= leadership.swept_ms + SWEEP_MS;
     if all {
--- /dev/null
+++ b/crates/bh-report/src/late/mod.rs
@@ -0,0 +1,12 @@
+//! Which jobs were late, and where their time went, as the logs of entries and cores tell it.
+
+mod cause;
+mod job_log;
+mod late_report;
+mod log_line;
+
+pub use cause::Cause;
+pub use late_report::LateJob;
+pub use late_report::LateReport;
+pub use late_report::late_report;
+pub use log_line::LogLine;
--- a/crates/bh-report/src/lib.rs
+++ b/crates/bh-report/src/lib.rs
@@ -1,8 +1,10 @@
-//! The service-level report: durable counters, error-budget burn over several windows, and a picture of it.
+//! The service-level report: durable counters, error-budget burn over several windows, a picture of it, and why jobs
+//! were late.
 
 mod burn;
 mod counters;
 mod fragmentation;
+pub mod late;
 mod picture;
 
 pub use burn::BurnReport;
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -79,6 +79,11 @@
     until.into_iter().max().unwrap_or(0)
 }
 
+/// Time within which a job is on time from its acceptance, or from the time that an occurrence is due, in milliseconds.
+pub fn objective_ms(id: JobId, job: &Job, queue: &Queue, runtimes: &Runtimes) -> u64 {
+    scaled(chain_ms(id, job, runtimes), queue.slack_factor) + queue.target_latency_ms
+}
+
 /// All units that may begin at `wall_ms`, best first; `entitled` are the jobs that guarantees cover, and runs away from their rack take
 /// `remote_percent` of the usual time.
 pub fn collect(
@@ -124,7 +129,7 @@
 ) {
     let Context { id, job, queue, .. } = context;
     let own_work = work(*id, job, runtimes);
-    let chain_ms = chain_ms(*id, job, runtimes);
+    let slack_ms = objective_ms(*id, job, queue, runtimes);
     for occurrence in 0..job.spec.occurrences() {
         let due_ms = job.spec.due_ms(occurrence);
         if due_ms.is_some_and(|due_ms| wall_ms < due_ms) {
@@ -132,7 +137,6 @@
             break;
         }
         let ready_ms = due_ms.unwrap_or(job.accepted_ms);
-        let slack_ms = scaled(chain_ms, queue.slack_factor) + queue.target_latency_ms;
         for (index, spec) in job.spec.steps.iter().enumerate() {
             let step = step_at(*id, occurrence, index);
             let Some(progress) = job.step(step) else {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Question;
 use crate::dispatch::StartPhase;
+use crate::job::JobId;
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::job::TaskId;
@@ -176,6 +177,13 @@
         overdue
     }
 
+    /// Time within which a job is on time, in milliseconds, by the run times learnt so far; `None` when it is not known.
+    pub fn objective_ms(&self, workload: &Workload, id: JobId) -> Option<u64> {
+        let job = workload.job(id)?;
+        let queue = workload.queue_of(job);
+        Some(collect::objective_ms(id, job, queue, &self.runtimes))
+    }
+
     /// What shall happen at `now_ms` of the leader's clock and `wall_ms` since 1970.
     pub fn plan(
         &mut self,
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -140,6 +140,7 @@
         job.outcome = Some(outcome);
         job.ended_ms = now_ms;
         self.active.remove(&id);
+        self.news.ended_jobs.insert(id);
         let holders = self
             .workers
             .iter()
--- a/crates/bh-workload/src/state/news.rs
+++ b/crates/bh-workload/src/state/news.rs
@@ -1,5 +1,6 @@
 //! What has changed in the record since somebody last looked.
 
+use crate::job::JobId;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -8,6 +9,8 @@
 pub struct News {
     /// Workers whose runs or state changed.
     pub workers: BTreeSet<Arc<str>>,
+    /// Jobs that ended.
+    pub ended_jobs: BTreeSet<JobId>,
     /// Whether work may wait that did not before, or room has become free.
     pub plan: bool,
 }
