A gang whose missing members are on one silent worker begins anew at once

Change: a member ends as broken only when another has ended. Where all ended so but those on one worker that does not answer, and that had confirmed them, these are over: they are recorded as lost at once. Should that worker come back within its lease and say that they failed, the failure is counted (late_failures, a field that older cores pass over), or a job that fails whenever it runs would get a try too many.

--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -143,11 +143,34 @@
         worker.runs.contains_key(run) || report.running.iter().any(|r| r.run == *run)
     });
     let newest = report.ended.last().map_or(0, |ended| ended.number);
+    let late_failures = late_failures(target, report);
     if ends.is_empty() {
         return None;
     }
     target.recording_to = Some(newest);
-    ends_command(ends)
+    Some(Command::Ends {
+        ends,
+        now_ms: 0,
+        crash: None,
+        late_failures,
+    })
+}
+
+/// Listed failures of runs that had been taken to be over. They count like any other: a gang that fails whenever it runs would be begun once too often.
+/// But those whose lease has run out since count as lost with it, for the worker too.
+fn late_failures(target: &mut Target, report: &Report) -> Vec<RunId> {
+    let unsaid = std::mem::take(&mut target.unsaid);
+    let in_lease = target
+        .clock
+        .is_some_and(|clock| clock.worker_ms <= target.granted_ms);
+    if !in_lease {
+        return Vec::new();
+    }
+    let failed = report
+        .ended
+        .iter()
+        .filter(|ended| ended.kind == EndKind::Failed && unsaid.contains(&ended.run));
+    failed.map(|ended| ended.run).collect()
 }
 
 /// Runs that the worker neither runs nor lists as ended though it must: it had confirmed the start, or a stop, before it was looked at.
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Brings recorded runs about: the leader's orders to workers, and what their answers mean.
 
 use super::Answer;
+use super::BrokenGangs;
 use super::Denial;
 use super::FillPace;
 use super::Order;
@@ -53,6 +54,8 @@
     pub permissions: Permissions,
     /// Workers whose VMs' upkeep is next.
     emptied: BTreeSet<Arc<str>>,
+    /// Gangs of which members ended because others did.
+    broken: BrokenGangs,
     /// Workers that ended lately: a heartbeat of theirs that was held up must not bring them back.
     departed: BTreeSet<Arc<str>>,
 }
@@ -86,6 +89,7 @@
             worker: id.clone(),
             suspects,
         }),
+        late_failures: Vec::new(),
     }
 }
 
@@ -104,6 +108,7 @@
             look_wait_ms: look_wait_ms(workload.worker_count()),
             permissions: Permissions::default(),
             emptied: BTreeSet::new(),
+            broken: BrokenGangs::default(),
             departed: BTreeSet::new(),
         };
         for worker in workload.workers() {
@@ -181,6 +186,13 @@
         }
     }
 
+    /// Notes that a worker that is leaving said at `heard_ms` that it still runs for `leaves_in_ms` at least.
+    pub fn note_leaving(&mut self, heard_ms: u64, worker: &Arc<str>, leaves_in_ms: u64) {
+        if let Some(target) = self.targets.get_mut(worker) {
+            target.leaves_ms = Some(heard_ms + leaves_in_ms);
+        }
+    }
+
     /// Whether a worker is known to answer, as [`Target::answers`].
     pub fn answers(&self, worker: &str) -> bool {
         self.view(worker).is_some_and(Target::answers)
@@ -280,6 +292,7 @@
                 .values()
                 .filter(|target| !target.runs.is_empty());
             self.look_wait_ms = look_wait_ms(busy.count());
+            self.broken.forget_ended(workload);
             self.due.clear();
             self.targets.keys().cloned().collect()
         } else {
@@ -301,6 +314,7 @@
                 token: self.token,
                 workload,
                 permissions: &self.permissions,
+                broken: &self.broken,
                 worker,
                 orders: &mut orders,
                 ends: &mut ends,
@@ -378,6 +392,9 @@
                         target.next_look_ms = now_ms;
                         target.reported_ms = now_ms;
                         let worker = workload.worker(id)?;
+                        for ended in &report.ended {
+                            self.broken.note(ended.run, ended.kind);
+                        }
                         note_report(now_ms, order, target, (workload, worker), report)
                     }
                     // Another core can carry the next one.
--- a/crates/bh-workload/src/dispatch/mod.rs
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's orders to workers.
 
 mod answers;
+mod broken_gangs;
 mod crash;
 mod dispatcher;
 mod fill_pace;
@@ -13,6 +14,7 @@
 mod timing;
 mod worker_turn;
 
+pub use broken_gangs::BrokenGangs;
 pub use crash::apart_ms;
 pub use dispatcher::Dispatcher;
 pub use fill_pace::FillPace;
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -8,6 +8,7 @@
 use crate::job::JobId;
 use crate::job::RunId;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// Reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +39,8 @@
     pub said_ms: Option<u64>,
     /// Until when it is slow after its start, on the leader's clock in milliseconds, as it last said.
     pub cold_until_ms: u64,
+    /// Until when it surely runs while it is leaving, on the leader's clock in milliseconds, as it last said.
+    pub leaves_ms: Option<u64>,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
     /// Whether the first of them ended sooner than its time: its connection was broken off, as a process that ends does.
@@ -64,6 +67,8 @@
     pub runs: BTreeMap<RunId, RunWatch>,
     /// Runs given up because its lease had run out unseen, until it is heard again: whether it has crashed shows later, if at all.
     pub lapsed: BTreeMap<RunId, RunWatch>,
+    /// Runs of gangs taken to be over though the worker had not said so and its lease had not run out: it may still say that they failed.
+    pub unsaid: BTreeSet<RunId>,
     /// Looks that shall tell whether it has crashed, since another worker says that it is reached at the same address.
     pub checks_left: u32,
     /// When it was last found to be gone, on the leader's clock in milliseconds.
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -1,5 +1,6 @@
 //! What one worker needs now: starts, stops, a look.
 
+use super::BrokenGangs;
 use super::Order;
 use super::OrderBody;
 use super::Permissions;
@@ -13,10 +14,12 @@
 use super::pacing::SHARED_LOOK_MS;
 use crate::job::Needs;
 use crate::job::RunId;
+use crate::job::StepId;
 use crate::state::End;
 use crate::state::EndKind;
 use crate::state::Worker;
 use crate::state::Workload;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 /// Shortest wait of a look in milliseconds, where few workers have runs. A worker that is cut off is found silent when its look is not answered,
@@ -47,6 +50,7 @@
     pub token: u64,
     pub workload: &'a Workload,
     pub permissions: &'a Permissions,
+    pub broken: &'a BrokenGangs,
     pub worker: &'a Worker,
     pub orders: &'a mut Vec<Order>,
     pub ends: &'a mut Vec<End>,
@@ -57,6 +61,8 @@
     pub fn serve(&mut self, target: &mut Target) {
         if target.is_failing() && self.now_ms >= target.lapse_ms {
             self.give_up_lapsed(target);
+        } else if target.is_failing() {
+            self.give_up_broken(target);
         }
         let too_much = self.too_much(target);
         let evacuated = self.workload.is_evacuated(&self.worker.info);
@@ -85,21 +91,57 @@
 
     /// The lease has surely run out: whatever ran there has been ended by the worker itself.
     fn give_up_lapsed(&mut self, target: &mut Target) {
-        for (run, watch) in &mut target.runs {
-            if watch.settled || !self.worker.runs.contains_key(run) {
-                continue;
+        let runs: Vec<RunId> = target.runs.keys().copied().collect();
+        for run in runs {
+            self.give_up(target, run);
+        }
+    }
+
+    /// Gangs that are known to be over here, though the worker does not answer: without this their callers would wait for its lease. Only runs that it
+    /// had confirmed count: an order for another may still be on its way, and begin it after the gang has begun anew elsewhere.
+    fn give_up_broken(&mut self, target: &mut Target) {
+        let mut gangs: BTreeMap<(StepId, u32), Vec<RunId>> = BTreeMap::new();
+        for run in self.worker.runs.keys() {
+            let is_gang = self
+                .workload
+                .step_spec(run.task.step)
+                .is_some_and(|spec| spec.gang);
+            if is_gang {
+                let members = gangs.entry((run.task.step, run.attempt)).or_default();
+                members.push(*run);
+            }
+        }
+        for members in gangs.into_values() {
+            let confirmed = members
+                .iter()
+                .all(|run| target.runs.get(run).is_some_and(RunWatch::is_confirmed));
+            if confirmed && self.broken.are_over(&members, self.workload) {
+                for run in members {
+                    self.give_up(target, run);
+                    target.unsaid.insert(run);
+                }
             }
-            watch.settled = true;
-            target.lapsed.insert(*run, watch.clone());
-            self.ends.push(End {
-                run: *run,
-                worker: self.worker.info.id.clone(),
-                kind: EndKind::Lost,
-                checkpoint: watch.checkpoint.clone(),
-            });
         }
     }
 
+    /// A run is over though the worker has not said so.
+    fn give_up(&mut self, target: &mut Target, run: RunId) {
+        let Some(watch) = target.runs.get_mut(&run).filter(|watch| !watch.settled) else {
+            return;
+        };
+        if !self.worker.runs.contains_key(&run) {
+            return;
+        }
+        watch.settled = true;
+        target.lapsed.insert(run, watch.clone());
+        self.ends.push(End {
+            run,
+            worker: self.worker.info.id.clone(),
+            kind: EndKind::Lost,
+            checkpoint: watch.checkpoint.clone(),
+        });
+    }
+
     fn order(&mut self, body: OrderBody) {
         self.orders.push(Order {
             to: Recipient {
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -37,8 +37,12 @@
                 ends,
                 now_ms,
                 crash,
+                late_failures,
             } => {
                 self.end_all(ends, now_ms, crash);
+                for run in late_failures {
+                    self.count_late_failure(run, now_ms);
+                }
                 Reply::Done
             }
             Command::StartWave { spec, now_ms } => {
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -47,6 +47,9 @@
         /// The crash that ended them, if one did. A core of an older version, which does not know it, still ends the runs.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         crash: Option<Crash>,
+        /// Runs of gangs that were recorded as lost and turn out to have failed. A core of an older version counts them as nobody's fault.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        late_failures: Vec<RunId>,
     },
     /// An operator orders a wave of upkeep.
     StartWave {
@@ -91,6 +94,7 @@
             ends,
             now_ms: 0,
             crash: None,
+            late_failures: Vec::new(),
         }
     }
 
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -6,6 +6,7 @@
 use super::Outcome;
 use super::TaskState;
 use super::Workload;
+use crate::job::RunId;
 use crate::job::StepId;
 
 impl Workload {
@@ -48,6 +49,31 @@
         }
     }
 
+    /// Counts the failure of a gang member that was recorded as lost, once for each attempt of the gang.
+    pub(super) fn count_late_failure(&mut self, run: RunId, now_ms: u64) {
+        let id = run.task.step.job;
+        let Some(most) = self.jobs.get(&id).map(|job| self.max_attempts(job)) else {
+            return;
+        };
+        let step = self
+            .jobs
+            .get_mut(&id)
+            .and_then(|job| job.step_mut(run.task.step));
+        let Some(step) = step.filter(|step| !step.is_done()) else {
+            return;
+        };
+        let known = [step.failed_attempt, step.late_failed_attempt];
+        if known.contains(&run.attempt) {
+            return;
+        }
+        step.late_failed_attempt = run.attempt;
+        step.failures += 1;
+        if step.failures >= most {
+            let step = run.task.step;
+            self.give_up(id, GiveUp::Failures { step }, now_ms);
+        }
+    }
+
     /// The rest of a gang whose member ended must be looked after on the workers that hold it.
     fn note_holders(&mut self, step: StepId) {
         let holders = self
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -58,6 +58,9 @@
     pub failures: u32,
     /// The last attempt of the gang that failed; several members of one attempt may fail.
     pub failed_attempt: u32,
+    /// The last attempt of the gang whose failure was heard after it had been recorded as lost.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub late_failed_attempt: u32,
 }
 
 impl Step {
--- /dev/null
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -0,0 +1,201 @@
+//! Gangs of which a worker is lost: the others say that the gang is broken, and nothing is heard of the lost one.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+mod support;
+
+use Says::Nothing;
+use Says::Runs;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Ended;
+use bh_workload::dispatch::Report;
+use bh_workload::job::JobId;
+use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::Outcome;
+use bh_workload::state::WorkerChange;
+use std::sync::Arc;
+use support::Site;
+use support::step;
+
+/// Beyond it, a slow clock included.
+const LAPSED_MS: u64 = 12_000;
+
+/// A gang of three members at work on three workers of six.
+fn gang_at_work() -> (Site, JobId, Vec<(Arc<str>, RunId)>) {
+    let mut site = Site::new(6, 3);
+    site.advance(60_000);
+    let spec = StepSpec {
+        gang: true,
+        ..step(3, 8)
+    };
+    let job = site.submit(1, "other", vec![spec]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(100);
+    let runs = site.open_runs();
+    assert_eq!(runs.len(), 3);
+    (site, job, runs)
+}
+
+/// What a worker says of its run when it is asked.
+#[derive(Clone, Copy)]
+enum Says {
+    Nothing,
+    Ended(EndKind),
+    Runs,
+}
+
+const BROKEN: Says = Says::Ended(EndKind::Broken);
+const FAILED: Says = Says::Ended(EndKind::Failed);
+
+/// All workers are asked, and those of `runs` answer so, in their order.
+fn asked(site: &mut Site, runs: &[(Arc<str>, RunId)], says: &[Says]) {
+    /// Time after which every worker is asked again, in milliseconds.
+    const AGAIN_MS: u64 = 400;
+    site.advance(AGAIN_MS);
+    let mut commands = Vec::new();
+    for order in site.orders() {
+        let known = runs.iter().zip(says);
+        let own = known.filter(|((worker, _), _)| *worker == order.to.worker);
+        let said = own.map(|((_, run), says)| (*run, *says)).next();
+        let answer = match said {
+            Some((_, Nothing)) => Answer::Lost,
+            Some((run, Says::Ended(kind))) => ended(site, run, kind),
+            Some((_, Runs)) | None => site.looked(&order.to.worker, &[]),
+        };
+        let command = site
+            .dispatcher
+            .note_answer(site.now_ms, &order, &answer, &site.workload);
+        commands.extend(command.map(|command| (order.to.worker, command)));
+    }
+    for (worker, command) in commands {
+        let now_ms = site.wall_ms();
+        site.workload.apply(command.at(now_ms));
+        site.dispatcher.note_recorded(&worker, true);
+    }
+    site.take_news();
+}
+
+fn ended(site: &Site, run: RunId, kind: EndKind) -> Answer {
+    let ended = Ended {
+        number: run.attempt.into(),
+        run,
+        kind,
+        checkpoint: None,
+    };
+    Answer::Done {
+        clock_ms: Some(site.now_ms),
+        report: Some(Report {
+            ended: vec![ended],
+            ..Report::default()
+        }),
+    }
+}
+
+/// Whether the gang begins anew when all workers have been asked twice, far below a lease.
+fn begins_anew(site: &mut Site, runs: &[(Arc<str>, RunId)], says: &[Says]) -> bool {
+    asked(site, runs, says);
+    asked(site, runs, says);
+    site.plan_and_start().starts.len() == 3
+}
+
+/// One worker is lost without a word, and the two others say at once that the gang is broken. So a member on the lost one has ended, and all that it had of the
+/// gang; the gang begins anew at once, not when the lease of the lost worker is over five seconds later.
+#[test]
+fn a_gang_that_lost_one_worker_begins_anew_at_once() {
+    let (mut site, _, runs) = gang_at_work();
+    let says = [Nothing, BROKEN, BROKEN];
+    assert!(begins_anew(&mut site, &runs, &says));
+}
+
+/// A worker that answers is not lost: it lists its own end a moment later, and if that is the failure that broke the gang, it counts.
+#[test]
+fn a_worker_that_answers_is_waited_for() {
+    let (mut site, job, runs) = gang_at_work();
+    let says = [Runs, BROKEN, BROKEN];
+    assert!(!begins_anew(&mut site, &runs, &says));
+    asked(&mut site, &runs, &[FAILED, BROKEN, BROKEN]);
+    assert_eq!(site.workload.job(job).unwrap().steps[0].failures, 1);
+}
+
+/// Two workers are lost, and one says that the gang is broken: a member on one of the two has ended, but nobody knows on which. The other may run on behind a
+/// cut, so the gang waits until the leases of both are over.
+#[test]
+fn with_two_workers_lost_the_gang_waits_for_their_leases() {
+    let (mut site, _, runs) = gang_at_work();
+    let says = [Nothing, Nothing, BROKEN];
+    assert!(!begins_anew(&mut site, &runs, &says));
+    site.now_ms += LAPSED_MS;
+    assert!(begins_anew(&mut site, &runs, &says));
+}
+
+/// A member leaves with its worker, which breaks the gang; another worker is cut off and runs on. Its member has not ended for all anyone knows.
+#[test]
+fn a_member_that_left_may_be_what_broke_the_gang() {
+    let (mut site, _, runs) = gang_at_work();
+    let gone = WorkerChange::Gone(runs[0].0.clone());
+    site.workload.apply(Command::Workers(vec![gone]));
+    site.take_news();
+    let says = [Nothing, Nothing, BROKEN];
+    assert!(!begins_anew(&mut site, &runs, &says));
+}
+
+/// The start of a member had no answer, so that it may still be on its way: it would begin beside the new run of its task.
+#[test]
+fn a_member_that_may_still_begin_is_waited_for() {
+    let mut site = Site::new(6, 3);
+    site.advance(60_000);
+    let spec = StepSpec {
+        gang: true,
+        ..step(3, 8)
+    };
+    site.submit(1, "other", vec![spec]);
+    site.plan_and_start();
+    let runs = site.open_runs();
+    for order in site.orders() {
+        let answer = if order.to.worker == runs[0].0 {
+            Answer::Lost
+        } else {
+            site.done()
+        };
+        site.dispatcher
+            .note_answer(site.now_ms, &order, &answer, &site.workload);
+    }
+    let says = [Nothing, BROKEN, BROKEN];
+    assert!(!begins_anew(&mut site, &runs, &says));
+}
+
+/// The lost worker was only cut off, and what broke the gang was a failure there. It is heard while the gang runs anew, and counts: a gang that fails whenever it
+/// runs would be begun once more than its queue allows.
+#[test]
+fn a_failure_that_is_heard_late_counts() {
+    let (mut site, job, runs) = gang_at_work();
+    let says = [Nothing, BROKEN, BROKEN];
+    assert!(begins_anew(&mut site, &runs, &says));
+    site.send_starts();
+    asked(&mut site, &runs[..1], &[FAILED]);
+    assert_eq!(site.workload.job(job).unwrap().steps[0].failures, 1);
+
+    let again = site.open_runs();
+    asked(&mut site, &again[..1], &[FAILED]);
+    let job = site.workload.job(job).unwrap();
+    assert_eq!(job.outcome, Some(Outcome::Failed));
+}
+
+/// The same, but the lease of the worker had run out before it was heard: then its ends stand for nothing, as everywhere.
+#[test]
+fn a_failure_that_is_heard_after_the_lease_does_not_count() {
+    let (mut site, job, runs) = gang_at_work();
+    let says = [Nothing, BROKEN, BROKEN];
+    assert!(begins_anew(&mut site, &runs, &says));
+    site.send_starts();
+    site.now_ms += LAPSED_MS;
+    site.heartbeats();
+    asked(&mut site, &runs[..1], &[FAILED]);
+    assert_eq!(site.workload.job(job).unwrap().steps[0].failures, 0);
+}
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -284,6 +284,7 @@
             worker: worker.clone(),
             suspects,
         }),
+        late_failures: Vec::new(),
     };
     site.crash(&worker);
     site.workload.apply(again);
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -339,6 +339,18 @@
         }
     }
 
+    /// A worker that is looked at reports that this much of a run is done, in percent.
+    pub fn report_percent(&mut self, worker: &Arc<str>, run: RunId, percent: u64) {
+        let mut report = self.report_of(worker);
+        let own = report.running.iter_mut().find(|running| running.run == run);
+        own.unwrap().percent = percent;
+        let answer = Answer::Done {
+            clock_ms: Some(self.now_ms),
+            report: Some(report),
+        };
+        self.answer_for(worker, &answer);
+    }
+
     fn report_of(&self, worker: &str) -> Report {
         let worker = self.workload.worker(worker);
         let runs = worker.into_iter().flat_map(|worker| worker.runs.keys());
@@ -355,7 +367,7 @@
     }
 
     /// What a worker is asked now gets `answer`; what follows from it is recorded.
-    fn answer_for(&mut self, worker: &Arc<str>, answer: &Answer) {
+    pub fn answer_for(&mut self, worker: &Arc<str>, answer: &Answer) {
         /// Time after which a worker that was looked at is looked at again, in milliseconds.
         const NEXT_LOOK_MS: u64 = 400;
         let mut orders = self.dispatcher.orders(self.now_ms, &self.workload, true).0;
