Gangs are stopped on workers that leave before they can end, where that decides whether their callers are served in time

Cause: workers that are taken away at short notice say so a second or two before, and went unread but for 'no new work'.

Change: the time that a leaving worker still runs is kept with its heartbeats. A gang that cannot be done by then, at its own pace or by its usual time, is stopped at once if it would be in time anew now and not after the worker's lease. Others go on, since the worker may stay for longer.

Tests: leaving_workers.rs. The late report knows the cause.

--- a/crates/bh-control/src/calls/call.rs
+++ b/crates/bh-control/src/calls/call.rs
@@ -73,4 +73,7 @@
     /// How much longer it is slow after its start, in milliseconds.
     #[serde(default)]
     pub cold_ms: u64,
+    /// Shortest time for which it still runs while it is leaving, in milliseconds, if it says so.
+    #[serde(default)]
+    pub leaves_in_ms: Option<u64>,
 }
--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -64,9 +64,11 @@
         .dispatcher
         .note_heartbeat(sign.heard_ms, worker, sign.clock_ms);
     if alive && !held_up {
-        leadership
-            .dispatcher
-            .note_cold(sign.heard_ms, worker, sign.cold_ms);
+        let dispatcher = &mut leadership.dispatcher;
+        dispatcher.note_cold(sign.heard_ms, worker, sign.cold_ms);
+        if let Some(leaves_in_ms) = sign.leaves_in_ms {
+            dispatcher.note_leaving(sign.heard_ms, worker, leaves_in_ms);
+        }
     }
     leadership.plan_due |= !answered && leadership.dispatcher.answers(worker);
     Some(alive && !held_up)
@@ -128,6 +130,8 @@
     heard_ms: u64,
     /// How much longer the worker was slow then, in milliseconds.
     cold_ms: u64,
+    /// Shortest time for which it still ran then, in milliseconds, if it is leaving.
+    leaves_in_ms: Option<u64>,
 }
 
 impl Sign {
@@ -138,6 +142,7 @@
             sequence: heartbeat.sequence,
             heard_ms,
             cold_ms: heartbeat.cold_ms,
+            leaves_in_ms: heartbeat.leaves_in_ms,
         }
     }
 }
@@ -157,6 +162,7 @@
             sequence: sign.sequence,
             age_ms: now_ms.saturating_sub(sign.heard_ms),
             cold_ms: sign.cold_ms,
+            leaves_in_ms: sign.leaves_in_ms,
         });
         let body = SignsOfLife {
             signs: signs.collect(),
@@ -187,6 +193,7 @@
                 sequence: told.sequence,
                 heard_ms: now_ms.saturating_sub(told.age_ms),
                 cold_ms: told.cold_ms,
+                leaves_in_ms: told.leaves_in_ms,
             };
             // The next one of a core that no longer leads goes to another.
             let _ = note(core, &worker, &sign);
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -9,6 +9,7 @@
 use bh_workload::state::Reply;
 use bh_workload::state::Start;
 use bh_workload::state::Task;
+use bh_workload::state::Workload;
 use std::rc::Rc;
 
 /// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
@@ -33,6 +34,7 @@
     leadership.plan_due = false;
     leadership.planned_ms = now_ms;
     let workload = core.group.machine.read();
+    stop_cut_short(core, leadership, now_ms, &workload);
     let planner = &mut leadership.planner;
     let Plan {
         starts,
@@ -90,6 +92,19 @@
     });
 }
 
+/// Stops what cannot end on workers that leave.
+fn stop_cut_short(core: &CoreNode, leadership: &mut Leadership, now_ms: u64, workload: &Workload) {
+    let cut_short =
+        leadership
+            .planner
+            .cut_short((now_ms, core.wall_ms()), workload, &leadership.dispatcher);
+    for (worker, run) in cut_short {
+        core.metrics.count("runs_cut_short", 1);
+        log::info!(run = run.to_string(), worker = &*worker; "stopped since its worker leaves before it can end");
+        leadership.dispatcher.give_up(&worker, run);
+    }
+}
+
 /// One line for each start, with what decided it and how old that was: how long the job has waited, the rules, and when the worker was last heard.
 fn log_starts(core: &Rc<CoreNode>, leadership: &Leadership, now_ms: u64, starts: &[Start]) {
     let workload = core.group.machine.read();
--- a/crates/bh-control/tests/unheard.rs
+++ b/crates/bh-control/tests/unheard.rs
@@ -39,6 +39,7 @@
         clock_ms: Some(5_000),
         sequence: 7,
         cold_ms: 0,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/bh-protocol/src/wire/carry.rs
+++ b/crates/bh-protocol/src/wire/carry.rs
@@ -84,6 +84,9 @@
     /// How much longer the worker is slow after its start, in milliseconds, when it came.
     #[prost(uint64, tag = "5")]
     pub cold_ms: u64,
+    /// Shortest time for which the worker still ran when it came, in milliseconds, if it is leaving.
+    #[prost(uint64, optional, tag = "6")]
+    pub leaves_in_ms: Option<u64>,
 }
 
 /// Heartbeats that came to one core within a moment.
--- a/crates/bh-report/src/late/cause.rs
+++ b/crates/bh-report/src/late/cause.rs
@@ -21,6 +21,8 @@
     Displaced,
     /// A try ended with a worker that was lost, or with its lease.
     WorkerLost,
+    /// A try was stopped because its worker left before it could end.
+    WorkerLeft,
     /// A try was begun anew, because it stood still or was slow.
     BegunAnew,
     /// A try failed, by its own fault or the worker's.
@@ -35,7 +37,7 @@
 
 impl Cause {
     /// All causes, in the order in which they are told.
-    pub const ALL: [Cause; 12] = [
+    pub const ALL: [Cause; 13] = [
         Cause::HandedInLate,
         Cause::NoLeader,
         Cause::RoomMadeInVain,
@@ -43,6 +45,7 @@
         Cause::WaitedForRoom,
         Cause::Displaced,
         Cause::WorkerLost,
+        Cause::WorkerLeft,
         Cause::BegunAnew,
         Cause::Failed,
         Cause::NotStarted,
@@ -60,6 +63,7 @@
             Cause::WaitedForRoom => "waited for room",
             Cause::Displaced => "stopped to make room",
             Cause::WorkerLost => "a worker was lost",
+            Cause::WorkerLeft => "its worker left",
             Cause::BegunAnew => "begun anew: still or slow",
             Cause::Failed => "a try failed",
             Cause::NotStarted => "a try did not start",
--- a/crates/bh-report/src/late/job_log.rs
+++ b/crates/bh-report/src/late/job_log.rs
@@ -60,6 +60,9 @@
             "run over" => self.note_end(line),
             "run lost with its worker" => self.lose(line, Cause::WorkerLost),
             "stopped to make room for guaranteed work" => self.lose(line, Cause::Displaced),
+            "stopped since its worker leaves before it can end" => {
+                self.lose(line, Cause::WorkerLeft);
+            }
             "run begun anew elsewhere" => self.lose(line, Cause::BegunAnew),
             "room is made" => self.claims.push((line.at_ms, None)),
             "room is no longer made" => {
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -192,7 +192,7 @@
     whole(scaled)
 }
 
-fn lateness_value(end_ms: u64, ready_ms: u64, slack_ms: u64) -> f64 {
+pub(super) fn lateness_value(end_ms: u64, ready_ms: u64, slack_ms: u64) -> f64 {
     if end_ms <= ready_ms + slack_ms {
         1.0
     } else if end_ms <= ready_ms + slack_ms * LATE_FACTOR {
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -7,6 +7,7 @@
 mod evict;
 mod explain;
 mod keep_room;
+mod leaving;
 mod overdue;
 mod pass;
 mod place;
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -9,6 +9,7 @@
 use super::claim::Claim;
 use super::collect;
 use super::entitled_jobs;
+use super::leaving;
 use super::overdue::overdue;
 use super::pass::Pass;
 use super::reserve::Reserve;
@@ -177,6 +178,16 @@
         overdue
     }
 
+    /// Runs to stop because their workers leave before they can end, at a time of the leader's clock and of the wall clock, both in milliseconds.
+    pub fn cut_short(
+        &self,
+        times: (u64, u64),
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+    ) -> BTreeSet<(Arc<str>, RunId)> {
+        leaving::cut_short(times, workload, dispatcher, &self.runtimes)
+    }
+
     /// Time within which a job is on time, in milliseconds, by the run times learnt so far; `None` when it is not known.
     pub fn objective_ms(&self, workload: &Workload, id: JobId) -> Option<u64> {
         let job = workload.job(id)?;
--- /dev/null
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -0,0 +1,129 @@
+//! Spot loss among gangs: workers say that they leave in a second or two, and go without another word.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+mod support;
+
+use bh_workload::dispatch::OrderBody;
+use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::WorkerChange;
+use rstest::rstest;
+use std::sync::Arc;
+use support::Site;
+use support::step;
+
+/// What a task of [`step`] is declared to take, in milliseconds.
+const DECLARED_MS: u64 = 5_000;
+
+fn gang() -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(2, 8)
+    }
+}
+
+/// A site on which a step runs on two workers of four; one of the two says that it leaves in `leaves_in_ms`.
+fn with_notice(spec: StepSpec, leaves_in_ms: u64) -> (Site, Arc<str>, RunId) {
+    let mut site = Site::new(4, 2);
+    site.advance(60_000);
+    site.submit(0, "guaranteed", vec![spec]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(100);
+    let (worker, run) = site.open_runs()[0].clone();
+    site.dispatcher
+        .note_leaving(site.now_ms, &worker, leaves_in_ms);
+    let leaves = WorkerChange::Draining(worker.clone());
+    site.workload.apply(Command::Workers(vec![leaves]));
+    site.take_news();
+    (site, worker, run)
+}
+
+fn cut_short(site: &Site) -> Vec<(Arc<str>, RunId)> {
+    let cut_short = site.planner.cut_short(
+        (site.now_ms, site.wall_ms()),
+        &site.workload,
+        &site.dispatcher,
+    );
+    cut_short.into_iter().collect()
+}
+
+/// A gang has five seconds left, and one of its workers leaves in two. Left to run, it would break then, and begin anew only after the lease of the
+/// member that was lost, five seconds later. It is stopped now and begins elsewhere.
+#[test]
+fn a_gang_that_cannot_end_in_time_begins_elsewhere_at_once() {
+    let (mut site, worker, run) = with_notice(gang(), 2_000);
+    let cut = cut_short(&site);
+    assert_eq!(cut, [(worker.clone(), run)]);
+    site.dispatcher.give_up(&worker, run);
+    assert!(cut_short(&site).is_empty(), "once");
+    let orders = site.orders();
+    let stops = |order: &bh_workload::dispatch::Order| order.body == OrderBody::Stop { run };
+    assert!(orders.iter().any(stops));
+    for (_, run) in site.open_runs() {
+        site.end(run, EndKind::Stopped);
+    }
+    let plan = site.plan_and_start();
+    assert_eq!(plan.starts.len(), 2);
+    assert!(plan.starts.iter().all(|start| start.worker != worker));
+}
+
+/// A gang that is expected to be done in time goes on, by its usual time or by the progress that it has reported.
+#[rstest]
+#[case::usual_time(DECLARED_MS + 1_000, None, 0)]
+#[case::fast(2_000, Some(60), 0)]
+#[case::slow(DECLARED_MS + 1_000, Some(10), 1)]
+fn a_gang_that_can_end_in_time_goes_on(
+    #[case] leaves_in_ms: u64,
+    #[case] percent: Option<u64>,
+    #[case] cut: usize,
+) {
+    let (mut site, worker, run) = with_notice(gang(), leaves_in_ms);
+    if let Some(percent) = percent {
+        site.advance(900);
+        site.report_percent(&worker, run, percent);
+    }
+    assert_eq!(cut_short(&site).len(), cut);
+}
+
+/// A gang that would be in time even if it lost its worker and waited for the lease goes on: the worker may stay for longer than it must. So does one
+/// that is too late for its callers either way.
+#[rstest]
+#[case::time_to_spare(0)]
+#[case::too_late(100_000)]
+fn a_gang_goes_on_where_it_makes_no_difference(#[case] waited_ms: u64) {
+    let (mut site, _, _) = with_notice(gang(), 500);
+    site.now_ms += waited_ms;
+    assert!(cut_short(&site).is_empty());
+}
+
+/// A single task goes on: nobody else waits for it, and the worker may stay for longer than it must.
+#[test]
+fn a_single_task_goes_on() {
+    let (site, _, _) = with_notice(step(2, 8), 2_000);
+    assert!(cut_short(&site).is_empty());
+}
+
+/// A worker that does not answer cannot be told to stop anything, and one that did not say when it leaves may stay for long.
+#[test]
+fn without_an_answer_or_a_time_nothing_is_stopped() {
+    let (mut site, worker, _) = with_notice(gang(), 2_000);
+    site.fall_silent(&worker);
+    assert!(cut_short(&site).is_empty());
+
+    let mut site = Site::new(4, 2);
+    site.advance(60_000);
+    site.submit(0, "guaranteed", vec![gang()]);
+    site.plan_and_start();
+    site.send_starts();
+    let worker = site.open_runs()[0].0.clone();
+    let leaves = WorkerChange::Draining(worker);
+    site.workload.apply(Command::Workers(vec![leaves]));
+    site.take_news();
+    assert!(cut_short(&site).is_empty());
+}
