--- a/crates/bh-report/src/late/job_log.rs
+++ b/crates/bh-report/src/late/job_log.rs
@@ -34,6 +34,25 @@
     pub priority: u64,
     pub took_ms: u64,
     pub objective_ms: u64,
+    /// Part of the objective that grows with the work, as a multiple of it.
+    slack_factor: f64,
+    /// Fixed part of the objective in milliseconds.
+    target_ms: u64,
+}
+
+impl JobOver {
+    /// Time within which the job was on time, in milliseconds, given that the tries that counted took `work_ms`. The leader expects it by the usual time
+    /// of the job's kind; a job that simply is longer has more time.
+    pub fn objective_ms(&self, work_ms: u64) -> u64 {
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "times here are far below 2^53 ms"
+        )]
+        let grown_ms = (work_ms as f64 * self.slack_factor) as u64;
+        self.objective_ms.max(grown_ms + self.target_ms)
+    }
 }
 
 /// The step and the number of a run's name, `JOB.OCCURRENCE.STEP.INDEX#NUMBER`.
@@ -172,5 +191,11 @@
         priority: line.number("priority")?,
         took_ms: line.number("took_ms")?,
         objective_ms: line.number("objective_ms")?,
+        slack_factor: line
+            .fields
+            .get("slack_factor")
+            .and_then(|factor| factor.parse().ok())
+            .unwrap_or(0.0),
+        target_ms: line.number("target_ms").unwrap_or(0),
     })
 }
--- a/crates/bh-report/src/late/late_report.rs
+++ b/crates/bh-report/src/late/late_report.rs
@@ -74,27 +74,29 @@
             continue;
         };
         *report.ended.entry(over.priority).or_default() += 1;
-        if over.took_ms > over.objective_ms * times {
-            report.late.push(late_job(name, &log, over, &elections));
+        let parts = log.parts(over, &elections);
+        let work_ms = parts.get(&Cause::RanLong).copied().unwrap_or(0);
+        let objective_ms = over.objective_ms(work_ms);
+        if over.took_ms > objective_ms * times {
+            report.late.push(late_job(name, over, objective_ms, parts));
         }
     }
     report
 }
 
-fn late_job(name: &str, log: &JobLog, over: &JobOver, elections: &[(u64, u64)]) -> LateJob {
-    let parts = log.parts(over, elections);
+fn late_job(name: &str, over: &JobOver, objective_ms: u64, parts: BTreeMap<Cause, u64>) -> LateJob {
     let beside = parts
         .iter()
         .filter(|(cause, _)| **cause != Cause::RanLong)
         .max_by_key(|(_, ms)| **ms);
-    let late_ms = over.took_ms.saturating_sub(over.objective_ms);
+    let late_ms = over.took_ms.saturating_sub(objective_ms);
     let largest = beside.filter(|(_, ms)| **ms * 2 >= late_ms);
     LateJob {
         job: name.to_owned(),
         queue: over.queue.clone(),
         priority: over.priority,
         took_ms: over.took_ms,
-        objective_ms: over.objective_ms,
+        objective_ms,
         cause: largest.map_or(Cause::RanLong, |(cause, _)| *cause),
         parts,
     }
--- a/crates/bh-report/tests/late.rs
+++ b/crates/bh-report/tests/late.rs
@@ -87,6 +87,16 @@
     assert_eq!(only_cause(&lines), Cause::HandedInLate);
 }
 
+/// A job that simply is longer than others of its queue has more time: its callers are promised a multiple of its work.
+#[test]
+fn a_long_job_has_more_time() {
+    let over = over(5_000) + " slack_factor=1.5 target_ms=250";
+    let at_work = [planned(1_000, 1), ended(5_000, 1, "Done"), over.clone()];
+    assert!(report(&at_work).late.is_empty());
+    let waited = [planned(3_500, 1), ended(5_000, 1, "Done"), over];
+    assert_eq!(only_cause(&waited), Cause::WaitedForRoom);
+}
+
 /// Jobs on time are counted and not told, nor are those with a schedule; lines of other kinds and torn ones are passed over.
 #[test]
 fn only_late_jobs_are_told() {
