--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -16,7 +16,6 @@
 use super::answers::note_start;
 use super::crash::suspects;
 use super::order::RETRY_MS;
-use super::outage;
 use super::worker_turn::WorkerTurn;
 use super::worker_turn::look_wait_ms;
 use crate::job::RunId;
@@ -199,12 +198,6 @@
         self.view(worker).is_some_and(Target::answers)
     }
 
-    /// When workers were last heard that have just fallen silent together, on the leader's clock in milliseconds; `None` while they have not. A worker
-    /// that was not heard since may be silent as well.
-    pub fn outage_ms(&self, now_ms: u64) -> Option<u64> {
-        outage::last_heard_ms(now_ms, self.targets.values())
-    }
-
     /// Takes over what has changed in the record.
     pub fn note_news(&mut self, now_ms: u64, news: &News, workload: &Workload) {
         for id in &news.workers {
--- a/crates/bh-workload/src/dispatch/mod.rs
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -6,7 +6,6 @@
 mod dispatcher;
 mod fill_pace;
 mod order;
-mod outage;
 mod pace;
 mod pacing;
 mod permissions;
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -167,12 +167,6 @@
         self.acknowledged_to < self.recorded_to
     }
 
-    /// When anything was last heard of it, on the leader's clock in milliseconds.
-    pub fn last_heard_ms(&self) -> u64 {
-        let answered_ms = self.clock.map_or(0, |clock| clock.at_ms);
-        answered_ms.max(self.heard_ms.unwrap_or(0))
-    }
-
     /// Whether it must be looked at whatever runs there.
     pub fn must_be_asked(&self) -> bool {
         self.is_behind()
--- a/crates/bh-workload/src/plan/evict.rs
+++ b/crates/bh-workload/src/plan/evict.rs
@@ -125,10 +125,7 @@
     racks
         .values()
         .filter_map(|offers| choose(unit, offers))
-        .min_by_key(|(placement, loss)| {
-            let doubtful = placement.iter().any(|(room, _)| rooms[*room].doubtful);
-            (doubtful, *loss)
-        })
+        .min_by_key(|chosen| chosen.1)
 }
 
 /// What a worker could take, and what that would cost.
@@ -138,8 +135,6 @@
     pace_percent: u64,
     places: u64,
     loss: u64,
-    /// Whether the worker may be silent: room there would be made in vain.
-    doubtful: bool,
 }
 
 /// The borrowers of each of `rooms` rooms, those first that are cheapest to stop.
@@ -171,19 +166,12 @@
         pace_percent: room.pace_percent,
         places,
         loss,
-        doubtful: room.doubtful,
     })
 }
 
 fn choose(unit: &Unit, offers: &[Offer]) -> Option<(Placement, u64)> {
     let mut offers: Vec<&Offer> = offers.iter().collect();
-    offers.sort_by_key(|offer| {
-        (
-            offer.doubtful,
-            offer.loss * offer.pace_percent / offer.places,
-            offer.room,
-        )
-    });
+    offers.sort_by_key(|offer| (offer.loss * offer.pace_percent / offer.places, offer.room));
     let (mut left, mut loss) = (unit.count(), 0);
     let mut placement = Vec::new();
     for offer in offers {
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -28,8 +28,8 @@
     spare: u64,
     /// Lower where the unit would rather be.
     rank: u64,
-    /// How little the worker suits now: last what may be silent, then what is slow since it has just started.
-    unfit: (bool, bool),
+    /// Whether the worker is slow since it has just started.
+    cold: bool,
 }
 
 /// Why a gang is not placed.
@@ -64,7 +64,7 @@
             .filter(|(rack, sites)| suits(unit, rack) && places(sites) >= unit.count())
             .min_by_key(|(_, sites)| {
                 (
-                    worst_needed(sites, unit.count()),
+                    needs_cold(sites, unit.count()),
                     rank_of(sites),
                     spare(sites),
                 )
@@ -166,13 +166,12 @@
             places: room.places(unit, avoid),
             spare: room.open().accelerators,
             rank: rank(unit, room),
-            unfit: (room.doubtful, room.cold),
+            cold: room.cold,
         })
         .filter(|site| site.places > 0)
         .collect();
-    // The fullest workers first: whole free ones are kept for large tasks. Cold ones last: one slow member holds a whole gang up. And after them those
-    // that may be silent: their lease must run out before what they got begins elsewhere.
-    sites.sort_by_key(|site| (site.unfit, site.rank, site.spare, site.room));
+    // The fullest workers first: whole free ones are kept for large tasks. Cold ones last: one slow member holds a whole gang up.
+    sites.sort_by_key(|site| (site.cold, site.rank, site.spare, site.room));
     sites
 }
 
@@ -215,15 +214,10 @@
     sites.iter().map(|site| site.spare).sum()
 }
 
-/// How little the worst worker suits that `count` tasks need, where those that suit come first.
-fn worst_needed(sites: &[Site], count: u64) -> (bool, bool) {
-    let mut left = count;
-    let needed = sites.iter().take_while(|site| {
-        let is_needed = left > 0;
-        left = left.saturating_sub(site.places);
-        is_needed
-    });
-    needed.map(|site| site.unfit).max().unwrap_or_default()
+/// Whether `count` places are more than the workers have that are not cold.
+fn needs_cold(sites: &[Site], count: u64) -> bool {
+    let warm = sites.iter().filter(|site| !site.cold);
+    warm.map(|site| site.places).sum::<u64>() < count
 }
 
 fn fill_some(sites: &[Site], count: u64) -> Placement {
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -74,8 +74,6 @@
     pub kept: bool,
     /// Whether something has just begun there, which may yet crash the worker.
     pub just_begun: bool,
-    /// Whether it may have fallen silent with others, since it was not heard after them.
-    pub doubtful: bool,
     /// Whether it is slow since it has just started.
     pub cold: bool,
     /// Whether it may be given work now.
@@ -89,7 +87,7 @@
         workload: &Workload,
         dispatcher: &Dispatcher,
         speeds: &Speeds,
-        (now_ms, outage_ms): (u64, Option<u64>),
+        now_ms: u64,
     ) -> Self {
         let ready = |target: &Target| {
             target.answers()
@@ -124,9 +122,6 @@
             fill_percent: view.map_or(100, |target| target.filling.percent()),
             kept: false,
             just_begun: begun.any,
-            doubtful: outage_ms.is_some_and(|outage_ms| {
-                view.is_none_or(|target| target.last_heard_ms() <= outage_ms)
-            }),
             cold: view.is_some_and(|target| now_ms < target.cold_until_ms),
             pace_percent: speeds.percent(&worker.info.data_centre),
             usable,
@@ -141,9 +136,8 @@
         now_ms: u64,
     ) -> Vec<Room> {
         let workers = workload.workers();
-        let times = (now_ms, dispatcher.outage_ms(now_ms));
         workers
-            .map(|worker| Room::new(worker, workload, dispatcher, speeds, times))
+            .map(|worker| Room::new(worker, workload, dispatcher, speeds, now_ms))
             .collect()
     }
 
