A gang that lost one worker begins anew only when that worker has had the time to end its members

A member failed on a worker whose connection broke off, so that it counted as silent at once; the others said 'broken', and the gang began anew 150 ms later, while another member on the first worker was still being ended (7.426 to 7.626 s, run 2 from 7.578 s). A member that is broken off takes up to the longest stop to end, as any stop does.

Change: the members on the silent worker are over the longest stop, and a tenth of a second, after the first of the others was heard to be broken: the first end was on that worker, before that. Tests: members_that_are_being_ended_are_waited_for (fails without the wait). fuzz_gangs_that_break_slowly_run_once is new; without the wait its 400 cases pass, so it does not stand in for the test.

--- a/crates/bh-workload/src/dispatch/broken_gangs.rs
+++ b/crates/bh-workload/src/dispatch/broken_gangs.rs
@@ -10,42 +10,65 @@
 /// Gangs of which members ended because another one did: those members, by step and number of the run.
 ///
 /// A member ends as broken only when another has ended. Where all ended so but those on one worker, the first end was there; and since the members on
-/// one worker end together, all of them are over, though nobody has heard it from that worker.
+/// one worker end together, all of them are over once the time that a worker takes to end a run has passed, though nobody has heard it from that worker.
 #[derive(Clone, Debug, Default)]
 pub struct BrokenGangs {
-    members: BTreeMap<(StepId, u32), BTreeSet<u32>>,
+    gangs: BTreeMap<(StepId, u32), Broken>,
 }
 
+/// What was heard of one.
+#[derive(Clone, Debug)]
+struct Broken {
+    /// When the first of its members was heard to be over, on the leader's clock in milliseconds.
+    heard_ms: u64,
+    /// Those that ended as broken.
+    members: BTreeSet<u32>,
+}
+
+/// Time beyond the longest stop in which the other members on the lost worker may still end, in milliseconds: rounding, and a clock that is slow.
+const SLACK_MS: u64 = 100;
+
 impl BrokenGangs {
-    /// Notes an end that a worker listed.
-    pub fn note(&mut self, run: RunId, kind: EndKind) {
+    /// Notes an end that a worker listed, heard at `now_ms`.
+    pub fn note(&mut self, now_ms: u64, run: RunId, kind: EndKind) {
         if kind == EndKind::Broken {
             let gang = (run.task.step, run.attempt);
-            let members = self.members.entry(gang).or_default();
-            members.insert(run.task.index);
+            let broken = self.gangs.entry(gang).or_insert_with(|| Broken {
+                heard_ms: now_ms,
+                members: BTreeSet::new(),
+            });
+            broken.members.insert(run.task.index);
         }
     }
 
     /// Forgets gangs of which nothing is open any more.
     pub fn forget_ended(&mut self, workload: &Workload) {
-        self.members.retain(|(step, _), _| {
+        self.gangs.retain(|(step, _), _| {
             let progress = workload.job(step.job).and_then(|job| job.step(*step));
             progress.is_some_and(|progress| progress.open_runs > 0)
         });
     }
 
-    /// Whether the runs `left` of a gang are over, where they are on one worker.
-    pub fn are_over(&self, left: &[RunId], workload: &Workload) -> bool {
+    /// Whether the runs `left` of a gang are over at `now_ms`, where they are on one worker that takes `stop_ms` at most to end a run.
+    pub fn are_over(
+        &self,
+        (now_ms, stop_ms): (u64, u64),
+        left: &[RunId],
+        workload: &Workload,
+    ) -> bool {
         let Some(first) = left.first() else {
             return false;
         };
         let step = first.task.step;
-        let Some(broken) = self.members.get(&(step, first.attempt)) else {
+        let Some(broken) = self.gangs.get(&(step, first.attempt)) else {
             return false;
         };
+        if now_ms < broken.heard_ms + stop_ms + SLACK_MS {
+            return false;
+        }
         let count = workload.step_spec(step).map_or(0, |spec| spec.count);
         let known: BTreeSet<u32> = left.iter().map(|run| run.task.index).collect();
-        let known = known.union(broken).count();
+        let known = known.union(&broken.members).count();
         u32::try_from(known).is_ok_and(|known| known == count)
     }
 }
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -393,7 +393,7 @@
                         target.reported_ms = now_ms;
                         let worker = workload.worker(id)?;
                         for ended in &report.ended {
-                            self.broken.note(ended.run, ended.kind);
+                            self.broken.note(now_ms, ended.run, ended.kind);
                         }
                         note_report(now_ms, order, target, (workload, worker), report)
                     }
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -115,7 +115,8 @@
             let confirmed = members
                 .iter()
                 .all(|run| target.runs.get(run).is_some_and(RunWatch::is_confirmed));
-            if confirmed && self.broken.are_over(&members, self.workload) {
+            let times = (self.now_ms, self.timing.stop_timeout_ms);
+            if confirmed && self.broken.are_over(times, &members, self.workload) {
                 for run in members {
                     self.give_up(target, run);
                     target.unsaid.insert(run);
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -7,6 +7,7 @@
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Ended;
 use bh_workload::dispatch::Report;
+use bh_workload::dispatch::Timing;
 use bh_workload::job::JobId;
 use bh_workload::job::RunId;
 use bh_workload::job::StepSpec;
@@ -18,7 +19,9 @@
 use support::Site;
 use support::step;
 
-/// Beyond it, a slow clock included.
+/// Longest time that a worker takes to end a run, in milliseconds.
+const STOP_MS: u64 = Timing::DEFAULT.stop_timeout_ms;
+/// Beyond the lease of a worker, a slow clock included, in milliseconds.
 const LAPSED_MS: u64 = 12_000;
 
 /// A gang of three members at work on three workers of six.
@@ -93,10 +96,12 @@
     }
 }
 
-/// Whether the gang begins anew when all workers have been asked twice, far below a lease.
+/// Whether the gang begins anew after the longest time that a worker takes to end a run, and far below a lease.
 fn begins_anew(site: &mut Site, runs: &[(Arc<str>, RunId)], says: &[Says]) -> bool {
-    asked(site, runs, says);
-    asked(site, runs, says);
+    let until_ms = site.now_ms + STOP_MS + 1_000;
+    while site.now_ms < until_ms {
+        asked(site, runs, says);
+    }
     site.plan_and_start().starts.len() == 3
 }
 
@@ -109,6 +114,24 @@
     assert!(begins_anew(&mut site, &runs, &says));
 }
 
+/// A member on the lost worker fails, and another one there is ended for that, which takes the worker up to the longest stop. Begun anew sooner, the gang would run beside
+/// it.
+#[test]
+fn members_that_are_being_ended_are_waited_for() {
+    let (mut site, _, runs) = gang_at_work();
+    asked(&mut site, &runs, &[Nothing, BROKEN, BROKEN]);
+    let heard_ms = site.now_ms;
+    while site.now_ms + 400 < heard_ms + STOP_MS {
+        asked(&mut site, &runs, &[Nothing, BROKEN, BROKEN]);
+        assert!(
+            site.plan().starts.is_empty(),
+            "after {} ms",
+            site.now_ms - heard_ms
+        );
+    }
+    assert!(begins_anew(&mut site, &runs, &[Nothing, BROKEN, BROKEN]));
+}
+
 /// A worker that answers is not lost: it lists its own end a moment later, and if that is the failure that broke the gang, it counts.
 #[test]
 fn a_worker_that_answers_is_waited_for() {
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -68,6 +68,8 @@
     Drain { worker: usize },
     /// The worker has only so many accelerators for a while.
     Shrink { worker: usize, to: u64, for_ms: u64 },
+    /// From the beginning, a member that ends because its gang broke takes a while for it, up to the longest stop.
+    SlowBreaks,
     /// An operator evacuates one data centre, or both, and gives them back, each order sent once more than it has to be.
     Evacuate { which: Evacuated, for_ms: u64 },
 }
@@ -171,6 +173,8 @@
     sizes: Vec<Vec<(u64, u64)>>,
     /// Workers that are down after a crash: position, and when they are back.
     down: BTreeMap<usize, u64>,
+    /// Members of broken gangs that are being ended: worker, run, and when it is over.
+    breaking: Vec<(usize, RunId, u64)>,
     /// Since when each data centre is under evacuation, on the site's clock in milliseconds.
     evacuated_ms: BTreeMap<&'static str, u64>,
 }
@@ -523,7 +527,37 @@
                 }
             };
             for ((index, run), kind) in members.into_iter().zip(ends) {
-                self.workers[index].end(run, kind);
+                if kind == EndKind::Broken {
+                    self.break_off(index, run);
+                } else {
+                    self.workers[index].end(run, kind);
+                }
+            }
+        }
+        self.end_breaking();
+    }
+
+    /// Ends a member of a broken gang, at once or after a while.
+    fn break_off(&mut self, index: usize, run: RunId) {
+        let is_slow = |fault: &Fault| matches!(fault, Fault::SlowBreaks);
+        if !self.faults.iter().any(|(_, fault)| is_slow(fault)) {
+            self.workers[index].end(run, EndKind::Broken);
+        } else if !self.breaking.iter().any(|(_, other, _)| *other == run) {
+            let takes_ms = self.random.below(Timing::DEFAULT.stop_timeout_ms);
+            self.breaking
+                .push((index, run, self.site.now_ms + takes_ms));
+        }
+    }
+
+    fn end_breaking(&mut self) {
+        let now_ms = self.site.now_ms;
+        let (over, later) = std::mem::take(&mut self.breaking)
+            .into_iter()
+            .partition(|(_, _, over_ms)| *over_ms <= now_ms);
+        self.breaking = later;
+        for (index, run, _) in over {
+            if self.workers[index].runs.contains_key(&run) {
+                self.workers[index].end(run, EndKind::Broken);
             }
         }
     }
@@ -581,6 +615,7 @@
                 | Fault::Late { .. }
                 | Fault::Carriers { .. }
                 | Fault::Shrink { .. }
+                | Fault::SlowBreaks
                 | Fault::Evacuate { .. } => {}
             }
         }
@@ -824,6 +859,7 @@
         crashed_under: BTreeMap::new(),
         started_after: BTreeMap::new(),
         down: BTreeMap::new(),
+        breaking: Vec::new(),
         evacuated_ms: BTreeMap::new(),
         sizes: vec![vec![(0, 8)]; WORKERS],
     };
@@ -957,6 +993,23 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_207), ..ProptestConfig::default() })]
+
+    /// Gangs break under all other faults, and members take up to the longest stop to end. The same promises hold: a gang that begins anew runs beside none
+    /// of them.
+    #[test]
+    fn fuzz_gangs_that_break_slowly_run_once(
+        seed in any::<u64>(),
+        failing_percent in 0u64..40,
+        faults in proptest::collection::vec(carried_fault(), 2..14),
+    ) {
+        let mut faults = faults;
+        faults.push((0, Fault::SlowBreaks));
+        run(seed, failing_percent, &faults, Planted::Nothing);
+    }
+}
+
 /// A worker is silent for its whole lease, and answers as another incarnation in the very moment in which its runs are given up. The crash
 /// counts once for each; counted twice, it had a job given up under whose tasks one worker had crashed.
 #[test]
