Logs tell orders sent twice, how each end became known, and runs that the record has over

'run over' now says how the end became known, in which term, whether the record still had the run open and how many failures it counted; 'run planned' the failures counted and allowed; an order that was sent again over a new connection has a line and a counter, as has a run that a worker reports and the record has over. Carriers tell the leader that they sent an order again (a new field, false from older carriers). No decision is changed.

--- a/crates/bh-control/src/core/advice.rs
+++ b/crates/bh-control/src/core/advice.rs
@@ -2,6 +2,7 @@
 
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
+use super::worker_calls::Answered;
 use bh_workload::dispatch::Permission;
 use bh_workload::dispatch::Question;
 use std::net::SocketAddr;
@@ -35,7 +36,7 @@
     core.metrics.count("questions", 1);
     let answer: Option<Vec<Permission>> =
         match core.workers.send(address, request, question.limit_ms).await {
-            Ok(response) => (core.dialect.read_permissions)(&response),
+            Ok(Answered { response, .. }) => (core.dialect.read_permissions)(&response),
             Err(error) => {
                 log::warn!(step = question.step.to_string(); "no answer of the adviser: {error}");
                 None
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -1,9 +1,9 @@
 //! Answers calls as the leader.
 
 use super::core_node::CoreNode;
-use super::departures::Learnt;
 use super::departures::log_departures;
 use super::heartbeats::hear;
+use super::learnt::Learnt;
 use super::records::propose;
 use crate::calls::Answer;
 use crate::calls::Call;
--- a/crates/bh-control/src/core/carry.rs
+++ b/crates/bh-control/src/core/carry.rs
@@ -8,6 +8,7 @@
 //! lease, so a carrier that is lost, cut off or suspended can do no more harm than a bad connection.
 
 use super::core_node::CoreNode;
+use super::worker_calls::Answered;
 use crate::mesh::Peer;
 use bh_net::link::CallError;
 use bh_protocol::wire::CarryOutcome;
@@ -34,7 +35,12 @@
 /// What became of an order.
 pub(super) enum Sent {
     /// The worker answered.
-    Answered(Response<Bytes>),
+    Answered {
+        /// Its answer.
+        response: Response<Bytes>,
+        /// Whether an earlier send of the order had no answer.
+        repeated: bool,
+    },
     /// The worker did not answer.
     NoAnswer(String),
     /// The core that was to carry it was lost: nothing is known of the worker, and it may have been carried out.
@@ -73,7 +79,7 @@
         }
     }
     match core.workers.send(to.address, request, limit_ms).await {
-        Ok(response) => Sent::Answered(response),
+        Ok(Answered { response, repeated }) => Sent::Answered { response, repeated },
         Err(error) => Sent::NoAnswer(error.to_string()),
     }
 }
@@ -119,7 +125,10 @@
             };
             let mut response = Response::new(Bytes::from(reply.body));
             *response.status_mut() = status;
-            Sent::Answered(response)
+            Sent::Answered {
+                response,
+                repeated: reply.repeated,
+            }
         }
     }
 }
@@ -154,15 +163,17 @@
         return not_carried("no request".to_owned());
     };
     match core.workers.send(address, request, limit_ms).await {
-        Ok(response) => CarryReply {
+        Ok(Answered { response, repeated }) => CarryReply {
             outcome: CarryOutcome::Answered.into(),
             status: response.status().as_u16().into(),
             body: response.into_body().to_vec(),
+            repeated,
         },
         Err(error) => CarryReply {
             outcome: CarryOutcome::NoAnswer.into(),
             status: 0,
             body: error.to_string().into_bytes(),
+            repeated: false,
         },
     }
 }
@@ -173,6 +184,7 @@
         outcome: CarryOutcome::NotCarried.into(),
         status: 0,
         body: why.into_bytes(),
+        repeated: false,
     }
 }
 
--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -1,6 +1,7 @@
 //! What is told of workers that are gone, and of what ran on them.
 
 use super::core_node::CoreNode;
+use super::learnt::Learnt;
 use bh_workload::job::JobId;
 use bh_workload::state::Command;
 use bh_workload::state::Crash;
@@ -12,17 +13,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// How the leader learnt that a worker is gone.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Learnt {
-    /// The worker said that it leaves.
-    Leave,
-    /// Another incarnation answered at its address.
-    OtherIncarnation,
-    /// The upkeep of its VM began.
-    Upkeep,
-}
-
 /// One line for each worker that `command` says to be gone, and for each run that is lost with it or may be the cause. The ends of runs on
 /// a worker that left are not recorded one by one, so without these lines nothing would tell why their tasks begin anew.
 pub(super) fn log_departures(core: &Rc<CoreNode>, term: u64, command: &Command, learnt: Learnt) {
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -3,10 +3,14 @@
 use super::carry;
 use super::carry::Sent;
 use super::core_node::CoreNode;
-use super::departures::Learnt;
 use super::departures::log_departures;
 use super::job_ends::log_job_ends;
+use super::learnt::Learnt;
 use super::records::record;
+use super::run_ends::learnt_by;
+use super::run_ends::learnt_unheard;
+use super::run_ends::log_run_ends;
+use super::run_ends::log_unrecorded;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
@@ -33,6 +37,9 @@
         leadership.swept_ms = now_ms;
     }
     let (orders, ends) = leadership.dispatcher.orders(now_ms, &workload, all);
+    log_run_ends(core, leadership.term, &workload, &ends, |end| {
+        learnt_unheard(&leadership.dispatcher, end)
+    });
     drop(workload);
     drop(held);
     for order in orders {
@@ -49,7 +56,11 @@
     let began_ms = core.clock.now_ms();
     let request = (core.dialect.write_order)(&order);
     let answer = match carry::send(&core, order.token, &order.to, request, limit_ms).await {
-        Sent::Answered(response) => {
+        Sent::Answered { response, repeated } => {
+            if repeated {
+                core.metrics.count("orders_repeated", 1);
+                log::info!(worker = &*order.to.worker, order = order.body.to_string(), term = order.token, status = response.status().as_u16(); "order sent again: its connection broke after it was sent");
+            }
             // A look waits for an end; how long says nothing of the worker.
             if !matches!(order.body, OrderBody::Look { .. }) {
                 let took_ms = core.clock.now_ms().saturating_sub(began_ms);
@@ -79,15 +90,19 @@
     };
     if let Answer::Denied { denial, .. } = answer {
         core.metrics.count("orders_denied", 1);
-        log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(); "order denied");
+        log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(), term = order.token; "order denied");
     }
     let answered = leadership.dispatcher.answers(&order.to.worker);
     let workload = core.group.machine.read();
+    log_unrecorded(core, order, answer, &workload);
     let command = leadership
         .dispatcher
         .note_answer(now_ms, order, answer, &workload);
     leadership.plan_due |= !answered && leadership.dispatcher.answers(&order.to.worker);
     if let Some(Command::Ends { ends, .. }) = &command {
+        log_run_ends(core, order.token, &workload, ends, |end| {
+            learnt_by(order, answer, end)
+        });
         leadership
             .planner
             .note_ends(now_ms, ends, &workload, &leadership.dispatcher);
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -4,6 +4,7 @@
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
 use super::records::propose;
+use super::run_ends::failures;
 use bh_workload::plan::Plan;
 use bh_workload::state::Command;
 use bh_workload::state::Reply;
@@ -113,6 +114,8 @@
     for start in starts {
         let job = workload.job(start.run.task.step.job);
         let priority = job.map_or(0, |job| workload.queue_of(job).priority);
+        let failures = failures(&workload, start.run.task);
+        let max_attempts = job.map_or(0, |job| workload.max_attempts(job));
         let crashes = workload.task(start.run.task).map_or(0, Task::all_crashes);
         let waited_ms = job.map_or(0, |job| wall_ms.saturating_sub(job.accepted_ms));
         let clock = leadership
@@ -121,7 +124,7 @@
             .and_then(|target| target.clock);
         let heard_ms_ago = clock.map_or(0, |clock| now_ms.saturating_sub(clock.at_ms));
         log::info!(
-            run = start.run.to_string(), worker = &*start.worker, term = leadership.term, crashes, priority, waited_ms, rules_version, heard_ms_ago;
+            run = start.run.to_string(), worker = &*start.worker, term = leadership.term, failures, max_attempts, crashes, priority, waited_ms, rules_version, heard_ms_ago;
             "run planned"
         );
     }
--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -5,8 +5,6 @@
 use bh_group::encode;
 use bh_protocol::Failure;
 use bh_workload::state::Command;
-use bh_workload::state::End;
-use bh_workload::state::EndKind;
 use bh_workload::state::Reply;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -20,13 +18,7 @@
     let core = core.clone();
     monoio::spawn(async move {
         let workers: BTreeSet<Arc<str>> = match &command {
-            Command::Ends { ends, .. } => {
-                log_ends(ends);
-                for end in ends {
-                    core.metrics.count(end_counter(end.kind), 1);
-                }
-                ends.iter().map(|end| end.worker.clone()).collect()
-            }
+            Command::Ends { ends, .. } => ends.iter().map(|end| end.worker.clone()).collect(),
             _ => BTreeSet::new(),
         };
         let suspects = match &command {
@@ -49,26 +41,6 @@
     });
 }
 
-/// Counter of the runs that ended so.
-fn end_counter(kind: EndKind) -> &'static str {
-    match kind {
-        EndKind::Done => "runs_done",
-        EndKind::Failed => "runs_failed",
-        EndKind::Stopped => "runs_stopped",
-        EndKind::Lapsed => "runs_lapsed",
-        EndKind::Broken => "runs_broken",
-        EndKind::Alone => "runs_alone",
-        EndKind::NotStarted => "runs_not_started",
-        EndKind::Lost => "runs_lost",
-    }
-}
-
-fn log_ends(ends: &[End]) {
-    for end in ends {
-        log::info!(run = end.run.to_string(), worker = &*end.worker, end:? = end.kind, saved = end.checkpoint.is_some(); "run over");
-    }
-}
-
 /// Replicates a command, with the time filled in.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/bh-control/src/core/run_ends.rs
@@ -0,0 +1,112 @@
+//! What is told of runs that are over, and of runs that no record explains.
+
+use super::core_node::CoreNode;
+use super::learnt::Learnt;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Dispatcher;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::job::TaskId;
+use bh_workload::state::End;
+use bh_workload::state::EndKind;
+use bh_workload::state::Workload;
+
+/// One line for each end that is about to be recorded: how it became known, whether the record still had the run open, and the failures
+/// counted before it. An end of a run that is over in the record counts as no failure, so without `open` a task that is begun too often looks
+/// like any other.
+pub(super) fn log_run_ends(
+    core: &CoreNode,
+    term: u64,
+    workload: &Workload,
+    ends: &[End],
+    learnt: impl Fn(&End) -> Learnt,
+) {
+    for end in ends {
+        let open = workload
+            .worker(&end.worker)
+            .is_some_and(|worker| worker.runs.contains_key(&end.run));
+        if !open {
+            core.metrics.count("ends_of_runs_over", 1);
+        }
+        core.metrics.count(counter(end.kind), 1);
+        log::info!(
+            run = end.run.to_string(), worker = &*end.worker, end:? = end.kind, learnt:? = learnt(end), term, open,
+            failures = failures(workload, end.run.task), saved = end.checkpoint.is_some();
+            "run over"
+        );
+    }
+}
+
+/// How an end became known for which no answer was needed.
+pub(super) fn learnt_unheard(dispatcher: &Dispatcher, end: &End) -> Learnt {
+    if end.kind == EndKind::NotStarted {
+        return Learnt::NeverSent;
+    }
+    let target = dispatcher.view(&end.worker);
+    if target.is_some_and(|target| target.unsaid.contains(&end.run)) {
+        Learnt::BrokenGang
+    } else {
+        Learnt::Lapsed
+    }
+}
+
+/// How an end became known by an answer.
+pub(super) fn learnt_by(order: &Order, answer: &Answer, end: &End) -> Learnt {
+    match answer {
+        Answer::OtherIncarnation => Learnt::OtherIncarnation,
+        Answer::Denied { .. } => Learnt::Refused,
+        _ if matches!(order.body, OrderBody::Look { .. }) && end.kind != EndKind::NotStarted => {
+            Learnt::Listed
+        }
+        _ => Learnt::NotListed,
+    }
+}
+
+/// One line for each run that a worker reports and that the record does not have there: it began by an order that was taken to have come to
+/// nothing.
+pub(super) fn log_unrecorded(core: &CoreNode, order: &Order, answer: &Answer, workload: &Workload) {
+    let Answer::Done {
+        report: Some(report),
+        ..
+    } = answer
+    else {
+        return;
+    };
+    let Some(worker) = workload.worker(&order.to.worker) else {
+        return;
+    };
+    let unrecorded = report
+        .running
+        .iter()
+        .filter(|running| !worker.runs.contains_key(&running.run));
+    for running in unrecorded {
+        core.metrics.count("runs_unrecorded", 1);
+        log::warn!(
+            run = running.run.to_string(), worker = &*order.to.worker, term = order.token, failures = failures(workload, running.run.task);
+            "worker runs what the record has over"
+        );
+    }
+}
+
+/// Failures counted so far for a task, or for the gang that it is a member of.
+pub(super) fn failures(workload: &Workload, task: TaskId) -> u32 {
+    let of_task = workload.task(task).map_or(0, |task| task.failures);
+    let step = workload
+        .job(task.step.job)
+        .and_then(|job| job.step(task.step));
+    step.map_or(0, |step| step.failures).max(of_task)
+}
+
+/// Counter of the runs that ended so.
+fn counter(kind: EndKind) -> &'static str {
+    match kind {
+        EndKind::Done => "runs_done",
+        EndKind::Failed => "runs_failed",
+        EndKind::Stopped => "runs_stopped",
+        EndKind::Lapsed => "runs_lapsed",
+        EndKind::Broken => "runs_broken",
+        EndKind::Alone => "runs_alone",
+        EndKind::NotStarted => "runs_not_started",
+        EndKind::Lost => "runs_lost",
+    }
+}
--- a/crates/bh-control/src/core/upkeep.rs
+++ b/crates/bh-control/src/core/upkeep.rs
@@ -1,9 +1,10 @@
 //! Carries waves of upkeep out.
 
 use super::core_node::CoreNode;
-use super::departures::Learnt;
 use super::departures::log_departures;
+use super::learnt::Learnt;
 use super::records::propose;
+use super::worker_calls::Answered;
 use bh_workload::state::Command;
 use bh_workload::upkeep::Step;
 use bh_workload::upkeep::UpkeepAnswer;
@@ -67,7 +68,7 @@
     let request = (core.dialect.write_upkeep)(&order, address);
     core.metrics.count("upkeep_orders", 1);
     let answer = match core.workers.send(address, request, ORDER_MS).await {
-        Ok(response) => (core.dialect.read_upkeep)(&response),
+        Ok(Answered { response, .. }) => (core.dialect.read_upkeep)(&response),
         Err(error) => {
             log::warn!(vm = &*order.vm; "no answer to an order on a VM: {error}");
             UpkeepAnswer::Lost
--- a/crates/bh-control/src/core/worker_calls.rs
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -32,6 +32,14 @@
 /// Time between looks for a call that has ended, in milliseconds, while as many are in progress as may be.
 const POLL_MS: u64 = 5;
 
+/// An answer of a worker.
+pub struct Answered {
+    /// The answer.
+    pub response: Response<Bytes>,
+    /// Whether the request was sent again, since a kept connection broke after it had been sent there.
+    pub repeated: bool,
+}
+
 /// Connections to workers.
 pub struct WorkerCalls {
     pool: Pool,
@@ -83,7 +91,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         limit_ms: u64,
-    ) -> Result<Response<Bytes>, SendError> {
+    ) -> Result<Answered, SendError> {
         let until_ms = self.clock.now_ms() + limit_ms;
         // A process without descriptors can do nothing any more, so calls wait for each other instead.
         while self.busy.get() >= self.most_busy {
@@ -103,11 +111,12 @@
         address: SocketAddr,
         request: Request<Bytes>,
         limit_ms: u64,
-    ) -> Result<Response<Bytes>, SendError> {
+    ) -> Result<Answered, SendError> {
+        let mut repeated = false;
         if let Some(mut connection) = self.pool.take(address, self.clock.now_ms()) {
             let copy = copy(&request);
             match connection.send(copy, limit_ms, MAX_ANSWER_BYTES).await {
-                Err(SendError::Broken) => {}
+                Err(SendError::Broken) => repeated = true,
                 Err(error) => {
                     self.pool.forget(address);
                     return Err(error);
@@ -115,7 +124,7 @@
                 Ok(response) => {
                     self.pool
                         .give_back(address, connection, self.clock.now_ms());
-                    return Ok(response);
+                    return Ok(Answered { response, repeated });
                 }
             }
         }
@@ -123,7 +132,7 @@
         let response = connection.send(request, limit_ms, MAX_ANSWER_BYTES).await?;
         self.pool
             .give_back(address, connection, self.clock.now_ms());
-        Ok(response)
+        Ok(Answered { response, repeated })
     }
 }
 
--- a/crates/bh-protocol/src/wire/carry.rs
+++ b/crates/bh-protocol/src/wire/carry.rs
@@ -64,6 +64,9 @@
     /// Body of the worker's answer; why there is none otherwise.
     #[prost(bytes = "vec", tag = "3")]
     pub body: Vec<u8>,
+    /// Whether the order was sent again since the connection of an earlier send broke before its answer came.
+    #[prost(bool, tag = "4")]
+    pub repeated: bool,
 }
 
 /// A heartbeat that changed nothing, as the core that took it tells the leader.
