Known red: a task runs twice at once and is begun after its last allowed failure

Real processes: a core, an entry and five workers on the wire. A worker carries a start out, its connection breaks, and it refuses the start when that comes again. The processes that tests start as an operator does are shared by two test files now.

--- /dev/null
+++ b/crates/beechhollow/tests/repeated_starts.rs
@@ -0,0 +1,414 @@
+//! Starts that a worker carries out, whose connection then breaks, and which it refuses when they come again.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+mod support;
+
+use bh_testkit::http_raw;
+use bh_testkit::ports;
+use serde_json::Value;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use support::Process;
+use support::entry_config;
+use support::leading_core;
+use support::wait_for;
+
+const WORKERS: usize = 5;
+const MAX_ATTEMPTS: u32 = 2;
+/// Name of the job under test.
+const JOB: &str = "00000000000000aa";
+/// Jobs that keep a task each on every worker. So workers are asked again and again what runs there, and the second one leaves a connection to each that
+/// is kept open.
+const COMPANIONS: [&str; 2] = ["00000000000000b1", "00000000000000b2"];
+const KEY: &str = "Bearer key";
+const WAIT: Duration = Duration::from_secs(3);
+const START: Duration = Duration::from_secs(20);
+/// Within this time everything under test has happened: starts follow each other within a second or two.
+const PLAY: Duration = Duration::from_secs(12);
+const HEARTBEAT: Duration = Duration::from_millis(300);
+const TURN: Duration = Duration::from_millis(10);
+
+/// What becomes of a run under test.
+#[derive(Clone, Copy)]
+struct Script {
+    works_for: Duration,
+    how: &'static str,
+    /// Whether the connection breaks once it has begun, and the worker is busy when the start comes again.
+    is_repeated: bool,
+}
+
+/// The runs under test in the order in which they begin: a long one, two that fail at once, and one that has nothing against it.
+fn script(begun: usize) -> Script {
+    let repeated = |works_ms, how| Script {
+        works_for: Duration::from_millis(works_ms),
+        how,
+        is_repeated: true,
+    };
+    match begun {
+        0 => repeated(4_000, "done"),
+        1 | 2 => repeated(10, "failed"),
+        _ => Script {
+            works_for: Duration::from_millis(100),
+            how: "done",
+            is_repeated: false,
+        },
+    }
+}
+
+/// Task and number of the run.
+type Run = (String, u64);
+
+#[derive(Default)]
+struct Worker {
+    /// What runs, until when, and how it ends.
+    running: BTreeMap<Run, (Instant, &'static str)>,
+    /// Ends that are not known to be recorded: number, run, and how.
+    ended: Vec<(u64, Run, &'static str)>,
+    ends: u64,
+    /// Starts that it still refuses as busy.
+    refusals: u32,
+}
+
+impl Worker {
+    fn end(&mut self, run: &Run, how: &'static str) {
+        if self.running.remove(run).is_some() {
+            self.ends += 1;
+            self.ended.push((self.ends, run.clone(), how));
+        }
+    }
+
+    fn pass(&mut self) {
+        let now = Instant::now();
+        let over = self.running.iter().filter(|(_, (until, _))| now >= *until);
+        let over: Vec<_> = over.map(|(run, (_, how))| (run.clone(), *how)).collect();
+        for (run, how) in over {
+            self.end(&run, how);
+        }
+    }
+}
+
+/// All workers, and what was seen of the job under test.
+struct World {
+    began: Instant,
+    workers: Vec<Worker>,
+    begun: usize,
+    failed: u32,
+    problems: Vec<String>,
+    events: Vec<String>,
+}
+
+impl World {
+    fn note(&mut self, event: String) {
+        let at_ms = self.began.elapsed().as_millis();
+        self.events.push(format!("{at_ms} ms: {event}"));
+    }
+
+    fn pass(&mut self) {
+        for index in 0..self.workers.len() {
+            let before = self.workers[index].ended.len();
+            self.workers[index].pass();
+            let over = self.workers[index].ended.split_off(before);
+            self.workers[index].ended.extend_from_slice(&over);
+            for (_, run, how) in over {
+                self.note(format!("{run:?} ends {how} on worker {index}"));
+                self.failed += u32::from(run.0.starts_with(JOB) && how == "failed");
+            }
+        }
+    }
+
+    /// Carries a start out; `None` when its connection breaks.
+    fn start(&mut self, index: usize, run: Run) -> Option<(u16, Value)> {
+        if self.workers[index].refusals > 0 {
+            self.workers[index].refusals -= 1;
+            self.note(format!("{run:?} is refused by worker {index}"));
+            return Some((503, json!({})));
+        }
+        let done = Some((200, json!({ "clockMs": self.clock_ms() })));
+        if self.workers[index].running.contains_key(&run) {
+            return done;
+        }
+        if !run.0.starts_with(JOB) {
+            let until = Instant::now() + START + PLAY;
+            self.workers[index].running.insert(run, (until, "done"));
+            return done;
+        }
+        self.note(format!("{run:?} begins on worker {index}"));
+        self.check_begin(&run);
+        let script = script(self.begun);
+        self.begun += 1;
+        let until = Instant::now() + script.works_for;
+        self.workers[index].running.insert(run, (until, script.how));
+        if script.is_repeated {
+            self.workers[index].refusals = 1;
+            return None;
+        }
+        done
+    }
+
+    fn check_begin(&mut self, run: &Run) {
+        let all = self.workers.iter().flat_map(|worker| worker.running.keys());
+        if let Some(other) = all.into_iter().find(|other| other.0 == run.0) {
+            self.problems
+                .push(format!("{run:?} begins while {other:?} runs"));
+        }
+        if self.failed >= MAX_ATTEMPTS {
+            self.problems
+                .push(format!("{run:?} begins after {} failed runs", self.failed));
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap()
+    }
+
+    fn report(&mut self, index: usize, cursor: u64) -> Value {
+        let worker = &mut self.workers[index];
+        worker.ended.retain(|(number, _, _)| *number > cursor);
+        let running = worker.running.keys();
+        let running: Vec<Value> = running
+            .map(|(task, attempt)| json!([task, attempt, "", 1, 0]))
+            .collect();
+        let ended = worker.ended.iter();
+        let ended: Vec<Value> = ended
+            .map(|(number, (task, attempt), how)| json!([number, task, attempt, how, ""]))
+            .collect();
+        json!({ "clockMs": self.clock_ms(), "running": running, "finished": ended })
+    }
+}
+
+/// The worker `index`, as its connections see it.
+#[derive(Clone)]
+struct Served {
+    index: usize,
+    address: SocketAddr,
+    world: Arc<Mutex<World>>,
+}
+
+impl Served {
+    fn world(&self) -> MutexGuard<'_, World> {
+        self.world.lock().unwrap()
+    }
+
+    fn id(&self) -> String {
+        format!("i-{}", self.index)
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        while let Some((path, body)) = read_request(&mut stream) {
+            let Some((status, answer)) = self.answer(&path, &body) else {
+                return;
+            };
+            let text = answer.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
+                text.len()
+            );
+            if stream
+                .write_all(format!("{head}{text}").as_bytes())
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, path: &str, body: &Value) -> Option<(u16, Value)> {
+        let run = || {
+            let task = body["task"].as_str().unwrap().to_owned();
+            (task, body["attempt"].as_u64().unwrap())
+        };
+        match path {
+            "/-/run-start" => self.world().start(self.index, run()),
+            "/-/run-stop" => {
+                let mut world = self.world();
+                world.workers[self.index].end(&run(), "stopped");
+                let clock_ms = world.clock_ms();
+                Some((200, json!({ "clockMs": clock_ms })))
+            }
+            _ => {
+                let waits = Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
+                let until = Instant::now() + waits;
+                let cursor = body["ackCursor"].as_u64().unwrap_or(0);
+                loop {
+                    let mut world = self.world();
+                    world.pass();
+                    let report = world.report(self.index, cursor);
+                    drop(world);
+                    let listed = report["finished"].as_array().unwrap().len();
+                    if listed > 0 || Instant::now() >= until {
+                        return Some((200, report));
+                    }
+                    thread::sleep(TURN);
+                }
+            }
+        }
+    }
+
+    fn beat(&self, control: SocketAddr) {
+        for sequence in 1u64.. {
+            let clock_ms = self.world().clock_ms();
+            let body = json!({
+                "service": "pool", "address": self.address.to_string(), "zone": "dc", "version": "v1", "slots": 8, "state": "ready",
+                "coldRemainingMs": 0, "capacity": {"cpu": 16_000, "requestMemoryMb": 65_536, "gpu": 8}, "labels": ["a", "rack"],
+                "machine": format!("vm{}", self.index), "clockMs": clock_ms, "sequence": sequence,
+            });
+            let path = format!("/-/instances/{}", self.id());
+            http_raw::send(
+                control,
+                "PUT",
+                &path,
+                &[],
+                body.to_string().as_bytes(),
+                WAIT,
+            );
+            thread::sleep(HEARTBEAT);
+        }
+    }
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<(String, Value)> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4 << 10];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .filter_map(|line| line.split_once(':'))
+                .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+                .and_then(|(_, value)| value.trim().parse().ok())
+                .unwrap_or(0);
+            if body.len() >= length {
+                let path = head.split(' ').nth(1)?.to_owned();
+                return Some((path, serde_json::from_str(body).unwrap_or_default()));
+            }
+        }
+        match stream.read(&mut chunk) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
+            _ => return None,
+        }
+    }
+}
+
+/// Starts the workers, which live as long as the test's process.
+fn start_workers(control: SocketAddr) -> Arc<Mutex<World>> {
+    let world = Arc::new(Mutex::new(World {
+        began: Instant::now(),
+        workers: (0..WORKERS).map(|_| Worker::default()).collect(),
+        begun: 0,
+        failed: 0,
+        problems: Vec::new(),
+        events: Vec::new(),
+    }));
+    for (index, address) in ports::free(WORKERS).into_iter().enumerate() {
+        let served = Served {
+            index,
+            address,
+            world: world.clone(),
+        };
+        let listener = TcpListener::bind(address).unwrap();
+        let accepting = served.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = accepting.clone();
+                thread::spawn(move || served.serve(stream));
+            }
+        });
+        thread::spawn(move || served.beat(control));
+    }
+    world
+}
+
+fn until(what: &str, limit: Duration, mut test: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !test() {
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        thread::sleep(TURN);
+    }
+}
+
+fn call(address: SocketAddr, method: &str, path: &str, body: &Value) -> http_raw::RawAnswer {
+    let headers = [("authorization", KEY), ("deadline-ms", "3000")];
+    let body = body.to_string();
+    http_raw::send(address, method, path, &headers, body.as_bytes(), WAIT)
+}
+
+fn rules() -> Value {
+    json!({"version": 1, "routes": [{"name": "queue", "host": "127.0.0.1", "pathPrefix": "/queue/", "kind": "non_idempotent", "timeoutMs": 3_000,
+            "targetLatencyMs": 1_000, "priority": 0, "service": "pool", "maxAttempts": MAX_ATTEMPTS, "slackFactor": 3.0, "public": false}],
+        "services": [{"name": "pool", "healthPath": "/health", "maxConnections": 64, "enforcesCapacity": false}],
+        "tenants": [{"name": "t", "apiKeys": ["key"], "guaranteed": {"gpu": 8 * WORKERS}}]})
+}
+
+fn job(count: usize, most_on_worker: usize) -> Value {
+    json!({"spec": "text", "steps": [{"count": count, "cpu": 1_000, "requestMemoryMb": 1_024, "gpu": 1, "estimatedMs": 4_000,
+        "antiAffinity": most_on_worker}]})
+}
+
+/// A caller's task runs twice at once, and is begun again after its last allowed failure.
+///
+/// The worker carries a start out and its connection breaks before the answer. The core sends the start again over a new connection, and the
+/// worker, which is busy by then, refuses it.
+#[test]
+fn a_start_that_is_refused_when_it_comes_again_may_have_begun() {
+    let core = leading_core("repeated-starts-core", "");
+    let control = core.control;
+    let addresses = ports::free(3);
+    let entry = entry_config(
+        &[addresses[0], addresses[1], addresses[2], control],
+        core.peer_port,
+    );
+    let _entry = Process::start("repeated-starts-entry", &entry);
+    wait_for(addresses[0]);
+    until("the rules are taken", START, || {
+        call(control, "PUT", "/-/config", &rules()).status == 200
+    });
+    let world = start_workers(control);
+    let hand_in = |name: &str, job: Value| {
+        let path = format!("/queue/{name}");
+        until("the job is accepted", START, || {
+            call(addresses[0], "POST", &path, &job).status == 200
+        });
+    };
+    for (others, companion) in COMPANIONS.into_iter().enumerate() {
+        hand_in(companion, job(WORKERS, 1));
+        until("every worker has its task", START, || {
+            let world = world.lock().unwrap();
+            let mut workers = world.workers.iter();
+            workers.all(|worker| worker.running.len() > others)
+        });
+    }
+    hand_in(JOB, job(1, 0));
+    let is_over = || {
+        let state = call(addresses[0], "GET", &format!("/queue/{JOB}"), &Value::Null);
+        let state = state.json()["state"].clone();
+        state == "completed" || state == "failed"
+    };
+    until("the job is over", PLAY, is_over);
+    let world = world.lock().unwrap();
+    assert!(
+        world.begun > 1,
+        "nothing was begun again:\n{}",
+        world.events.join("\n")
+    );
+    assert!(
+        world.problems.is_empty(),
+        "{}\n{}",
+        world.problems.join("\n"),
+        world.events.join("\n")
+    );
+}
--- a/crates/beechhollow/tests/support/mod.rs
+++ b/crates/beechhollow/tests/support/mod.rs
@@ -1,5 +1,11 @@
 //! What the tests of whole systems share.
-#![allow(dead_code, reason = "each test binary uses a part of it")]
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test binary uses a part of it"
+)]
+
+mod processes;
 
 use bh_testkit::Cluster;
 use bh_testkit::EntryOptions;
@@ -11,6 +17,13 @@
 use bh_testkit::worker::WorkerOptions;
 use std::time::Duration;
 
+pub use processes::LeadingCore;
+pub use processes::Process;
+pub use processes::entry_config;
+pub use processes::leading_core;
+pub use processes::metric;
+pub use processes::wait_for;
+
 pub const BINARY: &str = env!("CARGO_BIN_EXE_beechhollow");
 pub const SOON: Duration = Duration::from_secs(20);
 
