A start that is refused when it comes again may have begun

What callers saw: a task ran twice at once, and was begun again after its last allowed failure. Cause: a kept connection breaks after the worker has carried a start out. WorkerCalls sends the start again over a new connection and hands on the second answer only. A refusal of that one (busy, no room, too late) was taken to mean that the run never began: it was recorded as such, the task began elsewhere at once beside the run, and whatever became of that run later counted for nothing, its failure too. Why this works: the dispatcher is told that the order went out twice, by carriers too. A refusal then settles nothing, as after a send without an answer: the run is over when the worker has confirmed a stop and no longer lists it, or has listed its end, which counts. The same in the other direction: another incarnation that answers the second send clears no suspect; the first may have crashed the worker. Ruled out: late orders and silent workers (they are known as unanswered), changes of leader (none in the test).

--- a/crates/beechhollow/tests/repeated_starts.rs
+++ b/crates/beechhollow/tests/repeated_starts.rs
@@ -359,10 +359,12 @@
         "antiAffinity": most_on_worker}]})
 }
 
-/// A caller's task runs twice at once, and is begun again after its last allowed failure.
+/// Seen: a caller's task ran twice at once, and was begun again after its last allowed failure.
 ///
-/// The worker carries a start out and its connection breaks before the answer. The core sends the start again over a new connection, and the
-/// worker, which is busy by then, refuses it.
+/// Course: the worker carries a start out and the kept connection breaks before the answer. The core sends the start again over a new one,
+/// and the worker, busy by then, refuses it. The task began elsewhere at once, and the failure of the first run counted for nothing.
+/// Cause: of an order that goes out twice only the second answer was known, so its refusal was taken to mean that the run never began.
+/// Proof: the worker's own list of runs, here; before the repair the second to fourth run began beside the first, in ten of ten plays.
 #[test]
 fn a_start_that_is_refused_when_it_comes_again_may_have_begun() {
     let core = leading_core("repeated-starts-core", "");
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -16,6 +16,7 @@
 use bh_workload::dispatch::OrderBody;
 use bh_workload::state::Command;
 use bh_workload::state::Workload;
+use http::StatusCode;
 use std::rc::Rc;
 
 /// Time between passes over all workers, in milliseconds.
@@ -58,8 +59,7 @@
     let answer = match carry::send(&core, order.token, &order.to, request, limit_ms).await {
         Sent::Answered { response, repeated } => {
             if repeated {
-                core.metrics.count("orders_repeated", 1);
-                log::info!(worker = &*order.to.worker, order = order.body.to_string(), term = order.token, status = response.status().as_u16(); "order sent again: its connection broke after it was sent");
+                note_repeated(&core, &order, response.status());
             }
             // A look waits for an end; how long says nothing of the worker.
             if !matches!(order.body, OrderBody::Look { .. }) {
@@ -82,6 +82,19 @@
     note_answer(&core, &order, &answer);
 }
 
+/// Notes that the answer to an order is that to its second send.
+fn note_repeated(core: &CoreNode, order: &Order, status: StatusCode) {
+    core.metrics.count("orders_repeated", 1);
+    log::info!(
+        worker = &*order.to.worker, order = order.body.to_string(), term = order.token, status = status.as_u16();
+        "order sent again: its connection broke after it was sent"
+    );
+    let mut held = core.leadership.borrow_mut();
+    if let Some(leadership) = held.as_mut().filter(|held| held.term == order.token) {
+        leadership.dispatcher.note_repeated(order);
+    }
+}
+
 fn note_answer(core: &Rc<CoreNode>, order: &Order, answer: &Answer) {
     let now_ms = core.clock.now_ms();
     let mut held = core.leadership.borrow_mut();
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -65,6 +65,7 @@
             None
         }
         Answer::Denied { denial, .. } => {
+            watch.was_unsure = watch.may_have_begun();
             let was_unsure = watch.was_unsure;
             watch.start = StartPhase::Unsure {
                 retry_ms: now_ms + RETRY_MS,
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -324,6 +324,19 @@
         (orders, ends)
     }
 
+    /// Notes that an order went out twice before the answer that is taken next: the connection of the first send broke. The worker may have
+    /// carried that one out, so a refusal of the second does not say that a run never began. Taken to say so, the task begins elsewhere while
+    /// its run goes on, and the run's failure counts for nothing.
+    pub fn note_repeated(&mut self, order: &Order) {
+        let OrderBody::Start { run, .. } = &order.body else {
+            return;
+        };
+        let target = self.targets.get_mut(&order.to.worker);
+        if let Some(watch) = target.and_then(|target| target.runs.get_mut(run)) {
+            watch.was_repeated = true;
+        }
+    }
+
     /// Takes the answer to an order; returns what must be recorded.
     pub fn note_answer(
         &mut self,
--- a/crates/bh-workload/src/dispatch/run_watch.rs
+++ b/crates/bh-workload/src/dispatch/run_watch.rs
@@ -50,6 +50,8 @@
     pub stop: StopPhase,
     /// Whether an earlier send of the start order had no answer, so that a refusal of a later one proves nothing.
     pub was_unsure: bool,
+    /// Whether the last send of the start order was a repetition: an earlier one went out, and its connection broke before an answer came.
+    pub was_repeated: bool,
     /// Whether the leader wants the run to end though the record would let it go on.
     pub give_up: bool,
     /// Whether its end is being recorded.
@@ -77,6 +79,7 @@
             start,
             stop: StopPhase::None,
             was_unsure: matches!(start, StartPhase::Unsure { .. }),
+            was_repeated: false,
             give_up: false,
             settled: false,
             since_ms: now_ms,
@@ -88,4 +91,9 @@
             checkpoint: None,
         }
     }
+
+    /// Whether an earlier send of the start order may have been carried out, so that a refusal of the last one does not settle the run.
+    pub fn may_have_begun(&self) -> bool {
+        self.was_unsure || self.was_repeated
+    }
 }
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -186,7 +186,8 @@
 
     /// Notes that a start came to another incarnation: unless an earlier send had no answer, the run never began here.
     pub fn note_never_begun(&mut self, run: RunId) {
-        if let Some(watch) = self.runs.get_mut(&run).filter(|watch| !watch.was_unsure) {
+        let watch = self.runs.get_mut(&run);
+        if let Some(watch) = watch.filter(|watch| !watch.may_have_begun()) {
             watch.start = StartPhase::Unsent;
         }
     }
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -195,6 +195,7 @@
         };
         if let Some(watch) = target.runs.get_mut(&run) {
             watch.start = StartPhase::InFlight;
+            watch.was_repeated = false;
         }
         self.order(body);
     }
--- /dev/null
+++ b/crates/bh-workload/tests/repeated_starts.rs
@@ -0,0 +1,143 @@
+//! Starts that went out twice, so that the answer to the second says little of the first.
+mod support;
+
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Denial;
+use bh_workload::dispatch::Ended;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Report;
+use bh_workload::job::JobId;
+use bh_workload::job::RunId;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use rstest::rstest;
+use support::START_WALL_MS;
+use support::Site;
+use support::step;
+use support::task;
+
+/// A site of two workers and a task; the order that starts it.
+fn one_start() -> (Site, JobId, Order) {
+    let mut site = Site::new(2, 1);
+    let job = site.submit(0, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    let mut orders = site.orders();
+    orders.retain(|order| matches!(order.body, OrderBody::Start { .. }));
+    (site, job, orders.remove(0))
+}
+
+fn run(order: &Order) -> RunId {
+    match order.body {
+        OrderBody::Start { run, .. } | OrderBody::Stop { run } => run,
+        _ => panic!("{order:?} is of no run"),
+    }
+}
+
+fn denied(site: &Site, denial: Denial) -> Answer {
+    Answer::Denied {
+        clock_ms: Some(site.now_ms),
+        denial,
+    }
+}
+
+fn nothing_runs(site: &Site) -> Answer {
+    Answer::Done {
+        clock_ms: Some(site.now_ms),
+        report: Some(Report::default()),
+    }
+}
+
+/// Takes an answer, and records what follows from it.
+fn answer(site: &mut Site, order: &Order, answer: &Answer) -> Option<Command> {
+    let command = site
+        .dispatcher
+        .note_answer(site.now_ms, order, answer, &site.workload);
+    if let Some(command) = command.clone() {
+        site.workload.apply(command.at(START_WALL_MS + site.now_ms));
+        site.take_news();
+    }
+    command
+}
+
+/// A start whose first send may have been carried out is refused: the task begins nowhere else until the worker has confirmed a stop.
+#[rstest]
+#[case(Denial::Unhealthy)]
+#[case(Denial::NoRoom)]
+#[case(Denial::Late)]
+#[case(Denial::NoPermission)]
+#[case(Denial::Malformed)]
+fn a_refused_repetition_settles_nothing(#[case] denial: Denial) {
+    let (mut site, _, start) = one_start();
+    site.dispatcher.note_repeated(&start);
+    let refused = denied(&site, denial);
+    assert_eq!(answer(&mut site, &start, &refused), None);
+    assert_eq!(site.plan().starts, Vec::new());
+
+    let orders = site.orders();
+    let mut stops = orders.iter();
+    let stop = stops.find(|order| matches!(order.body, OrderBody::Stop { .. }));
+    assert_eq!(run(stop.expect("the run is stopped")), run(&start));
+    for order in &orders {
+        let nothing = nothing_runs(&site);
+        answer(&mut site, order, &nothing);
+    }
+    assert_eq!(
+        site.open_runs().len(),
+        1,
+        "the report is older than the stop"
+    );
+    site.advance(100);
+    let nothing = nothing_runs(&site);
+    site.answer_for(&start.to.worker, &nothing);
+    assert_eq!(site.open_runs(), Vec::new());
+}
+
+/// A start that was sent once and is refused never began: its task may begin elsewhere at once.
+#[test]
+fn a_refusal_of_the_only_send_settles_the_run() {
+    let (mut site, _, start) = one_start();
+    let refused = denied(&site, Denial::Unhealthy);
+    let command = answer(&mut site, &start, &refused);
+    assert!(matches!(command, Some(Command::Ends { .. })));
+    assert_eq!(site.open_runs(), Vec::new());
+}
+
+/// The run that the first send began fails: that counts, though its repetition was refused.
+#[test]
+fn a_failure_after_a_refused_repetition_counts() {
+    let (mut site, job, start) = one_start();
+    site.dispatcher.note_repeated(&start);
+    let refused = denied(&site, Denial::Unhealthy);
+    answer(&mut site, &start, &refused);
+    let failed = Answer::Done {
+        clock_ms: Some(site.now_ms),
+        report: Some(Report {
+            ended: vec![Ended {
+                number: 1,
+                run: run(&start),
+                kind: EndKind::Failed,
+                checkpoint: None,
+            }],
+            ..Report::default()
+        }),
+    };
+    site.answer_for(&start.to.worker, &failed);
+    let counted = site.workload.task(task(job, 0, 0));
+    assert_eq!(counted.map(|task| task.failures), Some(1));
+}
+
+/// The worker crashes under the first send, and another incarnation answers the second: the run may have crashed it.
+#[test]
+fn a_repetition_that_another_incarnation_answers_clears_no_suspect() {
+    let (mut site, _, start) = one_start();
+    site.dispatcher.note_repeated(&start);
+    let Some(Command::Ends {
+        crash: Some(crash), ..
+    }) = answer(&mut site, &start, &Answer::OtherIncarnation)
+    else {
+        panic!("a crash is recorded");
+    };
+    let suspects: Vec<RunId> = crash.suspects.iter().map(|suspect| suspect.run).collect();
+    assert_eq!(suspects, [run(&start)]);
+}
