A worker forgets no end whose own record is on its way

What callers could see: a failure that is counted by nobody, so that a task is begun after its last allowed one; a task that begins again after it was done. Cause: the result of any record about a worker released the number of the ends that it had listed last, whose own record might still be on its way. The worker was told that they are recorded and forgot them. If the leader was lost before that record was committed, the ends were lost with it; the next leader found the run neither running nor listed, and recorded that it never began. With syncs of some hundred milliseconds the gap between two records is as long. The result of a record that an earlier leadership of the same core had made reached the new one as well. Why this works: each record knows up to which listed end it goes and in which term it was made; only its own result releases that number. Not known to be what the users saw: two runs at once do not follow from it.

--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -4,6 +4,7 @@
 use super::leadership::Leadership;
 use super::orders::give_orders;
 use super::planning::plan;
+use super::records::Origin;
 use super::records::RECORD_MS;
 use super::records::record;
 use super::upkeep;
@@ -167,9 +168,10 @@
 }
 
 fn forget_old(core: &Rc<CoreNode>) {
-    if core.leadership.borrow().is_none() {
+    let term = core.leadership.borrow().as_ref().map(|held| held.term);
+    let Some(term) = term else {
         return;
-    }
+    };
     /// Kept longer than promised by this much, in milliseconds: wall clocks of cores differ and may jump.
     const MARGIN_MS: u64 = 60_000;
     let before_ms = core
@@ -177,6 +179,10 @@
         .saturating_sub(core.config.timing().retention_ms + MARGIN_MS);
     let oldest = core.group.machine.read().oldest_end_ms();
     if oldest.is_some_and(|end_ms| end_ms < before_ms) {
-        record(core, Command::Forget { before_ms });
+        let origin = Origin {
+            term,
+            listed_to: None,
+        };
+        record(core, Command::Forget { before_ms }, origin);
     }
 }
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -6,6 +6,7 @@
 use super::departures::log_departures;
 use super::job_ends::log_job_ends;
 use super::learnt::Learnt;
+use super::records::Origin;
 use super::records::record;
 use super::run_ends::learnt_by;
 use super::run_ends::learnt_unheard;
@@ -42,12 +43,16 @@
         learnt_unheard(&leadership.dispatcher, end)
     });
     drop(workload);
+    let origin = Origin {
+        term: leadership.term,
+        listed_to: None,
+    };
     drop(held);
     for order in orders {
         monoio::spawn(send_order(core.clone(), order));
     }
     if !ends.is_empty() {
-        record(core, Command::ends(ends));
+        record(core, Command::ends(ends), origin);
     }
 }
 
@@ -120,11 +125,19 @@
             .planner
             .note_ends(now_ms, ends, &workload, &leadership.dispatcher);
     }
+    let listed_to = match order.body {
+        OrderBody::Look { .. } => leadership.dispatcher.recording_to(&order.to.worker),
+        _ => None,
+    };
+    let origin = Origin {
+        term: leadership.term,
+        listed_to,
+    };
     drop(workload);
     drop(held);
     if let Some(command) = command {
         log_departures(core, order.token, &command, Learnt::OtherIncarnation);
-        record(core, command);
+        record(core, command, origin);
     }
     core.wake();
 }
--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -13,8 +13,17 @@
 /// Wait for a record to be committed, in milliseconds. What takes longer may still be, and shows in the record then.
 pub(super) const RECORD_MS: u64 = 3_000;
 
+/// What a record follows from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Origin {
+    /// Term of the leader whose record it is; a later one has its own.
+    pub term: u64,
+    /// Up to which number a worker listed the ends in it; `None` for ends that it did not list.
+    pub listed_to: Option<u64>,
+}
+
 /// Records a command of the leader's own, and tells the dispatcher what became of it.
-pub(super) fn record(core: &Rc<CoreNode>, command: Command) {
+pub(super) fn record(core: &Rc<CoreNode>, command: Command, origin: Origin) {
     let core = core.clone();
     monoio::spawn(async move {
         let workers: BTreeSet<Arc<str>> = match &command {
@@ -32,9 +41,12 @@
         if let Err(failure) = &result {
             log::warn!(core = &*core.config.name; "not recorded: {failure}");
         }
-        if let Some(leadership) = core.leadership.borrow_mut().as_mut() {
+        if let Some(leadership) = core.leadership.borrow_mut().as_mut()
+            && leadership.term == origin.term
+        {
+            let dispatcher = &mut leadership.dispatcher;
             for worker in workers {
-                leadership.dispatcher.note_recorded(&worker, result.is_ok());
+                dispatcher.note_recorded(&worker, origin.listed_to, result.is_ok());
             }
         }
         core.wake();
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -258,15 +258,25 @@
         }
     }
 
-    /// Notes whether the ends that were to be recorded for a worker are recorded now.
-    pub fn note_recorded(&mut self, worker: &Arc<str>, done: bool) {
+    /// Up to which number ends that the worker listed are on their way into the record.
+    pub fn recording_to(&self, worker: &str) -> Option<u64> {
+        self.view(worker).and_then(|target| target.recording_to)
+    }
+
+    /// Notes whether ends of runs on a worker are recorded now. `listed_to` is [`Self::recording_to`] as it was when their record was made,
+    /// `None` for ends that the worker did not list. Several records may be on their way: were the commit of another one to count for the listed
+    /// ends, the worker would forget them, and a leader lost before their own commit would lose them with it.
+    pub fn note_recorded(&mut self, worker: &Arc<str>, listed_to: Option<u64>, done: bool) {
         let Some(target) = self.targets.get_mut(worker) else {
             return;
         };
-        let recording_to = target.recording_to.take();
-        if done {
-            target.recorded_to = target.recorded_to.max(recording_to.unwrap_or(0));
-        } else {
+        if listed_to.is_some() && listed_to == target.recording_to {
+            target.recording_to = None;
+            if done {
+                target.recorded_to = target.recorded_to.max(listed_to.unwrap_or(0));
+            }
+        }
+        if !done {
             for watch in target.runs.values_mut() {
                 watch.settled = false;
             }
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -75,7 +75,8 @@
     for (worker, command) in commands {
         let now_ms = site.wall_ms();
         site.workload.apply(command.at(now_ms));
-        site.dispatcher.note_recorded(&worker, true);
+        let listed_to = site.dispatcher.recording_to(&worker);
+        site.dispatcher.note_recorded(&worker, listed_to, true);
     }
     site.take_news();
 }
--- a/crates/bh-workload/tests/evacuation.rs
+++ b/crates/bh-workload/tests/evacuation.rs
@@ -220,7 +220,9 @@
             if let Some(command) = command {
                 let now_ms = site.wall_ms();
                 site.workload.apply(command.at(now_ms));
-                site.dispatcher.note_recorded(&order.to.worker, true);
+                let listed_to = site.dispatcher.recording_to(&order.to.worker);
+                site.dispatcher
+                    .note_recorded(&order.to.worker, listed_to, true);
                 site.take_news();
             }
         }
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -279,7 +279,8 @@
         let command = command.at(self.site.wall_ms());
         self.site.workload.apply(command);
         for worker in workers {
-            self.site.dispatcher.note_recorded(&worker, true);
+            let listed_to = self.site.dispatcher.recording_to(&worker);
+            self.site.dispatcher.note_recorded(&worker, listed_to, true);
         }
     }
 
