A leader is confirmed by when its messages were sent, not by when their answers are read

What callers could see: two leaders that give orders at a time, and so a run whose lease the old one renews while the new one takes it to have run out. Cause: quorum_heard_ms was the time at which answers of followers were read. A leader that lost the processor for some seconds finds the answers to its last heartbeats in its sockets, reads them first, and took itself for confirmed for 1.5 s more, though another one was elected meanwhile; a new leader counts on the old one to have stopped 2 s after the election. Why this works: answers name the round of messages that they answer.

--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -15,6 +15,9 @@
 use bh_protocol::wire::RaftKind;
 use std::sync::Arc;
 
+/// Time for which it is remembered when a round was begun, in least election times. An answer that comes later confirms nothing any more.
+const ROUNDS_KEPT_ELECTIONS: u64 = 4;
+
 impl Replica {
     pub(crate) fn become_leader(&mut self, now_ms: u64) {
         let next = self.log.last_index() + 1;
@@ -105,10 +108,11 @@
 
     /// Sends every replica what it lacks, or a heartbeat.
     fn start_round(&mut self, now_ms: u64) {
+        let since_ms = now_ms.saturating_sub(self.config.election_ms * ROUNDS_KEPT_ELECTIONS);
         let Some(leadership) = self.leadership() else {
             return;
         };
-        leadership.round += 1;
+        leadership.begin_round(now_ms, since_ms);
         leadership.unsent = false;
         self.replicate_all(now_ms);
         self.count_matches();
@@ -287,22 +291,28 @@
 
     pub(crate) fn receive_append_reply(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
         let last = self.log.last_index();
+        let since_ms = now_ms.saturating_sub(self.config.election_ms * ROUNDS_KEPT_ELECTIONS);
         let Some(leadership) = self.leadership() else {
             return;
         };
+        let begun_ms = leadership.begun_ms.get(&body.round).copied();
+        let next_round = leadership.round + 1;
         let Some(progress) = leadership.progress.get_mut(&from) else {
             return;
         };
         progress.heard_ms = now_ms;
+        progress.supported_ms = progress.supported_ms.max(begun_ms.unwrap_or(0));
         progress.round = progress.round.max(body.round);
         let starts_over = !body.granted && progress.is_news(body.round);
         if body.granted {
             progress.note_match(body.index, body.round);
         } else if starts_over {
-            leadership.round += 1;
-            progress.start_over((body.index + 1).min(last + 1), leadership.round);
+            progress.start_over((body.index + 1).min(last + 1), next_round);
         }
         let lacks = body.granted && progress.next <= last;
+        if starts_over {
+            leadership.begin_round(now_ms, since_ms);
+        }
         self.count_matches();
         self.confirm_reads();
         if lacks || starts_over {
--- a/crates/bh-consensus/src/progress.rs
+++ b/crates/bh-consensus/src/progress.rs
@@ -18,6 +18,9 @@
     pub next: u64,
     /// When it last answered.
     pub heard_ms: u64,
+    /// Until when it surely knew of no later leader, in milliseconds: the time at which a message that it has answered was sent. When the answer was read
+    /// says nothing of that, since it may have waited.
+    pub supported_ms: u64,
     /// Highest heartbeat round it has answered.
     pub round: u64,
     /// When a snapshot was last sent; it is not sent again at once.
@@ -50,6 +53,7 @@
             matched: 0,
             next,
             heard_ms: now_ms,
+            supported_ms: now_ms,
             round: 0,
             snapshot_ms: None,
             arrived: next - 1,
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -165,17 +165,19 @@
         self.heard_ms.map(|heard| now_ms.saturating_sub(heard))
     }
 
-    /// Time at which a majority of the voters, this one among them, had last been heard; `None` when it does not lead.
+    /// Time until which a majority of the voters, this one among them, surely knew of no later leader; `None` when it does not lead. Answers
+    /// count from when the message was sent that they answer: after a pause of this VM they are read long after they were given, and another leader
+    /// may have been elected in between.
     pub fn quorum_heard_ms(&self, now_ms: u64) -> Option<u64> {
         let Role::Leader(leadership) = &self.role else {
             return None;
         };
-        let heard = |id: u64| leadership.progress.get(&id).map_or(0, |p| p.heard_ms);
+        let supported = |id: u64| leadership.progress.get(&id).map_or(0, |p| p.supported_ms);
         Some(self.voters.reached_by_majority(|id| {
             if id == self.config.id {
                 now_ms
             } else {
-                heard(id)
+                supported(id)
             }
         }))
     }
--- a/crates/bh-consensus/src/role.rs
+++ b/crates/bh-consensus/src/role.rs
@@ -28,6 +28,8 @@
 pub struct Leadership {
     pub(crate) progress: BTreeMap<u64, Progress>,
     pub(crate) round: u64,
+    /// When the rounds of late were begun, by round, in milliseconds.
+    pub(crate) begun_ms: BTreeMap<u64, u64>,
     pub(crate) next_heartbeat_ms: u64,
     pub(crate) elected_ms: u64,
     pub(crate) first_index: u64,
@@ -36,6 +38,19 @@
     pub(crate) unsent: bool,
 }
 
+impl Leadership {
+    /// Begins the next round; when rounds before `since_ms` were begun is forgotten.
+    pub(crate) fn begin_round(&mut self, now_ms: u64, since_ms: u64) {
+        self.round += 1;
+        self.begun_ms.insert(self.round, now_ms);
+        while let Some(oldest) = self.begun_ms.first_entry()
+            && *oldest.get() < since_ms
+        {
+            oldest.remove();
+        }
+    }
+}
+
 /// A read that waits for a majority to confirm the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PendingRead {
--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -77,6 +77,8 @@
     pub acknowledged: BTreeSet<u64>,
     waiting: BTreeMap<(usize, u64), (u64, u64)>,
     leaders: BTreeMap<u64, u64>,
+    /// When the leader of each term was elected, in milliseconds.
+    elected_ms: BTreeMap<u64, u64>,
     pub problems: Vec<String>,
     /// Messages sent so far.
     pub sent: usize,
@@ -121,6 +123,7 @@
             acknowledged: BTreeSet::new(),
             waiting: BTreeMap::new(),
             leaders: BTreeMap::new(),
+            elected_ms: BTreeMap::new(),
             problems: Vec::new(),
             sent: 0,
             sent_entries: 0,
@@ -376,14 +379,20 @@
         }
     }
 
-    /// Delivers everything in order until nothing is on its way.
+    /// Delivers everything in order until nothing is on its way but to VMs that are suspended.
     pub fn settle(&mut self) {
         const MOST: usize = 20_000;
+        let mut held = Vec::new();
         for _ in 0..MOST {
             if self.network.is_empty() {
+                self.network = held;
                 return;
             }
             let (from, to, message) = self.network.remove(0);
+            if self.frozen.contains(&to) {
+                held.push((from, to, message));
+                continue;
+            }
             if !self.cut.contains(&from) && !self.cut.contains(&to) {
                 self.step(to, Event::Receive(message));
             }
@@ -418,7 +427,9 @@
         let outputs = replica.step(now_ms, event);
         let is_leader = replica.is_leader();
         let (term, id) = (replica.term(), replica.id());
+        let confirmed_ms = replica.quorum_heard_ms(now_ms);
         if is_leader && !was_leader {
+            self.elected_ms.insert(term, now_ms);
             // Election safety: one leader a term.
             if let Some(other) = self.leaders.insert(term, id)
                 && other != id
@@ -427,9 +438,23 @@
                     .push(format!("two leaders in term {term}: {other} and {id}"));
             }
         }
+        self.check_confirmed(term, confirmed_ms);
         self.carry_out(index, outputs);
     }
 
+    /// A leader takes itself for the only one up to the time at which it says a majority supported it: no later one was elected before that.
+    fn check_confirmed(&mut self, term: u64, confirmed_ms: Option<u64>) {
+        let later = self.elected_ms.range(term + 1..).next();
+        if let (Some(confirmed_ms), Some((next, elected_ms))) = (confirmed_ms, later)
+            && *elected_ms < confirmed_ms
+        {
+            let problem = format!(
+                "term {term} was confirmed for {confirmed_ms} ms, but term {next} began at {elected_ms} ms"
+            );
+            self.problems.push(problem);
+        }
+    }
+
     fn carry_out(&mut self, index: usize, outputs: Vec<Output>) {
         for output in &outputs {
             self.save(index, output);
