A run whose end may yet be recorded is not started again

What callers could see: a task that runs twice at once, under one leader. Cause: the record of an end that was not committed within 3 s counted as failed. But its entry is in the leader's log and is committed as soon as the disks of a majority are quick again. Meanwhile the run counted as wanted: once its worker answered again, its start went out again and was carried out; then the record came into force, and the task began elsewhere beside that run. Why this works: a record without an outcome is neither in force nor failed. What it says is over is left alone until it is committed, or another leads, which knows it.

--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -3,7 +3,9 @@
 use super::core_node::CoreNode;
 use super::departures::log_given_up;
 use bh_group::encode;
+use bh_protocol::Code;
 use bh_protocol::Failure;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::state::Command;
 use bh_workload::state::Reply;
 use std::collections::BTreeSet;
@@ -46,13 +48,21 @@
         {
             let dispatcher = &mut leadership.dispatcher;
             for worker in workers {
-                dispatcher.note_recorded(&worker, origin.listed_to, result.is_ok());
+                dispatcher.note_recorded(&worker, origin.listed_to, outcome(&result));
             }
         }
         core.wake();
     });
 }
 
+fn outcome(result: &Result<Reply, Failure>) -> RecordOutcome {
+    match result {
+        Ok(_) => RecordOutcome::Recorded,
+        Err(failure) if failure.code == Code::NoQuorum => RecordOutcome::NotRecorded,
+        Err(_) => RecordOutcome::Unknown,
+    }
+}
+
 /// Replicates a command, with the time filled in.
 ///
 /// # Errors
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -7,6 +7,7 @@
 use super::Order;
 use super::OrderBody;
 use super::Permissions;
+use super::RecordOutcome;
 use super::RunWatch;
 use super::StartPhase;
 use super::StopPhase;
@@ -263,20 +264,26 @@
         self.view(worker).and_then(|target| target.recording_to)
     }
 
-    /// Notes whether ends of runs on a worker are recorded now. `listed_to` is [`Self::recording_to`] as it was when their record was made,
+    /// Notes what became of a record of ends of runs on a worker. `listed_to` is [`Self::recording_to`] as it was when their record was made,
     /// `None` for ends that the worker did not list. Several records may be on their way: were the commit of another one to count for the listed
     /// ends, the worker would forget them, and a leader lost before their own commit would lose them with it.
-    pub fn note_recorded(&mut self, worker: &Arc<str>, listed_to: Option<u64>, done: bool) {
+    pub fn note_recorded(
+        &mut self,
+        worker: &Arc<str>,
+        listed_to: Option<u64>,
+        outcome: RecordOutcome,
+    ) {
         let Some(target) = self.targets.get_mut(worker) else {
             return;
         };
         if listed_to.is_some() && listed_to == target.recording_to {
             target.recording_to = None;
-            if done {
+            if outcome == RecordOutcome::Recorded {
                 target.recorded_to = target.recorded_to.max(listed_to.unwrap_or(0));
             }
         }
-        if !done {
+        // What may yet be recorded as over is left alone: started again, it would run beside the next run of its task.
+        if outcome == RecordOutcome::NotRecorded {
             for watch in target.runs.values_mut() {
                 watch.settled = false;
             }
--- a/crates/bh-workload/tests/acknowledged_ends.rs
+++ b/crates/bh-workload/tests/acknowledged_ends.rs
@@ -6,6 +6,7 @@
 use bh_workload::dispatch::Ended;
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Report;
 use bh_workload::job::RunId;
 use bh_workload::state::EndKind;
@@ -76,13 +77,15 @@
     let (first, second) = (first.expect("a record"), second.expect("a record"));
 
     site.workload.apply(first);
-    site.dispatcher.note_recorded(&worker, None, true);
+    site.dispatcher
+        .note_recorded(&worker, None, RecordOutcome::Recorded);
     site.take_news();
     site.advance(100);
     assert_eq!(told(&mut site), None, "its end is not recorded yet");
 
     site.workload.apply(second);
-    site.dispatcher.note_recorded(&worker, listed_to, true);
+    site.dispatcher
+        .note_recorded(&worker, listed_to, RecordOutcome::Recorded);
     site.take_news();
     site.advance(100);
     assert_eq!(told(&mut site), Some(NUMBER));
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -6,6 +6,7 @@
 use Says::Runs;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Ended;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Report;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::JobId;
@@ -76,7 +77,8 @@
         let now_ms = site.wall_ms();
         site.workload.apply(command.at(now_ms));
         let listed_to = site.dispatcher.recording_to(&worker);
-        site.dispatcher.note_recorded(&worker, listed_to, true);
+        site.dispatcher
+            .note_recorded(&worker, listed_to, RecordOutcome::Recorded);
     }
     site.take_news();
 }
--- a/crates/bh-workload/tests/evacuation.rs
+++ b/crates/bh-workload/tests/evacuation.rs
@@ -10,6 +10,7 @@
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Report;
 use bh_workload::job::JobId;
 use bh_workload::job::StepSpec;
@@ -222,7 +223,7 @@
                 site.workload.apply(command.at(now_ms));
                 let listed_to = site.dispatcher.recording_to(&order.to.worker);
                 site.dispatcher
-                    .note_recorded(&order.to.worker, listed_to, true);
+                    .note_recorded(&order.to.worker, listed_to, RecordOutcome::Recorded);
                 site.take_news();
             }
         }
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -14,6 +14,7 @@
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Target;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::JobId;
@@ -280,7 +281,9 @@
         self.site.workload.apply(command);
         for worker in workers {
             let listed_to = self.site.dispatcher.recording_to(&worker);
-            self.site.dispatcher.note_recorded(&worker, listed_to, true);
+            self.site
+                .dispatcher
+                .note_recorded(&worker, listed_to, RecordOutcome::Recorded);
         }
     }
 
