Fuzz of orders where everything takes time: late commits, lost proposals, late reads, hidden repetition

Cause: users saw a task run twice at once and begin after its last allowed failure; fuzz_orders commits and answers at once, so it cannot show either. What: fuzz_delays.rs with a log that commits late and loses its end with its leader, answers read late, stalls of the leader, busy workers, orders sent twice unseen; judged by the workers' history. The model worker counts leases that ran out and takes four more planted faults.

--- a/crates/bh-testkit/src/model_worker.rs
+++ b/crates/bh-testkit/src/model_worker.rs
@@ -22,6 +22,14 @@
     ForgetsStops,
     /// It takes orders after the lease they carry has run out.
     IgnoresLease,
+    /// It lists runs that were done as lapsed.
+    HidesSuccess,
+    /// It lists runs that failed as lapsed.
+    HidesFailures,
+    /// It leaves out the older one of two ends.
+    SkipsEnds,
+    /// What it begins never ends.
+    NeverEnds,
 }
 
 /// A run on a worker.
@@ -55,6 +63,10 @@
     /// Ends not known to be recorded.
     pub ended: Vec<Ended>,
     next_end: u64,
+    /// Whether a lease runs.
+    is_leased: bool,
+    /// Leases that have run out.
+    pub lapses: u64,
     planted: Planted,
 }
 
@@ -71,6 +83,8 @@
             fenced: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            is_leased: false,
+            lapses: 0,
             planted,
         }
     }
@@ -104,6 +118,10 @@
     /// Lets time pass: leases run out, stops take effect, work is done.
     pub fn pass(&mut self, now_ms: u64) {
         let clock_ms = self.clock_ms(now_ms);
+        if self.is_leased && clock_ms >= self.lease_until_ms {
+            self.is_leased = false;
+            self.lapses += 1;
+        }
         let all: Vec<RunId> = self.runs.keys().copied().collect();
         for run in all {
             let state = self.runs[&run].clone();
@@ -111,7 +129,9 @@
                 self.end(run, EndKind::Lapsed);
             } else if state.stopping_ms.is_some_and(|at_ms| now_ms >= at_ms) {
                 self.end(run, EndKind::Stopped);
-            } else if state.done_ms.is_some_and(|done_ms| now_ms >= done_ms) {
+            } else if state.done_ms.is_some_and(|done_ms| now_ms >= done_ms)
+                && self.planted != Planted::NeverEnds
+            {
                 let kind = if state.fails {
                     EndKind::Failed
                 } else {
@@ -152,7 +172,7 @@
                 if late && self.planted != Planted::IgnoresLease {
                     return denied(Denial::Late);
                 }
-                self.lease_until_ms = self.lease_until_ms.max(*lease_until_ms);
+                self.extend_lease(now_ms, *lease_until_ms);
                 if self.runs.contains_key(run) {
                     return (done, None);
                 }
@@ -186,26 +206,58 @@
                 ..
             } => {
                 if let Some(until_ms) = lease_until_ms {
-                    self.lease_until_ms = self.lease_until_ms.max(*until_ms);
+                    self.extend_lease(now_ms, *until_ms);
                 }
                 self.ended.retain(|end| end.number > *recorded_to);
-                let running = self.runs.keys().map(|run| Running {
-                    run: *run,
-                    checkpoint: None,
-                    percent: now_ms / 50 % 100,
-                    load: 0,
-                });
-                let report = Report {
-                    running: running.collect(),
-                    ended: self.ended.clone(),
-                    more: false,
-                };
                 let answer = Answer::Done {
                     clock_ms,
-                    report: Some(report),
+                    report: Some(self.report(now_ms)),
                 };
                 (answer, None)
             }
         }
     }
+
+    fn extend_lease(&mut self, now_ms: u64, until_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        self.is_leased = self.clock_ms(now_ms) < self.lease_until_ms;
+    }
+
+    /// What it says of its runs.
+    pub fn report(&self, now_ms: u64) -> Report {
+        let running = self.runs.keys().map(|run| Running {
+            run: *run,
+            checkpoint: None,
+            percent: now_ms / 50 % 100,
+            load: 0,
+        });
+        let skipped = match self.planted {
+            Planted::SkipsEnds => self.ended.len().saturating_sub(1),
+            _ => 0,
+        };
+        Report {
+            running: running.collect(),
+            ended: self
+                .ended
+                .iter()
+                .skip(skipped)
+                .map(|end| self.listed(end))
+                .collect(),
+            more: false,
+        }
+    }
+
+    /// How it lists an end.
+    fn listed(&self, end: &Ended) -> Ended {
+        let kind = match (self.planted, end.kind) {
+            (Planted::HidesSuccess, EndKind::Done) | (Planted::HidesFailures, EndKind::Failed) => {
+                EndKind::Lapsed
+            }
+            (_, kind) => kind,
+        };
+        Ended {
+            kind,
+            ..end.clone()
+        }
+    }
 }
--- /dev/null
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -0,0 +1,135 @@
+//! What is done to a site while its jobs run.
+
+use bh_testkit::model_worker::Planted;
+use proptest::prelude::*;
+
+/// Workers of a site.
+pub const WORKERS: usize = 4;
+/// Faults begin within this time.
+pub const FAULTY_MS: u64 = 15_000;
+/// Longest time for which anything is held, in milliseconds.
+pub const MOST_HELD_MS: u64 = 3_000;
+
+/// One fault.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// Orders, answers and heartbeats of a worker are lost.
+    Cut { worker: usize, for_ms: u64 },
+    /// A worker crashes, and lives again under another identity.
+    Reborn { worker: usize },
+    /// The leader is replaced after `gap_ms` without any. Up to `lost` of the newest proposals are lost. One that is deposed goes on for a while.
+    Leader {
+        same_core: bool,
+        lost: usize,
+        gap_ms: u64,
+        deposed_ms: u64,
+    },
+    /// A share of orders comes to the worker up to three seconds late, percent.
+    LateOrders { percent: u64, for_ms: u64 },
+    /// A share of answers is on its way for up to three seconds, percent: the leader gives up those that take too long.
+    LateAnswers { percent: u64, for_ms: u64 },
+    /// A share of answers arrives in time, and each is read up to three seconds later, percent.
+    LateReads { percent: u64, for_ms: u64 },
+    /// A share of connections breaks once the order is carried out, percent.
+    BrokenConnections { percent: u64, for_ms: u64 },
+    /// The same, but the order is sent again at once, and the leader hears only what comes back for that, percent.
+    Repeats { percent: u64, for_ms: u64 },
+    /// The leader loses the processor: between two turns, or between its decision and the sending.
+    Stall { for_ms: u64, in_turn: bool },
+    /// Nothing is committed.
+    StuckRecords { for_ms: u64 },
+    /// A share of orders is denied by busy workers, which have done nothing, percent.
+    Busy { percent: u64, for_ms: u64 },
+    /// A worker fails all it starts.
+    FailsAll { worker: usize, for_ms: u64 },
+    /// The leader wants the runs of a job to end, to begin them anew elsewhere.
+    GiveUp { job: usize },
+}
+
+/// One run of the fuzz.
+#[derive(Clone, Debug)]
+pub struct Case {
+    pub seed: u64,
+    /// Longest time until a proposal is committed, in milliseconds.
+    pub record_ms: u64,
+    /// Share of runs that fail, percent.
+    pub failing_percent: u64,
+    /// Share of orders that are denied by busy workers all the time, percent.
+    pub busy_percent: u64,
+    /// When each fault begins, in milliseconds.
+    pub faults: Vec<(u64, Fault)>,
+    /// What the workers do wrong.
+    pub planted: Planted,
+    /// Which commits release the ends of a report.
+    pub release: Release,
+}
+
+/// Which commits release the ends that a worker reported, so that it may forget them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// That of any record for the worker, by whichever leader of the core: what `records.rs` does.
+    AnyRecord,
+    /// Only that of the record that the report led to, by this leader. Shows what is left to find beside that.
+    OwnRecord,
+}
+
+fn share() -> impl Strategy<Value = (u64, u64)> {
+    (5u64..70, 300u64..8_000)
+}
+
+/// Faults with the leader, the network and the record.
+pub fn fault() -> impl Strategy<Value = (u64, Fault)> {
+    let kind = prop_oneof![
+        1 => (0..WORKERS, 300u64..12_000).prop_map(|(worker, for_ms)| Fault::Cut { worker, for_ms }),
+        1 => (0..WORKERS).prop_map(|worker| Fault::Reborn { worker }),
+        3 => (any::<bool>(), 0usize..4, 0u64..3_000, 0u64..1_500).prop_map(
+            |(same_core, lost, gap_ms, deposed_ms)| Fault::Leader { same_core, lost, gap_ms, deposed_ms }
+        ),
+        3 => share().prop_map(|(percent, for_ms)| Fault::LateOrders { percent, for_ms }),
+        3 => share().prop_map(|(percent, for_ms)| Fault::LateAnswers { percent, for_ms }),
+        3 => share().prop_map(|(percent, for_ms)| Fault::LateReads { percent, for_ms }),
+        1 => share().prop_map(|(percent, for_ms)| Fault::BrokenConnections { percent, for_ms }),
+        3 => (50u64..MOST_HELD_MS, any::<bool>()).prop_map(|(for_ms, in_turn)| Fault::Stall { for_ms, in_turn }),
+        1 => (500u64..4_500).prop_map(|for_ms| Fault::StuckRecords { for_ms }),
+        2 => share().prop_map(|(percent, for_ms)| Fault::Busy { percent, for_ms }),
+        1 => (0..WORKERS, 500u64..8_000).prop_map(|(worker, for_ms)| Fault::FailsAll { worker, for_ms }),
+        1 => (0usize..8).prop_map(|job| Fault::GiveUp { job }),
+    ];
+    (0..FAULTY_MS, kind)
+}
+
+/// The same with orders that are sent twice unseen.
+pub fn repeating_fault() -> impl Strategy<Value = (u64, Fault)> {
+    let repeats = (0..FAULTY_MS, share())
+        .prop_map(|(at_ms, (percent, for_ms))| (at_ms, Fault::Repeats { percent, for_ms }));
+    prop_oneof![2 => fault(), 1 => repeats]
+}
+
+/// A whole case with such faults.
+pub fn case(
+    fault: impl Strategy<Value = (u64, Fault)>,
+    release: Release,
+) -> impl Strategy<Value = Case> {
+    let record_ms = prop_oneof![1 => Just(1u64), 3 => 2u64..=500];
+    let failing_percent = prop_oneof![1 => Just(0u64), 1 => 1u64..50];
+    let busy_percent = prop_oneof![2 => Just(0u64), 1 => 1u64..20];
+    let faults = proptest::collection::vec(fault, 0..12);
+    (
+        any::<u64>(),
+        record_ms,
+        failing_percent,
+        busy_percent,
+        faults,
+    )
+        .prop_map(
+            move |(seed, record_ms, failing_percent, busy_percent, faults)| Case {
+                seed,
+                record_ms,
+                failing_percent,
+                busy_percent,
+                faults,
+                planted: Planted::Nothing,
+                release,
+            },
+        )
+}
--- /dev/null
+++ b/crates/bh-workload/tests/delays/history.rs
@@ -0,0 +1,143 @@
+//! What workers began and ended, and which rules that breaks.
+
+use super::MAX_ATTEMPTS;
+use bh_workload::job::RunId;
+use bh_workload::job::TaskId;
+use bh_workload::state::EndKind;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A rule that a run of the fuzz may break.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// No task runs twice at once on workers that live.
+    OneAtOnce,
+    /// Nothing begins after an end with success that was taken note of then or later.
+    NotAfterDone,
+    /// Nothing begins after as many failures as are allowed that were taken note of then or later.
+    NotAfterFailures,
+    /// No end is forgotten by its worker before the record holds it.
+    RecordedFirst,
+    /// Every job ends.
+    JobsEnd,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug)]
+pub struct Finding {
+    pub rule: Rule,
+    pub task: Option<TaskId>,
+    pub text: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.rule, self.text)
+    }
+}
+
+/// A run that a worker began.
+struct Begin {
+    at_ms: u64,
+    run: RunId,
+    worker: String,
+}
+
+/// A run that a worker ended.
+struct End {
+    at_ms: u64,
+    run: RunId,
+    kind: EndKind,
+    /// Leases of the worker that had run out by then.
+    lapses: u64,
+    /// When it was taken note of, unless a lease ran out before.
+    noted_ms: Option<u64>,
+}
+
+/// Begins and ends as the workers know them, over all their lives.
+#[derive(Default)]
+pub struct History {
+    begins: Vec<Begin>,
+    ends: BTreeMap<(String, u64), End>,
+    pub findings: Vec<Finding>,
+}
+
+impl History {
+    /// Notes that a worker began a run.
+    pub fn note_begin(&mut self, at_ms: u64, run: RunId, worker: &str) {
+        self.begins.push(Begin {
+            at_ms,
+            run,
+            worker: worker.to_owned(),
+        });
+    }
+
+    /// Notes that a worker ended a run; returns whether that is new.
+    pub fn note_end(
+        &mut self,
+        at_ms: u64,
+        worker: &str,
+        (number, run, kind): (u64, RunId, EndKind),
+        lapses: u64,
+    ) -> bool {
+        let key = (worker.to_owned(), number);
+        let is_new = !self.ends.contains_key(&key);
+        self.ends.entry(key).or_insert(End {
+            at_ms,
+            run,
+            kind,
+            lapses,
+            noted_ms: None,
+        });
+        is_new
+    }
+
+    /// Notes that a cursor reached an end when `lapses` leases of the worker had run out.
+    pub fn note_cursor(&mut self, at_ms: u64, worker: &str, number: u64, lapses: u64) {
+        if let Some(end) = self.ends.get_mut(&(worker.to_owned(), number))
+            && end.lapses == lapses
+        {
+            end.noted_ms.get_or_insert(at_ms);
+        }
+    }
+
+    /// Starts that the ends before them forbid, over the whole history.
+    pub fn check_begins(&mut self) {
+        for begin in &self.begins {
+            let before = || {
+                let ends = self.ends.values();
+                ends.filter(|end| end.run.task == begin.run.task && end.at_ms < begin.at_ms)
+                    .filter(|end| end.noted_ms.is_some())
+            };
+            let told = |kind| {
+                let ends = before().filter(|end| end.kind == kind);
+                let ends = ends.map(|end| {
+                    format!(
+                        "{} at {} ms, noted at {:?}",
+                        end.run, end.at_ms, end.noted_ms
+                    )
+                });
+                ends.collect::<Vec<String>>()
+            };
+            let (done, failed) = (told(EndKind::Done), told(EndKind::Failed));
+            let start = format!(
+                "{} begins on {} at {} ms",
+                begin.run, begin.worker, begin.at_ms
+            );
+            if !done.is_empty() {
+                self.findings.push(Finding {
+                    rule: Rule::NotAfterDone,
+                    task: Some(begin.run.task),
+                    text: format!("{start} after it was done: {done:?}"),
+                });
+            }
+            if failed.len() >= MAX_ATTEMPTS {
+                self.findings.push(Finding {
+                    rule: Rule::NotAfterFailures,
+                    task: Some(begin.run.task),
+                    text: format!("{start} after it had failed: {failed:?}"),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -0,0 +1,374 @@
+//! A core that leads, driven like the real process drives it.
+
+use super::log::Waiting;
+use super::site::Event;
+use super::site::Site;
+use crate::support::START_WALL_MS;
+use bh_group::Machine;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Dispatcher;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::Timing;
+use bh_workload::plan::Planner;
+use bh_workload::state::Command;
+use bh_workload::state::WorkerChange;
+use bh_workload::state::WorkerInfo;
+use bh_workload::state::Workload;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Longest time between two turns of the leader, in milliseconds.
+const TURN_MS: u64 = 50;
+/// Time between passes over all workers, in milliseconds.
+const SWEEP_MS: u64 = 100;
+/// Longest time between plans, in milliseconds.
+const PLAN_MS: u64 = 200;
+/// Shortest time between plans, in milliseconds.
+const GAP_MS: u64 = 10;
+/// Wait for a record to be committed, in milliseconds.
+const RECORD_MS: u64 = 3_000;
+/// Time without a leader after which workers must be heard before they get work, in milliseconds.
+const SHORT_GAP_MS: u64 = 2_500;
+
+/// What a core holds while it leads.
+pub struct Leader {
+    pub core: usize,
+    pub term: u64,
+    pub dispatcher: Dispatcher,
+    planner: Planner,
+    planning: bool,
+    plan_due: bool,
+    planned_ms: u64,
+    plan_from_ms: u64,
+    swept_ms: u64,
+    /// When its next turn is due.
+    turn_ms: u64,
+    /// Until when it has no processor.
+    pub stalled_until_ms: u64,
+    /// The record as it was when another was elected, and until when it gives orders.
+    pub deposed: Option<(Workload, u64)>,
+}
+
+impl Site<'_> {
+    /// The leader of a term, as long as it takes itself for one.
+    fn leader_of(&mut self, term: u64) -> Option<&mut Leader> {
+        let all = self.leader.iter_mut().chain(self.deposed.iter_mut());
+        all.into_iter().find(|leader| leader.term == term)
+    }
+
+    /// Until when the leader of a term can do nothing, if it has no processor now.
+    pub fn stalled_until_ms(&mut self, term: u64) -> Option<u64> {
+        let now_ms = self.now_ms;
+        let until_ms = self.leader_of(term)?.stalled_until_ms;
+        (now_ms < until_ms).then_some(until_ms)
+    }
+
+    /// Has the leader of a term take a turn soon.
+    pub fn wake(&mut self, term: u64) {
+        let at_ms = self.now_ms + 1;
+        let earlier = |leader: &&mut Leader| leader.turn_ms > at_ms;
+        if let Some(leader) = self.leader_of(term).filter(earlier) {
+            leader.turn_ms = at_ms;
+            self.push(at_ms, Event::Turn { term });
+        }
+    }
+
+    /// Takes a leader out, to have it act on the rest of the site.
+    fn take_leader(&mut self, term: u64) -> Option<Leader> {
+        let of_term = |leader: &mut Leader| leader.term == term;
+        let current = self.leader.take_if(of_term);
+        current.or_else(|| self.deposed.take_if(of_term))
+    }
+
+    fn put_back(&mut self, leader: Leader) {
+        match leader.deposed {
+            Some(_) => self.deposed = Some(leader),
+            None => self.leader = Some(leader),
+        }
+    }
+
+    /// One turn of the leader's loop: orders, then a plan.
+    pub fn turn(&mut self, term: u64) {
+        let now_ms = self.now_ms;
+        let Some(mut leader) = self.take_leader(term) else {
+            return;
+        };
+        if leader.turn_ms > now_ms {
+            self.put_back(leader);
+            return;
+        }
+        leader.turn_ms = now_ms + TURN_MS;
+        self.push(leader.turn_ms, Event::Turn { term });
+        if leader.deposed.is_none() {
+            let news = self.record.take_news();
+            leader.plan_due |= news.plan;
+            leader.dispatcher.note_news(now_ms, &news, &self.record);
+        }
+        let all = now_ms >= leader.swept_ms + SWEEP_MS;
+        if all {
+            leader.swept_ms = now_ms;
+        }
+        let record = leader.deposed.as_ref().map_or(&self.record, |held| &held.0);
+        let (orders, ends) = leader.dispatcher.orders(now_ms, record, all);
+        let stall_ms = self.stall_in_turn_ms();
+        if stall_ms > 0 {
+            leader.stalled_until_ms = now_ms + stall_ms;
+            self.note(|| {
+                format!(
+                    "core{} stalls for {stall_ms} ms with {} orders to send",
+                    leader.core,
+                    orders.len()
+                )
+            });
+        }
+        for order in orders {
+            self.note(|| {
+                format!(
+                    "core{} decides for {}: {}",
+                    leader.core, order.to.worker, order.body
+                )
+            });
+            self.push(now_ms + stall_ms, Event::Send { order });
+        }
+        if !ends.is_empty() {
+            self.propose(&leader, Command::ends(ends), None);
+        }
+        self.plan(&mut leader);
+        self.put_back(leader);
+    }
+
+    fn plan(&mut self, leader: &mut Leader) {
+        let now_ms = self.now_ms;
+        let due = leader.plan_due || now_ms >= leader.planned_ms + PLAN_MS;
+        if leader.planning || !due || now_ms < leader.plan_from_ms || leader.deposed.is_some() {
+            return;
+        }
+        leader.plan_due = false;
+        leader.planned_ms = now_ms;
+        leader.plan_from_ms = now_ms + GAP_MS;
+        let wall_ms = START_WALL_MS + now_ms;
+        let plan = leader
+            .planner
+            .plan(now_ms, wall_ms, &self.record, &leader.dispatcher);
+        for (worker, run) in &plan.evictions {
+            leader.dispatcher.give_up(worker, *run);
+        }
+        if !plan.starts.is_empty() {
+            leader.planning = true;
+            self.propose(leader, Command::Starts(plan.starts), None);
+        }
+    }
+
+    /// Replicates a command. What a deposed leader proposes is never committed.
+    fn propose(&mut self, leader: &Leader, command: Command, reporter: Option<Arc<str>>) {
+        let now_ms = self.now_ms;
+        let command = command.at(START_WALL_MS + now_ms);
+        let workers: BTreeSet<Arc<str>> = match &command {
+            Command::Ends { ends, .. } => ends.iter().map(|end| end.worker.clone()).collect(),
+            _ => BTreeSet::new(),
+        };
+        let waiting = Waiting {
+            core: leader.core,
+            term: leader.term,
+            workers,
+            reporter,
+            starts: matches!(command, Command::Starts(_)),
+        };
+        let id = self.log.wait(waiting);
+        self.note(|| format!("core{} proposes {id}: {command:?}", leader.core));
+        self.push(now_ms + RECORD_MS, Event::RecordTimeout { id });
+        if leader.deposed.is_none() {
+            let took_ms = 1 + self.random.below(self.case.record_ms);
+            let at_ms = self.log.append(id, now_ms + took_ms, command);
+            self.push(at_ms, Event::Commit);
+        }
+    }
+
+    /// Tells whoever proposed a command what became of it, `after_ms` from now, unless it has given up waiting.
+    pub fn settle(&mut self, id: u64, done: bool, after_ms: u64) {
+        if let Some(waiting) = self.log.waiting.remove(&id) {
+            let at_ms = self.now_ms + after_ms;
+            self.push(at_ms, Event::Result { id, waiting, done });
+        }
+    }
+
+    /// The result of a proposal reaches the core that made it, and whatever leads there.
+    pub fn take_result(&mut self, id: u64, waiting: &Waiting, done: bool) {
+        let release = self.case.release;
+        let all = self.leader.iter_mut().chain(self.deposed.iter_mut());
+        let Some(leader) = all.into_iter().find(|leader| leader.core == waiting.core) else {
+            return;
+        };
+        let term = leader.term;
+        for worker in &waiting.workers {
+            let is_own = leader.term == waiting.term && waiting.reporter.as_ref() == Some(worker);
+            if release == super::faults::Release::AnyRecord || is_own || !done {
+                leader.dispatcher.note_recorded(worker, done);
+            }
+        }
+        if waiting.starts && leader.term == waiting.term {
+            leader.planning = false;
+            leader.plan_due = true;
+        }
+        let core = waiting.core;
+        let was = waiting.term;
+        self.note(|| {
+            format!(
+                "core{core} of term {term} hears of {id} of term {was}: {done}, {:?}",
+                waiting.workers
+            )
+        });
+        self.wake(term);
+    }
+
+    /// Applies what is committed by now.
+    pub fn commit(&mut self, now_ms: u64, result_ms: u64) {
+        while let Some(proposal) = self.log.take_committed(now_ms) {
+            let id = proposal.id;
+            self.note(|| format!("commits {id}"));
+            if let Command::Ends { ends, .. } = &proposal.command {
+                let ends = ends.iter();
+                let ends = ends.map(|end| (end.worker.to_string(), end.run, end.kind));
+                self.recorded.extend(ends);
+            }
+            self.record.apply(proposal.command);
+            let after_ms = self.random.below(result_ms + 1);
+            self.settle(id, true, after_ms);
+        }
+    }
+
+    /// The leader's core reads an answer.
+    pub fn read_answer(&mut self, order: &Order, answer: &Answer) {
+        let now_ms = self.now_ms;
+        let Some(mut leader) = self.take_leader(order.token) else {
+            return;
+        };
+        self.note(|| {
+            format!(
+                "core{} reads from {} for {}: {answer:?}",
+                leader.core, order.to.worker, order.body
+            )
+        });
+        let record = leader.deposed.as_ref().map_or(&self.record, |held| &held.0);
+        let command = leader.dispatcher.note_answer(now_ms, order, answer, record);
+        if let Some(Command::Ends { ends, .. }) = &command {
+            leader
+                .planner
+                .note_ends(now_ms, ends, record, &leader.dispatcher);
+        }
+        if let Some(command) = command {
+            let is_report = matches!(
+                answer,
+                Answer::Done {
+                    report: Some(_),
+                    ..
+                }
+            );
+            let reporter = is_report.then(|| order.to.worker.clone());
+            self.propose(&leader, command, reporter);
+        }
+        self.put_back(leader);
+        self.wake(order.token);
+    }
+
+    /// The leader reads a heartbeat.
+    pub fn hear(&mut self, term: u64, info: &WorkerInfo, clock_ms: u64) {
+        let now_ms = self.now_ms;
+        let Some(mut leader) = self.take_leader(term) else {
+            return;
+        };
+        let is_alive = leader
+            .dispatcher
+            .note_heartbeat(now_ms, &info.id, Some(clock_ms));
+        if is_alive && leader.deposed.is_none() && self.record.worker(&info.id).is_none() {
+            let known = WorkerChange::Known(info.clone());
+            self.propose(&leader, Command::Workers(vec![known]), None);
+        }
+        self.put_back(leader);
+    }
+
+    /// The leader is replaced: nothing is committed until another has taken office.
+    pub fn depose(&mut self, same_core: bool, lost: usize, gap_ms: u64, deposed_ms: u64) {
+        let now_ms = self.now_ms;
+        let Some(mut leader) = self.leader.take() else {
+            return;
+        };
+        let core = if same_core {
+            leader.core
+        } else {
+            1 - leader.core
+        };
+        self.note(|| {
+            format!(
+                "core{} is deposed, core{core} leads in {gap_ms} ms",
+                leader.core
+            )
+        });
+        self.deposed = None;
+        if !same_core && deposed_ms > 0 {
+            leader.deposed = Some((self.record.clone(), now_ms + deposed_ms));
+            self.push(now_ms + deposed_ms, Event::StepDown { term: leader.term });
+            self.deposed = Some(leader);
+        }
+        self.push(now_ms + gap_ms, Event::TakeOffice { core, lost, gap_ms });
+    }
+
+    /// Another leader has the newest record: the end of the log is lost, the rest committed, before it gives any order.
+    pub fn take_office(&mut self, core: usize, lost: usize, gap_ms: u64) {
+        let most = u64::try_from(lost).unwrap() + 1;
+        let lost = usize::try_from(self.random.below(most)).unwrap();
+        for _ in 0..lost {
+            let Some(proposal) = self.log.pending.pop_back() else {
+                break;
+            };
+            let id = proposal.id;
+            self.note(|| format!("loses {id}"));
+            let after_ms = self.random.below(RECORD_MS);
+            self.settle(id, false, after_ms);
+        }
+        const LATE_RESULT_MS: u64 = 300;
+        self.commit(u64::MAX, LATE_RESULT_MS);
+        self.term += 1;
+        let machine = Machine::new(self.record.clone(), Workload::CODEC);
+        let bytes = machine.snapshot().unwrap();
+        machine.restore(&bytes).unwrap();
+        self.record = machine.read().clone();
+        self.record.take_news();
+        let (term, now_ms) = (self.term, self.now_ms);
+        let mut dispatcher = Dispatcher::new(Timing::DEFAULT, term, now_ms, &self.record);
+        if gap_ms > SHORT_GAP_MS {
+            dispatcher = dispatcher.with_old_record();
+        }
+        self.note(|| format!("core{core} leads in term {term}"));
+        self.leader = Some(Leader {
+            core,
+            term,
+            dispatcher,
+            planner: Planner::new(),
+            planning: false,
+            plan_due: true,
+            planned_ms: 0,
+            plan_from_ms: 0,
+            swept_ms: 0,
+            turn_ms: now_ms,
+            stalled_until_ms: 0,
+            deposed: None,
+        });
+        self.push(now_ms, Event::Turn { term });
+    }
+
+    /// The leader wants all runs of a job to end.
+    pub fn give_up(&mut self, job: usize) {
+        let Some(id) = self.jobs.get(job) else {
+            return;
+        };
+        let Some(leader) = self.leader.as_mut() else {
+            return;
+        };
+        for worker in self.record.workers() {
+            for run in worker.runs.keys().filter(|run| run.task.step.job == *id) {
+                leader.dispatcher.give_up(&worker.info.id, *run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bh-workload/tests/delays/mod.rs
@@ -0,0 +1,14 @@
+//! A site whose record, orders and answers take time: workers in memory, a log that commits late, a leader that loses the processor.
+
+pub mod faults;
+pub mod history;
+mod leader;
+mod log;
+mod network;
+mod site;
+
+pub use site::findings;
+pub use site::trace;
+
+/// Failures after which a task must not begin, as the rules of `support` say.
+pub const MAX_ATTEMPTS: usize = 2;
--- /dev/null
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -0,0 +1,490 @@
+//! The site: its clock, its workers, and what is on its way.
+
+use super::faults::Case;
+use super::faults::Fault;
+use super::faults::WORKERS;
+use super::history::Finding;
+use super::history::History;
+use super::history::Rule;
+use super::leader::Leader;
+use super::log::Log;
+use super::log::Waiting;
+use super::network::WaitingLook;
+use super::network::Way;
+use crate::support;
+use crate::support::START_WALL_MS;
+use crate::support::place;
+use crate::support::step;
+use crate::support::worker_info;
+use bh_testkit::Random;
+use bh_testkit::model_worker::ModelWorker;
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Order;
+use bh_workload::job::JobId;
+use bh_workload::job::JobSpec;
+use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::WorkerChange;
+use bh_workload::state::WorkerInfo;
+use bh_workload::state::Workload;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Time between looks at the workers' own doings, in milliseconds.
+const TICK_MS: u64 = 10;
+/// Time between a worker's heartbeats, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_500;
+/// Jobs of a site.
+const JOBS: u64 = 6;
+/// Time within which they come, in milliseconds.
+const SUBMIT_MS: u64 = 8_000;
+/// Time for which the site goes on after the last fault at least, in milliseconds: what was held up arrives.
+const CALM_MS: u64 = 4_000;
+/// By then everything must have ended: the last fault, the longest lease and several attempts after it.
+const END_MS: u64 = 140_000;
+
+/// What happens at a time.
+pub enum Event {
+    /// A job is handed in.
+    Submit { job: u64 },
+    /// A fault begins.
+    Fault { index: usize },
+    /// A worker says that it is there.
+    Heartbeat { index: usize },
+    /// The leader reads that.
+    Hear {
+        term: u64,
+        info: Box<WorkerInfo>,
+        clock_ms: u64,
+    },
+    /// The leader takes a turn.
+    Turn { term: u64 },
+    /// An order leaves the leader.
+    Send { order: Order },
+    /// An order comes to a worker.
+    Arrive { call: u64, order: Order, way: Way },
+    /// An answer comes back.
+    Answer {
+        call: u64,
+        term: u64,
+        answer: Answer,
+    },
+    /// An answer that came in time is read late.
+    Read { order: Order, answer: Answer },
+    /// An answer has not come in time.
+    Timeout { call: u64 },
+    /// Something may be committed.
+    Commit,
+    /// A proposal was not committed in time.
+    RecordTimeout { id: u64 },
+    /// The proposer hears what became of a proposal.
+    Result {
+        id: u64,
+        waiting: Waiting,
+        done: bool,
+    },
+    /// A deposed leader knows that it is one.
+    StepDown { term: u64 },
+    /// Another leader takes over.
+    TakeOffice {
+        core: usize,
+        lost: usize,
+        gap_ms: u64,
+    },
+}
+
+/// A site.
+pub struct Site<'a> {
+    pub case: &'a Case,
+    pub random: Random,
+    pub now_ms: u64,
+    pub workers: Vec<ModelWorker>,
+    lives: Vec<usize>,
+    /// Ends that each worker has not forgotten, as they were.
+    pub listed: Vec<Vec<(u64, RunId, EndKind)>>,
+    /// What is committed.
+    pub record: Workload,
+    /// Ends that are committed: worker, run, how it ended.
+    pub recorded: BTreeSet<(String, RunId, EndKind)>,
+    pub log: Log,
+    pub leader: Option<Leader>,
+    /// One that gives orders though another was elected.
+    pub deposed: Option<Leader>,
+    pub term: u64,
+    events: BTreeMap<(u64, u64, u64), Event>,
+    next_event: u64,
+    /// Orders without an answer so far.
+    pub calls: BTreeMap<u64, Order>,
+    pub next_call: u64,
+    pub looks: Vec<WaitingLook>,
+    pub jobs: Vec<JobId>,
+    pub history: History,
+    /// Faults whose stall in a turn has been used up.
+    used: BTreeSet<usize>,
+    trace: Option<Vec<String>>,
+}
+
+/// Runs a case; returns what it broke.
+pub fn findings(case: &Case) -> Vec<Finding> {
+    let mut site = Site::new(case, false);
+    site.run();
+    site.history.findings
+}
+
+/// Runs a case once more; returns what happened around the task of a finding.
+pub fn trace(case: &Case, finding: &Finding) -> String {
+    let mut site = Site::new(case, true);
+    site.run();
+    let task = finding.task.map(|task| task.to_string());
+    let lines = site.trace.unwrap_or_default().into_iter();
+    let of_task = |line: &String| {
+        let general = ["leads", "deposed", "stalls", "loses", "commits", "hears of"];
+        let about = task.as_ref().is_none_or(|task| line.contains(task));
+        about || general.iter().any(|word| line.contains(word))
+    };
+    let lines: Vec<String> = lines.filter(of_task).collect();
+    lines.join("\n")
+}
+
+impl<'a> Site<'a> {
+    fn new(case: &'a Case, traced: bool) -> Self {
+        let workers = (0..WORKERS).map(|index| worker(case, index, 0)).collect();
+        let mut site = Self {
+            case,
+            random: Random::new(case.seed),
+            now_ms: 0,
+            workers,
+            lives: vec![0; WORKERS],
+            listed: vec![Vec::new(); WORKERS],
+            record: Workload::default(),
+            recorded: BTreeSet::new(),
+            log: Log::default(),
+            leader: None,
+            deposed: None,
+            term: 0,
+            events: BTreeMap::new(),
+            next_event: 0,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            looks: Vec::new(),
+            jobs: Vec::new(),
+            history: History::default(),
+            used: BTreeSet::new(),
+            trace: traced.then(Vec::new),
+        };
+        site.record
+            .apply(Command::SetRules(Box::new(support::rules(1))));
+        for index in 0..WORKERS {
+            let known = WorkerChange::Known(site.info(index));
+            site.record.apply(Command::Workers(vec![known]));
+            let at_ms = site.random.below(HEARTBEAT_MS);
+            site.push(at_ms, Event::Heartbeat { index });
+        }
+        for job in 1..=JOBS {
+            let at_ms = site.random.below(SUBMIT_MS);
+            site.push(at_ms, Event::Submit { job });
+        }
+        for (index, (at_ms, _)) in case.faults.iter().enumerate() {
+            site.push(*at_ms, Event::Fault { index });
+        }
+        site.take_office(0, 0, 0);
+        site
+    }
+
+    /// Notes what happened, for a run that is traced.
+    pub fn note(&mut self, text: impl FnOnce() -> String) {
+        if let Some(trace) = &mut self.trace {
+            trace.push(format!("{:>6} {}", self.now_ms, text()));
+        }
+    }
+
+    /// Has something happen at a time.
+    pub fn push(&mut self, at_ms: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert((at_ms, 0, self.next_event), event);
+    }
+
+    /// Puts off something until the leader has its processor back: what has waited is then found in any order.
+    fn put_off(&mut self, at_ms: u64, event: Event) {
+        const ORDERS: u64 = 1_000;
+        self.next_event += 1;
+        let order = self.random.below(ORDERS);
+        self.events.insert((at_ms, order, self.next_event), event);
+    }
+
+    /// Whether something with this chance happens, in percent.
+    pub fn chance(&mut self, percent: u64) -> bool {
+        percent > 0 && self.random.below(100) < percent
+    }
+
+    /// The largest share in percent among the faults of a kind that go on now.
+    pub fn percent(&self, of: impl Fn(&Fault) -> Option<(u64, u64)>) -> u64 {
+        let now_ms = self.now_ms;
+        let shares = self.case.faults.iter().filter_map(|(at_ms, fault)| {
+            let (percent, for_ms) = of(fault)?;
+            (now_ms >= *at_ms && now_ms < at_ms + for_ms).then_some(percent)
+        });
+        shares.max().unwrap_or(0)
+    }
+
+    /// Whether a worker is cut off.
+    pub fn is_cut(&self, index: usize) -> bool {
+        let percent = self.percent(|fault| match fault {
+            Fault::Cut { worker, for_ms } if *worker == index => Some((100, *for_ms)),
+            _ => None,
+        });
+        percent > 0
+    }
+
+    /// Where a worker that lives is.
+    pub fn index_of(&self, id: &str) -> Option<usize> {
+        self.workers.iter().position(|worker| worker.id == *id)
+    }
+
+    /// The machine that an order goes to, whoever lives there.
+    pub fn slot_of(&self, order: &Order) -> usize {
+        let address = order.to.address;
+        let mut slots = 0..WORKERS;
+        slots
+            .find(|index| worker_info(*index, 2).address == address)
+            .unwrap()
+    }
+
+    /// How long the leader loses its processor within this turn, in milliseconds.
+    pub fn stall_in_turn_ms(&mut self) -> u64 {
+        for (index, (at_ms, fault)) in self.case.faults.iter().enumerate() {
+            if let Fault::Stall {
+                for_ms,
+                in_turn: true,
+            } = fault
+                && self.now_ms >= *at_ms
+                && self.used.insert(index)
+            {
+                return *for_ms;
+            }
+        }
+        0
+    }
+
+    fn info(&self, index: usize) -> WorkerInfo {
+        let mut info = worker_info(index, 2);
+        info.id = Arc::from(&*self.workers[index].id);
+        info
+    }
+
+    fn run(&mut self) {
+        let mut tick_ms = 0;
+        while self.now_ms < END_MS && !self.is_over() {
+            let next_ms = self
+                .events
+                .first_key_value()
+                .map_or(tick_ms, |(key, _)| key.0);
+            self.now_ms = next_ms.min(tick_ms);
+            if self.now_ms == tick_ms {
+                tick_ms += TICK_MS;
+            }
+            self.pass();
+            self.answer_looks();
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 > self.now_ms {
+                    break;
+                }
+                let event = entry.remove();
+                self.pass();
+                self.handle(event);
+            }
+        }
+        for id in self.jobs.clone() {
+            let job = self.record.job(id).unwrap();
+            if job.outcome.is_none() {
+                let steps = format!("{:?}", job.steps);
+                self.history.findings.push(Finding {
+                    rule: Rule::JobsEnd,
+                    task: None,
+                    text: format!("job {id} has not ended: {steps}"),
+                });
+            }
+        }
+        self.history.check_begins();
+    }
+
+    fn is_over(&self) -> bool {
+        let last_ms = self.case.faults.iter().map(|(at_ms, _)| *at_ms).max();
+        self.now_ms > last_ms.unwrap_or(0).max(SUBMIT_MS) + CALM_MS
+            && self.record.active_jobs().next().is_none()
+    }
+
+    /// Lets time pass for the workers.
+    fn pass(&mut self) {
+        let now_ms = self.now_ms;
+        for index in 0..WORKERS {
+            let worker = &mut self.workers[index];
+            worker.pass(now_ms);
+            let known = self.listed[index].last().map_or(0, |end| end.0);
+            let newer = worker.ended.iter().filter(|end| end.number > known);
+            let newer: Vec<_> = newer.map(|end| (end.number, end.run, end.kind)).collect();
+            let (id, lapses) = (worker.id.clone(), worker.lapses);
+            for end in newer {
+                if self.history.note_end(now_ms, &id, end, lapses) {
+                    self.listed[index].push(end);
+                    self.note(|| format!("{id} ends {} as {:?}, number {}", end.1, end.2, end.0));
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(at_ms) = self.put_off_until_ms(&event) {
+            self.put_off(at_ms, event);
+            return;
+        }
+        match event {
+            Event::Submit { job } => self.submit(job),
+            Event::Fault { index } => self.begin_fault(index),
+            Event::Heartbeat { index } => self.heartbeat(index),
+            Event::Hear {
+                term,
+                info,
+                clock_ms,
+            } => self.hear(term, &info, clock_ms),
+            Event::Turn { term } => self.turn(term),
+            Event::Send { order } => self.send(order),
+            Event::Arrive { call, order, way } => self.arrive(call, order, way),
+            Event::Answer { call, answer, .. } => self.answer(call, answer),
+            Event::Read { order, answer } => self.read_answer(&order, &answer),
+            Event::Timeout { call } => self.give_up_call(call),
+            Event::Commit if self.leader.is_some() => self.commit(self.now_ms, 2),
+            Event::Commit => {}
+            Event::RecordTimeout { id } => self.settle(id, false, 0),
+            Event::Result { id, waiting, done } => self.take_result(id, &waiting, done),
+            Event::StepDown { term } => {
+                self.deposed.take_if(|leader| leader.term == term);
+            }
+            Event::TakeOffice { core, lost, gap_ms } => self.take_office(core, lost, gap_ms),
+        }
+    }
+
+    /// Until when something has to wait, for want of a processor or of a disk.
+    fn put_off_until_ms(&mut self, event: &Event) -> Option<u64> {
+        let term = match event {
+            Event::Hear { term, .. } | Event::Turn { term } | Event::Answer { term, .. } => *term,
+            Event::Read { order, .. } => order.token,
+            Event::Timeout { call } => self.calls.get(call)?.token,
+            Event::Result { waiting, .. } => {
+                let leaders = self.leader.iter().chain(&self.deposed);
+                let mut own = leaders.filter(|leader| leader.core == waiting.core);
+                own.next()?.term
+            }
+            Event::RecordTimeout { id } => self.log.waiting.get(id)?.term,
+            Event::Commit => return self.stuck_until_ms(),
+            _ => return None,
+        };
+        self.stalled_until_ms(term)
+    }
+
+    /// Until when nothing is committed.
+    fn stuck_until_ms(&self) -> Option<u64> {
+        let now_ms = self.now_ms;
+        let stuck = self
+            .case
+            .faults
+            .iter()
+            .filter_map(|(at_ms, fault)| match fault {
+                Fault::StuckRecords { for_ms } if now_ms >= *at_ms => Some(at_ms + for_ms),
+                _ => None,
+            });
+        stuck.max().filter(|until_ms| now_ms < *until_ms)
+    }
+
+    /// A job of a step of tasks and another one after it.
+    fn submit(&mut self, job: u64) {
+        let id = JobId(job);
+        let first = step(1 + u32::try_from(job % 3).unwrap(), 1 + job % 4);
+        let after = StepSpec {
+            after: vec![0],
+            ..step(1, 1)
+        };
+        let spec = JobSpec {
+            text: Arc::from("text"),
+            steps: vec![first, after],
+            schedule: None,
+        };
+        self.record.apply(Command::Accept {
+            place: place(1, "other", id),
+            spec,
+            now_ms: START_WALL_MS + self.now_ms,
+        });
+        self.jobs.push(id);
+        self.wake(self.term);
+    }
+
+    fn begin_fault(&mut self, index: usize) {
+        let fault = self.case.faults[index].1.clone();
+        self.note(|| format!("fault {fault:?}"));
+        match fault {
+            Fault::Reborn { worker } => self.reborn(worker),
+            Fault::Leader {
+                same_core,
+                lost,
+                gap_ms,
+                deposed_ms,
+            } => {
+                self.depose(same_core, lost, gap_ms, deposed_ms);
+            }
+            Fault::Stall {
+                for_ms,
+                in_turn: false,
+            } => {
+                let until_ms = self.now_ms + for_ms;
+                if let Some(leader) = &mut self.leader {
+                    leader.stalled_until_ms = leader.stalled_until_ms.max(until_ms);
+                }
+                self.note(|| format!("leader stalls for {for_ms} ms"));
+            }
+            Fault::GiveUp { job } => self.give_up(job),
+            _ => {}
+        }
+    }
+
+    fn reborn(&mut self, index: usize) {
+        self.lives[index] += 1;
+        self.workers[index] = worker(self.case, index, self.lives[index]);
+        self.listed[index].clear();
+    }
+
+    fn heartbeat(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        self.push(now_ms + HEARTBEAT_MS, Event::Heartbeat { index });
+        if self.is_cut(index) {
+            return;
+        }
+        let info = Box::new(self.info(index));
+        let clock_ms = self.workers[index].clock_ms(now_ms);
+        let terms = self.leader.iter().chain(&self.deposed);
+        if let Some(term) = terms.map(|leader| leader.term).next() {
+            self.push(
+                now_ms + 1,
+                Event::Hear {
+                    term,
+                    info,
+                    clock_ms,
+                },
+            );
+        }
+    }
+}
+
+/// One life of a worker. The clocks of half of them are as slow as is allowed.
+fn worker(case: &Case, index: usize, life: usize) -> ModelWorker {
+    let rate = if index % 2 == 0 { 980 } else { 1_000 };
+    let id = if life == 0 {
+        format!("w{index:02}")
+    } else {
+        format!("w{index:02}-{life}")
+    };
+    let offset_ms = u64::try_from(700 * index + 5_000 * life).unwrap();
+    ModelWorker::new(id, rate, offset_ms, case.planted)
+}
