--- a/crates/bh-workload/tests/delays/history.rs
+++ b/crates/bh-workload/tests/delays/history.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct Finding {
     pub rule: Rule,
+    /// When it was broken, in milliseconds.
+    pub at_ms: u64,
     pub task: Option<TaskId>,
     pub text: String,
 }
@@ -127,6 +129,7 @@
             if !done.is_empty() {
                 self.findings.push(Finding {
                     rule: Rule::NotAfterDone,
+                    at_ms: begin.at_ms,
                     task: Some(begin.run.task),
                     text: format!("{start} after it was done: {done:?}"),
                 });
@@ -134,6 +137,7 @@
             if failed.len() >= MAX_ATTEMPTS {
                 self.findings.push(Finding {
                     rule: Rule::NotAfterFailures,
+                    at_ms: begin.at_ms,
                     task: Some(begin.run.task),
                     text: format!("{start} after it had failed: {failed:?}"),
                 });
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -3,6 +3,8 @@
 use super::log::Waiting;
 use super::site::Event;
 use super::site::Site;
+use super::telling::of_answer;
+use super::telling::of_command;
 use crate::support::START_WALL_MS;
 use bh_group::Machine;
 use bh_workload::dispatch::Answer;
@@ -175,7 +177,13 @@
             starts: matches!(command, Command::Starts(_)),
         };
         let id = self.log.wait(waiting);
-        self.note(|| format!("core{} proposes {id}: {command:?}", leader.core));
+        self.note(|| {
+            format!(
+                "core{} proposes {id}: {}",
+                leader.core,
+                of_command(&command)
+            )
+        });
         self.push(now_ms + RECORD_MS, Event::RecordTimeout { id });
         if leader.deposed.is_none() {
             let took_ms = 1 + self.random.below(self.case.record_ms);
@@ -245,8 +253,11 @@
         };
         self.note(|| {
             format!(
-                "core{} reads from {} for {}: {answer:?}",
-                leader.core, order.to.worker, order.body
+                "core{} reads from {} for {}: {}",
+                leader.core,
+                order.to.worker,
+                order.body,
+                of_answer(answer)
             )
         });
         let record = leader.deposed.as_ref().map_or(&self.record, |held| &held.0);
--- a/crates/bh-workload/tests/delays/mod.rs
+++ b/crates/bh-workload/tests/delays/mod.rs
@@ -6,6 +6,7 @@
 mod log;
 mod network;
 mod site;
+mod telling;
 
 pub use site::findings;
 pub use site::trace;
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -6,6 +6,7 @@
 use super::history::Rule;
 use super::site::Event;
 use super::site::Site;
+use super::telling::of_answer;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Denial;
 use bh_workload::dispatch::Order;
@@ -140,8 +141,11 @@
         };
         self.note(|| {
             format!(
-                "{} takes {} of term {} ({way:?}): {answer:?}",
-                order.to.worker, order.body, order.token
+                "{} takes {} of term {} ({way:?}): {}",
+                order.to.worker,
+                order.body,
+                order.token,
+                of_answer(&answer)
             )
         });
         if let (
@@ -234,6 +238,7 @@
         if !others.is_empty() {
             self.history.findings.push(Finding {
                 rule: Rule::OneAtOnce,
+                at_ms: now_ms,
                 task: Some(run.task),
                 text: format!("{run} begins on {id} at {now_ms} ms beside {others:?}"),
             });
@@ -255,6 +260,7 @@
             if !self.recorded.contains(&(id.clone(), run, kind)) {
                 self.history.findings.push(Finding {
                     rule: Rule::RecordedFirst,
+                    at_ms: now_ms,
                     task: Some(run.task),
                     text: format!("{id} forgets end {number}, {run} {kind:?}, at {now_ms} ms before it is recorded"),
                 });
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -124,7 +124,7 @@
     pub history: History,
     /// Faults whose stall in a turn has been used up.
     used: BTreeSet<usize>,
-    trace: Option<Vec<String>>,
+    trace: Option<Vec<(u64, String)>>,
 }
 
 /// Runs a case; returns what it broke.
@@ -134,18 +134,23 @@
     site.history.findings
 }
 
-/// Runs a case once more; returns what happened around the task of a finding.
+/// Runs a case once more; returns what happened around the task of a finding, and to the record and the leader shortly before.
 pub fn trace(case: &Case, finding: &Finding) -> String {
+    const BEFORE_MS: u64 = 600;
     let mut site = Site::new(case, true);
     site.run();
-    let task = finding.task.map(|task| task.to_string());
-    let lines = site.trace.unwrap_or_default().into_iter();
-    let of_task = |line: &String| {
-        let general = ["leads", "deposed", "stalls", "loses", "commits", "hears of"];
-        let about = task.as_ref().is_none_or(|task| line.contains(task));
-        about || general.iter().any(|word| line.contains(word))
+    let name = finding.task.map(|task| task.to_string());
+    let is_near = |at_ms: u64| (at_ms..at_ms + BEFORE_MS).contains(&finding.at_ms);
+    let is_told = |(at_ms, text): &(u64, String)| {
+        let general = ["core", "fault", "commits", "loses"];
+        is_near(*at_ms) && general.iter().any(|word| text.starts_with(word))
+            || name.as_ref().is_some_and(|name| text.contains(name))
     };
-    let lines: Vec<String> = lines.filter(of_task).collect();
+    let lines = site.trace.unwrap_or_default();
+    let lines = lines.iter().filter(|line| is_told(line));
+    let lines: Vec<String> = lines
+        .map(|(at_ms, text)| format!("{at_ms:>6} {text}"))
+        .collect();
     lines.join("\n")
 }
 
@@ -197,7 +202,7 @@
     /// Notes what happened, for a run that is traced.
     pub fn note(&mut self, text: impl FnOnce() -> String) {
         if let Some(trace) = &mut self.trace {
-            trace.push(format!("{:>6} {}", self.now_ms, text()));
+            trace.push((self.now_ms, text()));
         }
     }
 
@@ -303,6 +308,7 @@
                 let steps = format!("{:?}", job.steps);
                 self.history.findings.push(Finding {
                     rule: Rule::JobsEnd,
+                    at_ms: self.now_ms,
                     task: None,
                     text: format!("job {id} has not ended: {steps}"),
                 });
