fuzz_delays: each group of cases is run once for all rules; gangs, lost carriers, counts of what the cases reach

What: leaders are replaced while ends wait to be committed, stalls fall into turns with orders; one pass over the cases serves all rules.

--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -17,7 +17,8 @@
     Cut { worker: usize, for_ms: u64 },
     /// A worker crashes, and lives again under another identity.
     Reborn { worker: usize },
-    /// The leader is replaced after `gap_ms` without any. Up to `lost` of the newest proposals are lost. One that is deposed goes on for a while.
+    /// The leader is replaced as soon as ends wait to be committed, after `gap_ms` without any. Up to `lost` of the newest proposals are lost. One
+    /// that is deposed goes on for a while.
     Leader {
         same_core: bool,
         lost: usize,
@@ -34,6 +35,8 @@
     BrokenConnections { percent: u64, for_ms: u64 },
     /// The same, but the order is sent again at once, and the leader hears only what comes back for that, percent.
     Repeats { percent: u64, for_ms: u64 },
+    /// The cores that carry a share of orders are lost, percent: the order is carried out at once, seconds later, or never.
+    Carriers { percent: u64, for_ms: u64 },
     /// The leader loses the processor: between two turns, or between its decision and the sending.
     Stall { for_ms: u64, in_turn: bool },
     /// Nothing is committed.
@@ -60,6 +63,8 @@
     pub faults: Vec<(u64, Fault)>,
     /// What the workers do wrong.
     pub planted: Planted,
+    /// Whether some steps are gangs.
+    pub gangs: bool,
     /// Which commits release the ends of a report.
     pub release: Release,
 }
@@ -80,15 +85,16 @@
 /// Faults with the leader, the network and the record.
 pub fn fault() -> impl Strategy<Value = (u64, Fault)> {
     let kind = prop_oneof![
-        1 => (0..WORKERS, 300u64..12_000).prop_map(|(worker, for_ms)| Fault::Cut { worker, for_ms }),
+        2 => (0..WORKERS, 300u64..14_000).prop_map(|(worker, for_ms)| Fault::Cut { worker, for_ms }),
         1 => (0..WORKERS).prop_map(|worker| Fault::Reborn { worker }),
-        3 => (any::<bool>(), 0usize..4, 0u64..3_000, 0u64..1_500).prop_map(
+        3 => (any::<bool>(), 0usize..5, 0u64..3_000, 0u64..1_500).prop_map(
             |(same_core, lost, gap_ms, deposed_ms)| Fault::Leader { same_core, lost, gap_ms, deposed_ms }
         ),
         3 => share().prop_map(|(percent, for_ms)| Fault::LateOrders { percent, for_ms }),
         3 => share().prop_map(|(percent, for_ms)| Fault::LateAnswers { percent, for_ms }),
         3 => share().prop_map(|(percent, for_ms)| Fault::LateReads { percent, for_ms }),
         1 => share().prop_map(|(percent, for_ms)| Fault::BrokenConnections { percent, for_ms }),
+        1 => share().prop_map(|(percent, for_ms)| Fault::Carriers { percent, for_ms }),
         3 => (50u64..MOST_HELD_MS, any::<bool>()).prop_map(|(for_ms, in_turn)| Fault::Stall { for_ms, in_turn }),
         1 => (500u64..4_500).prop_map(|for_ms| Fault::StuckRecords { for_ms }),
         2 => share().prop_map(|(percent, for_ms)| Fault::Busy { percent, for_ms }),
@@ -113,7 +119,7 @@
     let record_ms = prop_oneof![1 => Just(1u64), 3 => 2u64..=500];
     let failing_percent = prop_oneof![1 => Just(0u64), 1 => 1u64..50];
     let busy_percent = prop_oneof![2 => Just(0u64), 1 => 1u64..20];
-    let faults = proptest::collection::vec(fault, 0..12);
+    let faults = proptest::collection::vec(fault, 0..20);
     (
         any::<u64>(),
         record_ms,
@@ -129,6 +135,7 @@
                 busy_percent,
                 faults,
                 planted: Planted::Nothing,
+                gangs: false,
                 release,
             },
         )
--- a/crates/bh-workload/tests/delays/history.rs
+++ b/crates/bh-workload/tests/delays/history.rs
@@ -5,6 +5,7 @@
 use bh_workload::job::TaskId;
 use bh_workload::state::EndKind;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 
 /// A rule that a run of the fuzz may break.
@@ -49,6 +50,8 @@
 struct End {
     at_ms: u64,
     run: RunId,
+    /// Whether it is one of a gang, whose members have all ended as this one did.
+    is_gang: bool,
     kind: EndKind,
     /// Leases of the worker that had run out by then.
     lapses: u64,
@@ -56,6 +59,13 @@
     noted_ms: Option<u64>,
 }
 
+impl End {
+    /// Whether it is an end of the task of `run`, or of a gang of which that is a member.
+    fn tells_of(&self, run: RunId) -> bool {
+        self.run.task == run.task || self.is_gang && self.run.task.step == run.task.step
+    }
+}
+
 /// Begins and ends as the workers know them, over all their lives.
 #[derive(Default)]
 pub struct History {
@@ -74,19 +84,33 @@
         });
     }
 
+    /// Begins, and those of them that are not the first of their task.
+    pub fn begins(&self) -> (usize, usize) {
+        let tasks: BTreeSet<TaskId> = self.begins.iter().map(|begin| begin.run.task).collect();
+        (self.begins.len(), self.begins.len() - tasks.len())
+    }
+
+    /// Ends that were taken note of, of a kind.
+    pub fn noted(&self, kind: EndKind) -> usize {
+        let ends = self.ends.values();
+        ends.filter(|end| end.kind == kind && end.noted_ms.is_some())
+            .count()
+    }
+
     /// Notes that a worker ended a run; returns whether that is new.
     pub fn note_end(
         &mut self,
         at_ms: u64,
         worker: &str,
         (number, run, kind): (u64, RunId, EndKind),
-        lapses: u64,
+        (lapses, is_gang): (u64, bool),
     ) -> bool {
         let key = (worker.to_owned(), number);
         let is_new = !self.ends.contains_key(&key);
         self.ends.entry(key).or_insert(End {
             at_ms,
             run,
+            is_gang,
             kind,
             lapses,
             noted_ms: None,
@@ -108,7 +132,7 @@
         for begin in &self.begins {
             let before = || {
                 let ends = self.ends.values();
-                ends.filter(|end| end.run.task == begin.run.task && end.at_ms < begin.at_ms)
+                ends.filter(|end| end.tells_of(begin.run) && end.at_ms < begin.at_ms)
                     .filter(|end| end.noted_ms.is_some())
             };
             let told = |kind| {
@@ -134,7 +158,11 @@
                     text: format!("{start} after it was done: {done:?}"),
                 });
             }
-            if failed.len() >= MAX_ATTEMPTS {
+            let attempts: BTreeSet<u32> = before()
+                .filter(|end| end.kind == EndKind::Failed)
+                .map(|end| end.run.attempt)
+                .collect();
+            if attempts.len() >= MAX_ATTEMPTS {
                 self.findings.push(Finding {
                     rule: Rule::NotAfterFailures,
                     at_ms: begin.at_ms,
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -112,8 +112,13 @@
         }
         let record = leader.deposed.as_ref().map_or(&self.record, |held| &held.0);
         let (orders, ends) = leader.dispatcher.orders(now_ms, record, all);
-        let stall_ms = self.stall_in_turn_ms();
+        let stall_ms = if orders.is_empty() {
+            0
+        } else {
+            self.stall_in_turn_ms()
+        };
         if stall_ms > 0 {
+            self.reached.stalls_in_turn += 1;
             leader.stalled_until_ms = now_ms + stall_ms;
             self.note(|| {
                 format!(
@@ -208,6 +213,8 @@
             return;
         };
         let term = leader.term;
+        let is_older = term != waiting.term && !waiting.workers.is_empty();
+        self.reached.older_results += usize::from(is_older);
         for worker in &waiting.workers {
             let is_own = leader.term == waiting.term && waiting.reporter.as_ref() == Some(worker);
             if release == super::faults::Release::AnyRecord || is_own || !done {
@@ -333,6 +340,7 @@
                 break;
             };
             let id = proposal.id;
+            self.reached.lost_proposals += 1;
             self.note(|| format!("loses {id}"));
             let after_ms = self.random.below(RECORD_MS);
             self.settle(id, false, after_ms);
--- a/crates/bh-workload/tests/delays/log.rs
+++ b/crates/bh-workload/tests/delays/log.rs
@@ -57,6 +57,12 @@
         commit_ms
     }
 
+    /// Whether ends wait to be committed.
+    pub fn holds_ends(&self) -> bool {
+        let mut pending = self.pending.iter();
+        pending.any(|proposal| matches!(proposal.command, Command::Ends { .. }))
+    }
+
     /// Takes the oldest proposal, if it is committed by `now_ms`.
     pub fn take_committed(&mut self, now_ms: u64) -> Option<Proposal> {
         let is_due = self
--- a/crates/bh-workload/tests/delays/mod.rs
+++ b/crates/bh-workload/tests/delays/mod.rs
@@ -1,6 +1,7 @@
 //! A site whose record, orders and answers take time: workers in memory, a log that commits late, a leader that loses the processor.
 
 pub mod faults;
+mod gangs;
 pub mod history;
 mod leader;
 mod log;
@@ -8,7 +9,9 @@
 mod site;
 mod telling;
 
+pub use site::Reached;
 pub use site::findings;
+pub use site::reached;
 pub use site::trace;
 
 /// Failures after which a task must not begin, as the rules of `support` say.
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -78,6 +78,14 @@
             Fault::BrokenConnections { percent, for_ms } => Some((*percent, *for_ms)),
             _ => None,
         });
+        let uncarried = self.percent(|fault| match fault {
+            Fault::Carriers { percent, for_ms } => Some((*percent, *for_ms)),
+            _ => None,
+        });
+        if self.chance(uncarried) {
+            self.lose_carrier(call, order);
+            return;
+        }
         if self.chance(repeats) {
             self.send_twice(call, order, at_ms);
             return;
@@ -94,6 +102,27 @@
         self.push(at_ms, Event::Arrive { call, order, way });
     }
 
+    /// The core that carried an order is lost with it: after it was sent, before that, or it is suspended and sends it later.
+    fn lose_carrier(&mut self, call: u64, order: Order) {
+        const NOTICED_MS: u64 = 500;
+        const SUSPENDED_MS: u64 = 10_000;
+        let now_ms = self.now_ms;
+        self.calls.remove(&call);
+        let arrives_ms = match self.random.below(3) {
+            0 => Some(now_ms),
+            1 => Some(now_ms + self.random.below(SUSPENDED_MS)),
+            _ => None,
+        };
+        if let Some(at_ms) = arrives_ms {
+            let order = order.clone();
+            let way = Way::Unheard;
+            self.push(at_ms, Event::Arrive { call, order, way });
+        }
+        let at_ms = now_ms + self.random.below(NOTICED_MS);
+        let answer = Answer::CarrierLost;
+        self.push(at_ms, Event::Read { order, answer });
+    }
+
     /// The connection breaks, and the order goes out again over another: the leader hears only what comes back for the second.
     fn send_twice(&mut self, call: u64, order: Order, at_ms: u64) {
         const AT_ONCE_PERCENT: u64 = 70;
@@ -131,6 +160,7 @@
             return;
         };
         let clock_ms = Some(self.workers[index].clock_ms(now_ms));
+        self.reached.denied += usize::from(matches!(way, Way::Busy | Way::NoRoom));
         let answer = match way {
             Way::Busy => Answer::Denied {
                 clock_ms: self.chance(50).then_some(clock_ms).flatten(),
@@ -206,16 +236,16 @@
             _ => None,
         });
         let fails = self.chance(self.case.failing_percent.max(fails_all));
-        let run_ms = if fails {
-            10 + self.random.below(600)
-        } else if self.chance(LONG_RUNS_PERCENT) {
-            300 + self.random.below(LONG_RUN_MS)
-        } else {
-            300 + self.random.below(5_000)
-        };
+        let run_ms = self.run_ms(fails);
         let (answer, began) =
             self.workers[index].take(now_ms, order.token, &order.body, run_ms, fails);
         if let Some(run) = began {
+            if self.is_gang(run.task.step)
+                && let Some(state) = self.workers[index].runs.get_mut(&run)
+            {
+                // The gang decides.
+                state.done_ms = None;
+            }
             self.note_begin(index, run);
         }
         if let (OrderBody::Look { recorded_to, .. }, Answer::Done { .. }) = (&order.body, &answer) {
@@ -224,6 +254,17 @@
         answer
     }
 
+    /// How long a run takes, in milliseconds.
+    pub fn run_ms(&mut self, fails: bool) -> u64 {
+        if fails {
+            10 + self.random.below(600)
+        } else if self.chance(LONG_RUNS_PERCENT) {
+            300 + self.random.below(LONG_RUN_MS)
+        } else {
+            300 + self.random.below(5_000)
+        }
+    }
+
     fn note_begin(&mut self, index: usize, run: RunId) {
         let now_ms = self.now_ms;
         let id = self.workers[index].id.clone();
@@ -303,6 +344,7 @@
             _ => None,
         });
         if self.chance(late) {
+            self.reached.late_reads += 1;
             let at_ms = self.now_ms + self.random.below(MOST_HELD_MS);
             self.push(at_ms, Event::Read { order, answer });
         } else {
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -3,6 +3,7 @@
 use super::faults::Case;
 use super::faults::Fault;
 use super::faults::WORKERS;
+use super::gangs::Gangs;
 use super::history::Finding;
 use super::history::History;
 use super::history::Rule;
@@ -38,9 +39,9 @@
 /// Time between a worker's heartbeats, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_500;
 /// Jobs of a site.
-const JOBS: u64 = 6;
+const JOBS: u64 = 8;
 /// Time within which they come, in milliseconds.
-const SUBMIT_MS: u64 = 8_000;
+const SUBMIT_MS: u64 = 12_000;
 /// Time for which the site goes on after the last fault at least, in milliseconds: what was held up arrives.
 const CALM_MS: u64 = 4_000;
 /// By then everything must have ended: the last fault, the longest lease and several attempts after it.
@@ -86,6 +87,8 @@
         waiting: Waiting,
         done: bool,
     },
+    /// The leader is replaced once ends wait to be committed, or at `by_ms`.
+    Depose { index: usize, by_ms: u64 },
     /// A deposed leader knows that it is one.
     StepDown { term: u64 },
     /// Another leader takes over.
@@ -122,11 +125,53 @@
     pub looks: Vec<WaitingLook>,
     pub jobs: Vec<JobId>,
     pub history: History,
+    pub gangs: Gangs,
+    pub reached: Reached,
     /// Faults whose stall in a turn has been used up.
     used: BTreeSet<usize>,
     trace: Option<Vec<(u64, String)>>,
 }
 
+/// How often a case came to what it is for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reached {
+    /// Runs that workers began.
+    pub begins: usize,
+    /// Those that were not the first of their task.
+    pub begun_again: usize,
+    /// Leases that ran out.
+    pub lapses: usize,
+    /// Ends with success, and failures, that were taken note of.
+    pub noted_done: usize,
+    pub noted_failed: usize,
+    /// Proposals that were lost with their leader.
+    pub lost_proposals: usize,
+    /// Results of ends that reached another leader than the one that proposed them.
+    pub older_results: usize,
+    /// Answers that were read late on their own.
+    pub late_reads: usize,
+    /// Orders that busy workers denied.
+    pub denied: usize,
+    /// Stalls between decisions and their sending.
+    pub stalls_in_turn: usize,
+}
+
+/// Runs a case; returns how often it came to what it is for.
+pub fn reached(case: &Case) -> Reached {
+    let mut site = Site::new(case, false);
+    site.run();
+    let (begins, begun_again) = site.history.begins();
+    let lapses: u64 = site.workers.iter().map(|worker| worker.lapses).sum();
+    Reached {
+        begins,
+        begun_again,
+        lapses: usize::try_from(lapses).unwrap(),
+        noted_done: site.history.noted(EndKind::Done),
+        noted_failed: site.history.noted(EndKind::Failed),
+        ..site.reached
+    }
+}
+
 /// Runs a case; returns what it broke.
 pub fn findings(case: &Case) -> Vec<Finding> {
     let mut site = Site::new(case, false);
@@ -177,6 +222,8 @@
             looks: Vec::new(),
             jobs: Vec::new(),
             history: History::default(),
+            gangs: Gangs::default(),
+            reached: Reached::default(),
             used: BTreeSet::new(),
             trace: traced.then(Vec::new),
         };
@@ -292,6 +339,10 @@
                 tick_ms += TICK_MS;
             }
             self.pass();
+            if self.case.gangs {
+                self.pass_gangs();
+                self.pass();
+            }
             self.answer_looks();
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > self.now_ms {
@@ -334,7 +385,9 @@
             let newer: Vec<_> = newer.map(|end| (end.number, end.run, end.kind)).collect();
             let (id, lapses) = (worker.id.clone(), worker.lapses);
             for end in newer {
-                if self.history.note_end(now_ms, &id, end, lapses) {
+                let is_gang = self.is_gang(end.1.task.step);
+                let context = (lapses, is_gang);
+                if self.history.note_end(now_ms, &id, end, context) {
                     self.listed[index].push(end);
                     self.note(|| format!("{id} ends {} as {:?}, number {}", end.1, end.2, end.0));
                 }
@@ -366,6 +419,7 @@
             Event::Commit => {}
             Event::RecordTimeout { id } => self.settle(id, false, 0),
             Event::Result { id, waiting, done } => self.take_result(id, &waiting, done),
+            Event::Depose { index, by_ms } => self.depose_in_time(index, by_ms),
             Event::StepDown { term } => {
                 self.deposed.take_if(|leader| leader.term == term);
             }
@@ -408,7 +462,10 @@
     /// A job of a step of tasks and another one after it.
     fn submit(&mut self, job: u64) {
         let id = JobId(job);
-        let first = step(1 + u32::try_from(job % 3).unwrap(), 1 + job % 4);
+        let first = StepSpec {
+            gang: self.case.gangs && job % 2 == 1,
+            ..step(1 + u32::try_from(job % 3).unwrap(), 1 + job % 4)
+        };
         let after = StepSpec {
             after: vec![0],
             ..step(1, 1)
@@ -432,13 +489,9 @@
         self.note(|| format!("fault {fault:?}"));
         match fault {
             Fault::Reborn { worker } => self.reborn(worker),
-            Fault::Leader {
-                same_core,
-                lost,
-                gap_ms,
-                deposed_ms,
-            } => {
-                self.depose(same_core, lost, gap_ms, deposed_ms);
+            Fault::Leader { .. } => {
+                let by_ms = self.now_ms + 1_000;
+                self.push(self.now_ms, Event::Depose { index, by_ms });
             }
             Fault::Stall {
                 for_ms,
@@ -455,6 +508,20 @@
         }
     }
 
+    fn depose_in_time(&mut self, index: usize, by_ms: u64) {
+        if self.now_ms < by_ms && !self.log.holds_ends() {
+            self.push(self.now_ms + 1, Event::Depose { index, by_ms });
+        } else if let Fault::Leader {
+            same_core,
+            lost,
+            gap_ms,
+            deposed_ms,
+        } = self.case.faults[index].1
+        {
+            self.depose(same_core, lost, gap_ms, deposed_ms);
+        }
+    }
+
     fn reborn(&mut self, index: usize) {
         self.lives[index] += 1;
         self.workers[index] = worker(self.case, index, self.lives[index]);
--- a/crates/bh-workload/tests/fuzz_delays.rs
+++ b/crates/bh-workload/tests/fuzz_delays.rs
@@ -9,6 +9,7 @@
 mod support;
 
 use bh_testkit::model_worker::Planted;
+use delays::Reached;
 use delays::faults::Case;
 use delays::faults::Release;
 use delays::faults::case;
@@ -17,12 +18,17 @@
 use delays::findings;
 use delays::history::Finding;
 use delays::history::Rule;
+use delays::reached;
 use delays::trace;
 use proptest::prelude::*;
+use proptest::strategy::ValueTree;
 use proptest::test_runner::RngSeed;
 use proptest::test_runner::TestCaseError;
 use proptest::test_runner::TestRunner;
 use rstest::rstest;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::OnceLock;
 
 const SEED: u64 = 20_261_203;
 const CASES: u32 = 300;
@@ -42,55 +48,158 @@
     config
 }
 
-/// Runs cases until one breaks `rule`, and shrinks that.
-fn keeps(rule: Rule, cases: impl Strategy<Value = Case>) {
-    let result = TestRunner::new(config()).run(&cases, |case| {
-        let found = findings(&case);
-        let broken = found.iter().find(|finding| finding.rule == rule);
-        broken.map_or(Ok(()), |finding| {
-            Err(TestCaseError::fail(finding.to_string()))
+/// Which cases are run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Group {
+    /// Everything takes time, and nothing is sent twice unseen.
+    Delays,
+    /// The same where only the record of a report releases its ends: what is left to find beside that.
+    OwnRecords,
+    /// The same with gangs.
+    Gangs,
+    /// The same with orders that are sent twice, and of which the leader hears only the second answer.
+    SentTwice,
+}
+
+impl Group {
+    fn cases(self) -> BoxedStrategy<Case> {
+        match self {
+            Group::Delays => case(fault(), Release::AnyRecord).boxed(),
+            Group::OwnRecords => case(fault(), Release::OwnRecord).boxed(),
+            Group::Gangs => {
+                let cases = case(fault(), Release::OwnRecord);
+                cases
+                    .prop_map(|case| Case {
+                        gangs: true,
+                        ..case
+                    })
+                    .boxed()
+            }
+            Group::SentTwice => case(repeating_fault(), Release::OwnRecord).boxed(),
+        }
+    }
+
+    /// Runs all cases once, whichever test asks first.
+    fn broken(self) -> &'static BTreeMap<Rule, Broken> {
+        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 4] = [const { OnceLock::new() }; 4];
+        ALL[self as usize].get_or_init(|| {
+            let config = config();
+            let count = config.cases;
+            let (mut runner, cases) = (TestRunner::new(config), self.cases());
+            let mut broken: BTreeMap<Rule, Broken> = BTreeMap::new();
+            for _ in 0..count {
+                let tree = cases.new_tree(&mut runner).unwrap();
+                let found = findings(&tree.current());
+                let rules: BTreeSet<Rule> = found.iter().map(|finding| finding.rule).collect();
+                for rule in rules {
+                    let of_rule = broken.entry(rule).or_default();
+                    of_rule.cases += 1;
+                    of_rule.first.get_or_insert_with(|| tree.current());
+                }
+            }
+            broken
         })
-    });
-    if let Err(proptest::test_runner::TestError::Fail(why, case)) = &result {
-        let found = findings(case);
-        let first = found.iter().find(|finding| finding.rule == rule);
-        let trace = first.map(|finding| trace(case, finding));
-        panic!("{why}\n{case:#?}\n{}", trace.unwrap_or_default());
     }
-    result.unwrap();
 }
 
-/// Everything takes time, and nothing is sent twice unseen.
-#[rstest]
-#[case(Rule::OneAtOnce)]
-#[case(Rule::NotAfterDone)]
-#[case(Rule::NotAfterFailures)]
-#[case(Rule::RecordedFirst)]
-#[case(Rule::JobsEnd)]
-fn fuzz_delays_keep(#[case] rule: Rule) {
-    keeps(rule, case(fault(), Release::AnyRecord));
+/// Cases that broke a rule.
+#[derive(Default)]
+struct Broken {
+    cases: u32,
+    first: Option<Case>,
 }
 
-/// The same where only the record of a report releases its ends: what is left to find beside that.
-#[rstest]
-#[case(Rule::OneAtOnce)]
-#[case(Rule::NotAfterDone)]
-#[case(Rule::NotAfterFailures)]
-#[case(Rule::RecordedFirst)]
-#[case(Rule::JobsEnd)]
-fn fuzz_delays_with_own_records_keep(#[case] rule: Rule) {
-    keeps(rule, case(fault(), Release::OwnRecord));
+/// The first of what a case breaks of a rule.
+fn first(case: &Case, rule: Rule) -> Option<Finding> {
+    let found = findings(case);
+    found.into_iter().find(|finding| finding.rule == rule)
 }
 
-/// The same with orders that are sent twice, and of which the leader hears only the second answer.
+/// Leaves out faults, and whatever else can be left out, as long as the case breaks the rule.
+fn shrink(mut case: Case, rule: Rule) -> Case {
+    let breaks = |case: &Case| first(case, rule).is_some();
+    let mut index = 0;
+    while index < case.faults.len() {
+        let mut less = case.clone();
+        less.faults.remove(index);
+        if breaks(&less) {
+            case = less;
+            index = 0;
+        } else {
+            index += 1;
+        }
+    }
+    let simpler: [fn(&mut Case); 3] = [
+        |case| case.busy_percent = 0,
+        |case| case.failing_percent = 0,
+        |case| case.record_ms = 1,
+    ];
+    for simplify in simpler {
+        let mut less = case.clone();
+        simplify(&mut less);
+        if breaks(&less) {
+            case = less;
+        }
+    }
+    case
+}
+
+/// Fails with the shrunk case that breaks a rule, and what happened there.
+fn keeps(group: Group, rule: Rule) {
+    let Some(broken) = group.broken().get(&rule) else {
+        return;
+    };
+    let case = shrink(broken.first.clone().unwrap(), rule);
+    let finding = first(&case, rule).unwrap();
+    let trace = trace(&case, &finding);
+    let cases = broken.cases;
+    panic!("{cases} cases break a rule; the first:\n{finding}\n{case:?}\n{trace}");
+}
+
+/// Callers are promised that a task runs once at a time, not again after it was done, and no more often than it may fail; and that every job ends.
 #[rstest]
-#[case(Rule::OneAtOnce)]
-#[case(Rule::NotAfterDone)]
-#[case(Rule::NotAfterFailures)]
-#[case(Rule::RecordedFirst)]
-#[case(Rule::JobsEnd)]
-fn fuzz_orders_sent_twice_keep(#[case] rule: Rule) {
-    keeps(rule, case(repeating_fault(), Release::OwnRecord));
+fn fuzz_delays_keep_the_promises(
+    #[values(Group::Delays, Group::OwnRecords, Group::Gangs, Group::SentTwice)] group: Group,
+    #[values(
+        Rule::OneAtOnce,
+        Rule::NotAfterDone,
+        Rule::NotAfterFailures,
+        Rule::RecordedFirst,
+        Rule::JobsEnd
+    )]
+    rule: Rule,
+) {
+    keeps(group, rule);
+}
+
+/// The cases come to what they are for: runs begun anew, leases that run out, proposals that are lost, results that reach another leader, answers
+/// that are read late, busy workers, and stalls between decision and sending.
+#[test]
+fn the_cases_reach_what_they_are_for() {
+    let mut all: Vec<Reached> = Vec::new();
+    let cases = case(fault(), Release::AnyRecord);
+    let mut runner = TestRunner::new(config());
+    for _ in 0..CASES {
+        let case = cases.new_tree(&mut runner).unwrap().current();
+        all.push(reached(&case));
+    }
+    let sum = |of: fn(&Reached) -> usize| all.iter().map(of).sum::<usize>();
+    let counts = [
+        ("begins", sum(|reached| reached.begins)),
+        ("begun again", sum(|reached| reached.begun_again)),
+        ("lapses", sum(|reached| reached.lapses)),
+        ("noted as done", sum(|reached| reached.noted_done)),
+        ("noted as failed", sum(|reached| reached.noted_failed)),
+        ("lost proposals", sum(|reached| reached.lost_proposals)),
+        ("older results", sum(|reached| reached.older_results)),
+        ("late reads", sum(|reached| reached.late_reads)),
+        ("denied orders", sum(|reached| reached.denied)),
+        ("stalls in a turn", sum(|reached| reached.stalls_in_turn)),
+    ];
+    println!("{counts:?}");
+    for (what, count) in counts {
+        assert!(count > 0, "{what}: none in {CASES} cases");
+    }
 }
 
 /// Each fault is planted in the workers in turn, and must show as the rule that it breaks. A check that lets all of them pass would prove nothing.
