fuzz_delays: a group where the leader knows that an order was sent twice

What: a refusal of the second is told as no answer, as a leader that knows of the first would take it.

--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -67,6 +67,8 @@
     pub gangs: bool,
     /// Which commits release the ends of a report.
     pub release: Release,
+    /// Whether the leader knows that an order was sent twice, and takes a refusal of the second for no answer.
+    pub knows_repeats: bool,
 }
 
 /// Which commits release the ends that a worker reported, so that it may forget them.
@@ -137,6 +139,7 @@
                 planted: Planted::Nothing,
                 gangs: false,
                 release,
+                knows_repeats: false,
             },
         )
 }
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -132,6 +132,7 @@
         } else {
             at_ms + self.random.below(MOST_HELD_MS)
         };
+        self.repeated.insert(call);
         let again_ms = at_ms + 1 + self.random.below(10);
         let first = Event::Arrive {
             call,
@@ -314,7 +315,9 @@
         if way == Way::Unheard {
             return;
         }
-        let answer = if way == Way::Breaks {
+        let is_denied = matches!(answer, Answer::Denied { .. });
+        let is_repeat = self.case.knows_repeats && self.repeated.contains(&call);
+        let answer = if way == Way::Breaks || is_denied && is_repeat {
             Answer::Lost
         } else {
             answer
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -122,6 +122,8 @@
     /// Orders without an answer so far.
     pub calls: BTreeMap<u64, Order>,
     pub next_call: u64,
+    /// Calls whose order was sent twice.
+    pub repeated: BTreeSet<u64>,
     pub looks: Vec<WaitingLook>,
     pub jobs: Vec<JobId>,
     pub history: History,
@@ -219,6 +221,7 @@
             next_event: 0,
             calls: BTreeMap::new(),
             next_call: 0,
+            repeated: BTreeSet::new(),
             looks: Vec::new(),
             jobs: Vec::new(),
             history: History::default(),
--- a/crates/bh-workload/tests/fuzz_delays.rs
+++ b/crates/bh-workload/tests/fuzz_delays.rs
@@ -59,6 +59,8 @@
     Gangs,
     /// The same with orders that are sent twice, and of which the leader hears only the second answer.
     SentTwice,
+    /// The same where the leader knows of it: what is left to find beside that.
+    SentTwiceKnown,
 }
 
 impl Group {
@@ -76,12 +78,22 @@
                     .boxed()
             }
             Group::SentTwice => case(repeating_fault(), Release::OwnRecord).boxed(),
+            Group::SentTwiceKnown => {
+                let cases = case(repeating_fault(), Release::OwnRecord);
+                let knows_repeats = true;
+                cases
+                    .prop_map(move |case| Case {
+                        knows_repeats,
+                        ..case
+                    })
+                    .boxed()
+            }
         }
     }
 
     /// Runs all cases once, whichever test asks first.
     fn broken(self) -> &'static BTreeMap<Rule, Broken> {
-        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 4] = [const { OnceLock::new() }; 4];
+        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 5] = [const { OnceLock::new() }; 5];
         ALL[self as usize].get_or_init(|| {
             let config = config();
             let count = config.cases;
@@ -159,7 +171,14 @@
 /// Callers are promised that a task runs once at a time, not again after it was done, and no more often than it may fail; and that every job ends.
 #[rstest]
 fn fuzz_delays_keep_the_promises(
-    #[values(Group::Delays, Group::OwnRecords, Group::Gangs, Group::SentTwice)] group: Group,
+    #[values(
+        Group::Delays,
+        Group::OwnRecords,
+        Group::Gangs,
+        Group::SentTwice,
+        Group::SentTwiceKnown
+    )]
+    group: Group,
     #[values(
         Rule::OneAtOnce,
         Rule::NotAfterDone,
