--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -79,6 +79,8 @@
     /// Only that of the record that the report led to, by this leader; nor does the loss of another release anything. Shows what is left to find
     /// beside that.
     OwnRecord,
+    /// The same, and a leader hears only what really became of its own records: nothing while that is open, however long it takes.
+    Outcome,
 }
 
 fn share() -> impl Strategy<Value = (u64, u64)> {
@@ -114,6 +116,15 @@
     prop_oneof![2 => fault(), 1 => repeats]
 }
 
+/// Workers that are cut off for about as long as a lease, and records that take about as long as their proposers wait.
+pub fn slow_record() -> impl Strategy<Value = (u64, Fault)> {
+    let kind = prop_oneof![
+        1 => (0..WORKERS, 7_000u64..12_000).prop_map(|(worker, for_ms)| Fault::Cut { worker, for_ms }),
+        1 => (2_000u64..4_500).prop_map(|for_ms| Fault::StuckRecords { for_ms }),
+    ];
+    (0..FAULTY_MS, kind)
+}
+
 /// A whole case with such faults.
 pub fn case(
     fault: impl Strategy<Value = (u64, Fault)>,
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -218,6 +218,9 @@
             return;
         };
         let term = leader.term;
+        if self.case.release == Release::Outcome && term != waiting.term {
+            return;
+        }
         let is_older = term != waiting.term && !waiting.workers.is_empty();
         self.reached.older_results += usize::from(is_older);
         let mut put_off = BTreeSet::new();
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -2,6 +2,7 @@
 
 use super::faults::Case;
 use super::faults::Fault;
+use super::faults::Release;
 use super::faults::WORKERS;
 use super::gangs::Gangs;
 use super::history::Finding;
@@ -194,6 +195,9 @@
     });
     let is_near = |at_ms: u64| (at_ms..at_ms + BEFORE_MS).contains(&finding.at_ms);
     let is_told = |(at_ms, text): &(u64, String)| {
+        if *at_ms > finding.at_ms {
+            return false;
+        }
         let general = ["core", "fault", "commits", "loses"];
         is_near(*at_ms) && general.iter().any(|word| text.starts_with(word))
             || name.as_ref().is_some_and(|name| text.contains(name))
@@ -426,6 +430,7 @@
             Event::Timeout { call } => self.give_up_call(call),
             Event::Commit if self.leader.is_some() => self.commit(self.now_ms, 2),
             Event::Commit => {}
+            Event::RecordTimeout { .. } if self.case.release == Release::Outcome => {}
             Event::RecordTimeout { id } => self.settle(id, false, 0),
             Event::Result { id, waiting, done } => self.take_result(id, &waiting, done),
             Event::Depose { index, by_ms } => self.depose_in_time(index, by_ms),
