--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -52,6 +52,7 @@
 /// One run of the fuzz.
 #[derive(Clone, Debug)]
 pub struct Case {
+    /// Seed of everything that the faults leave open.
     pub seed: u64,
     /// Longest time until a proposal is committed, in milliseconds.
     pub record_ms: u64,
--- a/crates/bh-workload/tests/delays/history.rs
+++ b/crates/bh-workload/tests/delays/history.rs
@@ -41,6 +41,8 @@
 
 /// A run that a worker began.
 struct Begin {
+    /// Place among all begins and ends.
+    place: usize,
     at_ms: u64,
     run: RunId,
     worker: String,
@@ -48,6 +50,8 @@
 
 /// A run that a worker ended.
 struct End {
+    /// Place among all begins and ends.
+    place: usize,
     at_ms: u64,
     run: RunId,
     /// Whether it is one of a gang, whose members have all ended as this one did.
@@ -78,6 +82,7 @@
     /// Notes that a worker began a run.
     pub fn note_begin(&mut self, at_ms: u64, run: RunId, worker: &str) {
         self.begins.push(Begin {
+            place: self.begins.len() + self.ends.len(),
             at_ms,
             run,
             worker: worker.to_owned(),
@@ -107,7 +112,9 @@
     ) -> bool {
         let key = (worker.to_owned(), number);
         let is_new = !self.ends.contains_key(&key);
+        let place = self.begins.len() + self.ends.len();
         self.ends.entry(key).or_insert(End {
+            place,
             at_ms,
             run,
             is_gang,
@@ -132,7 +139,7 @@
         for begin in &self.begins {
             let before = || {
                 let ends = self.ends.values();
-                ends.filter(|end| end.tells_of(begin.run) && end.at_ms < begin.at_ms)
+                ends.filter(|end| end.tells_of(begin.run) && end.place < begin.place)
                     .filter(|end| end.noted_ms.is_some())
             };
             let told = |kind| {
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -1,8 +1,8 @@
 //! A core that leads, driven like the real process drives it.
 
+use super::event::Event;
 use super::faults::Release;
 use super::log::Waiting;
-use super::site::Event;
 use super::site::Site;
 use super::telling::of_answer;
 use super::telling::of_command;
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -1,10 +1,10 @@
 //! The way of orders to workers and of their answers back.
 
+use super::event::Event;
 use super::faults::Fault;
 use super::faults::MOST_HELD_MS;
 use super::history::Finding;
 use super::history::Rule;
-use super::site::Event;
 use super::site::Site;
 use super::telling::of_answer;
 use bh_workload::dispatch::Answer;
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -1,5 +1,6 @@
 //! The site: its clock, its workers, and what is on its way.
 
+use super::event::Event;
 use super::faults::Case;
 use super::faults::Fault;
 use super::faults::Release;
@@ -10,9 +11,8 @@
 use super::history::Rule;
 use super::leader::Leader;
 use super::log::Log;
-use super::log::Waiting;
 use super::network::WaitingLook;
-use super::network::Way;
+use super::reached::Reached;
 use crate::support;
 use crate::support::START_WALL_MS;
 use crate::support::place;
@@ -20,7 +20,6 @@
 use crate::support::worker_info;
 use bh_testkit::Random;
 use bh_testkit::model_worker::ModelWorker;
-use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
 use bh_workload::job::JobId;
 use bh_workload::job::JobSpec;
@@ -48,58 +47,6 @@
 /// By then everything must have ended: the last fault, the longest lease and several attempts after it.
 const END_MS: u64 = 140_000;
 
-/// What happens at a time.
-pub enum Event {
-    /// A job is handed in.
-    Submit { job: u64 },
-    /// A fault begins.
-    Fault { index: usize },
-    /// A worker says that it is there.
-    Heartbeat { index: usize },
-    /// The leader reads that.
-    Hear {
-        term: u64,
-        info: Box<WorkerInfo>,
-        clock_ms: u64,
-    },
-    /// The leader takes a turn.
-    Turn { term: u64 },
-    /// An order leaves the leader.
-    Send { order: Order },
-    /// An order comes to a worker.
-    Arrive { call: u64, order: Order, way: Way },
-    /// An answer comes back.
-    Answer {
-        call: u64,
-        term: u64,
-        answer: Answer,
-    },
-    /// An answer that came in time is read late.
-    Read { order: Order, answer: Answer },
-    /// An answer has not come in time.
-    Timeout { call: u64 },
-    /// Something may be committed.
-    Commit,
-    /// A proposal was not committed in time.
-    RecordTimeout { id: u64 },
-    /// The proposer hears what became of a proposal.
-    Result {
-        id: u64,
-        waiting: Waiting,
-        done: bool,
-    },
-    /// The leader is replaced once ends wait to be committed, or at `by_ms`.
-    Depose { index: usize, by_ms: u64 },
-    /// A deposed leader knows that it is one.
-    StepDown { term: u64 },
-    /// Another leader takes over.
-    TakeOffice {
-        core: usize,
-        lost: usize,
-        gap_ms: u64,
-    },
-}
-
 /// A site.
 pub struct Site<'a> {
     pub case: &'a Case,
@@ -137,30 +84,6 @@
     trace: Option<Vec<(u64, String)>>,
 }
 
-/// How often a case came to what it is for.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Reached {
-    /// Runs that workers began.
-    pub begins: usize,
-    /// Those that were not the first of their task.
-    pub begun_again: usize,
-    /// Leases that ran out.
-    pub lapses: usize,
-    /// Ends with success, and failures, that were taken note of.
-    pub noted_done: usize,
-    pub noted_failed: usize,
-    /// Proposals that were lost with their leader.
-    pub lost_proposals: usize,
-    /// Results of ends that reached another leader than the one that proposed them.
-    pub older_results: usize,
-    /// Answers that were read late on their own.
-    pub late_reads: usize,
-    /// Orders that busy workers denied.
-    pub denied: usize,
-    /// Stalls between decisions and their sending.
-    pub stalls_in_turn: usize,
-}
-
 /// Runs a case; returns how often it came to what it is for.
 pub fn reached(case: &Case) -> Reached {
     let mut site = Site::new(case, false);
@@ -566,7 +489,7 @@
 
 /// One life of a worker. The clocks of half of them are as slow as is allowed.
 fn worker(case: &Case, index: usize, life: usize) -> ModelWorker {
-    let rate = if index % 2 == 0 { 980 } else { 1_000 };
+    let rate = if index.is_multiple_of(2) { 980 } else { 1_000 };
     let id = if life == 0 {
         format!("w{index:02}")
     } else {
