fuzz_delays drives the leader as the process does now

Records are told apart by term and by the ends that they hold, a record without an outcome is neither, and an order that went out twice is known as such.

--- a/crates/bh-workload/tests/delays/event.rs
+++ b/crates/bh-workload/tests/delays/event.rs
@@ -4,6 +4,7 @@
 use super::network::Way;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::state::WorkerInfo;
 
 /// What happens at a time.
@@ -32,8 +33,12 @@
         term: u64,
         answer: Answer,
     },
-    /// An answer that came in time is read late.
-    Read { order: Order, answer: Answer },
+    /// An answer that came in time is read late; `repeated` if it is that to a second send.
+    Read {
+        order: Order,
+        answer: Answer,
+        repeated: bool,
+    },
     /// An answer has not come in time.
     Timeout { call: u64 },
     /// Something may be committed.
@@ -44,7 +49,7 @@
     Result {
         id: u64,
         waiting: Waiting,
-        done: bool,
+        outcome: RecordOutcome,
     },
     /// The leader is replaced once ends wait to be committed, or at `by_ms`.
     Depose { index: usize, by_ms: u64 },
--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -66,22 +66,6 @@
     pub planted: Planted,
     /// Whether some steps are gangs.
     pub gangs: bool,
-    /// Which commits release the ends of a report.
-    pub release: Release,
-    /// Whether the leader knows that an order was sent twice, and takes a refusal of the second for no answer.
-    pub knows_repeats: bool,
-}
-
-/// Which commits release the ends that a worker reported, so that it may forget them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Release {
-    /// That of any record for the worker, by whichever leader of the core: what `records.rs` does.
-    AnyRecord,
-    /// Only that of the record that the report led to, by this leader; nor does the loss of another release anything. Shows what is left to find
-    /// beside that.
-    OwnRecord,
-    /// The same, and a leader hears only what really became of its own records: nothing while that is open, however long it takes.
-    Outcome,
 }
 
 fn share() -> impl Strategy<Value = (u64, u64)> {
@@ -127,10 +111,7 @@
 }
 
 /// A whole case with such faults.
-pub fn case(
-    fault: impl Strategy<Value = (u64, Fault)>,
-    release: Release,
-) -> impl Strategy<Value = Case> {
+pub fn case(fault: impl Strategy<Value = (u64, Fault)>) -> impl Strategy<Value = Case> {
     let record_ms = prop_oneof![1 => Just(1u64), 3 => 2u64..=500];
     let failing_percent = prop_oneof![1 => Just(0u64), 1 => 1u64..50];
     let busy_percent = prop_oneof![2 => Just(0u64), 1 => 1u64..20];
@@ -151,8 +132,6 @@
                 faults,
                 planted: Planted::Nothing,
                 gangs: false,
-                release,
-                knows_repeats: false,
             },
         )
 }
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -1,7 +1,6 @@
 //! A core that leads, driven like the real process drives it.
 
 use super::event::Event;
-use super::faults::Release;
 use super::log::Waiting;
 use super::site::Site;
 use super::telling::of_answer;
@@ -11,6 +10,8 @@
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Timing;
 use bh_workload::plan::Planner;
 use bh_workload::state::Command;
@@ -168,7 +169,7 @@
     }
 
     /// Replicates a command. What a deposed leader proposes is never committed.
-    fn propose(&mut self, leader: &Leader, command: Command, reporter: Option<Arc<str>>) {
+    fn propose(&mut self, leader: &Leader, command: Command, listed_to: Option<u64>) {
         let now_ms = self.now_ms;
         let command = command.at(START_WALL_MS + now_ms);
         let workers: BTreeSet<Arc<str>> = match &command {
@@ -179,12 +180,9 @@
             core: leader.core,
             term: leader.term,
             workers,
-            reporter,
+            listed_to,
             starts: matches!(command, Command::Starts(_)),
         };
-        if let Some(worker) = &waiting.reporter {
-            self.reports.insert((waiting.term, worker.clone()));
-        }
         let id = self.log.wait(waiting);
         self.note(|| {
             format!(
@@ -202,59 +200,42 @@
     }
 
     /// Tells whoever proposed a command what became of it, `after_ms` from now, unless it has given up waiting.
-    pub fn settle(&mut self, id: u64, done: bool, after_ms: u64) {
+    pub fn settle(&mut self, id: u64, outcome: RecordOutcome, after_ms: u64) {
         if let Some(waiting) = self.log.waiting.remove(&id) {
             let at_ms = self.now_ms + after_ms;
-            self.push(at_ms, Event::Result { id, waiting, done });
+            let result = Event::Result {
+                id,
+                waiting,
+                outcome,
+            };
+            self.push(at_ms, result);
         }
     }
 
-    /// The result of a proposal reaches the core that made it, and whatever leads there.
-    pub fn take_result(&mut self, id: u64, waiting: &Waiting, done: bool) {
-        /// Time after which a result that would be taken for that of a report is told again, in milliseconds.
-        const AGAIN_MS: u64 = 20;
+    /// The result of a proposal reaches the core that made it. It counts if that still leads in the same term.
+    pub fn take_result(&mut self, id: u64, waiting: &Waiting, outcome: RecordOutcome) {
         let all = self.leader.iter_mut().chain(self.deposed.iter_mut());
         let Some(leader) = all.into_iter().find(|leader| leader.core == waiting.core) else {
             return;
         };
         let term = leader.term;
-        if self.case.release == Release::Outcome && term != waiting.term {
+        if term != waiting.term {
+            self.reached.older_results += usize::from(!waiting.workers.is_empty());
             return;
         }
-        let is_older = term != waiting.term && !waiting.workers.is_empty();
-        self.reached.older_results += usize::from(is_older);
-        let mut put_off = BTreeSet::new();
         for worker in &waiting.workers {
-            let report = (term, worker.clone());
-            let is_own = term == waiting.term && waiting.reporter.as_ref() == Some(worker);
-            if self.case.release == Release::AnyRecord || is_own {
-                self.reports.remove(&report);
-                leader.dispatcher.note_recorded(worker, done);
-            } else if !done && self.reports.contains(&report) {
-                put_off.insert(worker.clone());
-            } else if !done {
-                leader.dispatcher.note_recorded(worker, false);
-            }
+            leader
+                .dispatcher
+                .note_recorded(worker, waiting.listed_to, outcome);
         }
-        if waiting.starts && leader.term == waiting.term {
+        if waiting.starts {
             leader.planning = false;
             leader.plan_due = true;
         }
-        if !put_off.is_empty() {
-            let at_ms = self.now_ms + AGAIN_MS;
-            let waiting = Waiting {
-                workers: put_off,
-                reporter: None,
-                starts: false,
-                ..waiting.clone()
-            };
-            self.push(at_ms, Event::Result { id, waiting, done });
-        }
         let core = waiting.core;
-        let was = waiting.term;
         self.note(|| {
             format!(
-                "core{core} of term {term} hears of {id} of term {was}: {done}, {:?}",
+                "core{core} of term {term} hears of {id}: {outcome:?}, {:?}",
                 waiting.workers
             )
         });
@@ -273,12 +254,12 @@
             }
             self.record.apply(proposal.command);
             let after_ms = self.random.below(result_ms + 1);
-            self.settle(id, true, after_ms);
+            self.settle(id, RecordOutcome::Recorded, after_ms);
         }
     }
 
     /// The leader's core reads an answer.
-    pub fn read_answer(&mut self, order: &Order, answer: &Answer) {
+    pub fn read_answer(&mut self, order: &Order, answer: &Answer, repeated: bool) {
         let now_ms = self.now_ms;
         let Some(mut leader) = self.take_leader(order.token) else {
             return;
@@ -292,6 +273,9 @@
                 of_answer(answer)
             )
         });
+        if repeated {
+            leader.dispatcher.note_repeated(order);
+        }
         let record = leader.deposed.as_ref().map_or(&self.record, |held| &held.0);
         let command = leader.dispatcher.note_answer(now_ms, order, answer, record);
         if let Some(Command::Ends { ends, .. }) = &command {
@@ -300,15 +284,10 @@
                 .note_ends(now_ms, ends, record, &leader.dispatcher);
         }
         if let Some(command) = command {
-            let is_report = matches!(
-                answer,
-                Answer::Done {
-                    report: Some(_),
-                    ..
-                }
-            );
-            let reporter = is_report.then(|| order.to.worker.clone());
-            self.propose(&leader, command, reporter);
+            let is_look = matches!(order.body, OrderBody::Look { .. });
+            let listed_to = leader.dispatcher.recording_to(&order.to.worker);
+            let listed_to = listed_to.filter(|_| is_look);
+            self.propose(&leader, command, listed_to);
         }
         self.put_back(leader);
         self.wake(order.token);
@@ -368,7 +347,7 @@
             self.reached.lost_proposals += 1;
             self.note(|| format!("loses {id}"));
             let after_ms = self.random.below(RECORD_MS);
-            self.settle(id, false, after_ms);
+            self.settle(id, RecordOutcome::NotRecorded, after_ms);
         }
         const LATE_RESULT_MS: u64 = 300;
         self.commit(u64::MAX, LATE_RESULT_MS);
--- a/crates/bh-workload/tests/delays/log.rs
+++ b/crates/bh-workload/tests/delays/log.rs
@@ -15,8 +15,8 @@
     pub term: u64,
     /// Workers of which it holds ends.
     pub workers: BTreeSet<Arc<str>>,
-    /// Worker whose report led to it.
-    pub reporter: Option<Arc<str>>,
+    /// Up to which end a worker's report led to it, if one did.
+    pub listed_to: Option<u64>,
     /// Whether it holds starts.
     pub starts: bool,
 }
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -120,7 +120,12 @@
         }
         let at_ms = now_ms + self.random.below(NOTICED_MS);
         let answer = Answer::CarrierLost;
-        self.push(at_ms, Event::Read { order, answer });
+        let read = Event::Read {
+            order,
+            answer,
+            repeated: false,
+        };
+        self.push(at_ms, read);
     }
 
     /// The connection breaks, and the order goes out again over another: the leader hears only what comes back for the second.
@@ -315,9 +320,7 @@
         if way == Way::Unheard {
             return;
         }
-        let is_denied = matches!(answer, Answer::Denied { .. });
-        let is_repeat = self.case.knows_repeats && self.repeated.contains(&call);
-        let answer = if way == Way::Breaks || is_denied && is_repeat {
+        let answer = if way == Way::Breaks {
             Answer::Lost
         } else {
             answer
@@ -342,6 +345,7 @@
             self.calls.insert(call, order);
             return;
         }
+        let repeated = self.repeated.contains(&call);
         let late = self.percent(|fault| match fault {
             Fault::LateReads { percent, for_ms } => Some((*percent, *for_ms)),
             _ => None,
@@ -349,16 +353,21 @@
         if self.chance(late) {
             self.reached.late_reads += 1;
             let at_ms = self.now_ms + self.random.below(MOST_HELD_MS);
-            self.push(at_ms, Event::Read { order, answer });
+            let read = Event::Read {
+                order,
+                answer,
+                repeated,
+            };
+            self.push(at_ms, read);
         } else {
-            self.read_answer(&order, &answer);
+            self.read_answer(&order, &answer, repeated);
         }
     }
 
     /// Nothing came back in time.
     pub fn give_up_call(&mut self, call: u64) {
         if let Some(order) = self.calls.remove(&call) {
-            self.read_answer(&order, &Answer::Lost);
+            self.read_answer(&order, &Answer::Lost, false);
         }
     }
 
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -3,7 +3,6 @@
 use super::event::Event;
 use super::faults::Case;
 use super::faults::Fault;
-use super::faults::Release;
 use super::faults::WORKERS;
 use super::gangs::Gangs;
 use super::history::Finding;
@@ -21,6 +20,7 @@
 use bh_testkit::Random;
 use bh_testkit::model_worker::ModelWorker;
 use bh_workload::dispatch::Order;
+use bh_workload::dispatch::RecordOutcome;
 use bh_workload::job::JobId;
 use bh_workload::job::JobSpec;
 use bh_workload::job::RunId;
@@ -61,8 +61,6 @@
     /// Ends that are committed: worker, run, how it ended.
     pub recorded: BTreeSet<(String, RunId, EndKind)>,
     pub log: Log,
-    /// Reports whose records have no result yet: term and worker.
-    pub reports: BTreeSet<(u64, Arc<str>)>,
     pub leader: Option<Leader>,
     /// One that gives orders though another was elected.
     pub deposed: Option<Leader>,
@@ -146,7 +144,6 @@
             record: Workload::default(),
             recorded: BTreeSet::new(),
             log: Log::default(),
-            reports: BTreeSet::new(),
             leader: None,
             deposed: None,
             term: 0,
@@ -349,13 +346,20 @@
             Event::Send { order } => self.send(order),
             Event::Arrive { call, order, way } => self.arrive(call, order, way),
             Event::Answer { call, answer, .. } => self.answer(call, answer),
-            Event::Read { order, answer } => self.read_answer(&order, &answer),
+            Event::Read {
+                order,
+                answer,
+                repeated,
+            } => self.read_answer(&order, &answer, repeated),
             Event::Timeout { call } => self.give_up_call(call),
             Event::Commit if self.leader.is_some() => self.commit(self.now_ms, 2),
             Event::Commit => {}
-            Event::RecordTimeout { .. } if self.case.release == Release::Outcome => {}
-            Event::RecordTimeout { id } => self.settle(id, false, 0),
-            Event::Result { id, waiting, done } => self.take_result(id, &waiting, done),
+            Event::RecordTimeout { id } => self.settle(id, RecordOutcome::Unknown, 0),
+            Event::Result {
+                id,
+                waiting,
+                outcome,
+            } => self.take_result(id, &waiting, outcome),
             Event::Depose { index, by_ms } => self.depose_in_time(index, by_ms),
             Event::StepDown { term } => {
                 self.deposed.take_if(|leader| leader.term == term);
--- a/crates/bh-workload/tests/fuzz_delays.rs
+++ b/crates/bh-workload/tests/fuzz_delays.rs
@@ -12,7 +12,6 @@
 use delays::Reached;
 use delays::faults::Case;
 use delays::faults::Fault;
-use delays::faults::Release;
 use delays::faults::case;
 use delays::faults::fault;
 use delays::faults::repeating_fault;
@@ -50,52 +49,36 @@
     config
 }
 
-/// Which cases are run. Those that mask a fault that is known show what is left to find beside it.
+/// Which cases are run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Group {
-    /// Everything takes time, and nothing is sent twice unseen.
+    /// Everything takes time.
     Delays,
-    /// The same where only the record of a report releases its ends.
-    OwnRecords,
-    /// The same with nothing but workers that are cut off and records that take longer than their proposers wait.
+    /// Nothing but workers that are cut off and records that take longer than their proposers wait.
     SlowRecords,
-    /// Orders are sent twice, and the leader hears only the second answer. It hears of records what really became of them.
+    /// Orders are sent twice, and the leader hears only the second answer.
     SentTwice,
-    /// Gangs, where the leader hears of records what really became of them.
+    /// Gangs.
     Gangs,
-    /// Orders are sent twice, and the leader knows it and what really became of records.
-    AllKnown,
 }
 
 impl Group {
     fn cases(self) -> BoxedStrategy<Case> {
-        let known = Release::Outcome;
         match self {
-            Group::Delays => case(fault(), Release::AnyRecord).boxed(),
-            Group::OwnRecords => case(fault(), Release::OwnRecord).boxed(),
-            Group::SlowRecords => case(slow_record(), Release::OwnRecord).boxed(),
-            Group::SentTwice => case(repeating_fault(), known).boxed(),
+            Group::Delays => case(fault()).boxed(),
+            Group::SlowRecords => case(slow_record()).boxed(),
+            Group::SentTwice => case(repeating_fault()).boxed(),
             Group::Gangs => {
                 let gangs = true;
-                let cases = case(fault(), known);
+                let cases = case(repeating_fault());
                 cases.prop_map(move |case| Case { gangs, ..case }).boxed()
             }
-            Group::AllKnown => {
-                let knows_repeats = true;
-                let cases = case(repeating_fault(), known);
-                cases
-                    .prop_map(move |case| Case {
-                        knows_repeats,
-                        ..case
-                    })
-                    .boxed()
-            }
         }
     }
 
     /// Runs all cases once, whichever test asks first.
     fn broken(self) -> &'static BTreeMap<Rule, Broken> {
-        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 6] = [const { OnceLock::new() }; 6];
+        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 4] = [const { OnceLock::new() }; 4];
         ALL[self as usize].get_or_init(|| {
             let config = config();
             let count = config.cases;
@@ -182,15 +165,7 @@
     )]
     rule: Rule,
     // Behind the rule, so that tests that run side by side begin with different groups.
-    #[values(
-        Group::Delays,
-        Group::OwnRecords,
-        Group::SlowRecords,
-        Group::SentTwice,
-        Group::Gangs,
-        Group::AllKnown
-    )]
-    group: Group,
+    #[values(Group::Delays, Group::SlowRecords, Group::SentTwice, Group::Gangs)] group: Group,
 ) {
     keeps(group, rule);
 }
@@ -205,8 +180,6 @@
         faults,
         planted: Planted::Nothing,
         gangs: false,
-        release: Release::OwnRecord,
-        knows_repeats: false,
     }
 }
 
@@ -255,7 +228,6 @@
     ];
     let case = Case {
         gangs: true,
-        release: Release::AnyRecord,
         ..found(17_841_802_254_305_342_593, (1, 0), faults)
     };
     assert_keeps(&case, Rule::OneAtOnce);
@@ -322,7 +294,6 @@
     ];
     let case = Case {
         busy_percent: 11,
-        release: Release::AnyRecord,
         ..found(15_995_428_796_853_810_333, (1, 12), faults)
     };
     assert_keeps(&case, Rule::NotAfterDone);
@@ -333,7 +304,7 @@
 #[test]
 fn the_cases_reach_what_they_are_for() {
     let mut all: Vec<Reached> = Vec::new();
-    let cases = case(fault(), Release::AnyRecord);
+    let cases = case(fault());
     let mut runner = TestRunner::new(config());
     for _ in 0..CASES {
         let case = cases.new_tree(&mut runner).unwrap().current();
@@ -372,7 +343,7 @@
         max_shrink_iters: 0,
         ..config()
     };
-    let cases = case(fault(), Release::OwnRecord);
+    let cases = case(fault());
     let found = TestRunner::new(config).run(&cases, |case| {
         let case = Case { planted, ..case };
         let breaks = |finding: &Finding| finding.rule == rule;
