The next leader counts a failure that comes late

What callers could see: a gang begun once more than its failures allow. Cause: a gang whose other members broke is begun anew though one worker is silent; that its member may still be said to have failed stood in the leader's memory only. The next leader took the failure for that of a run long over, and counted nothing. Why this works: the record holds such runs at their worker until it says how they ended. A new leader asks that worker, and counts. Where it has granted no lease yet it can't know whether the run was lost with one, and counts as well: better one start too few than one too many.

--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -158,12 +158,13 @@
 }
 
 /// Listed failures of runs that had been taken to be over. They count like any other: a gang that fails whenever it runs would be begun once too often.
-/// But those whose lease has run out since count as lost with it, for the worker too.
+/// But those whose lease has run out since count as lost with it, for the worker too. Before its first grant a leader does not know that.
 fn late_failures(target: &mut Target, report: &Report) -> Vec<RunId> {
     let unsaid = std::mem::take(&mut target.unsaid);
-    let in_lease = target
-        .clock
-        .is_some_and(|clock| clock.worker_ms <= target.granted_ms);
+    let in_lease = target.granted_ms == 0
+        || target
+            .clock
+            .is_some_and(|clock| clock.worker_ms <= target.granted_ms);
     if !in_lease {
         return Vec::new();
     }
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -116,6 +116,8 @@
             let target = dispatcher.target(&worker.info.id);
             target.filling = FillPace::taken_over();
             target.said_ms = Some(now_ms);
+            // Which of them were lost with a lease this leader can't know; a failure that another leader would have counted must not be missed.
+            target.unsaid = worker.unheard.clone();
             target.lapse_ms = now_ms + OVERLAP_MS + timing.lapse_after_ms(timing.lease_ms);
             for run in worker.runs.keys() {
                 let start = StartPhase::Unsure {
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -174,6 +174,7 @@
             || self.is_unheard()
             || self.carrier_lost
             || self.checks_left > 0
+            || !self.unsaid.is_empty() && !self.is_failing()
     }
 
     /// Another worker says that it is reached where this one was. An idle worker that is gone without a word would stay in the record for ever, and a
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -32,6 +32,13 @@
         if was_open {
             step.open_runs = step.open_runs.saturating_sub(1);
         }
+        if let Some(worker) = self.workers.get_mut(&end.worker) {
+            if was_open && spec.gang && end.kind == EndKind::Lost {
+                worker.unheard.insert(end.run);
+            } else {
+                worker.unheard.remove(&end.run);
+            }
+        }
         let failed_too_often = if spec.gang {
             end_in_gang(step, &end, was_open)
         } else {
--- a/crates/bh-workload/src/state/worker.rs
+++ b/crates/bh-workload/src/state/worker.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -57,6 +58,9 @@
     /// Runs recorded there and not known to be over, with what each takes.
     #[serde(with = "crate::pairs")]
     pub runs: BTreeMap<RunId, Needs>,
+    /// Members of gangs that are recorded as lost though the worker lives: it may still say that they failed, to whoever leads then.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub unheard: BTreeSet<RunId>,
 }
 
 impl Worker {
@@ -67,6 +71,7 @@
             arrival,
             draining: false,
             runs: BTreeMap::new(),
+            unheard: BTreeSet::new(),
         }
     }
 
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -221,3 +221,23 @@
     asked(&mut site, &runs[..1], &[FAILED]);
     assert_eq!(site.workload.job(job).unwrap().steps[0].failures, 0);
 }
+
+/// A gang was given up since its other members broke, and another core leads before the silent worker answers: it fails there after all. Were that not
+/// counted, a gang that fails whenever it runs would be begun once more for each such change of leader.
+#[test]
+fn the_next_leader_counts_a_failure_that_comes_late() {
+    let (mut site, job, runs) = gang_at_work();
+    asked(&mut site, &runs, &[BROKEN, BROKEN, Nothing]);
+    site.advance(STOP_MS + 200);
+    asked(&mut site, &runs, &[Runs, Runs, Nothing]);
+    let lost = runs[2].1;
+    let still_open = site.open_runs().into_iter().any(|(_, run)| run == lost);
+    assert!(!still_open, "the silent worker's member is given up");
+    site.take_over(2);
+    asked(&mut site, &runs, &[Runs, Runs, FAILED]);
+    let step = site
+        .workload
+        .job(job)
+        .and_then(|job| job.step(lost.task.step));
+    assert_eq!(step.map(|step| step.failures), Some(1));
+}
