--- a/crates/bh-workload/tests/fuzz_delays.rs
+++ b/crates/bh-workload/tests/fuzz_delays.rs
@@ -261,9 +261,10 @@
     assert_keeps(&case, Rule::OneAtOnce);
 }
 
-/// A gang fails twice, and both failures are taken note of; it began a third time.
+/// A gang fails twice, and both failures are taken note of; it began a third time. The first was taken to be over before its worker said how, and
+/// the leader that knew so was replaced before that.
 #[test]
-fn a_gang_whose_members_fail_late_counts_each_failure() {
+fn a_gang_that_fails_unheard_by_its_leader_is_counted_by_the_next() {
     let faults = vec![
         (
             6_982,
@@ -296,6 +297,57 @@
     assert_keeps(&case, Rule::NotAfterFailures);
 }
 
+/// The same with one leader: the second run fails, and the third begins, before the first one's worker says that it had failed.
+#[test]
+fn a_gang_that_may_have_failed_is_not_begun_once_too_often() {
+    let faults = vec![
+        (
+            10_805,
+            Fault::BrokenConnections {
+                percent: 40,
+                for_ms: 7_032,
+            },
+        ),
+        (
+            2_700,
+            Fault::FailsAll {
+                worker: 2,
+                for_ms: 6_792,
+            },
+        ),
+        (
+            6_419,
+            Fault::LateAnswers {
+                percent: 18,
+                for_ms: 5_804,
+            },
+        ),
+        (4_734, Fault::Reborn { worker: 3 }),
+    ];
+    let case = Case {
+        gangs: true,
+        release: Release::Outcome,
+        ..found(8_704_983_681_574_955_260, (95, 38), faults)
+    };
+    assert_keeps(&case, Rule::NotAfterFailures);
+}
+
+/// A task that is no gang: given up, begun again while that is being recorded, and begun beside it once that is.
+#[test]
+fn a_task_that_was_given_up_is_not_begun_again_while_that_is_recorded() {
+    let cut = Fault::Cut {
+        worker: 1,
+        for_ms: 11_988,
+    };
+    let faults = vec![
+        (11_937, Fault::StuckRecords { for_ms: 2_872 }),
+        (266, cut),
+        (9_892, Fault::StuckRecords { for_ms: 2_859 }),
+    ];
+    let case = found(7_338_814_041_010_260_219, (1, 0), faults);
+    assert_keeps(&case, Rule::OneAtOnce);
+}
+
 /// The record of an end is released by the commit of another one, and lost with the leader: the worker has forgotten it, and the task runs again.
 #[test]
 fn an_end_is_not_forgotten_while_its_record_may_be_lost() {
