A worker that leaves is gone when it has ended, not when it says so

What callers could see: a task that runs twice at once, under one leader. Cause: a worker's word that it ends was recorded as the end of what runs there, and the tasks began elsewhere within milliseconds. A worker that hears no acknowledgement goes on for some seconds; one that hears it still has to end, and a busy machine takes its time. Nobody asked the worker any more, so that whatever its runs did counted for nothing. Why this works: its word stops all starts there at once, and its runs are over when nothing listens at its address any more, another incarnation answers, it lists their ends, or its lease has run out.

--- a/crates/beechhollow/tests/repeated_starts.rs
+++ b/crates/beechhollow/tests/runs_once.rs
@@ -1,4 +1,4 @@
-//! Starts that a worker carries out, whose connection then breaks, and which it refuses when they come again.
+//! Workers on the wire that do more than the core hears of: what runs there must not run elsewhere as well.
 #![expect(
     clippy::unwrap_used,
     reason = "a test that meets the unexpected shall end"
@@ -22,9 +22,11 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use support::LeadingCore;
 use support::Process;
 use support::entry_config;
 use support::leading_core;
+use support::metric;
 use support::wait_for;
 
 const WORKERS: usize = 5;
@@ -47,25 +49,52 @@
 struct Script {
     works_for: Duration,
     how: &'static str,
-    /// Whether the connection breaks once it has begun, and the worker is busy when the start comes again.
-    is_repeated: bool,
+    then: Then,
 }
 
-/// The runs under test in the order in which they begin: a long one, two that fail at once, and one that has nothing against it.
-fn script(begun: usize) -> Script {
+/// What the worker does once it has begun a run under test.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Then {
+    /// It answers.
+    Answers,
+    /// Its connection breaks, and it is busy when the start comes again.
+    BreaksOff,
+    /// It answers, and says soon after that it ends. It hears no acknowledgement, and goes on.
+    Leaves,
+}
+
+/// The runs under test in the order in which they begin.
+type Plot = fn(begun: usize) -> Script;
+
+const AT_ONCE: Script = Script {
+    works_for: Duration::from_millis(100),
+    how: "done",
+    then: Then::Answers,
+};
+
+/// A long run, two that fail at once, and one that has nothing against it.
+fn broken_connections(begun: usize) -> Script {
     let repeated = |works_ms, how| Script {
         works_for: Duration::from_millis(works_ms),
         how,
-        is_repeated: true,
+        then: Then::BreaksOff,
     };
     match begun {
         0 => repeated(4_000, "done"),
         1 | 2 => repeated(10, "failed"),
-        _ => Script {
-            works_for: Duration::from_millis(100),
+        _ => AT_ONCE,
+    }
+}
+
+/// A run on a worker that ends after it.
+fn unheard_leave(begun: usize) -> Script {
+    match begun {
+        0 => Script {
+            works_for: Duration::from_secs(3),
             how: "done",
-            is_repeated: false,
+            then: Then::Leaves,
         },
+        _ => AT_ONCE,
     }
 }
 
@@ -81,6 +110,8 @@
     ends: u64,
     /// Starts that it still refuses as busy.
     refusals: u32,
+    /// Whether it has said that it ends.
+    left: bool,
 }
 
 impl Worker {
@@ -103,6 +134,8 @@
 
 /// All workers, and what was seen of the job under test.
 struct World {
+    plot: Plot,
+    control: SocketAddr,
     began: Instant,
     workers: Vec<Worker>,
     begun: usize,
@@ -148,15 +181,32 @@
         }
         self.note(format!("{run:?} begins on worker {index}"));
         self.check_begin(&run);
-        let script = script(self.begun);
+        let script = (self.plot)(self.begun);
         self.begun += 1;
         let until = Instant::now() + script.works_for;
         self.workers[index].running.insert(run, (until, script.how));
-        if script.is_repeated {
-            self.workers[index].refusals = 1;
-            return None;
+        match script.then {
+            Then::Answers => done,
+            Then::BreaksOff => {
+                self.workers[index].refusals = 1;
+                None
+            }
+            Then::Leaves => {
+                self.leave(index);
+                done
+            }
         }
-        done
+    }
+
+    /// Says that the worker drains and ends; nobody waits for the answers.
+    fn leave(&mut self, index: usize) {
+        self.workers[index].left = true;
+        let control = self.control;
+        thread::spawn(move || {
+            thread::sleep(2 * HEARTBEAT);
+            let path = format!("/-/instances/{}", worker_id(index));
+            http_raw::send(control, "DELETE", &path, &[], &[], WAIT);
+        });
     }
 
     fn check_begin(&mut self, run: &Run) {
@@ -203,10 +253,6 @@
         self.world.lock().unwrap()
     }
 
-    fn id(&self) -> String {
-        format!("i-{}", self.index)
-    }
-
     fn serve(&self, mut stream: TcpStream) {
         while let Some((path, body)) = read_request(&mut stream) {
             let Some((status, answer)) = self.answer(&path, &body) else {
@@ -260,13 +306,17 @@
 
     fn beat(&self, control: SocketAddr) {
         for sequence in 1u64.. {
-            let clock_ms = self.world().clock_ms();
+            let (clock_ms, left) = {
+                let world = self.world();
+                (world.clock_ms(), world.workers[self.index].left)
+            };
+            let state = if left { "draining" } else { "ready" };
             let body = json!({
-                "service": "pool", "address": self.address.to_string(), "zone": "dc", "version": "v1", "slots": 8, "state": "ready",
+                "service": "pool", "address": self.address.to_string(), "zone": "dc", "version": "v1", "slots": 8, "state": state,
                 "coldRemainingMs": 0, "capacity": {"cpu": 16_000, "requestMemoryMb": 65_536, "gpu": 8}, "labels": ["a", "rack"],
                 "machine": format!("vm{}", self.index), "clockMs": clock_ms, "sequence": sequence,
             });
-            let path = format!("/-/instances/{}", self.id());
+            let path = format!("/-/instances/{}", worker_id(self.index));
             http_raw::send(
                 control,
                 "PUT",
@@ -280,6 +330,10 @@
     }
 }
 
+fn worker_id(index: usize) -> String {
+    format!("i-{index}")
+}
+
 fn read_request(stream: &mut TcpStream) -> Option<(String, Value)> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4 << 10];
@@ -305,8 +359,10 @@
 }
 
 /// Starts the workers, which live as long as the test's process.
-fn start_workers(control: SocketAddr) -> Arc<Mutex<World>> {
+fn start_workers(control: SocketAddr, plot: Plot) -> Arc<Mutex<World>> {
     let world = Arc::new(Mutex::new(World {
+        plot,
+        control,
         began: Instant::now(),
         workers: (0..WORKERS).map(|_| Worker::default()).collect(),
         begun: 0,
@@ -359,27 +415,21 @@
         "antiAffinity": most_on_worker}]})
 }
 
-/// Seen: a caller's task ran twice at once, and was begun again after its last allowed failure.
-///
-/// Course: the worker carries a start out and the kept connection breaks before the answer. The core sends the start again over a new one,
-/// and the worker, busy by then, refuses it. The task began elsewhere at once, and the failure of the first run counted for nothing.
-/// Cause: of an order that goes out twice only the second answer was known, so its refusal was taken to mean that the run never began.
-/// Proof: the worker's own list of runs, here; before the repair the second to fourth run began beside the first, in ten of ten plays.
-#[test]
-fn a_start_that_is_refused_when_it_comes_again_may_have_begun() {
-    let core = leading_core("repeated-starts-core", "");
+/// Plays `plot` with a job of one task; returns what was seen, and the core.
+fn play(name: &str, plot: Plot) -> (Arc<Mutex<World>>, LeadingCore) {
+    let core = leading_core(&format!("{name}-core"), "");
     let control = core.control;
     let addresses = ports::free(3);
     let entry = entry_config(
         &[addresses[0], addresses[1], addresses[2], control],
         core.peer_port,
     );
-    let _entry = Process::start("repeated-starts-entry", &entry);
+    let _entry = Process::start(&format!("{name}-entry"), &entry);
     wait_for(addresses[0]);
     until("the rules are taken", START, || {
         call(control, "PUT", "/-/config", &rules()).status == 200
     });
-    let world = start_workers(control);
+    let world = start_workers(control, plot);
     let hand_in = |name: &str, job: Value| {
         let path = format!("/queue/{name}");
         until("the job is accepted", START, || {
@@ -401,16 +451,38 @@
         state == "completed" || state == "failed"
     };
     until("the job is over", PLAY, is_over);
-    let world = world.lock().unwrap();
-    assert!(
-        world.begun > 1,
-        "nothing was begun again:\n{}",
-        world.events.join("\n")
-    );
+    (world, core)
+}
+
+fn assert_kept(world: &World) {
+    let events = world.events.join("\n");
     assert!(
         world.problems.is_empty(),
-        "{}\n{}",
-        world.problems.join("\n"),
-        world.events.join("\n")
+        "{}\n{events}",
+        world.problems.join("\n")
     );
 }
+
+/// Seen: a caller's task ran twice at once, and was begun again after its last allowed failure.
+///
+/// Course: the worker carries a start out and the kept connection breaks before the answer. The core sends the start again over a new one,
+/// and the worker, busy by then, refuses it. The task began elsewhere at once, and the failure of the first run counted for nothing.
+/// Cause: of an order that goes out twice only the second answer was known, so its refusal was taken to mean that the run never began.
+/// Proof: the worker's own list of runs, here; before the repair the second to fourth run began beside the first, in ten of ten plays.
+#[test]
+fn a_start_that_is_refused_when_it_comes_again_may_have_begun() {
+    let (world, core) = play("repeated-starts", broken_connections);
+    let world = world.lock().unwrap();
+    assert_kept(&world);
+    assert!(world.begun > 1, "nothing was begun again");
+    let repeated = metric(core.metrics, "orders_repeated_total");
+    assert!(repeated > Some(0), "no order was sent again");
+}
+
+/// A worker says that it ends and hears no acknowledgement, so that it goes on for seconds. Were its word taken for the end of what runs there, its
+/// task would begin elsewhere beside it.
+#[test]
+fn a_worker_that_leaves_unheard_runs_on() {
+    let (world, _core) = play("unheard-leave", unheard_leave);
+    assert_kept(&world.lock().unwrap());
+}
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -16,6 +16,7 @@
 use bh_workload::state::Reply;
 use bh_workload::state::WorkerChange;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Wait until a read is known to be of the newest state, in milliseconds: one round between the cores, with room for a slow one.
 const READ_MS: u64 = 1_000;
@@ -56,11 +57,7 @@
             Ok(()) => read(core, &place),
         },
         Call::Heartbeat(heartbeat) => hear(core, heartbeat).await,
-        Call::Leave { worker } => {
-            let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
-            log_departures(core, core.group.status().term, &gone, Learnt::Leave);
-            change(core, gone).await
-        }
+        Call::Leave { worker } => leave(core, &worker).await,
         Call::SetRules(Ok(rules)) => change(core, Command::SetRules(rules)).await,
         Call::SetRules(Err(problem)) => Answer::Refused(Refusal::BadRules(problem)),
         Call::StartWave(_) if core.config.vm_service_address.is_none() => {
@@ -99,6 +96,30 @@
     }
 }
 
+/// A worker says that it ends now. It is gone when that is certain, and asked until then; no leader gives it anything more.
+async fn leave(core: &Rc<CoreNode>, worker: &Arc<str>) -> Answer {
+    let term = core.group.status().term;
+    let now_ms = core.clock.now_ms();
+    let gone = {
+        let workload = core.group.machine.read();
+        let mut held = core.leadership.borrow_mut();
+        let Some(leadership) = held.as_mut() else {
+            return Answer::NotLeader;
+        };
+        leadership.dispatcher.note_left(now_ms, worker, &workload)
+    };
+    if let Some(gone) = gone {
+        log_departures(core, term, &gone, Learnt::Leave);
+        return change(core, gone).await;
+    }
+    log::info!(worker = &**worker, term; "worker ends with runs");
+    change(
+        core,
+        Command::Workers(vec![WorkerChange::Draining(worker.clone())]),
+    )
+    .await
+}
+
 /// Records a change of a data centre, if there is such a one. A name that the file of this core does not list is known by the workers that came
 /// from there; where the file lists none, every name may come to be known.
 async fn change_data_centre(core: &Rc<CoreNode>, name: &str, command: Command) -> Answer {
--- a/crates/bh-control/src/core/carry.rs
+++ b/crates/bh-control/src/core/carry.rs
@@ -10,6 +10,7 @@
 use super::core_node::CoreNode;
 use super::worker_calls::Answered;
 use crate::mesh::Peer;
+use bh_net::http_client::SendError;
 use bh_net::link::CallError;
 use bh_protocol::wire::CarryOutcome;
 use bh_protocol::wire::CarryReply;
@@ -41,6 +42,8 @@
         /// Whether an earlier send of the order had no answer.
         repeated: bool,
     },
+    /// Nothing listens at the worker's address.
+    NotListening,
     /// The worker did not answer.
     NoAnswer(String),
     /// The core that was to carry it was lost: nothing is known of the worker, and it may have been carried out.
@@ -80,6 +83,7 @@
     }
     match core.workers.send(to.address, request, limit_ms).await {
         Ok(Answered { response, repeated }) => Sent::Answered { response, repeated },
+        Err(SendError::Refused) => Sent::NotListening,
         Err(error) => Sent::NoAnswer(error.to_string()),
     }
 }
@@ -115,6 +119,7 @@
 fn sent(reply: CarryReply) -> Sent {
     let why = || String::from_utf8_lossy(&reply.body).into_owned();
     match reply.outcome() {
+        CarryOutcome::NotListening => Sent::NotListening,
         CarryOutcome::NotCarried | CarryOutcome::NoAnswer => Sent::NoAnswer(why()),
         CarryOutcome::Answered => {
             let status = u16::try_from(reply.status)
@@ -170,7 +175,10 @@
             repeated,
         },
         Err(error) => CarryReply {
-            outcome: CarryOutcome::NoAnswer.into(),
+            outcome: match error {
+                SendError::Refused => CarryOutcome::NotListening.into(),
+                _ => CarryOutcome::NoAnswer.into(),
+            },
             status: 0,
             body: error.to_string().into_bytes(),
             repeated: false,
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -73,6 +73,11 @@
             }
             (core.dialect.read_answer)(&order, &response)
         }
+        Sent::NotListening => {
+            core.metrics.count("orders_lost", 1);
+            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "nothing listens at a worker's address");
+            Answer::NotListening
+        }
         Sent::NoAnswer(why) => {
             core.metrics.count("orders_lost", 1);
             log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {why}");
@@ -136,7 +141,11 @@
     drop(workload);
     drop(held);
     if let Some(command) = command {
-        log_departures(core, order.token, &command, Learnt::OtherIncarnation);
+        let learnt = match answer {
+            Answer::OtherIncarnation => Learnt::OtherIncarnation,
+            _ => Learnt::Leave,
+        };
+        log_departures(core, order.token, &command, learnt);
         record(core, command, origin);
     }
     core.wake();
--- a/crates/bh-net/src/http_client/connection.rs
+++ b/crates/bh-net/src/http_client/connection.rs
@@ -20,6 +20,7 @@
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::FixedPayload;
 use monoio_http::h1::payload::Payload;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 /// An open connection.
@@ -37,11 +38,14 @@
     ///
     /// # Errors
     ///
-    /// [`SendError::NotConnected`], also when it takes longer than `limit_ms`.
+    /// [`SendError::Refused`], or [`SendError::NotConnected`], also when it takes longer than `limit_ms`.
     pub async fn open(address: SocketAddr, limit_ms: u64) -> Result<Connection, SendError> {
         let connecting = TcpStream::connect_addr(address);
         let stream = match within_ms(limit_ms, connecting).await {
             Some(Ok(stream)) => stream,
+            Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(SendError::Refused);
+            }
             _ => return Err(SendError::NotConnected),
         };
         let _ = stream.set_nodelay(true);
@@ -65,7 +69,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`SendError`] but [`SendError::NotConnected`].
+    /// Any [`SendError`] but [`SendError::NotConnected`] and [`SendError::Refused`].
     pub async fn send(
         &mut self,
         request: Request<Bytes>,
--- a/crates/bh-net/src/http_client/send_error.rs
+++ b/crates/bh-net/src/http_client/send_error.rs
@@ -3,6 +3,9 @@
 /// What went wrong with one request on one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SendError {
+    /// Nothing listens at the address; nothing was sent.
+    #[error("the connection was refused")]
+    Refused,
     /// No connection could be opened; nothing was sent.
     #[error("no connection could be opened")]
     NotConnected,
@@ -26,6 +29,6 @@
 impl SendError {
     /// Whether the request cannot have reached the other side.
     pub fn nothing_sent(self) -> bool {
-        matches!(self, SendError::NotConnected)
+        matches!(self, SendError::NotConnected | SendError::Refused)
     }
 }
--- a/crates/bh-protocol/src/wire/carry.rs
+++ b/crates/bh-protocol/src/wire/carry.rs
@@ -50,6 +50,8 @@
     Answered = 1,
     /// It was sent, or tried to be, and no whole answer came.
     NoAnswer = 2,
+    /// Nothing listens at the worker's address. A leader of an older version takes it for [`CarryOutcome::NotCarried`] and tries itself.
+    NotListening = 3,
 }
 
 /// Answer to a [`CarryRequest`].
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -56,6 +56,7 @@
             ..
         }
         | Answer::Lost
+        | Answer::NotListening
         | Answer::CarrierLost
         | Answer::OtherIncarnation => {
             watch.start = StartPhase::Unsure {
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -68,7 +68,7 @@
 fn departure(now_ms: u64, id: &Arc<str>, target: &Target, workload: &Workload) -> Command {
     let leaving = workload.worker(id).is_some_and(|worker| worker.draining);
     let suspects = suspects(now_ms, target, workload, leaving);
-    let announced = leaving && suspects.is_empty() || workload.is_in_upkeep(id);
+    let announced = target.left || leaving && suspects.is_empty() || workload.is_in_upkeep(id);
     if announced {
         return Command::Workers(vec![WorkerChange::Gone(id.clone())]);
     }
@@ -197,6 +197,22 @@
         }
     }
 
+    /// Notes that a worker said that it ends now; returns what must be recorded when it surely has. Else it is asked until nothing listens at its
+    /// address, or its lease has run out: its word alone says nothing of when its runs end, and their tasks would begin elsewhere beside them.
+    pub fn note_left(
+        &mut self,
+        now_ms: u64,
+        worker: &Arc<str>,
+        workload: &Workload,
+    ) -> Option<Command> {
+        let target = self.target(worker);
+        target.left = true;
+        target.has_ended(worker, workload).then(|| {
+            target.note_gone(now_ms);
+            departure(now_ms, worker, target, workload)
+        })
+    }
+
     /// Whether a worker is known to answer, as [`Target::answers`].
     pub fn answers(&self, worker: &str) -> bool {
         self.view(worker).is_some_and(Target::answers)
@@ -386,6 +402,10 @@
                 target.note_answer(now_ms, *clock_ms);
             }
             Answer::Lost => target.note_silence(now_ms, order),
+            Answer::NotListening => {
+                target.note_silence(now_ms, order);
+                target.refused = true;
+            }
             Answer::CarrierLost => target.note_lost_carrier(),
             Answer::OtherIncarnation => {
                 match &order.body {
@@ -401,6 +421,11 @@
                 return news.then(|| departure(now_ms, id, target, workload));
             }
         }
+        if target.has_ended(id, workload) {
+            return target
+                .note_gone(now_ms)
+                .then(|| departure(now_ms, id, target, workload));
+        }
         match &order.body {
             OrderBody::Start { run, .. } => {
                 let denial = Denial::NoPermission;
@@ -449,7 +474,12 @@
                         None
                     }
                     _ => {
-                        target.next_look_ms = now_ms + FAILING_LOOK_MS;
+                        let wait_ms = if target.left {
+                            NEXT_CARRIER_MS
+                        } else {
+                            FAILING_LOOK_MS
+                        };
+                        target.next_look_ms = now_ms + wait_ms;
                         None
                     }
                 }
--- a/crates/bh-workload/src/dispatch/order.rs
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -134,6 +134,8 @@
     },
     /// Another incarnation lives at the address.
     OtherIncarnation,
+    /// Nothing listens at the address, and the order was not sent: the process is gone, for good or until it starts again.
+    NotListening,
     /// No whole answer: it may have been carried out, or may still be.
     Lost,
     /// The core that was to carry it was lost: as without an answer, but it says nothing of the worker.
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -7,6 +7,7 @@
 use super::Timing;
 use crate::job::JobId;
 use crate::job::RunId;
+use crate::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -41,8 +42,12 @@
     pub cold_until_ms: u64,
     /// Until when it surely runs while it is leaving, on the leader's clock in milliseconds, as it last said.
     pub leaves_ms: Option<u64>,
+    /// Whether it said that it ends now. What runs there goes on until it does, for seconds if it hears no acknowledgement.
+    pub left: bool,
     /// Since when orders to it have had no answer.
     pub failing_since_ms: Option<u64>,
+    /// Whether nothing listened at its address for one of them.
+    pub refused: bool,
     /// Whether the first of them ended sooner than its time: its connection was broken off, as a process that ends does.
     pub broke_off: bool,
     /// Whether a core that carried an order to it was lost, and nothing was heard of it since.
@@ -87,6 +92,7 @@
     /// Notes an answer: the worker is there, and its clock shows `clock_ms`.
     pub fn note_answer(&mut self, now_ms: u64, clock_ms: Option<u64>) {
         self.failing_since_ms = None;
+        self.refused = false;
         self.carrier_lost = false;
         self.checks_left = 0;
         self.lapsed.clear();
@@ -128,6 +134,15 @@
         !self.is_failing() || self.broke_off
     }
 
+    /// Whether it said that it ends, and has: nothing listens at its address, or nothing runs there.
+    pub fn has_ended(&self, id: &str, workload: &Workload) -> bool {
+        let is_idle = || {
+            let worker = workload.worker(id);
+            worker.is_none_or(|worker| worker.runs.is_empty())
+        };
+        self.left && (self.refused || is_idle())
+    }
+
     /// Notes that the core that carried an order was lost.
     pub fn note_lost_carrier(&mut self) {
         self.carrier_lost = true;
@@ -175,6 +190,7 @@
             || self.carrier_lost
             || self.checks_left > 0
             || !self.unsaid.is_empty() && !self.is_failing()
+            || self.left
     }
 
     /// Another worker says that it is reached where this one was. An idle worker that is gone without a word would stay in the record for ever, and a
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -65,7 +65,7 @@
             self.give_up_broken(target);
         }
         let too_much = self.too_much(target);
-        let evacuated = self.workload.is_evacuated(&self.worker.info);
+        let closed = target.left || self.workload.is_evacuated(&self.worker.info);
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
         for run in runs {
             let recorded = self.worker.runs.contains_key(&run);
@@ -75,7 +75,7 @@
             };
             if wanted && !watch.give_up && too_much.contains(&run) {
                 self.withdraw(target, run);
-            } else if wanted && !watch.give_up && evacuated && !watch.is_confirmed() {
+            } else if wanted && !watch.give_up && closed && !watch.is_confirmed() {
                 self.hold_back(target, run);
             } else if wanted && !watch.give_up {
                 self.start(target, run);
@@ -228,7 +228,7 @@
         too_much
     }
 
-    /// Sends no start of a run in a data centre under evacuation. Whether one that had no answer was carried out, also by the order of an
+    /// Sends no start of a run in a data centre under evacuation, or on a worker that ends. Whether one that had no answer was carried out, also by the order of an
     /// earlier leader, the next report tells: taken back unasked, work that goes on would be stopped, and a gang elsewhere with it.
     fn hold_back(&mut self, target: &mut Target, run: RunId) {
         let Some(watch) = target.runs.get(&run) else {
--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::OrderBody;
 use bh_workload::job::RunId;
 use bh_workload::job::StepSpec;
@@ -15,6 +16,8 @@
 
 /// What a task of [`step`] is declared to take, in milliseconds.
 const DECLARED_MS: u64 = 5_000;
+/// Beyond the lease of a worker, a slow clock included, in milliseconds.
+const LAPSED_MS: u64 = 12_000;
 
 fn gang() -> StepSpec {
     StepSpec {
@@ -123,3 +126,66 @@
     site.take_news();
     assert!(cut_short(&site).is_empty());
 }
+
+fn leave(site: &mut Site, worker: &Arc<str>) -> Option<Command> {
+    site.dispatcher
+        .note_left(site.now_ms, worker, &site.workload)
+}
+
+/// Nothing listens at a worker's address any more when its word comes that it ends: it is gone at once.
+#[test]
+fn a_worker_that_has_ended_is_gone_with_its_word() {
+    let (mut site, worker, _) = with_notice(step(1, 8), 2_000);
+    site.answer_for(&worker, &Answer::NotListening);
+    let expected = Command::Workers(vec![WorkerChange::Gone(worker.clone())]);
+    assert_eq!(leave(&mut site, &worker), Some(expected));
+}
+
+/// A worker says that it ends, and does not hear that this is known: its run goes on for seconds. The task begins elsewhere once the worker is gone.
+#[test]
+fn a_worker_that_ends_is_over_when_nothing_listens_there() {
+    let (mut site, worker, run) = with_notice(step(1, 8), 2_000);
+    assert_eq!(leave(&mut site, &worker), None);
+    let alive = site.looked(&worker, &[]);
+    site.answer_for(&worker, &alive);
+    site.advance(500);
+    assert_eq!(site.plan().starts, Vec::new(), "the run goes on");
+
+    site.answer_for(&worker, &Answer::Lost);
+    site.advance(500);
+    assert_eq!(site.plan().starts, Vec::new(), "its lease runs on");
+
+    site.answer_for(&worker, &Answer::NotListening);
+    assert!(site.workload.worker(&worker).is_none());
+    let starts: Vec<RunId> = site.plan().starts.iter().map(|start| start.run).collect();
+    assert_eq!(starts[0].task, run.task);
+    let task = site.workload.task(run.task);
+    assert_eq!(task.map(|task| task.all_crashes()), Some(0), "no crash");
+}
+
+/// Nothing listens at the address of a worker that did not say that it ends: it may be back in a moment with what it runs, as far as anybody knows.
+#[test]
+fn a_worker_that_said_nothing_is_silent() {
+    let (mut site, worker, _) = with_notice(step(1, 8), 2_000);
+    site.answer_for(&worker, &Answer::NotListening);
+    site.advance(500);
+    assert!(site.workload.worker(&worker).is_some());
+    assert_eq!(site.plan().starts, Vec::new());
+}
+
+/// A worker that says that it ends falls silent: its runs are over when its lease is, and then it is gone.
+#[test]
+fn a_worker_that_ends_unseen_is_gone_with_its_lease() {
+    let (mut site, worker, _) = with_notice(step(1, 8), 2_000);
+    assert_eq!(leave(&mut site, &worker), None);
+    site.answer_for(&worker, &Answer::Lost);
+    site.advance(LAPSED_MS);
+    let orders = site.orders();
+    assert_eq!(site.open_runs(), Vec::new());
+    let look = orders.iter().find(|order| order.to.worker == worker);
+    let gone =
+        site.dispatcher
+            .note_answer(site.now_ms, look.unwrap(), &Answer::Lost, &site.workload);
+    let expected = WorkerChange::Gone(worker);
+    assert_eq!(gone, Some(Command::Workers(vec![expected])));
+}
