Own interface: logs tell why a request was refused or an attempt failed

Cause: the three known red tests could not be traced. No idempotency key is logged. Tests print 60 lines.

--- a/crates/bh-group/src/driver.rs
+++ b/crates/bh-group/src/driver.rs
@@ -23,9 +23,12 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Inputs taken into one batch at most.
 const MAX_BATCH: usize = 1_024;
+/// A write to the journal that takes this long is logged, in milliseconds: until it ends this replica neither records nor answers anything.
+const SLOW_WRITE_MS: u64 = 200;
 
 type ProposalReply = oneshot::Sender<Result<Vec<u8>, Failure>>;
 type ReadReply = oneshot::Sender<Result<(), Failure>>;
@@ -51,6 +54,7 @@
 
 /// Drives one replica.
 pub struct Driver<S> {
+    name: Arc<str>,
     replica: Replica,
     machine: Machine<S>,
     journal: Option<Journal>,
@@ -99,12 +103,13 @@
         let (sender, inbox) = unbounded::channel();
         let status = Rc::new(RefCell::new(GroupStatus::default()));
         let group = Group {
-            name,
+            name: name.clone(),
             machine: machine.clone(),
             inbox: sender,
             status: status.clone(),
         };
         let driver = Driver {
+            name,
             replica,
             machine,
             journal,
@@ -198,7 +203,12 @@
 
     /// Syncs what must be kept, then releases the rest in order.
     async fn release(&mut self, outputs: Vec<Output>) -> Result<(), Failure> {
+        let start_ms = self.clock.now_ms();
         let rest = persist(&mut self.journal, outputs).await?;
+        let took_ms = self.clock.now_ms().saturating_sub(start_ms);
+        if took_ms >= SLOW_WRITE_MS {
+            log::warn!(group = &*self.name, took_ms = took_ms; "slow write to the journal");
+        }
         let mut changed = false;
         for output in rest {
             changed |= self.carry_out(output)?;
--- a/crates/bh-node/src/requests/execute.rs
+++ b/crates/bh-node/src/requests/execute.rs
@@ -164,6 +164,9 @@
         )
         .await;
         let took_ms = self.node.clock.now_ms().saturating_sub(start_ms);
+        if matches!(outcome, Outcome::Lost | Outcome::NotConnected) {
+            log::info!(request = self.id, target_name = &**target, outcome = format!("{outcome:?}"), took_ms = took_ms; "attempt failed");
+        }
         let receiver = self.expect();
         if self.finished(target, outcome, took_ms) {
             return Step::Again(receiver);
--- a/crates/bh-node/src/requests/record.rs
+++ b/crates/bh-node/src/requests/record.rs
@@ -70,6 +70,7 @@
         attempt: begun.attempt,
         expires_wall_ms: node.clock.wall_ms() + left_ms,
     };
+    let start_ms = node.clock.now_ms();
     match propose(node, &begun, command, left_ms.min(BEGIN_MS)).await {
         Ok(LedgerAnswer::Granted) => Beginning::Granted(begun),
         Ok(LedgerAnswer::Ended(stored)) => Beginning::Answer(FinalAnswer::from_stored(stored)),
@@ -85,6 +86,8 @@
             "an unexpected answer of the record",
         ))),
         Err(failure) => {
+            let took_ms = node.clock.now_ms().saturating_sub(start_ms);
+            log::warn!(group = &*begun.group, customer = &*work.customer, took_ms = took_ms; "beginning not recorded: {}", failure.label);
             // The record may stand without an answer having come back. Nothing was sent, so it is taken back.
             withdraw(node, begun);
             let refusal = Failure::new(Code::NoQuorum, failure.label).with_retry_after_ms(500);
--- a/crates/bh-testkit/src/cluster.rs
+++ b/crates/bh-testkit/src/cluster.rs
@@ -299,7 +299,7 @@
 
     /// The ends of all logs.
     pub fn logs(&self) -> String {
-        const LINES: usize = 25;
+        const LINES: usize = 60;
         let mut text = String::new();
         for (name, entry) in &self.entries {
             for start in 1..=entry.starts {
