An entry is ready only once it knows the settings in force

Cause: /readyz asked only whether a leader of the entry's own data centre was heard. An entry that starts again does not know how much of its settings log is committed until a settings leader tells; if that takes longer (slow disk, or no settings quorum) it was ready with no settings, and told callers that their customers are unknown (BH110, 404, which nobody resends). Change: a replica has caught up once, since its start, it has applied all that a leader had committed which had committed an entry of its own term; readiness asks that of the settings.

--- a/crates/beechhollow/tests/operating.rs
+++ b/crates/beechhollow/tests/operating.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 use support::BINARY;
 use support::SOON;
+use support::prepare;
 use support::request;
 use support::settings;
 
@@ -23,6 +24,49 @@
     cluster
 }
 
+/// An entry starts again while its own data centre has a quorum and the settings have none. It can't tell which settings are in force, and is not
+/// ready until it can: the balancer would send callers there, who would be told that their customers are unknown.
+#[test]
+fn an_entry_is_ready_only_once_it_knows_the_settings() {
+    let names = [
+        ("a1", "a"),
+        ("a2", "a"),
+        ("a3", "a"),
+        ("b1", "b"),
+        ("b2", "b"),
+    ];
+    let options = names.map(|(name, data_centre)| EntryOptions::new(name, data_centre));
+    let mut cluster = Cluster::new(BINARY, options.into());
+    cluster.start_all();
+    prepare(&cluster);
+    for name in ["a3", "b1", "b2", "a1"] {
+        cluster.kill(name);
+    }
+    let left = cluster.http("a2");
+    cluster.wait_until("no settings leader is left", SOON, || {
+        http_raw::get(left, "/v1/status").json()["in_force"]["cut_off"] == true
+    });
+    cluster.start("a1");
+    let address = cluster.http("a1");
+    let status = || http_raw::get(address, "/v1/status").json();
+    let confirmed = |status: &serde_json::Value, group: &str| {
+        let groups = status["groups"].as_array().into_iter().flatten();
+        let mut confirmed = groups.filter(|view| view["name"] == group);
+        confirmed.any(|view| !view["confirmed_ms"].is_null())
+    };
+    cluster.wait_until("its data centre has a leader", SOON, || {
+        confirmed(&status(), "jobs/a")
+    });
+    let seen = status();
+    assert!(!confirmed(&seen, "settings"), "{seen}");
+    assert_eq!(seen["ready"], false, "{seen}");
+    assert_eq!(http_raw::get(address, "/readyz").status, 503);
+    cluster.start("b1");
+    cluster.wait_until("ready", SOON, || status()["ready"] == true);
+    let answer = request(&cluster, "a1", "read", None, "x");
+    assert_eq!(answer.code(), Some(200), "{answer:?}");
+}
+
 /// Metrics arrive at the StatsD address, with the request's customer, type and code.
 #[test]
 fn metrics_arrive_over_udp() {
--- a/crates/bh-consensus/src/follower.rs
+++ b/crates/bh-consensus/src/follower.rs
@@ -25,6 +25,8 @@
             return;
         };
         self.advance_commit(body.commit.min(matched));
+        let of_this_term = self.log.term_at(self.commit) == Some(self.term);
+        self.caught_up |= of_this_term && self.commit >= body.commit;
         let reply = RaftBody {
             index: matched,
             granted: true,
--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -326,6 +326,7 @@
         });
         if reached > self.commit && self.log.term_at(reached) == Some(self.term) {
             self.advance_commit(reached);
+            self.caught_up = true;
             // Followers and observers learn of the commit with the next flush, not only with the next heartbeat.
             if let Some(leadership) = self.leadership() {
                 leadership.unsent = true;
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -38,6 +38,7 @@
     pub(crate) role: Role,
     pub(crate) leader: Option<u64>,
     pub(crate) heard_ms: Option<u64>,
+    pub(crate) caught_up: bool,
     pub(crate) election_at_ms: u64,
     pub(crate) outputs: Vec<Output>,
     random: u64,
@@ -69,6 +70,7 @@
             role: Role::Follower,
             leader: None,
             heard_ms: None,
+            caught_up: false,
             election_at_ms: 0,
             outputs: Vec::new(),
             random,
@@ -132,6 +134,12 @@
         self.log.snapshot_index
     }
 
+    /// Whether this replica has held, at some time since it started, all that was committed by then. Its log does not say how
+    /// much of it is committed; a leader that has committed an entry of its own term does.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
     /// Role in the current term.
     pub fn role(&self) -> &Role {
         &self.role
--- a/crates/bh-group/src/driver.rs
+++ b/crates/bh-group/src/driver.rs
@@ -332,6 +332,7 @@
         status.is_voter = self.replica.is_voter();
         status.term = self.replica.term();
         status.leader = self.replica.leader();
+        status.caught_up = self.replica.has_caught_up();
         status.applied = self.applied;
         status.last_index = self.replica.last_index();
         status.snapshot_index = self.replica.snapshot_index();
--- a/crates/bh-group/src/handle.rs
+++ b/crates/bh-group/src/handle.rs
@@ -24,6 +24,8 @@
     pub term: u64,
     /// Identity of the leader, if one is known.
     pub leader: Option<u64>,
+    /// Whether the state machine has held, at some time since the start, all that was committed by then.
+    pub caught_up: bool,
     /// Last index applied to the state machine.
     pub applied: u64,
     /// Last index in the log.
@@ -70,6 +72,11 @@
         self.status.borrow().is_leader
     }
 
+    /// Whether the state machine has held, at some time since the start, all that was committed by then.
+    pub fn has_caught_up(&self) -> bool {
+        self.status.borrow().caught_up
+    }
+
     /// Milliseconds since the leader was heard; `None` when it never was.
     pub fn confirmed_ms(&self, now_ms: u64) -> Option<u64> {
         let status = self.status.borrow();
--- a/crates/bh-node/src/node/state.rs
+++ b/crates/bh-node/src/node/state.rs
@@ -93,13 +93,15 @@
         }
     }
 
-    /// Whether the balancer shall send callers here.
+    /// Whether the balancer shall send callers here. Before it knows the settings in force an entry would tell them that their
+    /// customers are unknown.
     pub fn is_ready(&self) -> bool {
         let own = self.jobs.get(&self.config.own.data_centre);
         let has_heard =
             own.is_some_and(|jobs| jobs.group.confirmed_ms(self.clock.now_ms()).is_some());
         let serves_alone = self.alone.borrow().is_alone(self.clock.now_ms());
-        (has_heard || serves_alone) && !self.draining.is_cancelled()
+        let knows_settings = self.settings.has_caught_up();
+        (has_heard || serves_alone) && knows_settings && !self.draining.is_cancelled()
     }
 
     /// The group of this entry's own data centre.
