A late announcement confirms no stop: the gang would begin anew beside a member that runs

An entry that passes a worker's announcement on to the leader sends it again over a new link when the first one broke (bh-node/src/node/calls.rs, ask_leader; up to 1 s, http_api/announce.rs). The copy tells what the worker held before. The scheduler took an announcement without the gang's tasks for the end of the member while the gang was being stopped, so that the gang was recorded as waiting and placed anew while the stop order was still on its way: a member could run twice at once, until that order or the worker's next announcement ended it. Ruled out: orders themselves (orders.rs opens a connection for each and never repeats one by itself; a stop is repeated under the same epoch); an order without an answer counts as refused and stops the whole gang, it is never taken as "never began". Change: while a gang is being stopped, a report that lacks its tasks counts only a lease after the stop began, when tasks that nobody renews have ended. Before that only the worker's answer to the stop, its own report of ended tasks, another incarnation or its lost lease count. Price: a worker that announces itself but takes no order holds a stop up for a lease (3 s) in place of one announcement. Not seen in a run of real processes.

--- a/crates/bh-scheduler/src/job.rs
+++ b/crates/bh-scheduler/src/job.rs
@@ -47,6 +47,8 @@
     Stopping {
         /// Workers that have not confirmed.
         pending: BTreeSet<Arc<str>>,
+        /// When the stop began.
+        since_ms: u64,
         /// When the checkpoint wait is over; `None` once the stop order is out.
         checkpoint_until_ms: Option<u64>,
         /// When an unconfirmed stop order is sent again.
--- a/crates/bh-scheduler/src/scheduler/stop.rs
+++ b/crates/bh-scheduler/src/scheduler/stop.rs
@@ -59,6 +59,7 @@
         });
         job.state = State::Stopping {
             pending: pending.clone(),
+            since_ms: now_ms,
             checkpoint_until_ms,
             retry_ms,
         };
@@ -189,6 +190,7 @@
                 pending,
                 checkpoint_until_ms,
                 retry_ms,
+                ..
             } = &mut job.state
             else {
                 continue;
--- a/crates/bh-scheduler/src/scheduler/workers.rs
+++ b/crates/bh-scheduler/src/scheduler/workers.rs
@@ -214,7 +214,9 @@
                 continue;
             }
             match &job.state {
-                State::Stopping { .. } => {
+                // It may have written this before it held the tasks, and an entry that passes announcements on sends them again when its link broke.
+                // Until a lease has passed, after which tasks that nobody renews have ended, only the answer to the stop order counts.
+                State::Stopping { since_ms, .. } if now_ms >= since_ms + self.lease_ms => {
                     let epoch = job.epoch;
                     self.worker_stopped(number, epoch, name);
                 }
