--- a/crates/bh-node/src/requests/execute.rs
+++ b/crates/bh-node/src/requests/execute.rs
@@ -119,6 +119,11 @@
     }
 
     async fn forward(&mut self, entry: &Arc<str>) -> Step {
+        if let Some(begun) = self.begun.take() {
+            // Begun for a target that took no connection. The other entry records a beginning of its own, and would find this one: the request would be
+            // in progress for ever.
+            record::withdraw_now(&self.node, begun, self.left_ms()).await;
+        }
         match forward::hand_on(&self.node, &self.work, entry, self.left_ms()).await {
             Handed::Answer(answer) => {
                 self.node.router.borrow_mut().forward_ended(self.id);
@@ -164,6 +169,9 @@
         )
         .await;
         let took_ms = self.node.clock.now_ms().saturating_sub(start_ms);
+        if matches!(outcome, Outcome::Lost | Outcome::NotConnected) {
+            log::info!(request = self.id, target_name = &**target, outcome = format!("{outcome:?}"), took_ms = took_ms; "attempt failed");
+        }
         let receiver = self.expect();
         if self.finished(target, outcome, took_ms) {
             return Step::Again(receiver);
--- a/crates/bh-node/src/requests/record.rs
+++ b/crates/bh-node/src/requests/record.rs
@@ -70,6 +70,7 @@
         attempt: begun.attempt,
         expires_wall_ms: node.clock.wall_ms() + left_ms,
     };
+    let start_ms = node.clock.now_ms();
     match propose(node, &begun, command, left_ms.min(BEGIN_MS)).await {
         Ok(LedgerAnswer::Granted) => Beginning::Granted(begun),
         Ok(LedgerAnswer::Ended(stored)) => Beginning::Answer(FinalAnswer::from_stored(stored)),
@@ -85,6 +86,8 @@
             "an unexpected answer of the record",
         ))),
         Err(failure) => {
+            let took_ms = node.clock.now_ms().saturating_sub(start_ms);
+            log::warn!(group = &*begun.group, customer = &*work.customer, took_ms = took_ms; "beginning not recorded: {}", failure.label);
             // The record may stand without an answer having come back. Nothing was sent, so it is taken back.
             withdraw(node, begun);
             let refusal = Failure::new(Code::NoQuorum, failure.label).with_retry_after_ms(500);
@@ -148,11 +151,27 @@
 
 /// Takes a beginning back: nothing was sent.
 pub(super) fn withdraw(node: &Rc<Node>, begun: Begun) {
-    let command = LedgerCommand::Withdraw {
+    let command = withdrawal(&begun);
+    in_background(node, begun, command);
+}
+
+/// Takes a beginning back and waits for the record of that, `limit_ms` at most; it goes on in the background after that.
+pub(super) async fn withdraw_now(node: &Rc<Node>, begun: Begun, limit_ms: u64) {
+    let command = withdrawal(&begun);
+    let limit_ms = limit_ms.min(END_MS);
+    if propose(node, &begun, command.clone(), limit_ms)
+        .await
+        .is_err()
+    {
+        in_background(node, begun, command);
+    }
+}
+
+fn withdrawal(begun: &Begun) -> LedgerCommand {
+    LedgerCommand::Withdraw {
         key: begun.key.clone(),
         attempt: begun.attempt,
-    };
-    in_background(node, begun, command);
+    }
 }
 
 fn in_background(node: &Rc<Node>, begun: Begun, command: LedgerCommand) {
