--- a/crates/bh-testkit/src/model_worker.rs
+++ b/crates/bh-testkit/src/model_worker.rs
@@ -55,6 +55,8 @@
     /// Ends not known to be recorded.
     pub ended: Vec<Ended>,
     next_end: u64,
+    /// Highest number of an end that was listed when the lease last ran out.
+    lapsed_to: u64,
     planted: Planted,
 }
 
@@ -71,6 +73,7 @@
             fenced: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            lapsed_to: 0,
             planted,
         }
     }
@@ -120,6 +123,20 @@
                 self.end(run, kind);
             }
         }
+        if clock_ms >= self.lease_until_ms {
+            self.lapsed_to = self.next_end - 1;
+        }
+    }
+
+    /// Number of the newest end, or 0.
+    pub fn last_end(&self) -> u64 {
+        self.next_end - 1
+    }
+
+    /// Ends that a cursor at `recorded_to` takes note of: those between which and the cursor the lease has not run out.
+    pub fn noted_by(&self, recorded_to: u64) -> impl Iterator<Item = &Ended> {
+        let ends = self.ended.iter();
+        ends.filter(move |end| end.number <= recorded_to && end.number > self.lapsed_to)
     }
 
     /// Carries an order out; returns the answer, and the run that began.
