Soak: stalls in series, and links that close while both ends live

Cause: cores were paused once for 300 to 4,000 ms, never for shorter or again and again, and never beside another lost core; links were cut as a whole, slow or silent, but no open connection was ever closed on its own.

Every other open connection to a core or to a worker is closed by its link; all outgoing connections of the cores come from one address, so a link cannot tell which core it carries, and the half that is closed holds some from each.

--- a/crates/beechhollow/tests/soak.rs
+++ b/crates/beechhollow/tests/soak.rs
@@ -8,7 +8,7 @@
 /// Too few for a leader that talks to the four workers of the soak itself.
 const FEW_DESCRIPTORS: usize = 40;
 
-/// Callers hand in and take back jobs, an operator changes the rules, while cores and entries are killed, paused, told to stop, cut off and
+/// Callers hand in and take back jobs, an operator changes the rules, while cores and entries are killed, paused, stalled again and again, told to stop, cut off and
 /// emptied, and workers crash, fall silent, fail what they start, break connections, refuse and answer late. Nothing runs twice or after its last allowed failure, nothing refused runs, no rules go back, and every accepted job ends. The same where
 /// cores have so few descriptors that they share the workers: then the core that carries an order may be lost as well as the one that gives it.
 #[rstest]
--- a/crates/bh-testkit/src/link.rs
+++ b/crates/bh-testkit/src/link.rs
@@ -20,6 +20,11 @@
     /// Connections opened before this generation forward nothing any more, and stay open.
     silent_before: AtomicU64,
     generation: AtomicU64,
+    /// Connections opened so far.
+    opened: AtomicU64,
+    /// Connections below this number are closed if their number is odd, or if it is even.
+    closed_odd_below: AtomicU64,
+    closed_even_below: AtomicU64,
     forwarded: AtomicU64,
 }
 
@@ -75,12 +80,34 @@
         self.control.silent_before.store(next, Ordering::SeqCst);
     }
 
+    /// Closes every other open connection; what they carried and what had arrived of it stays as it is. New ones work.
+    pub fn close_open_connections(&self, odd: bool) {
+        let below = if odd {
+            &self.control.closed_odd_below
+        } else {
+            &self.control.closed_even_below
+        };
+        let opened = self.control.opened.load(Ordering::SeqCst);
+        below.store(opened, Ordering::SeqCst);
+    }
+
     /// Bytes forwarded so far, both ways.
     pub fn forwarded(&self) -> u64 {
         self.control.forwarded.load(Ordering::SeqCst)
     }
 }
 
+impl Control {
+    fn is_closed(&self, number: u64) -> bool {
+        let below = if number % 2 == 1 {
+            &self.closed_odd_below
+        } else {
+            &self.closed_even_below
+        };
+        number < below.load(Ordering::SeqCst) || self.cut.load(Ordering::SeqCst)
+    }
+}
+
 fn forward(stream: TcpStream, to: SocketAddr, control: &Arc<Control>) {
     if control.cut.load(Ordering::SeqCst) {
         return;
@@ -90,20 +117,26 @@
     };
     let _ = stream.set_nodelay(true);
     let _ = onward.set_nodelay(true);
+    let number = control.opened.fetch_add(1, Ordering::SeqCst);
     let generation = control.generation.load(Ordering::SeqCst);
     let (Ok(stream_back), Ok(onward_back)) = (stream.try_clone(), onward.try_clone()) else {
         return;
     };
     let back = control.clone();
-    thread::spawn(move || pump(onward_back, stream_back, &back, generation));
-    pump(stream, onward, control, generation);
+    thread::spawn(move || pump(onward_back, stream_back, &back, (number, generation)));
+    pump(stream, onward, control, (number, generation));
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, control: &Control, generation: u64) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    control: &Control,
+    (number, generation): (u64, u64),
+) {
     let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
     let mut chunk = vec![0; 64 << 10];
     loop {
-        if control.cut.load(Ordering::SeqCst) {
+        if control.is_closed(number) {
             break;
         }
         let count = match from.read(&mut chunk) {
