--- a/crates/beechhollow/tests/soak.rs
+++ b/crates/beechhollow/tests/soak.rs
@@ -1,5 +1,6 @@
 //! A short run of the soak: real processes, faults from outside, the promises checked meanwhile.
 
+use bh_soak::Options;
 use bh_soak::run;
 use rstest::rstest;
 use std::path::Path;
@@ -17,9 +18,29 @@
 #[case(13, Some(FEW_DESCRIPTORS))]
 #[case(14, Some(FEW_DESCRIPTORS))]
 fn promises_hold_under_faults(#[case] seed: u64, #[case] descriptors: Option<usize>) {
-    const FAULTY: Duration = Duration::from_secs(12);
+    check(seed, descriptors, false);
+}
+
+/// Workers carry orders out, close the connection without an answer and refuse what is sent again: what an order that was sent twice may have
+/// begun is not begun elsewhere. Seen to fail by a second send of which only the refusal was known.
+#[rstest]
+#[case(22, None)]
+#[case(33, Some(FEW_DESCRIPTORS))]
+fn no_run_begins_beside_one_whose_answer_was_lost(
+    #[case] seed: u64,
+    #[case] descriptors: Option<usize>,
+) {
+    check(seed, descriptors, true);
+}
+
+fn check(seed: u64, descriptors: Option<usize>, refusals_only: bool) {
     let binary = Path::new(env!("CARGO_BIN_EXE_beechhollow"));
-    let report = run(binary, seed, FAULTY, descriptors);
+    let options = Options {
+        faulty: Duration::from_secs(12),
+        descriptors,
+        refusals_only,
+    };
+    let report = run(binary, seed, options);
     assert!(
         report.problems.is_empty(),
         "seed {seed}\n{}\n{}\n{}",
