A task that may fail no more under new rules is not begun again

A task that had failed once of two allowed began again under rules that allow one. Why this works: the comparison is made when a run of it is over, for whatever reason, and when rules come into force; a run that goes on decides by its end.

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -3,6 +3,7 @@
 use super::Command;
 use super::End;
 use super::EndKind;
+use super::GiveUp;
 use super::Job;
 use super::Outcome;
 use super::Place;
@@ -16,6 +17,7 @@
 use crate::job::JobId;
 use crate::job::JobSpec;
 use crate::job::RunId;
+use crate::job::StepId;
 use crate::rules::Rules;
 use std::sync::Arc;
 
@@ -95,10 +97,38 @@
         if in_force.is_none_or(|version| rules.version > version) {
             self.rules = Some(Arc::new(rules));
             self.news.plan = true;
+            self.give_up_used_up();
         }
         Reply::Done
     }
 
+    /// Gives up the jobs that have failed as often as the rules now in force allow, but for those of which a run goes on. They may not begin again, and
+    /// would wait for ever.
+    fn give_up_used_up(&mut self) {
+        let mut used_up = Vec::new();
+        for (id, job) in self.active_jobs() {
+            let most = self.max_attempts(job);
+            let steps = job.spec.steps.iter().cycle().zip(&job.steps).zip(0u32..);
+            for ((spec, step), position) in steps {
+                if spec.long_running || !step.has_used_up(most, spec.gang) {
+                    continue;
+                }
+                let count = u32::try_from(job.spec.steps.len())
+                    .unwrap_or(u32::MAX)
+                    .max(1);
+                let step = StepId {
+                    job: id,
+                    occurrence: position / count,
+                    step: position % count,
+                };
+                used_up.push((id, GiveUp::Failures { step }));
+            }
+        }
+        for (id, why) in used_up {
+            self.give_up(id, why, self.latest_ms);
+        }
+    }
+
     /// A job that is known already stays one job, so that a caller who got no answer may send it again.
     fn accept(&mut self, place: &Place, spec: JobSpec, now_ms: u64) -> Reply {
         let found = match self.find(place) {
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -46,8 +46,10 @@
         }
         .is_some_and(|failures| max_attempts.is_some_and(|most| failures >= most));
         step.count_done();
+        // The rules may allow fewer failures than when the run began.
+        let used_up = max_attempts.is_some_and(|most| step.has_used_up(most, spec.gang));
         let others_open = spec.gang && step.open_runs > 0;
-        if failed_too_often && !spec.long_running {
+        if (failed_too_often || used_up) && !spec.long_running {
             let step = end.run.task.step;
             self.give_up(id, GiveUp::Failures { step }, now_ms);
         } else if job.outcome.is_none() && job.is_done() {
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -95,6 +95,18 @@
                 .all(|task| task.state == TaskState::Waiting)
     }
 
+    /// Whether a task, or the gang, waits though it has failed `most` times.
+    pub fn has_used_up(&self, most: u32, gang: bool) -> bool {
+        if gang {
+            return self.failures >= most && self.gang_waits();
+        }
+        let waits = |task: &&Task| task.state == TaskState::Waiting;
+        self.tasks
+            .iter()
+            .filter(waits)
+            .any(|task| task.failures >= most)
+    }
+
     /// Whether every task of the gang has the run `attempt` open: one member that ended ends the others.
     pub fn gang_is_whole(&self, attempt: u32) -> bool {
         self.tasks
--- /dev/null
+++ b/crates/bh-workload/tests/fewer_attempts.rs
@@ -0,0 +1,68 @@
+//! Rules that allow fewer failures than those before.
+mod support;
+
+use bh_workload::job::JobId;
+use bh_workload::job::StepSpec;
+use bh_workload::rules::Queue;
+use bh_workload::rules::Rules;
+use bh_workload::state::Command;
+use bh_workload::state::EndKind;
+use bh_workload::state::Outcome;
+use rstest::rstest;
+use std::sync::Arc;
+use support::Site;
+use support::rules;
+use support::step;
+
+/// Rules under which one failure is the last.
+fn strict_rules() -> Rules {
+    let mut strict = rules(2);
+    for queue in &mut strict.queues {
+        *queue = Arc::new(Queue {
+            max_attempts: 1,
+            ..Queue::clone(queue)
+        });
+    }
+    strict
+}
+
+/// A task, or a gang, that has failed once of two allowed failures.
+fn failed_once(gang: bool) -> (Site, JobId) {
+    let mut site = Site::new(2, 2);
+    let spec = StepSpec { gang, ..step(1, 1) };
+    let job = site.submit(0, "other", vec![spec]);
+    site.plan_and_start();
+    let run = site.open_runs()[0].1;
+    site.end(run, EndKind::Failed);
+    (site, job)
+}
+
+fn outcome(site: &Site, job: JobId) -> Option<Outcome> {
+    site.workload.job(job).and_then(|job| job.outcome)
+}
+
+/// A task has failed, and new rules allow no more failures: it is not begun again, and its caller is told so.
+#[rstest]
+fn a_job_that_may_fail_no_more_is_given_up(#[values(false, true)] gang: bool) {
+    let (mut site, job) = failed_once(gang);
+    let strict = Command::SetRules(Box::new(strict_rules()));
+    site.workload.apply(strict);
+    site.take_news();
+    assert_eq!(outcome(&site, job), Some(Outcome::Failed));
+    assert_eq!(site.plan().starts, Vec::new());
+}
+
+/// The same while its next run goes on: that may still be done, and once it is lost nothing of the job begins again.
+#[rstest]
+#[case(EndKind::Done, Outcome::Completed)]
+#[case(EndKind::Lost, Outcome::Failed)]
+fn a_run_that_goes_on_decides(#[case] end: EndKind, #[case] expected: Outcome) {
+    let (mut site, job) = failed_once(false);
+    site.plan_and_start();
+    let run = site.open_runs()[0].1;
+    let strict = Command::SetRules(Box::new(strict_rules()));
+    site.workload.apply(strict);
+    assert_eq!(outcome(&site, job), None);
+    site.end(run, end);
+    assert_eq!(outcome(&site, job), Some(expected));
+}
