A request that reached no worker is taken back before another entry runs it

Cause: an entry records the beginning of a non-idempotent request, its own worker takes no connection, and it hands the request to the owner of another one. That entry records a beginning of its own, finds the first one, and answers "in progress" (BH401, outcome unknown) for a request that nobody runs. The first entry then kept that as the request's outcome, so each resend heard it for ever. Ruled out: handing the first beginning's number on to the other entry (if it refuses in the end both would take it back); keeping the request on its own entry (it may own no other worker). Safe since a non-idempotent request is tried again only after `NotConnected`: nothing was sent under the beginning that is taken back. If that can't be recorded in time it goes on in the background, and the caller hears 401 once.

--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -104,6 +104,38 @@
     }
 }
 
+/// A worker announces itself and takes no connection; non-idempotent requests come to the entry that owns it. Nothing reaches the worker, so they are
+/// handed to the owner of another one and run there once, and a resend gets the same answer.
+#[test]
+fn what_reached_no_worker_runs_on_another_entrys() {
+    let cluster = small_system();
+    let start = |name, announced| {
+        let entries = cluster.entries_of("a");
+        let mut options = bh_testkit::worker::WorkerOptions::new(name, "a", "r0", entries);
+        options.announced = announced;
+        bh_testkit::Worker::start(options)
+    };
+    let nobody = bh_testkit::ports::free(1)[0];
+    let (_closed, open) = (start("w0", Some(nobody)), start("w1", None));
+    wait_in_force(&cluster, 2);
+    wait_led(&cluster);
+    let address = cluster.http("a1");
+    let targets = bh_testkit::http_raw::get(address, "/v1/targets?data_centre=a").json();
+    let mut rows = targets.as_array().into_iter().flatten();
+    let row = rows.find(|row| row["target"]["name"] == "w0").unwrap();
+    let owner = row["owner"].as_str().unwrap();
+    for number in 0..2 {
+        let key = format!("k{number}");
+        for _ in 0..2 {
+            let answer = request_to_end(&cluster, owner, "book", Some(&key), "b");
+            let seen = (answer.code(), answer.text());
+            let logs = cluster.logs();
+            assert_eq!(seen, (Some(0), "w1 ran: b".to_owned()), "{logs}");
+        }
+        assert_eq!(open.seen().runs_by_key.get(&key), Some(&1));
+    }
+}
+
 /// Callers send non-idempotent requests through all entries and resend each through others, while the leader and then
 /// another entry are killed and one worker answers late. No key runs twice, "not run" is never said of one that ran, and
 /// all whole answers to a key are the same.
--- a/crates/bh-node/src/requests/execute.rs
+++ b/crates/bh-node/src/requests/execute.rs
@@ -119,6 +119,11 @@
     }
 
     async fn forward(&mut self, entry: &Arc<str>) -> Step {
+        if let Some(begun) = self.begun.take() {
+            // Begun for a target that took no connection. The other entry records a beginning of its own, and would find this one: the request would be
+            // in progress for ever.
+            record::withdraw_now(&self.node, begun, self.left_ms()).await;
+        }
         match forward::hand_on(&self.node, &self.work, entry, self.left_ms()).await {
             Handed::Answer(answer) => {
                 self.node.router.borrow_mut().forward_ended(self.id);
--- a/crates/bh-node/src/requests/record.rs
+++ b/crates/bh-node/src/requests/record.rs
@@ -151,11 +151,27 @@
 
 /// Takes a beginning back: nothing was sent.
 pub(super) fn withdraw(node: &Rc<Node>, begun: Begun) {
-    let command = LedgerCommand::Withdraw {
+    let command = withdrawal(&begun);
+    in_background(node, begun, command);
+}
+
+/// Takes a beginning back and waits for the record of that, `limit_ms` at most; it goes on in the background after that.
+pub(super) async fn withdraw_now(node: &Rc<Node>, begun: Begun, limit_ms: u64) {
+    let command = withdrawal(&begun);
+    let limit_ms = limit_ms.min(END_MS);
+    if propose(node, &begun, command.clone(), limit_ms)
+        .await
+        .is_err()
+    {
+        in_background(node, begun, command);
+    }
+}
+
+fn withdrawal(begun: &Begun) -> LedgerCommand {
+    LedgerCommand::Withdraw {
         key: begun.key.clone(),
         attempt: begun.attempt,
-    };
-    in_background(node, begun, command);
+    }
 }
 
 fn in_background(node: &Rc<Node>, begun: Begun, command: LedgerCommand) {
