A refused start that may have begun is left alone while its worker reports it

What callers could see: work that goes on is stopped and begun anew, and a gang with it, because its start was refused when it came again. Cause: such a run was taken back at once; its stop ended what the first send had begun. Likewise a start held back by an evacuation was judged by when a report was read, not by when it was asked for. Change: the next report that is asked for after the refusal decides; only a run that is not in it is stopped. A record of ends whose outcome is unknown has the worker asked again also when nothing else runs there. A late failure counts once, whoever records it, and one that is still running keeps its mark.

--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -16,6 +16,7 @@
 use crate::state::EndKind;
 use crate::state::Worker;
 use crate::state::Workload;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Ends as a command, with the time left for the caller to fill in.
@@ -71,11 +72,12 @@
             watch.start = StartPhase::Unsure {
                 retry_ms: now_ms + RETRY_MS,
             };
-            watch.give_up = true;
+            watch.give_up = !was_unsure;
+            watch.refused_ms = was_unsure.then_some(now_ms);
             if *denial == Denial::Unhealthy || *denial == Denial::NoRoom {
                 target.set_aside(now_ms);
             }
-            // An earlier send may have been carried out: only a confirmed stop settles it then.
+            // An earlier send may have been carried out: the next report tells, or a confirmed stop.
             if was_unsure {
                 return None;
             }
@@ -161,19 +163,22 @@
 /// Listed failures of runs that had been taken to be over. They count like any other: a gang that fails whenever it runs would be begun once too often.
 /// But those whose lease has run out since count as lost with it, for the worker too. Before its first grant a leader does not know that.
 fn late_failures(target: &mut Target, report: &Report) -> Vec<RunId> {
+    let failed = |run: &RunId| {
+        let mut ended = report.ended.iter();
+        ended.any(|ended| ended.run == *run && ended.kind == EndKind::Failed)
+    };
+    let runs = |run: &RunId| report.running.iter().any(|running| running.run == *run);
     let unsaid = std::mem::take(&mut target.unsaid);
+    let (said, unsaid): (BTreeSet<RunId>, BTreeSet<RunId>) =
+        unsaid.into_iter().partition(|run| !runs(run));
+    target.unsaid = unsaid;
     let in_lease = target.granted_ms == 0
         || target
             .clock
             .is_some_and(|clock| clock.worker_ms <= target.granted_ms);
-    if !in_lease {
-        return Vec::new();
-    }
-    let failed = report
-        .ended
-        .iter()
-        .filter(|ended| ended.kind == EndKind::Failed && unsaid.contains(&ended.run));
-    failed.map(|ended| ended.run).collect()
+    said.into_iter()
+        .filter(|run| in_lease && failed(run))
+        .collect()
 }
 
 /// Runs that the worker neither runs nor lists as ended though it must: it had confirmed the start, or a stop, before it was looked at.
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -312,6 +312,9 @@
             target.recording_to = None;
             if outcome == RecordOutcome::Recorded {
                 target.recorded_to = target.recorded_to.max(listed_to.unwrap_or(0));
+            } else {
+                // Asked again, also if nothing else runs there, it lists the ends again.
+                target.checks_left = target.checks_left.max(1);
             }
         }
         // What may yet be recorded as over is left alone: started again, it would run beside the next run of its task.
@@ -462,6 +465,7 @@
                         target.acknowledged_to = target.acknowledged_to.max(*recorded_to);
                         target.next_look_ms = now_ms;
                         target.reported_ms = now_ms;
+                        target.asked_ms = order.sent_ms;
                         let worker = workload.worker(id)?;
                         for ended in &report.ended {
                             self.broken.note(now_ms, ended.run, ended.kind);
--- a/crates/bh-workload/src/dispatch/run_watch.rs
+++ b/crates/bh-workload/src/dispatch/run_watch.rs
@@ -52,6 +52,8 @@
     pub was_unsure: bool,
     /// Whether the last send of the start order was a repetition: an earlier one went out, and its connection broke before an answer came.
     pub was_repeated: bool,
+    /// When a send of the start order was refused though an earlier one may have been carried out, on the leader's clock in milliseconds.
+    pub refused_ms: Option<u64>,
     /// Whether the leader wants the run to end though the record would let it go on.
     pub give_up: bool,
     /// Whether its end is being recorded.
@@ -80,6 +82,7 @@
             stop: StopPhase::None,
             was_unsure: matches!(start, StartPhase::Unsure { .. }),
             was_repeated: false,
+            refused_ms: None,
             give_up: false,
             settled: false,
             since_ms: now_ms,
@@ -96,4 +99,9 @@
     pub fn may_have_begun(&self) -> bool {
         self.was_unsure || self.was_repeated
     }
+
+    /// Whether only a report can tell if it has begun: its last start was refused, and an earlier one may have been carried out.
+    pub fn awaits_report(&self) -> bool {
+        self.refused_ms.is_some() && matches!(self.start, StartPhase::Unsure { .. })
+    }
 }
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -60,6 +60,8 @@
     pub looking: bool,
     /// When it last reported its runs, on the leader's clock in milliseconds.
     pub reported_ms: u64,
+    /// When the newest of its reports was asked for, on the leader's clock in milliseconds. What it did after that is not in them.
+    pub asked_ms: u64,
     /// Earliest time of the next look, on the leader's clock in milliseconds.
     pub next_look_ms: u64,
     /// Highest number of an end that is recorded.
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -77,6 +77,8 @@
                 self.withdraw(target, run);
             } else if wanted && !watch.give_up && closed && !watch.is_confirmed() {
                 self.hold_back(target, run);
+            } else if wanted && !watch.give_up && watch.awaits_report() {
+                self.take_back_refused(target, run);
             } else if wanted && !watch.give_up {
                 self.start(target, run);
                 if pacing::fills(self.workload, run) {
@@ -236,7 +238,7 @@
         };
         let not_there = match watch.start {
             StartPhase::Unsent => true,
-            StartPhase::Unsure { retry_ms } => target.reported_ms >= retry_ms,
+            StartPhase::Unsure { retry_ms } => target.asked_ms >= retry_ms,
             StartPhase::InFlight | StartPhase::Confirmed { .. } => false,
         };
         if not_there {
@@ -244,6 +246,15 @@
         }
     }
 
+    /// Takes back a run whose start was refused though an earlier send of it may have been carried out, unless the worker reports that it runs: work that
+    /// goes on would be stopped, and a gang with it.
+    fn take_back_refused(&mut self, target: &mut Target, run: RunId) {
+        let refused_ms = target.runs.get(&run).and_then(|watch| watch.refused_ms);
+        if refused_ms.is_some_and(|refused_ms| target.asked_ms > refused_ms) {
+            self.withdraw(target, run);
+        }
+    }
+
     /// Takes back a run whose start shall not be sent any more, for want of a permission or of room. Whether an earlier one was carried out
     /// is settled by a stop; the plan finds another place, or asks for another permission, before it tries again.
     fn withdraw(&mut self, target: &mut Target, run: RunId) {
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -41,6 +41,14 @@
                 crash,
                 late_failures,
             } => {
+                let unheard = |run: &RunId| {
+                    ends.iter().any(|end| {
+                        let worker = self.workers.get(&end.worker);
+                        end.run == *run && worker.is_some_and(|worker| worker.unheard.contains(run))
+                    })
+                };
+                // An end that is recorded again counts once.
+                let late_failures: Vec<RunId> = late_failures.into_iter().filter(unheard).collect();
                 self.end_all(ends, now_ms, crash);
                 for run in late_failures {
                     self.count_late_failure(run, now_ms);
