Workers are not left out when many of them are at once

Cause: a worker that refuses, or fails two jobs in a row, gets no work for 4 s, then 8, 16, 32. Where jobs or load are at fault that holds for all workers, and all of them stood idle. Change: when more than a third of the workers are set aside, none is left out for it.

--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -80,6 +80,19 @@
     pub usable: bool,
 }
 
+/// Whether so many workers are set aside that what they were given is the likelier cause. Left out, they stand idle for half a minute and more
+/// while work waits.
+fn are_many_aside(workload: &Workload, dispatcher: &Dispatcher, now_ms: u64) -> bool {
+    /// Share of the workers that may be at fault at a time, in percent.
+    const AT_FAULT_PERCENT: usize = 34;
+    let is_aside = |worker: &&Worker| {
+        let target = dispatcher.view(&worker.info.id);
+        target.is_some_and(|target| now_ms < target.set_aside_until_ms)
+    };
+    let aside = workload.workers().filter(is_aside).count();
+    aside * 100 > workload.worker_count() * AT_FAULT_PERCENT
+}
+
 impl Room {
     /// The room of `worker` at `now_ms`.
     fn new(
@@ -87,12 +100,12 @@
         workload: &Workload,
         dispatcher: &Dispatcher,
         speeds: &Speeds,
-        now_ms: u64,
+        (now_ms, none_aside): (u64, bool),
     ) -> Self {
         let ready = |target: &Target| {
             target.answers()
                 && target.is_current(now_ms, dispatcher.timing())
-                && now_ms >= target.set_aside_until_ms
+                && (none_aside || now_ms >= target.set_aside_until_ms)
         };
         let view = dispatcher.view(&worker.info.id);
         let begun = Begun::new(worker, view, workload);
@@ -135,9 +148,10 @@
         speeds: &Speeds,
         now_ms: u64,
     ) -> Vec<Room> {
+        let times = (now_ms, are_many_aside(workload, dispatcher, now_ms));
         let workers = workload.workers();
         workers
-            .map(|worker| Room::new(worker, workload, dispatcher, speeds, now_ms))
+            .map(|worker| Room::new(worker, workload, dispatcher, speeds, times))
             .collect()
     }
 
