--- a/crates/bh-consensus/src/role.rs
+++ b/crates/bh-consensus/src/role.rs
@@ -39,7 +39,7 @@
 }
 
 impl Leadership {
-    /// Begins the next round; when rounds before `since_ms` were begun is forgotten.
+    /// Begins the next round at `now_ms`, and forgets when rounds before `since_ms` were begun.
     pub(crate) fn begin_round(&mut self, now_ms: u64, since_ms: u64) {
         self.round += 1;
         self.begun_ms.insert(self.round, now_ms);
--- a/crates/bh-control/src/core/learnt.rs
+++ b/crates/bh-control/src/core/learnt.rs
@@ -7,7 +7,7 @@
     Listed,
     /// The worker had confirmed the start or a stop, and neither runs nor lists the run.
     NotListed,
-    /// The worker refused the start, and no earlier send was without an answer.
+    /// The worker refused the start, and no earlier send of it can have been carried out.
     Refused,
     /// The start was never sent.
     NeverSent,
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -377,8 +377,8 @@
     }
 
     /// Notes that an order went out twice before the answer that is taken next: the connection of the first send broke. The worker may have
-    /// carried that one out, so a refusal of the second does not say that a run never began. Taken to say so, the task begins elsewhere while
-    /// its run goes on, and the run's failure counts for nothing.
+    /// carried that one out, so a refusal of the second does not say that the run never began: were it taken to say so, the task would begin
+    /// elsewhere while its run goes on, and a failure of that run would count for nothing.
     pub fn note_repeated(&mut self, order: &Order) {
         let OrderBody::Start { run, .. } = &order.body else {
             return;
--- a/crates/bh-workload/src/dispatch/record_outcome.rs
+++ b/crates/bh-workload/src/dispatch/record_outcome.rs
@@ -7,6 +7,6 @@
     Recorded,
     /// It is not, and never will be.
     NotRecorded,
-    /// Nobody knows yet: it may be committed later, as long as the same leader leads.
+    /// Nobody knows yet: it may be committed later, by this leader or the next.
     Unknown,
 }
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -203,7 +203,7 @@
         self.checks_left = CHECKS;
     }
 
-    /// Notes that a start came to another incarnation: unless an earlier send had no answer, the run never began here.
+    /// Notes that a start came to another incarnation: unless an earlier send may have been carried out, the run never began here.
     pub fn note_never_begun(&mut self, run: RunId) {
         let watch = self.runs.get_mut(&run);
         if let Some(watch) = watch.filter(|watch| !watch.may_have_begun()) {
--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -33,7 +33,7 @@
     LateReads { percent: u64, for_ms: u64 },
     /// A share of connections breaks once the order is carried out, percent.
     BrokenConnections { percent: u64, for_ms: u64 },
-    /// The same, but the order is sent again at once, and the leader hears only what comes back for that, percent.
+    /// The same, but the order is sent again at once, and the leader hears what comes back for that, percent.
     Repeats { percent: u64, for_ms: u64 },
     /// The cores that carry a share of orders are lost, percent: the order is carried out at once, seconds later, or never.
     Carriers { percent: u64, for_ms: u64 },
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -128,7 +128,7 @@
         self.push(at_ms, read);
     }
 
-    /// The connection breaks, and the order goes out again over another: the leader hears only what comes back for the second.
+    /// The connection breaks, and the order goes out again over another: the leader hears what comes back for the second, and that there was a first.
     fn send_twice(&mut self, call: u64, order: Order, at_ms: u64) {
         const AT_ONCE_PERCENT: u64 = 70;
         const BUSY_PERCENT: u64 = 50;
--- a/crates/bh-workload/tests/fuzz_delays.rs
+++ b/crates/bh-workload/tests/fuzz_delays.rs
@@ -56,7 +56,7 @@
     Delays,
     /// Nothing but workers that are cut off and records that take longer than their proposers wait.
     SlowRecords,
-    /// Orders are sent twice, and the leader hears only the second answer.
+    /// Orders are sent twice, and the leader hears the second answer.
     SentTwice,
     /// Gangs.
     Gangs,
