A worker that has ended is recorded as gone again when the record fails

A worker that had left and ended was not asked any more once its end was on its way into the record: if that failed it stayed there for ever, and its runs until its lease was over. A leave of a worker that the record does not know left an entry in the leader's memory.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -205,6 +205,9 @@
         worker: &Arc<str>,
         workload: &Workload,
     ) -> Option<Command> {
+        if workload.worker(worker).is_none() {
+            return Some(Command::Workers(vec![WorkerChange::Gone(worker.clone())]));
+        }
         let target = self.target(worker);
         target.left = true;
         target.has_ended(worker, workload).then(|| {
@@ -425,6 +428,9 @@
             }
         }
         if target.has_ended(id, workload) {
+            // It is looked at again, should the record fail.
+            target.looking &= !matches!(order.body, OrderBody::Look { .. });
+            target.next_look_ms = now_ms + FAILING_LOOK_MS;
             return target
                 .note_gone(now_ms)
                 .then(|| departure(now_ms, id, target, workload));
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -230,8 +230,9 @@
         too_much
     }
 
-    /// Sends no start of a run in a data centre under evacuation, or on a worker that ends. Whether one that had no answer was carried out, also by the order of an
-    /// earlier leader, the next report tells: taken back unasked, work that goes on would be stopped, and a gang elsewhere with it.
+    /// Sends no start of a run in a data centre under evacuation, or on a worker that ends. Whether one that had no answer was carried out, also
+    /// by the order of an earlier leader, the next report tells: taken back unasked, work that goes on would be stopped, and a gang elsewhere
+    /// with it.
     fn hold_back(&mut self, target: &mut Target, run: RunId) {
         let Some(watch) = target.runs.get(&run) else {
             return;
--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -189,3 +189,22 @@
     let expected = WorkerChange::Gone(worker);
     assert_eq!(gone, Some(Command::Workers(vec![expected])));
 }
+
+/// A worker has ended, and the record of that fails: it is asked again, and recorded then. Otherwise it would stay in the record for ever.
+#[test]
+fn a_worker_that_has_ended_is_recorded_again() {
+    let (mut site, worker, _) = with_notice(step(1, 8), 2_000);
+    assert_eq!(leave(&mut site, &worker), None);
+    let mut recorded = 0;
+    for _ in 0..40 {
+        site.now_ms += 100;
+        for order in site.orders() {
+            let answer = Answer::NotListening;
+            let command = site
+                .dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+            recorded += usize::from(command.is_some());
+        }
+    }
+    assert!(recorded >= 2, "{recorded} records in four seconds");
+}
