A failure on its way into the record holds its gang

What callers could see: a gang begun after its last allowed failure. Cause: the plan counts attempts that are over unheard as possible failures, but forgot one when the worker listed its failure, some milliseconds before that was recorded and counted. A plan in that moment began the gang. Change: the mark stays until the record has the end. The test failed before.

--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -16,7 +16,6 @@
 use crate::state::EndKind;
 use crate::state::Worker;
 use crate::state::Workload;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Ends as a command, with the time left for the caller to fill in.
@@ -167,18 +166,17 @@
         let mut ended = report.ended.iter();
         ended.any(|ended| ended.run == *run && ended.kind == EndKind::Failed)
     };
-    let runs = |run: &RunId| report.running.iter().any(|running| running.run == *run);
-    let unsaid = std::mem::take(&mut target.unsaid);
-    let (said, unsaid): (BTreeSet<RunId>, BTreeSet<RunId>) =
-        unsaid.into_iter().partition(|run| !runs(run));
-    target.unsaid = unsaid;
+    // What is listed is kept until that is recorded: the plan counts it as a possible failure until then.
+    target.unsaid.retain(|run| {
+        let runs = report.running.iter().any(|running| running.run == *run);
+        runs || report.ended.iter().any(|ended| ended.run == *run)
+    });
     let in_lease = target.granted_ms == 0
         || target
             .clock
             .is_some_and(|clock| clock.worker_ms <= target.granted_ms);
-    said.into_iter()
-        .filter(|run| in_lease && failed(run))
-        .collect()
+    let unsaid = target.unsaid.iter().copied();
+    unsaid.filter(|run| in_lease && failed(run)).collect()
 }
 
 /// Runs that the worker neither runs nor lists as ended though it must: it had confirmed the start, or a stop, before it was looked at.
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -234,6 +234,9 @@
             }
             let target = self.target(id);
             target.runs.retain(|run, _| worker.runs.contains_key(run));
+            target
+                .unsaid
+                .retain(|run| worker.runs.contains_key(run) || worker.unheard.contains(run));
             for run in worker.runs.keys() {
                 target
                     .runs
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -24,6 +24,8 @@
 const STOP_MS: u64 = Timing::DEFAULT.stop_timeout_ms;
 /// Beyond the lease of a worker, a slow clock included, in milliseconds.
 const LAPSED_MS: u64 = 12_000;
+/// Time after which workers that were set aside get work again, in milliseconds.
+const QUIET_MS: u64 = 60_000;
 
 /// A gang of three members at work on three workers of six.
 fn gang_at_work() -> (Site, JobId, Vec<(Arc<str>, RunId)>) {
@@ -241,3 +243,41 @@
         .and_then(|job| job.step(lost.task.step));
     assert_eq!(step.map(|step| step.failures), Some(1));
 }
+
+/// A gang has failed once of two allowed failures, and was given up once more since its members broke. The silent worker says that it failed there; until that
+/// is recorded the gang waits, or it would begin after its last allowed failure.
+#[test]
+fn a_failure_on_its_way_into_the_record_holds_the_gang() {
+    let (mut site, job, runs) = gang_at_work();
+    asked(&mut site, &runs, &[FAILED, BROKEN, BROKEN]);
+    site.advance(QUIET_MS);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(100);
+    let again = site.open_runs();
+    assert_eq!(again.len(), 3);
+    asked(&mut site, &again, &[BROKEN, BROKEN, Nothing]);
+    site.advance(STOP_MS + 200);
+    asked(&mut site, &again, &[Runs, Runs, Nothing]);
+    let lost = again[2].1;
+    let open = site.open_runs();
+    assert!(!open.iter().any(|(_, run)| *run == lost), "it is given up");
+    let failed = ended(&site, lost, EndKind::Failed);
+    site.advance(400);
+    let looks: Vec<_> = site.orders();
+    let own = looks.iter().filter(|order| order.to.worker == again[2].0);
+    let pending: Vec<Command> = own
+        .filter_map(|order| {
+            site.dispatcher
+                .note_answer(site.now_ms, order, &failed, &site.workload)
+        })
+        .collect();
+    assert_eq!(pending.len(), 1, "the failure is to be recorded");
+    assert_eq!(site.plan().starts, Vec::new(), "not before that");
+    for command in pending {
+        let now_ms = site.wall_ms();
+        site.workload.apply(command.at(now_ms));
+    }
+    let outcome = site.workload.job(job).and_then(|job| job.outcome);
+    assert_eq!(outcome, Some(Outcome::Failed));
+}
