--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -290,6 +290,14 @@
         self.emptied.contains(worker)
     }
 
+    /// Workers that get no new work for a while.
+    pub fn count_aside(&self, now_ms: u64) -> usize {
+        let targets = self.targets.values();
+        targets
+            .filter(|target| now_ms < target.set_aside_until_ms)
+            .count()
+    }
+
     /// Gives a worker no new work for a while.
     pub fn set_aside(&mut self, now_ms: u64, worker: &Arc<str>) {
         if let Some(target) = self.targets.get_mut(worker) {
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -85,12 +85,7 @@
 fn are_many_aside(workload: &Workload, dispatcher: &Dispatcher, now_ms: u64) -> bool {
     /// Share of the workers that may be at fault at a time, in percent.
     const AT_FAULT_PERCENT: usize = 34;
-    let is_aside = |worker: &&Worker| {
-        let target = dispatcher.view(&worker.info.id);
-        target.is_some_and(|target| now_ms < target.set_aside_until_ms)
-    };
-    let aside = workload.workers().filter(is_aside).count();
-    aside * 100 > workload.worker_count() * AT_FAULT_PERCENT
+    dispatcher.count_aside(now_ms) * 100 > workload.worker_count() * AT_FAULT_PERCENT
 }
 
 impl Room {
