--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -108,11 +108,11 @@
 
     /// Sends every replica what it lacks, or a heartbeat.
     fn start_round(&mut self, now_ms: u64) {
-        let since_ms = now_ms.saturating_sub(self.config.election_ms * ROUNDS_KEPT_ELECTIONS);
+        let kept_ms = self.config.election_ms * ROUNDS_KEPT_ELECTIONS;
         let Some(leadership) = self.leadership() else {
             return;
         };
-        leadership.begin_round(now_ms, since_ms);
+        leadership.begin_round(now_ms, kept_ms);
         leadership.unsent = false;
         self.replicate_all(now_ms);
         self.count_matches();
@@ -291,7 +291,7 @@
 
     pub(crate) fn receive_append_reply(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
         let last = self.log.last_index();
-        let since_ms = now_ms.saturating_sub(self.config.election_ms * ROUNDS_KEPT_ELECTIONS);
+        let kept_ms = self.config.election_ms * ROUNDS_KEPT_ELECTIONS;
         let Some(leadership) = self.leadership() else {
             return;
         };
@@ -311,7 +311,7 @@
         }
         let lacks = body.granted && progress.next <= last;
         if starts_over {
-            leadership.begin_round(now_ms, since_ms);
+            leadership.begin_round(now_ms, kept_ms);
         }
         self.count_matches();
         self.confirm_reads();
--- a/crates/bh-consensus/src/role.rs
+++ b/crates/bh-consensus/src/role.rs
@@ -39,12 +39,12 @@
 }
 
 impl Leadership {
-    /// Begins the next round at `now_ms`, and forgets when rounds before `since_ms` were begun.
-    pub(crate) fn begin_round(&mut self, now_ms: u64, since_ms: u64) {
+    /// Begins the next round at `now_ms`, and forgets when those were begun that are more than `kept_ms` ago.
+    pub(crate) fn begin_round(&mut self, now_ms: u64, kept_ms: u64) {
         self.round += 1;
         self.begun_ms.insert(self.round, now_ms);
         while let Some(oldest) = self.begun_ms.first_entry()
-            && *oldest.get() < since_ms
+            && *oldest.get() + kept_ms < now_ms
         {
             oldest.remove();
         }
