Add gauges for silent workers and unreported runs, and log skipped run ends

Cause: The logs and metrics did not show why a task starts again after its run has ended, nor why accepted work waits while workers are free. The `run over` line did not say up to which number the worker's ends are recorded, ends skipped because of their number were not logged, and no metric counted recorded runs that no worker reports.

Change: Add `recorded_to` to `run over`. Log a warning and count `ends_skipped_total` when a worker reports the end of an open run whose number is already recorded. Count `heartbeats_out_of_order_total` and log a line for each such heartbeat. Add the gauges `jobs_without_runs`, `workers_silent`, `workers_outdated`, `workers_set_aside`, `workers_draining`, `runs_unconfirmed`, `runs_unreported`, `runs_on_silent_workers` and `runs_stopping`; on a core that does not lead they are 0.

--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -59,6 +59,10 @@
     let leadership = held.as_mut()?;
     let newest = leadership.sequences.entry(worker.clone()).or_default();
     let held_up = sign.sequence < *newest;
+    if held_up {
+        core.metrics.count("heartbeats_out_of_order", 1);
+        log::info!(worker = &**worker, sequence = sign.sequence, newest = *newest, clock_ms = sign.clock_ms.unwrap_or(0); "heartbeat out of order: its sequence number is lower than the highest one received");
+    }
     *newest = (*newest).max(sign.sequence);
     let answered = leadership.dispatcher.answers(worker);
     let alive = leadership
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -9,6 +9,7 @@
 use bh_net::http_server::answer;
 use bh_protocol::Code;
 use bh_protocol::Failure;
+use bh_workload::dispatch::FleetCounts;
 use bh_workload::job::JobId;
 use bh_workload::plan::JobReport;
 use bytes::Bytes;
@@ -90,10 +91,40 @@
         metrics.gauge("shares_workers", u64::from(gauged.shares_workers()));
         metrics.gauge("calls_in_progress", size(gauged.in_progress.get()));
         metrics.gauge("log_lines_dropped", log_lines_dropped());
+        set_fleet_gauges(&gauged, metrics);
     };
     Readings::new(refresh).with_answer(move |request| answer_call(asked.clone(), request))
 }
 
+/// Sets the gauges that are computed from the leader's state. On a core that does not lead they are 0.
+fn set_fleet_gauges(core: &CoreNode, metrics: &Metrics) {
+    let held = core.leadership.borrow();
+    let workload = core.group.machine.read();
+    let (counts, jobs_without_runs) = match held.as_ref() {
+        Some(leadership) => (
+            FleetCounts::new(core.clock.now_ms(), &workload, &leadership.dispatcher),
+            workload
+                .active_jobs()
+                .filter(|(_, job)| !job.has_open_runs())
+                .count(),
+        ),
+        None => (FleetCounts::default(), 0),
+    };
+    let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    metrics.gauge("jobs_without_runs", size(jobs_without_runs));
+    metrics.gauge("workers_silent", size(counts.workers_silent));
+    metrics.gauge("workers_outdated", size(counts.workers_outdated));
+    metrics.gauge("workers_set_aside", size(counts.workers_set_aside));
+    metrics.gauge("workers_draining", size(counts.workers_draining));
+    metrics.gauge("runs_unconfirmed", size(counts.runs_unconfirmed));
+    metrics.gauge("runs_unreported", size(counts.runs_unreported));
+    metrics.gauge(
+        "runs_on_silent_workers",
+        size(counts.runs_on_silent_workers),
+    );
+    metrics.gauge("runs_stopping", size(counts.runs_stopping));
+}
+
 /// Answers an operator's call; `None` when it is none.
 async fn answer_call(core: Rc<CoreNode>, request: Request<Bytes>) -> Option<Response<Bytes>> {
     let path = request.uri().path();
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -11,6 +11,7 @@
 use super::run_ends::learnt_by;
 use super::run_ends::learnt_unheard;
 use super::run_ends::log_run_ends;
+use super::run_ends::log_skipped_ends;
 use super::run_ends::log_unrecorded;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
@@ -39,8 +40,9 @@
         leadership.swept_ms = now_ms;
     }
     let (orders, ends) = leadership.dispatcher.orders(now_ms, &workload, all);
-    log_run_ends(core, leadership.term, &workload, &ends, |end| {
-        learnt_unheard(&leadership.dispatcher, end)
+    let dispatcher = &leadership.dispatcher;
+    log_run_ends(core, leadership.term, &workload, &ends, dispatcher, |end| {
+        learnt_unheard(dispatcher, end)
     });
     drop(workload);
     let origin = Origin {
@@ -118,12 +120,14 @@
     let answered = leadership.dispatcher.answers(&order.to.worker);
     let workload = core.group.machine.read();
     log_unrecorded(core, order, answer, &workload);
+    log_skipped_ends(core, order, answer, &workload, &leadership.dispatcher);
     let command = leadership
         .dispatcher
         .note_answer(now_ms, order, answer, &workload);
     leadership.plan_due |= !answered && leadership.dispatcher.answers(&order.to.worker);
     if let Some(Command::Ends { ends, .. }) = &command {
-        log_run_ends(core, order.token, &workload, ends, |end| {
+        let dispatcher = &leadership.dispatcher;
+        log_run_ends(core, order.token, &workload, ends, dispatcher, |end| {
             learnt_by(order, answer, end)
         });
         leadership
--- a/crates/bh-control/src/core/run_ends.rs
+++ b/crates/bh-control/src/core/run_ends.rs
@@ -19,6 +19,7 @@
     term: u64,
     workload: &Workload,
     ends: &[End],
+    dispatcher: &Dispatcher,
     learnt: impl Fn(&End) -> Learnt,
 ) {
     for end in ends {
@@ -29,9 +30,10 @@
             core.metrics.count("ends_of_runs_over", 1);
         }
         core.metrics.count(counter(end.kind), 1);
+        let recorded_to = recorded_to(dispatcher, &end.worker);
         log::info!(
             run = end.run.to_string(), worker = &*end.worker, end:? = end.kind, learnt:? = learnt(end), term, open,
-            failures = failures(workload, end.run.task), saved = end.checkpoint.is_some();
+            failures = failures(workload, end.run.task), saved = end.checkpoint.is_some(), recorded_to;
             "run over"
         );
     }
@@ -88,6 +90,46 @@
     }
 }
 
+/// Highest recorded end number of `worker`, as far as this leader knows; 0 if it does not know the worker.
+fn recorded_to(dispatcher: &Dispatcher, worker: &str) -> u64 {
+    dispatcher
+        .view(worker)
+        .map_or(0, |target| target.recorded_to)
+}
+
+/// Logs a warning for each reported end that is skipped because its number counts as recorded while its run is still open in the record.
+/// The warning explains why a task starts again after its run has ended.
+pub(super) fn log_skipped_ends(
+    core: &CoreNode,
+    order: &Order,
+    answer: &Answer,
+    workload: &Workload,
+    dispatcher: &Dispatcher,
+) {
+    let Answer::Done {
+        report: Some(report),
+        ..
+    } = answer
+    else {
+        return;
+    };
+    let Some(worker) = workload.worker(&order.to.worker) else {
+        return;
+    };
+    let recorded_to = recorded_to(dispatcher, &order.to.worker);
+    let skipped = report
+        .ended
+        .iter()
+        .filter(|ended| ended.number <= recorded_to && worker.runs.contains_key(&ended.run));
+    for ended in skipped {
+        core.metrics.count("ends_skipped", 1);
+        log::warn!(
+            run = ended.run.to_string(), worker = &*order.to.worker, term = order.token, number = ended.number, recorded_to, end:? = ended.kind;
+            "reported end of an open run skipped: its number is already recorded"
+        );
+    }
+}
+
 /// Failures counted so far for a task, or for the gang that it is a member of.
 pub(super) fn failures(workload: &Workload, task: TaskId) -> u32 {
     let of_task = workload.task(task).map_or(0, |task| task.failures);
--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -40,7 +40,15 @@
 
     /// Whether the worker said that it has the run, or has had it.
     pub fn is_confirmed(&self) -> bool {
-        matches!(self.start, StartPhase::Confirmed { .. })
+        self.confirmed_ms().is_some()
+    }
+
+    /// When the worker confirmed the start, on the leader's clock in milliseconds.
+    pub fn confirmed_ms(&self) -> Option<u64> {
+        match self.start {
+            StartPhase::Confirmed { at_ms } => Some(at_ms),
+            _ => None,
+        }
     }
 
     /// Whether it surely began at `since_ms` or later. When a run began whose order once had no answer is not known.
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/fleet_counts.rs
@@ -0,0 +1,63 @@
+//! Counts of workers and recorded runs by condition, as known to the leader.
+
+use super::Dispatcher;
+use super::RunWatch;
+use super::Target;
+use crate::state::Workload;
+
+/// Number of workers and recorded runs in each condition. A worker or run can be in several conditions or in none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetCounts {
+    /// Workers that did not answer their latest order.
+    pub workers_silent: usize,
+    /// Workers that get no new work because their latest heartbeat is missing or too old.
+    pub workers_outdated: usize,
+    /// Workers that temporarily get no new work because runs failed there.
+    pub workers_set_aside: usize,
+    /// Workers that are leaving.
+    pub workers_draining: usize,
+    /// Recorded runs whose start the worker has not confirmed.
+    pub runs_unconfirmed: usize,
+    /// Recorded runs with a confirmed start that the latest report of a worker that answers does not list as running.
+    pub runs_unreported: usize,
+    /// Recorded runs on workers that did not answer their latest order.
+    pub runs_on_silent_workers: usize,
+    /// Recorded runs that should end: the record no longer wants them, or the leader has given them up.
+    pub runs_stopping: usize,
+}
+
+impl FleetCounts {
+    /// Computes the counts at `now_ms` on the leader's clock.
+    pub fn new(now_ms: u64, workload: &Workload, dispatcher: &Dispatcher) -> Self {
+        let mut counts = Self::default();
+        for worker in workload.workers() {
+            counts.workers_draining += usize::from(worker.draining);
+            let Some(target) = dispatcher.view(&worker.info.id) else {
+                continue;
+            };
+            let is_outdated = !target.is_current(now_ms, dispatcher.timing());
+            counts.workers_outdated += usize::from(is_outdated);
+            counts.workers_set_aside += usize::from(now_ms < target.set_aside_until_ms);
+            counts.workers_silent += usize::from(target.is_failing());
+            for run in worker.runs.keys() {
+                let watch = target.runs.get(run);
+                counts.runs_unconfirmed += usize::from(!watch.is_some_and(RunWatch::is_confirmed));
+                counts.runs_unreported +=
+                    usize::from(watch.is_some_and(|w| is_unreported(target, w)));
+                counts.runs_on_silent_workers += usize::from(target.is_failing());
+                let is_stopping = !workload.wants(*run) || watch.is_some_and(|watch| watch.give_up);
+                counts.runs_stopping += usize::from(is_stopping);
+            }
+        }
+        counts
+    }
+}
+
+/// Whether the worker answers and its latest report, requested after the run's start was confirmed, does not list the run as running.
+fn is_unreported(target: &Target, watch: &RunWatch) -> bool {
+    !target.is_failing()
+        && watch
+            .confirmed_ms()
+            .is_some_and(|at_ms| at_ms < target.asked_ms)
+        && watch.seen_ms != Some(target.reported_ms)
+}
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -143,6 +143,11 @@
             .is_some_and(|task| task.state == TaskState::Open(run.attempt))
     }
 
+    /// Whether any recorded run of the job is not known to be over.
+    pub fn has_open_runs(&self) -> bool {
+        self.steps.iter().any(|step| step.open_runs > 0)
+    }
+
     /// Whether nothing is left to do.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(Step::is_done)
