Failing tests: restarted workers run tasks twice and have jobs given up

What callers see: a task that is done runs again (TWICE), sound jobs are answered as failed (LOST), and a task begins on a worker seconds after its leaving was acknowledged (DRAIN).

--- a/crates/beechhollow/tests/runs_once.rs
+++ b/crates/beechhollow/tests/runs_once.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -22,6 +23,8 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 use support::LeadingCore;
 use support::Process;
 use support::entry_config;
@@ -36,6 +39,8 @@
 /// Jobs that keep a task each on every worker. So workers are asked again and again what runs there, and the second one leaves a connection to each that
 /// is kept open.
 const COMPANIONS: [&str; 2] = ["00000000000000b1", "00000000000000b2"];
+/// Jobs that end at once and have a task on every worker: with their ends recorded, a worker has used up the first numbers of ends.
+const EARLIER: [&str; 3] = ["00000000000000c1", "00000000000000c2", "00000000000000c3"];
 const KEY: &str = "Bearer key";
 const WAIT: Duration = Duration::from_secs(3);
 const START: Duration = Duration::from_secs(20);
@@ -98,11 +103,25 @@
     }
 }
 
+/// A run that outlasts a look at its worker.
+fn one_second(_: usize) -> Script {
+    Script {
+        works_for: Duration::from_secs(1),
+        ..AT_ONCE
+    }
+}
+
 /// Task and number of the run.
 type Run = (String, u64);
 
-#[derive(Default)]
 struct Worker {
+    /// When it started, by the wall clock in milliseconds since 1970, and by the clock from which its own is derived.
+    born_ms: u64,
+    started: Instant,
+    /// Number of its last heartbeat.
+    sequence: u64,
+    /// Up to which number its ends were acknowledged.
+    acknowledged_to: u64,
     /// What runs, until when, and how it ends.
     running: BTreeMap<Run, (Instant, &'static str)>,
     /// Ends that are not known to be recorded: number, run, and how.
@@ -115,6 +134,26 @@
 }
 
 impl Worker {
+    /// A worker that starts now, and holds nothing.
+    fn starting() -> Self {
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        Self {
+            born_ms: u64::try_from(since_1970.as_millis()).unwrap(),
+            started: Instant::now(),
+            sequence: 0,
+            acknowledged_to: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+            refusals: 0,
+            left: false,
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap()
+    }
+
     fn end(&mut self, run: &Run, how: &'static str) {
         if self.running.remove(run).is_some() {
             self.ends += 1;
@@ -140,6 +179,8 @@
     workers: Vec<Worker>,
     begun: usize,
     failed: u32,
+    /// Tasks of which an end as done was acknowledged.
+    done: BTreeSet<String>,
     problems: Vec<String>,
     events: Vec<String>,
 }
@@ -170,12 +211,18 @@
             self.note(format!("{run:?} is refused by worker {index}"));
             return Some((503, json!({})));
         }
-        let done = Some((200, json!({ "clockMs": self.clock_ms() })));
+        let done = Some((200, json!({ "clockMs": self.workers[index].clock_ms() })));
         if self.workers[index].running.contains_key(&run) {
             return done;
         }
         if !run.0.starts_with(JOB) {
-            let until = Instant::now() + START + PLAY;
+            let is_earlier = EARLIER.iter().any(|job| run.0.starts_with(job));
+            let works_for = if is_earlier {
+                AT_ONCE.works_for
+            } else {
+                START + PLAY
+            };
+            let until = Instant::now() + works_for;
             self.workers[index].running.insert(run, (until, "done"));
             return done;
         }
@@ -215,19 +262,36 @@
             self.problems
                 .push(format!("{run:?} begins while {other:?} runs"));
         }
+        if self.done.contains(&run.0) {
+            self.problems
+                .push(format!("{run:?} begins after its task was done"));
+        }
         if self.failed >= MAX_ATTEMPTS {
             self.problems
                 .push(format!("{run:?} begins after {} failed runs", self.failed));
         }
     }
 
-    fn clock_ms(&self) -> u64 {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap()
+    /// Every worker crashes and starts again under its id.
+    fn restart_all(&mut self) {
+        for index in 0..self.workers.len() {
+            self.note(format!("worker {index} starts again"));
+            self.workers[index] = Worker::starting();
+        }
     }
 
     fn report(&mut self, index: usize, cursor: u64) -> Value {
         let worker = &mut self.workers[index];
-        worker.ended.retain(|(number, _, _)| *number > cursor);
+        worker.acknowledged_to = worker.acknowledged_to.max(cursor);
+        let (acknowledged, left) = std::mem::take(&mut worker.ended)
+            .into_iter()
+            .partition(|(number, _, _)| *number <= cursor);
+        worker.ended = left;
+        let acknowledged: Vec<(u64, Run, &str)> = acknowledged;
+        let done = acknowledged
+            .into_iter()
+            .filter(|(_, _, how)| *how == "done");
+        self.done.extend(done.map(|(_, run, _)| run.0));
         let running = worker.running.keys();
         let running: Vec<Value> = running
             .map(|(task, attempt)| json!([task, attempt, "", 1, 0]))
@@ -236,7 +300,7 @@
         let ended: Vec<Value> = ended
             .map(|(number, (task, attempt), how)| json!([number, task, attempt, how, ""]))
             .collect();
-        json!({ "clockMs": self.clock_ms(), "running": running, "finished": ended })
+        json!({ "born": worker.born_ms, "clockMs": worker.clock_ms(), "running": running, "finished": ended })
     }
 }
 
@@ -282,7 +346,7 @@
             "/-/run-stop" => {
                 let mut world = self.world();
                 world.workers[self.index].end(&run(), "stopped");
-                let clock_ms = world.clock_ms();
+                let clock_ms = world.workers[self.index].clock_ms();
                 Some((200, json!({ "clockMs": clock_ms })))
             }
             _ => {
@@ -305,14 +369,21 @@
     }
 
     fn beat(&self, control: SocketAddr) {
-        for sequence in 1u64.. {
-            let (clock_ms, left) = {
-                let world = self.world();
-                (world.clock_ms(), world.workers[self.index].left)
+        loop {
+            let (born_ms, clock_ms, sequence, left) = {
+                let mut world = self.world();
+                let worker = &mut world.workers[self.index];
+                worker.sequence += 1;
+                (
+                    worker.born_ms,
+                    worker.clock_ms(),
+                    worker.sequence,
+                    worker.left,
+                )
             };
             let state = if left { "draining" } else { "ready" };
             let body = json!({
-                "service": "pool", "address": self.address.to_string(), "zone": "dc", "version": "v1", "slots": 8, "state": state,
+                "born": born_ms, "service": "pool", "address": self.address.to_string(), "zone": "dc", "version": "v1", "slots": 8, "state": state,
                 "coldRemainingMs": 0, "capacity": {"cpu": 16_000, "requestMemoryMb": 65_536, "gpu": 8}, "labels": ["a", "rack"],
                 "machine": format!("vm{}", self.index), "clockMs": clock_ms, "sequence": sequence,
             });
@@ -364,9 +435,10 @@
         plot,
         control,
         began: Instant::now(),
-        workers: (0..WORKERS).map(|_| Worker::default()).collect(),
+        workers: (0..WORKERS).map(|_| Worker::starting()).collect(),
         begun: 0,
         failed: 0,
+        done: BTreeSet::new(),
         problems: Vec::new(),
         events: Vec::new(),
     }));
@@ -417,6 +489,15 @@
 
 /// Plays `plot` with a job of one task; returns what was seen, and the core.
 fn play(name: &str, plot: Plot) -> (Arc<Mutex<World>>, LeadingCore) {
+    play_after(name, plot, |_, _| {})
+}
+
+/// The same where `prepare` comes before that job is handed in; it is given what hands in a job.
+fn play_after(
+    name: &str,
+    plot: Plot,
+    prepare: impl Fn(&Mutex<World>, &dyn Fn(&str, Value)),
+) -> (Arc<Mutex<World>>, LeadingCore) {
     let core = leading_core(&format!("{name}-core"), "");
     let control = core.control;
     let addresses = ports::free(3);
@@ -444,6 +525,7 @@
             workers.all(|worker| worker.running.len() > others)
         });
     }
+    prepare(&world, &hand_in);
     hand_in(JOB, job(1, 0));
     let is_over = || {
         let state = call(addresses[0], "GET", &format!("/queue/{JOB}"), &Value::Null);
@@ -486,3 +568,29 @@
     let (world, _core) = play("unheard-leave", unheard_leave);
     assert_kept(&world.lock().unwrap());
 }
+
+/// Guards against a start after a recorded success: the ends of a worker that starts again under its id are numbered anew, and were taken for ends
+/// recorded before.
+#[test]
+fn ends_of_a_worker_that_starts_again_under_its_id_count() {
+    let (world, _core) = play_after("started-again", one_second, |world, hand_in| {
+        for name in EARLIER {
+            hand_in(name, job(WORKERS, 1));
+        }
+        let earlier = u64::try_from(EARLIER.len()).unwrap();
+        until("the earlier ends are acknowledged", START, || {
+            let world = world.lock().unwrap();
+            let mut workers = world.workers.iter();
+            workers.all(|worker| worker.acknowledged_to >= earlier)
+        });
+        world.lock().unwrap().restart_all();
+        until("the companions run again", START, || {
+            let world = world.lock().unwrap();
+            let mut workers = world.workers.iter();
+            workers.all(|worker| worker.running.len() == COMPANIONS.len())
+        });
+    });
+    let world = world.lock().unwrap();
+    assert_kept(&world);
+    assert_eq!(world.begun, 1, "{}", world.events.join("\n"));
+}
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -8,6 +8,7 @@
 
 use bh_group::Machine;
 use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::OrderBody;
 use bh_workload::job::RunId;
 use bh_workload::job::StepSpec;
 use bh_workload::job::TaskId;
@@ -397,3 +398,33 @@
     site.workload.apply(again.at(site.wall_ms()));
     assert_eq!(crashes(&site, task(job, 0, 0)), 1);
 }
+
+/// Guards against giving up a sound job whose starts reach workers that have crashed and started again before: the kept connection breaks, and the
+/// repetition is answered by another incarnation within milliseconds.
+#[test]
+fn starts_that_find_a_restarted_worker_are_no_crashes() {
+    const ROUNDS: usize = 6;
+    const ANSWER_MS: u64 = 30;
+    let mut site = Site::new(ROUNDS, ROUNDS);
+    let job = site.submit(0, "other", vec![step(1, 1)]);
+    for _ in 0..ROUNDS {
+        site.plan_and_start();
+        let orders = site.orders();
+        let mut starts = orders.iter();
+        let start = starts.find(|order| matches!(order.body, OrderBody::Start { .. }));
+        let Some(start) = start.cloned() else {
+            break;
+        };
+        site.dispatcher.note_repeated(&start);
+        site.advance(ANSWER_MS);
+        let answer = Answer::OtherIncarnation;
+        let command = site
+            .dispatcher
+            .note_answer(site.now_ms, &start, &answer, &site.workload);
+        let now_ms = site.wall_ms();
+        site.workload.apply(command.unwrap().at(now_ms));
+        site.take_news();
+    }
+    assert_eq!(crashes(&site, task(job, 0, 0)), 0);
+    assert_eq!(site.workload.job(job).unwrap().outcome, None);
+}
--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -208,3 +208,23 @@
     }
     assert!(recorded >= 2, "{recorded} records in four seconds");
 }
+
+/// Guards against a start that begins on a worker long after its leaving was acknowledged: a start without an answer was sent again and again.
+#[test]
+fn a_start_without_an_answer_is_not_sent_again_to_a_worker_that_leaves() {
+    let mut site = Site::new(1, 1);
+    site.submit(0, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    let (worker, _) = site.open_runs()[0].clone();
+    site.answer_for(&worker, &Answer::Lost);
+    let leaves = WorkerChange::Draining(worker);
+    site.workload.apply(Command::Workers(vec![leaves]));
+    site.take_news();
+    for _ in 0..10 {
+        site.advance(400);
+        let orders = site.orders();
+        let is_start =
+            |order: &bh_workload::dispatch::Order| matches!(order.body, OrderBody::Start { .. });
+        assert!(!orders.iter().any(is_start));
+    }
+}
