--- a/crates/bh-control/src/calls/call.rs
+++ b/crates/bh-control/src/calls/call.rs
@@ -1,5 +1,6 @@
 //! What callers, workers and operators ask for.
 
+use bh_protocol::Incarnation;
 use bh_workload::job::JobSpec;
 use bh_workload::rules::Rules;
 use bh_workload::state::Place;
@@ -33,8 +34,8 @@
     Heartbeat(WorkerHeartbeat),
     /// A worker says that it ends now.
     Leave {
-        /// The worker.
-        worker: Arc<str>,
+        /// The worker; without a start time if the call has none.
+        worker: Incarnation,
     },
     /// An operator sets the rules, or something that cannot be read as rules.
     SetRules(Result<Box<Rules>, String>),
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -10,13 +10,15 @@
 use crate::calls::RETRY_AFTER_MS;
 use bh_protocol::Code;
 use bh_protocol::Failure;
+use bh_protocol::Incarnation;
 use bh_workload::state::Command;
 use bh_workload::state::Place;
 use bh_workload::state::Refusal;
 use bh_workload::state::Reply;
+use bh_workload::state::Worker;
 use bh_workload::state::WorkerChange;
+use bh_workload::state::Workload;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Wait until a read is known to be of the newest state, in milliseconds: one round between the cores, with room for a slow one.
 const READ_MS: u64 = 1_000;
@@ -97,22 +99,27 @@
 }
 
 /// A worker says that it ends now. It is gone when that is certain, and asked until then; no leader gives it anything more.
-async fn leave(core: &Rc<CoreNode>, worker: &Arc<str>) -> Answer {
+async fn leave(core: &Rc<CoreNode>, worker: &Incarnation) -> Answer {
     let term = core.group.status().term;
     let now_ms = core.clock.now_ms();
-    let gone = {
+    let (worker, gone) = {
         let workload = core.group.machine.read();
         let mut held = core.leadership.borrow_mut();
         let Some(leadership) = held.as_mut() else {
             return Answer::NotLeader;
         };
-        leadership.dispatcher.note_left(now_ms, worker, &workload)
+        let Some(worker) = leaving_incarnation(&workload, worker) else {
+            leadership.dispatcher.check_incarnations(worker, &workload);
+            return Answer::Done;
+        };
+        let gone = leadership.dispatcher.note_left(now_ms, &worker, &workload);
+        (worker, gone)
     };
     if let Some(gone) = gone {
         log_departures(core, term, &gone, Learnt::Leave);
         return change(core, gone).await;
     }
-    log::info!(worker = &**worker, term; "worker ends with runs");
+    log::info!(worker = worker.to_string(), term; "worker ends with runs");
     change(
         core,
         Command::Workers(vec![WorkerChange::Draining(worker.clone())]),
@@ -120,6 +127,20 @@
     .await
 }
 
+/// The recorded incarnation that a leave call refers to; `worker` itself if none is recorded. A call without a start time refers to the draining
+/// incarnation only: it may be a delayed call from an earlier incarnation while a later one is still working.
+fn leaving_incarnation(workload: &Workload, worker: &Incarnation) -> Option<Incarnation> {
+    let lacks_start_time =
+        |other: &Worker| worker.started_ms.is_none() && other.info.id.started_ms.is_some();
+    let mut incarnations = workload.incarnations(worker).peekable();
+    if incarnations.peek().is_none() {
+        return Some(worker.clone());
+    }
+    let leaving = incarnations
+        .find(|other| other.info.id == *worker || lacks_start_time(other) && other.draining);
+    leaving.map(|leaving| leaving.info.id.clone())
+}
+
 /// Records a change of a data centre, if there is such a one. A name that the file of this core does not list is known by the workers that came
 /// from there; where the file lists none, every name may come to be known.
 async fn change_data_centre(core: &Rc<CoreNode>, name: &str, command: Command) -> Answer {
--- a/crates/bh-control/src/core/carriers.rs
+++ b/crates/bh-control/src/core/carriers.rs
@@ -43,7 +43,7 @@
 pub fn carrier_of<'a>(worker: &WorkerInfo, cores: &'a [Carrier]) -> Option<&'a Carrier> {
     cores.iter().max_by_key(|core| {
         let near = core.data_centre == worker.data_centre;
-        (near, weight(&worker.id, core.address), core.address)
+        (near, weight(&worker.id.id, core.address), core.address)
     })
 }
 
--- a/crates/bh-control/src/core/carry.rs
+++ b/crates/bh-control/src/core/carry.rs
@@ -12,6 +12,7 @@
 use crate::mesh::Peer;
 use bh_net::http_client::SendError;
 use bh_net::link::CallError;
+use bh_protocol::Incarnation;
 use bh_protocol::wire::CarryOutcome;
 use bh_protocol::wire::CarryReply;
 use bh_protocol::wire::CarryRequest;
@@ -89,7 +90,7 @@
 }
 
 /// The other core that talks to a worker of the record.
-fn carrier_of(core: &Rc<CoreNode>, worker: &str) -> Option<Rc<Peer>> {
+fn carrier_of(core: &Rc<CoreNode>, worker: &Incarnation) -> Option<Rc<Peer>> {
     let workload = core.group.machine.read();
     let carrier = core.carrier_of(&workload.worker(worker)?.info)?;
     core.mesh.peer(carrier.address)
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -14,6 +14,7 @@
 use crate::observe::Metrics;
 use bh_group::Group;
 use bh_net::Clock;
+use bh_protocol::Incarnation;
 use bh_protocol::wire::CoreStatus;
 use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
@@ -23,7 +24,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
 /// State of a core process.
@@ -53,7 +53,7 @@
     /// Heartbeats that came while nobody led.
     pub unheard: RefCell<Unheard>,
     /// Heartbeats that the leader has not heard of yet, by worker.
-    pub signs: RefCell<BTreeMap<Arc<str>, Sign>>,
+    pub signs: RefCell<BTreeMap<Incarnation, Sign>>,
     /// Cancelled when the process is told to stop.
     pub draining: CancellationToken,
     /// Counters and times.
--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -2,6 +2,7 @@
 
 use super::core_node::CoreNode;
 use super::learnt::Learnt;
+use bh_protocol::Incarnation;
 use bh_workload::job::JobId;
 use bh_workload::state::Command;
 use bh_workload::state::Crash;
@@ -11,7 +12,6 @@
 use bh_workload::state::WorkerChange;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// One line for each worker that `command` says to be gone, and for each run that is lost with it or may be the cause. The ends of runs on
 /// a worker that left are not recorded one by one, so without these lines nothing would tell why their tasks begin anew.
@@ -37,17 +37,17 @@
     }
 }
 
-fn log_departure(core: &Rc<CoreNode>, term: u64, id: &Arc<str>, learnt: Learnt) {
+fn log_departure(core: &Rc<CoreNode>, term: u64, id: &Incarnation, learnt: Learnt) {
     let workload = core.group.machine.read();
     let Some(worker) = workload.worker(id) else {
         return;
     };
     let (runs, draining) = (worker.runs.len(), worker.draining);
     core.metrics.count("workers_gone", 1);
-    log::info!(worker = &**id, term, learnt:? = learnt, draining, runs; "worker gone");
+    log::info!(worker = id.to_string(), term, learnt:? = learnt, draining, runs; "worker gone");
 }
 
-fn log_lost_runs(core: &Rc<CoreNode>, term: u64, id: &Arc<str>) {
+fn log_lost_runs(core: &Rc<CoreNode>, term: u64, id: &Incarnation) {
     let workload = core.group.machine.read();
     let Some(worker) = workload.worker(id) else {
         return;
@@ -55,16 +55,16 @@
     let lost = u64::try_from(worker.runs.len()).unwrap_or(u64::MAX);
     core.metrics.count("runs_lost", lost);
     for run in worker.runs.keys() {
-        log::info!(run = run.to_string(), worker = &**id, term; "run lost with its worker");
+        log::info!(run = run.to_string(), worker = id.to_string(), term; "run lost with its worker");
     }
 }
 
 /// What speaks against each run that may have crashed the worker, with the crashes counted before this one.
-fn log_suspects(core: &Rc<CoreNode>, term: u64, worker: &Arc<str>, suspects: &[Suspect]) {
+fn log_suspects(core: &Rc<CoreNode>, term: u64, worker: &Incarnation, suspects: &[Suspect]) {
     let workload = core.group.machine.read();
     for Suspect { run, evidence } in suspects {
         let crashes_before = workload.task(run.task).map_or(0, Task::all_crashes);
-        log::info!(run = run.to_string(), worker = &**worker, term, evidence:? = evidence, crashes_before; "worker crashed under a run");
+        log::info!(run = run.to_string(), worker = worker.to_string(), term, evidence:? = evidence, crashes_before; "worker crashed under a run");
     }
 }
 
--- a/crates/bh-control/src/core/heartbeats.rs
+++ b/crates/bh-control/src/core/heartbeats.rs
@@ -5,6 +5,7 @@
 use crate::calls::Answer;
 use crate::calls::WorkerHeartbeat;
 use bh_net::runtime::sleep_ms;
+use bh_protocol::Incarnation;
 use bh_protocol::wire::RpcKind;
 use bh_protocol::wire::SignOfLife;
 use bh_protocol::wire::SignsOfLife;
@@ -14,7 +15,6 @@
 use prost::Message;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Time for which heartbeats that change nothing are gathered before the leader hears of them, in milliseconds. It is a small part of
 /// the time after which a worker counts as silent, and makes one message of some hundred.
@@ -31,7 +31,7 @@
     };
     if !core.group.machine.read().may_be_worker(&heartbeat.info) {
         core.metrics.count("heartbeats_unknown_pool", 1);
-        log::info!(worker = &*id, pool = &*heartbeat.info.pool; "heartbeat names no pool of the rules");
+        log::info!(worker = id.to_string(), pool = &*heartbeat.info.pool; "heartbeat names no pool of the rules");
         return heard;
     }
     let now_ms = core.clock.now_ms();
@@ -45,7 +45,7 @@
         return heard;
     }
     for change in &changes {
-        log::info!(worker = &*id, sequence = heartbeat.sequence, change:? = change; "worker changed");
+        log::info!(worker = id.to_string(), sequence = heartbeat.sequence, change:? = change; "worker changed");
     }
     match super::answer_call::change(core, Command::Workers(changes)).await {
         Answer::Done => heard,
@@ -54,14 +54,14 @@
 }
 
 /// Notes a sign of life; returns whether it is the newest of a worker that has not ended, or `None` when this core does not lead.
-fn note(core: &Rc<CoreNode>, worker: &Arc<str>, sign: &Sign) -> Option<bool> {
+fn note(core: &Rc<CoreNode>, worker: &Incarnation, sign: &Sign) -> Option<bool> {
     let mut held = core.leadership.borrow_mut();
     let leadership = held.as_mut()?;
     let newest = leadership.sequences.entry(worker.clone()).or_default();
     let held_up = sign.sequence < *newest;
     if held_up {
         core.metrics.count("heartbeats_out_of_order", 1);
-        log::info!(worker = &**worker, sequence = sign.sequence, newest = *newest, clock_ms = sign.clock_ms.unwrap_or(0); "heartbeat out of order: its sequence number is lower than the highest one received");
+        log::info!(worker = worker.to_string(), sequence = sign.sequence, newest = *newest, clock_ms = sign.clock_ms.unwrap_or(0); "heartbeat out of order: its sequence number is lower than the highest one received");
     }
     *newest = (*newest).max(sign.sequence);
     let answered = leadership.dispatcher.answers(worker);
@@ -80,7 +80,7 @@
 }
 
 fn changes(core: &Rc<CoreNode>, heartbeat: &WorkerHeartbeat) -> Vec<WorkerChange> {
-    let id: &Arc<str> = &heartbeat.info.id;
+    let id: &Incarnation = &heartbeat.info.id;
     let workload = core.group.machine.read();
     let known = workload.worker(id);
     let mut changes = Vec::new();
@@ -162,7 +162,9 @@
     };
     let now_ms = core.clock.now_ms();
     for told in signs {
-        let worker: Arc<str> = Arc::from(told.worker);
+        let Some(worker) = Incarnation::parse(&told.worker) else {
+            continue;
+        };
         let known = core.group.machine.read().worker(&worker).is_some();
         if known {
             let sign = Sign {
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -118,10 +118,10 @@
             log::info!(data_centre = &**data_centre, answer:? = answer; "end of an evacuation ordered");
         }
         Call::Leave { worker } => {
-            log::info!(worker = &**worker, answer:? = answer; "worker leaves");
+            log::info!(worker = worker.to_string(), answer:? = answer; "worker leaves");
         }
         Call::Heartbeat(heartbeat) if !matches!(answer, Answer::Heard { .. }) => {
-            log::info!(worker = &*heartbeat.info.id, answer:? = answer; "heartbeat not taken");
+            log::info!(worker = heartbeat.info.id.to_string(), answer:? = answer; "heartbeat not taken");
         }
         _ => {}
     }
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -1,10 +1,10 @@
 //! What a core holds while it leads.
 
+use bh_protocol::Incarnation;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::plan::Planner;
 use bh_workload::upkeep::Keeper;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// A leader's own state; gone with the leadership.
 pub struct Leadership {
@@ -29,5 +29,5 @@
     /// When runs were last checked for being overdue, on the process's clock in milliseconds.
     pub checked_ms: u64,
     /// Highest number of a heartbeat heard from each worker.
-    pub sequences: BTreeMap<Arc<str>, u64>,
+    pub sequences: BTreeMap<Incarnation, u64>,
 }
--- a/crates/bh-control/src/core/learnt.rs
+++ b/crates/bh-control/src/core/learnt.rs
@@ -19,6 +19,8 @@
     Leave,
     /// Another incarnation answered at the worker's address.
     OtherIncarnation,
+    /// Another incarnation with the same worker id answered.
+    Restarted,
     /// The upkeep of the worker's VM began.
     Upkeep,
 }
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -14,6 +14,7 @@
 use super::run_ends::log_skipped_ends;
 use super::run_ends::log_unrecorded;
 use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
 use bh_workload::state::Command;
@@ -77,17 +78,17 @@
         }
         Sent::NotListening => {
             core.metrics.count("orders_lost", 1);
-            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "nothing listens at a worker's address");
+            log::warn!(worker = order.to.worker.to_string(), order = order.body.to_string(); "nothing listens at a worker's address");
             Answer::NotListening
         }
         Sent::NoAnswer(why) => {
             core.metrics.count("orders_lost", 1);
-            log::warn!(worker = &*order.to.worker, order = order.body.to_string(); "no answer to an order: {why}");
+            log::warn!(worker = order.to.worker.to_string(), order = order.body.to_string(); "no answer to an order: {why}");
             Answer::Lost
         }
         Sent::CarrierLost(why) => {
             core.metrics.count("orders_uncarried", 1);
-            log::info!(worker = &*order.to.worker, order = order.body.to_string(); "an order's carrier was lost: {why}");
+            log::info!(worker = order.to.worker.to_string(), order = order.body.to_string(); "an order's carrier was lost: {why}");
             Answer::CarrierLost
         }
     };
@@ -98,7 +99,7 @@
 fn note_repeated(core: &CoreNode, order: &Order, status: StatusCode) {
     core.metrics.count("orders_repeated", 1);
     log::info!(
-        worker = &*order.to.worker, order = order.body.to_string(), term = order.token, status = status.as_u16();
+        worker = order.to.worker.to_string(), order = order.body.to_string(), term = order.token, status = status.as_u16();
         "order sent again: its connection broke after it was sent"
     );
     let mut held = core.leadership.borrow_mut();
@@ -107,6 +108,18 @@
     }
 }
 
+/// Logs and counts each later incarnation of a worker once, when it first answers in place of the recorded one.
+fn log_restart(core: &CoreNode, order: &Order, started_ms: u64, dispatcher: &Dispatcher) {
+    let target = dispatcher.view(&order.to.worker);
+    let known = target.and_then(|target| target.restart.as_ref());
+    if known.is_some_and(|restart| restart.started_ms == started_ms) {
+        return;
+    }
+    let (runs, recorded_to) = target.map_or((0, 0), |t| (t.runs.len(), t.recorded_to));
+    core.metrics.count("workers_restarted", 1);
+    log::info!(worker = order.to.worker.to_string(), term = order.token, started_ms, runs, recorded_to; "worker restarted under the same id");
+}
+
 fn note_answer(core: &Rc<CoreNode>, order: &Order, answer: &Answer) {
     let now_ms = core.clock.now_ms();
     let mut held = core.leadership.borrow_mut();
@@ -115,7 +128,10 @@
     };
     if let Answer::Denied { denial, .. } = answer {
         core.metrics.count("orders_denied", 1);
-        log::info!(worker = &*order.to.worker, denial:? = denial, order = order.body.to_string(), term = order.token; "order denied");
+        log::info!(worker = order.to.worker.to_string(), denial:? = denial, order = order.body.to_string(), term = order.token; "order denied");
+    }
+    if let Answer::Restarted { started_ms, .. } = answer {
+        log_restart(core, order, *started_ms, &leadership.dispatcher);
     }
     let answered = leadership.dispatcher.answers(&order.to.worker);
     let workload = core.group.machine.read();
@@ -147,6 +163,7 @@
     if let Some(command) = command {
         let learnt = match answer {
             Answer::OtherIncarnation => Learnt::OtherIncarnation,
+            Answer::Restarted { .. } => Learnt::Restarted,
             _ => Learnt::Leave,
         };
         log_departures(core, order.token, &command, learnt);
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -57,7 +57,7 @@
         log::info!(step = step.to_string(), workers; "room is made");
     }
     for (worker, run) in &evictions {
-        log::info!(run = run.to_string(), worker = &**worker; "stopped to make room for guaranteed work");
+        log::info!(run = run.to_string(), worker = worker.to_string(); "stopped to make room for guaranteed work");
         leadership.dispatcher.give_up(worker, *run);
     }
     if !evictions.is_empty() {
@@ -101,7 +101,7 @@
             .cut_short((now_ms, core.wall_ms()), workload, &leadership.dispatcher);
     for (worker, run) in cut_short {
         core.metrics.count("runs_cut_short", 1);
-        log::info!(run = run.to_string(), worker = &*worker; "stopped since its worker leaves before it can end");
+        log::info!(run = run.to_string(), worker = worker.to_string(); "stopped since its worker leaves before it can end");
         leadership.dispatcher.give_up(&worker, run);
     }
 }
@@ -124,7 +124,7 @@
             .and_then(|target| target.clock);
         let heard_ms_ago = clock.map_or(0, |clock| now_ms.saturating_sub(clock.at_ms));
         log::info!(
-            run = start.run.to_string(), worker = &*start.worker, term = leadership.term, failures, max_attempts, crashes, priority, waited_ms, rules_version, heard_ms_ago;
+            run = start.run.to_string(), worker = start.worker.to_string(), term = leadership.term, failures, max_attempts, crashes, priority, waited_ms, rules_version, heard_ms_ago;
             "run planned"
         );
     }
--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -5,12 +5,12 @@
 use bh_group::encode;
 use bh_protocol::Code;
 use bh_protocol::Failure;
+use bh_protocol::Incarnation;
 use bh_workload::dispatch::RecordOutcome;
 use bh_workload::state::Command;
 use bh_workload::state::Reply;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Wait for a record to be committed, in milliseconds. What takes longer may still be, and shows in the record then.
 pub(super) const RECORD_MS: u64 = 3_000;
@@ -28,7 +28,7 @@
 pub(super) fn record(core: &Rc<CoreNode>, command: Command, origin: Origin) {
     let core = core.clone();
     monoio::spawn(async move {
-        let workers: BTreeSet<Arc<str>> = match &command {
+        let workers: BTreeSet<Incarnation> = match &command {
             Command::Ends { ends, .. } => ends.iter().map(|end| end.worker.clone()).collect(),
             _ => BTreeSet::new(),
         };
--- a/crates/bh-control/src/core/run_ends.rs
+++ b/crates/bh-control/src/core/run_ends.rs
@@ -2,6 +2,7 @@
 
 use super::core_node::CoreNode;
 use super::learnt::Learnt;
+use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
@@ -32,7 +33,7 @@
         core.metrics.count(counter(end.kind), 1);
         let recorded_to = recorded_to(dispatcher, &end.worker);
         log::info!(
-            run = end.run.to_string(), worker = &*end.worker, end:? = end.kind, learnt:? = learnt(end), term, open,
+            run = end.run.to_string(), worker = end.worker.to_string(), end:? = end.kind, learnt:? = learnt(end), term, open,
             failures = failures(workload, end.run.task), saved = end.checkpoint.is_some(), recorded_to;
             "run over"
         );
@@ -56,6 +57,7 @@
 pub(super) fn learnt_by(order: &Order, answer: &Answer, end: &End) -> Learnt {
     match answer {
         Answer::OtherIncarnation => Learnt::OtherIncarnation,
+        Answer::Restarted { .. } => Learnt::Restarted,
         Answer::Denied { .. } => Learnt::Refused,
         _ if matches!(order.body, OrderBody::Look { .. }) && end.kind != EndKind::NotStarted => {
             Learnt::Listed
@@ -84,14 +86,14 @@
     for running in unrecorded {
         core.metrics.count("runs_unrecorded", 1);
         log::warn!(
-            run = running.run.to_string(), worker = &*order.to.worker, term = order.token, failures = failures(workload, running.run.task);
+            run = running.run.to_string(), worker = order.to.worker.to_string(), term = order.token, failures = failures(workload, running.run.task);
             "worker runs what the record has over"
         );
     }
 }
 
 /// Highest recorded end number of `worker`, as far as this leader knows; 0 if it does not know the worker.
-fn recorded_to(dispatcher: &Dispatcher, worker: &str) -> u64 {
+fn recorded_to(dispatcher: &Dispatcher, worker: &Incarnation) -> u64 {
     dispatcher
         .view(worker)
         .map_or(0, |target| target.recorded_to)
@@ -124,7 +126,7 @@
     for ended in skipped {
         core.metrics.count("ends_skipped", 1);
         log::warn!(
-            run = ended.run.to_string(), worker = &*order.to.worker, term = order.token, number = ended.number, recorded_to, end:? = ended.kind;
+            run = ended.run.to_string(), worker = order.to.worker.to_string(), term = order.token, number = ended.number, recorded_to, end:? = ended.kind;
             "reported end of an open run skipped: its number is already recorded"
         );
     }
--- a/crates/bh-control/src/core/unheard.rs
+++ b/crates/bh-control/src/core/unheard.rs
@@ -2,10 +2,10 @@
 
 use crate::calls::Answer;
 use crate::calls::WorkerHeartbeat;
+use bh_protocol::Incarnation;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::state::Workload;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// Workers remembered at a time; about as many as a fleet has.
 const MOST_REMEMBERED: usize = 20_000;
@@ -17,7 +17,7 @@
 /// for a second or more after each longer time without a leader.
 #[derive(Clone, Debug, Default)]
 pub struct Unheard {
-    by_worker: BTreeMap<Arc<str>, (u64, WorkerHeartbeat)>,
+    by_worker: BTreeMap<Incarnation, (u64, WorkerHeartbeat)>,
 }
 
 impl Unheard {
--- a/crates/bh-control/src/core/upkeep.rs
+++ b/crates/bh-control/src/core/upkeep.rs
@@ -37,7 +37,7 @@
                 monoio::spawn(record(core.clone(), command));
             }
             Step::Stop(worker, run) => {
-                log::info!(run = run.to_string(), worker = &*worker; "stopped for the upkeep of its VM");
+                log::info!(run = run.to_string(), worker = worker.to_string(); "stopped for the upkeep of its VM");
                 leadership.dispatcher.give_up(&worker, run);
             }
             Step::Order(order) => {
--- a/crates/bh-protocol/src/lib.rs
+++ b/crates/bh-protocol/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod code;
 pub mod failure;
+pub mod incarnation;
 pub mod job;
 pub mod number;
 pub mod rendezvous;
@@ -16,3 +17,4 @@
 pub use code::Code;
 pub use code::Ran;
 pub use failure::Failure;
+pub use incarnation::Incarnation;
--- a/crates/bh-testkit/src/model_worker.rs
+++ b/crates/bh-testkit/src/model_worker.rs
@@ -1,5 +1,6 @@
 //! A worker as the protocol describes it, in memory, with its own clock.
 
+use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Denial;
 use bh_workload::dispatch::Ended;
@@ -48,12 +49,14 @@
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub struct ModelWorker {
-    /// Identity of this life.
-    pub id: String,
+    /// Worker id and start time.
+    pub id: Incarnation,
     /// How fast its clock runs, in thousandths of the true rate.
     rate: u64,
-    /// What its clock showed at time 0 of the site.
+    /// What its clock showed when it started.
     offset_ms: u64,
+    /// When it started, on the site's clock in milliseconds.
+    started_ms: u64,
     token: u64,
     lease_until_ms: u64,
     /// What runs.
@@ -73,12 +76,13 @@
 }
 
 impl ModelWorker {
-    /// A worker that runs nothing. `rate` is in thousandths; `offset_ms` is what its clock shows at time 0 of the site.
-    pub fn new(id: String, rate: u64, offset_ms: u64, planted: Planted) -> Self {
+    /// A worker that runs nothing and started at time 0 of the site. `rate` is in thousandths; `offset_ms` is what its clock showed then.
+    pub fn new(id: Incarnation, rate: u64, offset_ms: u64, planted: Planted) -> Self {
         Self {
             id,
             rate,
             offset_ms,
+            started_ms: 0,
             token: 0,
             lease_until_ms: 0,
             runs: BTreeMap::new(),
@@ -92,6 +96,12 @@
         }
     }
 
+    /// Sets the start time, on the site's clock in milliseconds.
+    pub fn with_started_ms(mut self, started_ms: u64) -> Self {
+        self.started_ms = started_ms;
+        self
+    }
+
     /// What its clock shows at `now_ms` of the site.
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         let rate = if self.planted == Planted::HalfClock {
@@ -99,7 +109,7 @@
         } else {
             self.rate
         };
-        self.offset_ms + now_ms * rate / 1_000
+        self.offset_ms + now_ms.saturating_sub(self.started_ms) * rate / 1_000
     }
 
     /// Ends a run, if it is there.
@@ -148,6 +158,11 @@
         }
     }
 
+    /// Whether it has received any order.
+    pub fn has_received_orders(&self) -> bool {
+        self.token > 0
+    }
+
     /// Number of the newest end, or 0.
     pub fn last_end(&self) -> u64 {
         self.next_end - 1
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -16,7 +16,7 @@
 use crate::state::EndKind;
 use crate::state::Worker;
 use crate::state::Workload;
-use std::sync::Arc;
+use bh_protocol::Incarnation;
 
 /// Ends as a command, with the time left for the caller to fill in.
 fn ends_command(ends: Vec<End>) -> Option<Command> {
@@ -28,7 +28,7 @@
     now_ms: u64,
     target: &mut Target,
     run: RunId,
-    worker: &Arc<str>,
+    worker: &Incarnation,
     answer: &Answer,
 ) -> Option<Command> {
     let watch = target.runs.get_mut(&run)?;
@@ -58,7 +58,8 @@
         | Answer::Lost
         | Answer::NotListening
         | Answer::CarrierLost
-        | Answer::OtherIncarnation => {
+        | Answer::OtherIncarnation
+        | Answer::Restarted { .. } => {
             watch.start = StartPhase::Unsure {
                 retry_ms: now_ms + RETRY_MS,
             };
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -15,23 +15,22 @@
 use super::Timing;
 use super::answers::note_report;
 use super::answers::note_start;
-use super::crash::suspects;
+use super::departure::departure;
 use super::order::RETRY_MS;
+use super::restart::note_restart;
 use super::worker_turn::WorkerTurn;
 use super::worker_turn::look_wait_ms;
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::state::Command;
-use crate::state::Crash;
 use crate::state::End;
-use crate::state::EndKind;
 use crate::state::News;
 use crate::state::Worker;
 use crate::state::WorkerChange;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 /// Wait before a worker that does not answer is looked at again, in milliseconds.
 const FAILING_LOOK_MS: u64 = 400;
@@ -48,51 +47,18 @@
     timing: Timing,
     token: u64,
     elected_ms: u64,
-    targets: BTreeMap<Arc<str>, Target>,
-    due: BTreeSet<Arc<str>>,
+    targets: BTreeMap<Incarnation, Target>,
+    due: BTreeSet<Incarnation>,
     /// How long a look waits for an end, in milliseconds.
     look_wait_ms: u64,
     /// What an outside adviser allows.
     pub permissions: Permissions,
     /// Workers whose VMs' upkeep is next.
-    emptied: BTreeSet<Arc<str>>,
+    emptied: BTreeSet<Incarnation>,
     /// Gangs of which members ended because others did.
     broken: BrokenGangs,
     /// Workers that ended lately: a heartbeat of theirs that was held up must not bring them back.
-    departed: BTreeSet<Arc<str>>,
-}
-
-/// What to record of a worker in whose place another incarnation answered. One that had not said that it leaves, and whose VM has no
-/// upkeep, has crashed, for whatever reason: a task, the VM, or a rack without power all look the same from here, and
-/// [`Evidence`](crate::state::Evidence) says what makes the difference.
-fn departure(now_ms: u64, id: &Arc<str>, target: &Target, workload: &Workload) -> Command {
-    let leaving = workload.worker(id).is_some_and(|worker| worker.draining);
-    let suspects = suspects(now_ms, target, workload, leaving);
-    let announced = target.left || leaving && suspects.is_empty() || workload.is_in_upkeep(id);
-    if announced {
-        return Command::Workers(vec![WorkerChange::Gone(id.clone())]);
-    }
-    let recorded = workload.worker(id).into_iter();
-    let ends = recorded
-        .flat_map(|worker| worker.runs.keys())
-        .map(|run| End {
-            run: *run,
-            worker: id.clone(),
-            kind: EndKind::Lost,
-            checkpoint: target
-                .runs
-                .get(run)
-                .and_then(|watch| watch.checkpoint.clone()),
-        });
-    Command::Ends {
-        ends: ends.collect(),
-        now_ms: 0,
-        crash: Some(Crash {
-            worker: id.clone(),
-            suspects,
-        }),
-        late_failures: Vec::new(),
-    }
+    departed: BTreeSet<Incarnation>,
 }
 
 impl Dispatcher {
@@ -115,6 +81,7 @@
         };
         for worker in workload.workers() {
             let target = dispatcher.target(&worker.info.id);
+            target.is_recorded = true;
             target.filling = FillPace::taken_over();
             target.said_ms = Some(now_ms);
             // Which of them were lost with a lease this leader can't know; a failure that another leader would have counted must not be missed.
@@ -155,26 +122,32 @@
     }
 
     /// What is known of a worker.
-    pub fn view(&self, worker: &str) -> Option<&Target> {
+    pub fn view(&self, worker: &Incarnation) -> Option<&Target> {
         self.targets.get(worker)
     }
 
-    fn target(&mut self, worker: &Arc<str>) -> &mut Target {
+    fn target(&mut self, worker: &Incarnation) -> &mut Target {
         self.due.insert(worker.clone());
-        self.targets.entry(worker.clone()).or_default()
+        self.targets
+            .entry(worker.clone())
+            .or_insert_with(|| Target::new(worker))
     }
 
     /// Notes a heartbeat of a worker; `false` when the worker has ended and this one was held up.
     pub fn note_heartbeat(
         &mut self,
         now_ms: u64,
-        worker: &Arc<str>,
+        worker: &Incarnation,
         clock_ms: Option<u64>,
     ) -> bool {
         if self.departed.contains(worker) {
             return false;
         }
-        let target = self.targets.entry(worker.clone()).or_default();
+        let entry = self.targets.entry(worker.clone());
+        let target = entry.or_insert_with(|| Target::new(worker));
+        if !target.is_verified() {
+            self.due.insert(worker.clone());
+        }
         target.heard_ms = target.heard_ms.max(Some(now_ms));
         target.said_ms = target.said_ms.max(Some(now_ms));
         if let Some(worker_ms) = clock_ms {
@@ -184,14 +157,14 @@
     }
 
     /// Notes that a worker said at `heard_ms` that it is slow for `cold_ms` more.
-    pub fn note_cold(&mut self, heard_ms: u64, worker: &Arc<str>, cold_ms: u64) {
+    pub fn note_cold(&mut self, heard_ms: u64, worker: &Incarnation, cold_ms: u64) {
         if let Some(target) = self.targets.get_mut(worker) {
             target.cold_until_ms = heard_ms + cold_ms;
         }
     }
 
     /// Notes that a worker that is leaving said at `heard_ms` that it still runs for `leaves_in_ms` at least.
-    pub fn note_leaving(&mut self, heard_ms: u64, worker: &Arc<str>, leaves_in_ms: u64) {
+    pub fn note_leaving(&mut self, heard_ms: u64, worker: &Incarnation, leaves_in_ms: u64) {
         if let Some(target) = self.targets.get_mut(worker) {
             target.leaves_ms = Some(heard_ms + leaves_in_ms);
         }
@@ -202,7 +175,7 @@
     pub fn note_left(
         &mut self,
         now_ms: u64,
-        worker: &Arc<str>,
+        worker: &Incarnation,
         workload: &Workload,
     ) -> Option<Command> {
         if workload.worker(worker).is_none() {
@@ -216,8 +189,15 @@
         })
     }
 
+    /// Schedules looks at all recorded incarnations of a worker, to find out which of them still run.
+    pub fn check_incarnations(&mut self, worker: &Incarnation, workload: &Workload) {
+        for incarnation in workload.incarnations(worker) {
+            self.target(&incarnation.info.id).note_successor();
+        }
+    }
+
     /// Whether a worker is known to answer, as [`Target::answers`].
-    pub fn answers(&self, worker: &str) -> bool {
+    pub fn answers(&self, worker: &Incarnation) -> bool {
         self.view(worker).is_some_and(Target::answers)
     }
 
@@ -229,10 +209,12 @@
                 self.departed.insert(id.clone());
                 continue;
             };
-            if !self.targets.contains_key(id) {
+            let known = self.targets.get(id);
+            if known.is_none_or(|target| !target.is_recorded) {
                 self.check_predecessors(worker, workload);
             }
             let target = self.target(id);
+            target.is_recorded = true;
             target.runs.retain(|run, _| worker.runs.contains_key(run));
             target
                 .unsaid
@@ -246,12 +228,13 @@
         }
     }
 
-    /// Looks at the workers whose address a new one has.
+    /// Schedules looks at recorded workers that have the same address or the same id as a new one.
     fn check_predecessors(&mut self, newcomer: &Worker, workload: &Workload) {
-        let at_address = workload.workers().filter(|other| {
+        let replaced = workload.workers().filter(|other| {
             other.info.address == newcomer.info.address && other.info.id != newcomer.info.id
+                || other.info.id.is_other_incarnation(&newcomer.info.id)
         });
-        for other in at_address {
+        for other in replaced {
             if let Some(target) = self.targets.get_mut(&other.info.id) {
                 target.note_successor();
                 self.due.insert(other.info.id.clone());
@@ -273,7 +256,7 @@
     }
 
     /// Wants a run to end though the record would let it go on.
-    pub fn give_up(&mut self, worker: &Arc<str>, run: RunId) {
+    pub fn give_up(&mut self, worker: &Incarnation, run: RunId) {
         let target = self.target(worker);
         if let Some(watch) = target.runs.get_mut(&run) {
             watch.give_up = true;
@@ -281,12 +264,12 @@
     }
 
     /// Gives these workers, and no others, no new work because their VMs' upkeep is next.
-    pub fn set_emptied(&mut self, workers: BTreeSet<Arc<str>>) {
+    pub fn set_emptied(&mut self, workers: BTreeSet<Incarnation>) {
         self.emptied = workers;
     }
 
     /// Whether a worker gets no new work because its VM's upkeep is next.
-    pub fn is_emptied(&self, worker: &str) -> bool {
+    pub fn is_emptied(&self, worker: &Incarnation) -> bool {
         self.emptied.contains(worker)
     }
 
@@ -299,14 +282,14 @@
     }
 
     /// Gives a worker no new work for a while.
-    pub fn set_aside(&mut self, now_ms: u64, worker: &Arc<str>) {
+    pub fn set_aside(&mut self, now_ms: u64, worker: &Incarnation) {
         if let Some(target) = self.targets.get_mut(worker) {
             target.set_aside(now_ms);
         }
     }
 
     /// Up to which number ends that the worker listed are on their way into the record.
-    pub fn recording_to(&self, worker: &str) -> Option<u64> {
+    pub fn recording_to(&self, worker: &Incarnation) -> Option<u64> {
         self.view(worker).and_then(|target| target.recording_to)
     }
 
@@ -315,7 +298,7 @@
     /// ends, the worker would forget them, and a leader lost before their own commit would lose them with it.
     pub fn note_recorded(
         &mut self,
-        worker: &Arc<str>,
+        worker: &Incarnation,
         listed_to: Option<u64>,
         outcome: RecordOutcome,
     ) {
@@ -348,7 +331,7 @@
         workload: &Workload,
         all: bool,
     ) -> (Vec<Order>, Vec<End>) {
-        let due: Vec<Arc<str>> = if all {
+        let due: Vec<Incarnation> = if all {
             self.permissions.drop_steps(|step| {
                 let job = workload.job(step.job);
                 job.is_none_or(|job| job.outcome.is_some())
@@ -370,10 +353,15 @@
             else {
                 continue;
             };
-            if !target.needs_orders() {
+            // Only an answer shows which of several recorded incarnations is running.
+            if !target.needs_orders() && !workload.has_other_incarnation(&id) {
                 continue;
             }
+            // Orders to a replaced incarnation reach the newest one, which refuses fencing tokens below the highest it has received.
+            let recorded = workload.incarnations(&id).map(|other| other.restarts).max();
+            let known = worker.restarts + u64::from(target.restart.is_some());
             let mut turn = WorkerTurn {
+                restarts: known.max(recorded.unwrap_or(0)),
                 now_ms,
                 timing: &self.timing,
                 look_wait_ms: self.look_wait_ms,
@@ -415,9 +403,15 @@
         let target = self.targets.get_mut(id)?;
         self.due.insert(id.clone());
         match answer {
+            // Only a report identifies the incarnation that answered.
+            Answer::Done { .. } | Answer::Denied { .. } if target.restart.is_some() => {}
             Answer::Done { clock_ms, .. } | Answer::Denied { clock_ms, .. } => {
                 target.note_answer(now_ms, *clock_ms);
             }
+            Answer::Restarted { started_ms, report } => {
+                target.looking = false;
+                return note_restart(now_ms, order, target, (id, workload), (*started_ms, report));
+            }
             Answer::Lost => target.note_silence(now_ms, order),
             Answer::NotListening => {
                 target.note_silence(now_ms, order);
@@ -479,6 +473,7 @@
                         report: Some(report),
                         ..
                     } => {
+                        target.restart = None;
                         target.acknowledged_to = target.acknowledged_to.max(*recorded_to);
                         target.next_look_ms = now_ms;
                         target.reported_ms = now_ms;
--- a/crates/bh-workload/src/dispatch/order.rs
+++ b/crates/bh-workload/src/dispatch/order.rs
@@ -2,6 +2,7 @@
 
 use crate::job::RunId;
 use crate::state::EndKind;
+use bh_protocol::Incarnation;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,10 +18,12 @@
 /// The worker incarnation an order is meant for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recipient {
-    /// Identity; any other incarnation at the address refuses.
-    pub worker: Arc<str>,
+    /// Worker id and start time.
+    pub worker: Incarnation,
     /// Where it takes orders.
     pub address: SocketAddr,
+    /// Number of earlier incarnations of the worker.
+    pub restarts: u64,
 }
 
 /// One order.
@@ -28,7 +31,7 @@
 pub struct Order {
     /// Who shall carry it out.
     pub to: Recipient,
-    /// Fencing token: grows with the leader's term, so that a deposed leader's orders are refused.
+    /// The leader's term; see [`Order::fencing_token`].
     pub token: u64,
     /// When it was made, on the leader's clock in milliseconds.
     pub sent_ms: u64,
@@ -37,6 +40,12 @@
 }
 
 impl Order {
+    /// Fencing token sent to the worker: increases with the leader's term and with each restart of the worker. A restarted worker has no stored
+    /// token; its first order makes it refuse delayed orders for the previous incarnation.
+    pub fn fencing_token(&self) -> u64 {
+        self.token + self.to.restarts
+    }
+
     /// Longest time to wait for the answer, in milliseconds. Whoever has not answered by then is taken to be silent, and gets no new work.
     pub fn answer_within_ms(&self) -> u64 {
         match &self.body {
@@ -134,6 +143,13 @@
     },
     /// Another incarnation lives at the address.
     OtherIncarnation,
+    /// The order was a look, and another incarnation with the same worker id answered it.
+    Restarted {
+        /// Start time of that incarnation, in milliseconds since 1970 by the worker's clock.
+        started_ms: u64,
+        /// Its running and ended runs.
+        report: Report,
+    },
     /// Nothing listens at the address, and the order was not sent: the process is gone, for good or until it starts again.
     NotListening,
     /// No whole answer: it may have been carried out, or may still be.
--- a/crates/bh-workload/src/dispatch/permissions.rs
+++ b/crates/bh-workload/src/dispatch/permissions.rs
@@ -2,6 +2,7 @@
 
 use crate::job::StepId;
 use crate::rules::Advice;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -22,7 +23,7 @@
     /// The step.
     pub step: StepId,
     /// The workers.
-    pub workers: Vec<Arc<str>>,
+    pub workers: Vec<Incarnation>,
     /// How long to wait for the answer, in milliseconds.
     pub limit_ms: u64,
     /// How long a permission is valid, in milliseconds.
@@ -32,7 +33,7 @@
 /// Allows one worker to run a step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Permission {
-    /// The worker.
+    /// Id of the worker.
     pub worker: Arc<str>,
     /// What shows it to the worker.
     pub proof: Arc<str>,
@@ -42,9 +43,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Known {
     /// Proof and its end on the leader's clock in milliseconds, by worker.
-    allowed: BTreeMap<Arc<str>, (Arc<str>, u64)>,
+    allowed: BTreeMap<Incarnation, (Arc<str>, u64)>,
     /// Workers that may not run it; that does not change.
-    refused: BTreeSet<Arc<str>>,
+    refused: BTreeSet<Incarnation>,
 }
 
 /// Permissions as far as this leader has asked for them. Lost with the leadership and asked for again.
@@ -63,7 +64,7 @@
     }
 
     /// Workers that may be given tasks of `step` now.
-    pub fn permitted(&self, step: StepId, now_ms: u64) -> BTreeSet<Arc<str>> {
+    pub fn permitted(&self, step: StepId, now_ms: u64) -> BTreeSet<Incarnation> {
         let known = self.steps.get(&step);
         let valid = known
             .into_iter()
@@ -73,7 +74,7 @@
     }
 
     /// What shows a worker that it may run a step.
-    pub fn proof(&self, step: StepId, worker: &str, now_ms: u64) -> Option<Arc<str>> {
+    pub fn proof(&self, step: StepId, worker: &Incarnation, now_ms: u64) -> Option<Arc<str>> {
         let (proof, until_ms) = self.steps.get(&step)?.allowed.get(worker)?;
         (now_ms < *until_ms).then(|| proof.clone())
     }
@@ -85,14 +86,14 @@
         now_ms: u64,
         step: StepId,
         advice: &Advice,
-        candidates: impl Iterator<Item = Arc<str>>,
+        candidates: impl Iterator<Item = Incarnation>,
     ) -> Option<Question> {
         let known = self.steps.get(&step).cloned().unwrap_or_default();
         let (allowed, unknown): (Vec<_>, Vec<_>) = candidates
             .filter(|worker| !known.refused.contains(worker))
             .filter(|worker| self.proof(step, worker, now_ms).is_none())
             .partition(|worker| known.allowed.contains_key(worker));
-        let workers: Vec<Arc<str>> = allowed
+        let workers: Vec<Incarnation> = allowed
             .into_iter()
             .chain(unknown)
             .take(MOST_ASKED)
@@ -121,7 +122,7 @@
         let until_ms = now_ms + question.valid_ms.saturating_sub(MARGIN_MS);
         let known = self.steps.entry(question.step).or_default();
         for worker in &question.workers {
-            match allowed.iter().find(|allowed| allowed.worker == *worker) {
+            match allowed.iter().find(|allowed| allowed.worker == worker.id) {
                 Some(permission) => {
                     let held = (permission.proof.clone(), until_ms);
                     known.allowed.insert(worker.clone(), held);
@@ -134,7 +135,7 @@
     }
 
     /// Notes that a worker did not take a proof: it is asked for again.
-    pub fn forget(&mut self, step: StepId, worker: &str) {
+    pub fn forget(&mut self, step: StepId, worker: &Incarnation) {
         if let Some((_, until_ms)) = self
             .steps
             .get_mut(&step)
--- a/crates/bh-workload/src/dispatch/run_watch.rs
+++ b/crates/bh-workload/src/dispatch/run_watch.rs
@@ -100,6 +100,12 @@
         self.was_unsure || self.was_repeated
     }
 
+    /// Whether a start order for the run may reach a later incarnation of its worker. It cannot if it was sent only once and the worker has reported
+    /// the run since.
+    pub fn may_reach_later_incarnation(&self) -> bool {
+        self.start != StartPhase::Unsent && (self.seen_ms.is_none() || self.may_have_begun())
+    }
+
     /// Whether only a report can tell if it has begun: its last start was refused, and an earlier one may have been carried out.
     pub fn awaits_report(&self) -> bool {
         self.refused_ms.is_some() && matches!(self.start, StartPhase::Unsure { .. })
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -2,12 +2,14 @@
 
 use super::FillPace;
 use super::Order;
+use super::Restart;
 use super::RunWatch;
 use super::StartPhase;
 use super::Timing;
 use crate::job::JobId;
 use crate::job::RunId;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -80,6 +82,12 @@
     pub checks_left: u32,
     /// When it was last found to be gone, on the leader's clock in milliseconds.
     pub gone_ms: Option<u64>,
+    /// Whether the leader has seen it in the record. Its first heartbeat arrives before it is recorded.
+    pub is_recorded: bool,
+    /// Whether the worker reports its start time, so that its reports reveal a restart.
+    pub reports_start_time: bool,
+    /// Set once another incarnation of the worker answered in its place.
+    pub restart: Option<Restart>,
     /// How fast tasks that only use idle processors work there.
     pub filling: FillPace,
     /// Jobs that failed there since the last success.
@@ -91,6 +99,20 @@
 }
 
 impl Target {
+    /// The initial state of a worker that has not been heard of.
+    pub fn new(worker: &Incarnation) -> Self {
+        Self {
+            reports_start_time: worker.started_ms.is_some(),
+            ..Self::default()
+        }
+    }
+
+    /// Whether this incarnation has answered a look, and no other incarnation has since. A heartbeat is not sufficient: it may have been delayed while
+    /// the worker restarted, and an order under its id would be carried out by the later incarnation.
+    pub fn is_verified(&self) -> bool {
+        !self.reports_start_time || self.reported_ms > 0 && self.restart.is_none()
+    }
+
     /// Notes an answer: the worker is there, and its clock shows `clock_ms`.
     pub fn note_answer(&mut self, now_ms: u64, clock_ms: Option<u64>) {
         self.failing_since_ms = None;
@@ -137,7 +159,7 @@
     }
 
     /// Whether it said that it ends, and has: nothing listens at its address, or nothing runs there.
-    pub fn has_ended(&self, id: &str, workload: &Workload) -> bool {
+    pub fn has_ended(&self, id: &Incarnation, workload: &Workload) -> bool {
         let is_idle = || {
             let worker = workload.worker(id);
             worker.is_none_or(|worker| worker.runs.is_empty())
@@ -192,6 +214,7 @@
             || self.carrier_lost
             || self.checks_left > 0
             || !self.unsaid.is_empty() && !self.is_failing()
+            || !self.is_verified() && !self.is_failing()
             || self.left
     }
 
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -10,6 +10,7 @@
 use super::StopPhase;
 use super::Target;
 use super::Timing;
+use super::order::RETRY_MS;
 use super::pacing;
 use super::pacing::SHARED_LOOK_MS;
 use crate::job::Needs;
@@ -52,6 +53,8 @@
     pub permissions: &'a Permissions,
     pub broken: &'a BrokenGangs,
     pub worker: &'a Worker,
+    /// Number of incarnations of the worker before the newest known one.
+    pub restarts: u64,
     pub orders: &'a mut Vec<Order>,
     pub ends: &'a mut Vec<End>,
 }
@@ -64,6 +67,10 @@
         } else if target.is_failing() {
             self.give_up_broken(target);
         }
+        if target.restart.is_some() {
+            self.resolve_restart(target);
+            return;
+        }
         let too_much = self.too_much(target);
         let closed = target.left || self.workload.is_evacuated(&self.worker.info);
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
@@ -91,6 +98,24 @@
         self.look(target);
     }
 
+    /// Stops the runs whose start orders may reach the later incarnation, then looks at it until it reports none of them.
+    fn resolve_restart(&mut self, target: &mut Target) {
+        let runs: Vec<RunId> = target.runs.keys().copied().collect();
+        for run in runs {
+            let watch = target.runs.get(&run);
+            if watch.is_some_and(RunWatch::may_reach_later_incarnation) {
+                self.stop(target, run, self.worker.runs.contains_key(&run));
+            }
+        }
+        let is_stopped = |watch: &RunWatch| {
+            !watch.may_reach_later_incarnation()
+                || matches!(watch.stop, StopPhase::Confirmed { .. })
+        };
+        if target.runs.values().all(is_stopped) {
+            self.look(target);
+        }
+    }
+
     /// The lease has surely run out: whatever ran there has been ended by the worker itself.
     fn give_up_lapsed(&mut self, target: &mut Target) {
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
@@ -150,6 +175,7 @@
             to: Recipient {
                 worker: self.worker.info.id.clone(),
                 address: self.worker.info.address,
+                restarts: self.restarts,
             },
             token: self.token,
             sent_ms: self.now_ms,
@@ -157,6 +183,20 @@
         });
     }
 
+    /// Whether a start order can be expected to reach the recorded incarnation: it has answered a look since the last unanswered order, and no other
+    /// incarnation of the worker is recorded.
+    fn can_receive_start(&self, target: &Target, run: RunId) -> bool {
+        if !target.reports_start_time {
+            return true;
+        }
+        let is_reported = match target.runs.get(&run).map(|watch| watch.start) {
+            Some(StartPhase::Unsure { retry_ms }) => target.asked_ms + RETRY_MS >= retry_ms,
+            _ => true,
+        };
+        let has_other_incarnation = self.workload.has_other_incarnation(&self.worker.info.id);
+        target.is_verified() && !target.is_failing() && is_reported && !has_other_incarnation
+    }
+
     fn start(&mut self, target: &mut Target, run: RunId) {
         let now_ms = self.now_ms;
         let ready = target
@@ -168,7 +208,8 @@
                 StartPhase::InFlight | StartPhase::Confirmed { .. } => false,
             });
         // After a silence it may have shrunk: its next heartbeat tells.
-        if !ready || !target.is_current(now_ms, self.timing) {
+        if !ready || !target.is_current(now_ms, self.timing) || !self.can_receive_start(target, run)
+        {
             return;
         }
         let Some(job) = self.workload.job(run.task.step.job) else {
@@ -335,15 +376,19 @@
             .runs
             .values()
             .all(|watch| watch.start == StartPhase::InFlight);
-        if first_starts && !target.must_be_asked() {
+        let has_other_incarnation = self.workload.has_other_incarnation(&self.worker.info.id);
+        if first_starts && !target.must_be_asked() && !has_other_incarnation {
             return;
         }
         let unsure = target
             .runs
             .values()
             .any(|watch| matches!(watch.start, StartPhase::Unsure { .. }));
-        let settled =
-            target.runs.is_empty() || unsure || target.is_failing() || target.carrier_lost;
+        let settled = target.runs.is_empty()
+            || unsure
+            || target.is_failing()
+            || target.carrier_lost
+            || !target.is_verified();
         let wait_ms = if settled {
             0
         } else if pacing::is_shared(self.workload, self.worker) {
@@ -351,14 +396,23 @@
         } else {
             self.look_wait_ms.min(self.timing.lease_ms / LOOKS_IN_LEASE)
         };
-        let lease_until_ms = if target.runs.is_empty() {
+        let lease_until_ms = if target.runs.is_empty() || target.restart.is_some() {
             None
         } else {
             target.grant(self.now_ms, self.timing)
         };
         target.looking = true;
         target.checks_left = target.checks_left.saturating_sub(1);
-        let recorded_to = target.recorded_to;
+        // Acknowledges ends only to a worker whose last look was answered: a restarted worker would discard new ends that have the same numbers.
+        let may_acknowledge = target.is_behind()
+            && !target.is_failing()
+            && target.is_verified()
+            && !has_other_incarnation;
+        let recorded_to = if may_acknowledge {
+            target.recorded_to
+        } else {
+            0
+        };
         self.order(OrderBody::Look {
             lease_until_ms,
             recorded_to,
--- a/crates/bh-workload/src/plan/availability.rs
+++ b/crates/bh-workload/src/plan/availability.rs
@@ -7,8 +7,8 @@
 use crate::job::StepId;
 use crate::job::StepSpec;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// Progress that a task of a service reports once it is wholly at work, in percent.
 const AT_WORK_PERCENT: u64 = 100;
@@ -17,7 +17,7 @@
 pub struct Availability<'a> {
     workload: &'a Workload,
     dispatcher: &'a Dispatcher,
-    stopping: &'a [(Arc<str>, RunId)],
+    stopping: &'a [(Incarnation, RunId)],
     /// Tasks that may still be stopped, by step.
     left: BTreeMap<StepId, u64>,
 }
@@ -27,7 +27,7 @@
     pub fn new(
         workload: &'a Workload,
         dispatcher: &'a Dispatcher,
-        stopping: &'a [(Arc<str>, RunId)],
+        stopping: &'a [(Incarnation, RunId)],
     ) -> Self {
         Self {
             workload,
--- a/crates/bh-workload/src/plan/claim.rs
+++ b/crates/bh-workload/src/plan/claim.rs
@@ -1,12 +1,12 @@
 //! Room that is being made on chosen workers.
 
-use std::sync::Arc;
+use bh_protocol::Incarnation;
 
 /// Room that is being made for a unit.
 #[derive(Clone, Debug)]
 pub(super) struct Claim {
     /// Workers and number of tasks.
-    pub places: Vec<(Arc<str>, u64)>,
+    pub places: Vec<(Incarnation, u64)>,
     /// When the claim lapses, on the leader's clock in milliseconds.
     pub until_ms: u64,
 }
--- a/crates/bh-workload/src/plan/decided.rs
+++ b/crates/bh-workload/src/plan/decided.rs
@@ -4,7 +4,7 @@
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::state::Start;
-use std::sync::Arc;
+use bh_protocol::Incarnation;
 
 /// What shall happen now.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -12,7 +12,7 @@
     /// Runs to record and order.
     pub starts: Vec<Start>,
     /// Runs to stop so that others fit, with their workers.
-    pub evictions: Vec<(Arc<str>, RunId)>,
+    pub evictions: Vec<(Incarnation, RunId)>,
     /// What to ask an outside adviser, the most urgent first.
     pub questions: Vec<Question>,
     /// Steps for which room is being made from now on, with the number of workers.
--- a/crates/bh-workload/src/plan/explain.rs
+++ b/crates/bh-workload/src/plan/explain.rs
@@ -14,6 +14,7 @@
 use crate::state::JobState;
 use crate::state::Task;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -67,7 +68,7 @@
     /// `JOB.OCCURRENCE.STEP.INDEX#ATTEMPT`.
     pub run: String,
     /// Its worker.
-    pub worker: Arc<str>,
+    pub worker: Incarnation,
     /// Last progress that the worker reported, in percent.
     pub percent: u64,
     /// How old that report is, in milliseconds.
--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -4,6 +4,7 @@
 use super::pass::Pass;
 use super::place;
 use crate::job::Needs;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -77,7 +78,7 @@
         ends
     }
 
-    fn ends_of(&self, worker: &str) -> Vec<(u64, Needs)> {
+    fn ends_of(&self, worker: &Incarnation) -> Vec<(u64, Needs)> {
         let (Some(recorded), Some(target)) =
             (self.workload.worker(worker), self.dispatcher.view(worker))
         else {
--- a/crates/bh-workload/src/plan/leaving.rs
+++ b/crates/bh-workload/src/plan/leaving.rs
@@ -9,8 +9,8 @@
 use crate::job::RunId;
 use crate::state::Worker;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 /// Progress from which a run's pace is known well enough, in percent: it is reported in whole ones.
 const KNOWN_PERCENT: u64 = 10;
@@ -25,7 +25,7 @@
     workload: &Workload,
     dispatcher: &Dispatcher,
     runtimes: &Runtimes,
-) -> BTreeSet<(Arc<str>, RunId)> {
+) -> BTreeSet<(Incarnation, RunId)> {
     let leaving = workload.workers().filter(|worker| worker.draining);
     let look = Look {
         now_ms,
@@ -49,7 +49,7 @@
 }
 
 impl Look<'_> {
-    fn cut_short_on(&self, worker: &Worker) -> Vec<(Arc<str>, RunId)> {
+    fn cut_short_on(&self, worker: &Worker) -> Vec<(Incarnation, RunId)> {
         let Some(target) = self.dispatcher.view(&worker.info.id) else {
             return Vec::new();
         };
--- a/crates/bh-workload/src/plan/overdue.rs
+++ b/crates/bh-workload/src/plan/overdue.rs
@@ -7,6 +7,7 @@
 use crate::job::RunId;
 use crate::job::StepSpec;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::sync::Arc;
 
 /// Time without any progress after which a run is taken to stand still, in milliseconds, for short runs: workers are looked at every
@@ -33,7 +34,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OverdueRun {
     /// Worker it is on.
-    pub worker: Arc<str>,
+    pub worker: Incarnation,
     /// The run.
     pub run: RunId,
     /// What is wrong.
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -20,10 +20,10 @@
 use crate::job::TaskId;
 use crate::state::Start;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// One pass of planning.
 pub(super) struct Pass<'a> {
@@ -36,7 +36,7 @@
     pub(super) entitled: &'a BTreeSet<JobId>,
     /// Workers as this pass sees them.
     pub rooms: Vec<Room>,
-    pub(super) index: BTreeMap<Arc<str>, usize>,
+    pub(super) index: BTreeMap<Incarnation, usize>,
     /// Recorded runs, once somebody asks for room that they take.
     pub(super) borrowers: Option<Borrowers>,
     /// When runs of each worker are expected to end, once somebody asks.
@@ -88,7 +88,7 @@
         waiting: &BTreeSet<StepId>,
     ) {
         let (now_ms, rooms, index) = (self.now_ms, &self.rooms, &self.index);
-        let usable = |worker: &Arc<str>| index.get(worker).is_some_and(|at| rooms[*at].usable);
+        let usable = |worker: &Incarnation| index.get(worker).is_some_and(|at| rooms[*at].usable);
         let unclaimed = &mut self.plan.unclaimed;
         claims.retain(|step, claim| {
             let why = if !waiting.contains(step) {
@@ -165,7 +165,7 @@
     }
 
     /// Finds workers for a whole gang; `None` when it shall wait.
-    pub fn place_gang(&mut self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> Option<Placement> {
+    pub fn place_gang(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) -> Option<Placement> {
         let class = unit.may_use_kept();
         if self.unplaceable.covers(&class, unit, unit.count()) {
             return None;
@@ -182,7 +182,7 @@
     }
 
     /// Finds workers for as many of a unit's tasks as may begin now.
-    pub fn place_tasks(&mut self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> Placement {
+    pub fn place_tasks(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) -> Placement {
         /// What did not even find this many places.
         const ONE: u64 = 1;
         let class = unit.may_use_kept();
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -2,6 +2,7 @@
 
 use super::Room;
 use super::Unit;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -49,7 +50,7 @@
 pub fn place_gang(
     unit: &Unit,
     rooms: &[Room],
-    avoid: &BTreeSet<Arc<str>>,
+    avoid: &BTreeSet<Incarnation>,
     wall_ms: u64,
 ) -> Result<Placement, Unplaced> {
     let sites = sites(unit, rooms, avoid);
@@ -129,7 +130,7 @@
 pub fn place_tasks(
     unit: &Unit,
     rooms: &[Room],
-    avoid: &BTreeSet<Arc<str>>,
+    avoid: &BTreeSet<Incarnation>,
     wall_ms: u64,
 ) -> Placement {
     let sites = sites(unit, rooms, avoid);
@@ -157,7 +158,7 @@
     wall_ms < unit.ready_ms + patience_ms && !able_racks(unit, rooms).is_empty()
 }
 
-fn sites(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Arc<str>>) -> Vec<Site> {
+fn sites(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Incarnation>) -> Vec<Site> {
     let mut sites: Vec<Site> = rooms
         .iter()
         .enumerate()
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -23,6 +23,7 @@
 use crate::state::End;
 use crate::state::EndKind;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -45,7 +46,7 @@
     reserve: Reserve,
     pub(super) claims: BTreeMap<StepId, Claim>,
     /// Workers on which a task failed; it tries others first.
-    failed_on: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    failed_on: BTreeMap<TaskId, BTreeSet<Incarnation>>,
     /// Tasks that were begun anew because they were slow. One that is as slow elsewhere takes that long, and begun anew each time it would
     /// never end.
     was_slow: BTreeSet<TaskId>,
@@ -157,7 +158,7 @@
         times: (u64, u64),
         workload: &Workload,
         dispatcher: &Dispatcher,
-    ) -> BTreeSet<(Arc<str>, RunId)> {
+    ) -> BTreeSet<(Incarnation, RunId)> {
         leaving::cut_short(times, workload, dispatcher, &self.runtimes)
     }
 
@@ -259,10 +260,10 @@
 
 /// Workers that a unit's tasks failed on, unless nothing else is there.
 fn avoided(
-    failed_on: &BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    failed_on: &BTreeMap<TaskId, BTreeSet<Incarnation>>,
     unit: &Unit,
     rooms: &[Room],
-) -> BTreeSet<Arc<str>> {
+) -> BTreeSet<Incarnation> {
     let mut avoid = BTreeSet::new();
     for index in &unit.indices {
         let task = TaskId {
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -11,6 +11,7 @@
 use crate::state::Task;
 use crate::state::Worker;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -45,7 +46,7 @@
 #[derive(Clone, Debug)]
 pub struct Room {
     /// The worker.
-    pub worker: Arc<str>,
+    pub worker: Incarnation,
     /// Its rack.
     pub rack: Arc<str>,
     /// Its pool.
@@ -99,6 +100,7 @@
     ) -> Self {
         let ready = |target: &Target| {
             target.answers()
+                && target.is_verified()
                 && target.is_current(now_ms, dispatcher.timing())
                 && (none_aside || now_ms >= target.set_aside_until_ms)
         };
@@ -106,6 +108,7 @@
         let begun = Begun::new(worker, view, workload);
         let evacuated = workload.is_evacuated(&worker.info);
         let usable = !worker.draining
+            && !workload.has_other_incarnation(&worker.info.id)
             && !evacuated
             && !begun.suspect
             && !dispatcher.is_emptied(&worker.info.id)
@@ -208,7 +211,7 @@
     }
 
     /// How many of a unit's tasks may be placed here now.
-    pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Arc<str>>) -> u64 {
+    pub fn places(&self, unit: &Unit, avoid: &BTreeSet<Incarnation>) -> u64 {
         let kept = self.kept && !unit.may_use_kept();
         let unclear = self.just_begun && (unit.apart || self.takes_one_by_one(unit));
         if !self.admits(unit) || kept || unclear || avoid.contains(&self.worker) {
--- a/crates/bh-workload/src/plan/speeds.rs
+++ b/crates/bh-workload/src/plan/speeds.rs
@@ -1,5 +1,6 @@
 //! Which data centres and workers are slower than others.
 
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -52,7 +53,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Speeds {
     data_centres: BTreeMap<Arc<str>, Pace>,
-    workers: BTreeMap<Arc<str>, Pace>,
+    workers: BTreeMap<Incarnation, Pace>,
 }
 
 impl Speeds {
@@ -61,7 +62,7 @@
     pub fn note(
         &mut self,
         data_centre: &Arc<str>,
-        worker: Option<&Arc<str>>,
+        worker: Option<&Incarnation>,
         now_ms: u64,
         (took_ms, expected_ms): (u64, u64),
     ) {
@@ -98,7 +99,7 @@
     }
 
     /// Whether runs on this worker take far longer than expected, as far as is known at `now_ms`.
-    pub fn is_slow(&self, worker: &str, now_ms: u64) -> bool {
+    pub fn is_slow(&self, worker: &Incarnation, now_ms: u64) -> bool {
         self.workers
             .get(worker)
             .is_some_and(|pace| pace.is_slow() && !pace.is_old(now_ms))
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -4,6 +4,7 @@
 use crate::job::StepId;
 use crate::job::StepSpec;
 use crate::rules::Advice;
+use bh_protocol::Incarnation;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -29,7 +30,7 @@
     /// The adviser that must be asked, if any.
     pub advised: Option<Advice>,
     /// Workers that it allows; `None` when there is none.
-    pub permitted: Option<BTreeSet<Arc<str>>>,
+    pub permitted: Option<BTreeSet<Incarnation>>,
     /// Rank of its queue; 0 comes first.
     pub priority: u32,
     /// Whether the customer's guarantee covers it.
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -19,6 +19,7 @@
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::rules::Rules;
+use bh_protocol::Incarnation;
 use std::sync::Arc;
 
 impl Workload {
@@ -233,11 +234,42 @@
         }
         self.news.note_worker(&info.id);
         self.arrivals += 1;
-        let worker = Worker::new(info, self.arrivals);
+        let restarts = self.restarts_of(&info.id);
+        let worker = Worker::new(info, self.arrivals, restarts);
         self.workers.insert(worker.info.id.clone(), worker);
     }
 
-    pub(super) fn remove_worker(&mut self, id: &Arc<str>) {
+    /// Number of earlier incarnations of the worker; its past starts are moved into this count. An incarnation that started before a recorded one is
+    /// known from a delayed heartbeat and does not get a higher count than that one.
+    fn restarts_of(&mut self, id: &Incarnation) -> u64 {
+        let gone = self.past_starts.remove(&id.id).unwrap_or_default().count;
+        let others = self.incarnations(id).map(|other| {
+            let is_earlier = other.info.id < *id;
+            other.restarts + u64::from(is_earlier)
+        });
+        others.max().unwrap_or(0).max(gone)
+    }
+
+    /// Counts the start of a removed worker, so that its next incarnation has a higher count.
+    fn note_past_start(&mut self, worker: &Worker) {
+        /// Limits the stored worker ids; the one with the earliest arrival is evicted first.
+        const MAX_PAST_STARTS: usize = 4_096;
+        let id = &worker.info.id;
+        if id.started_ms.is_none() {
+            return;
+        }
+        let past = self.past_starts.entry(id.id.clone()).or_default();
+        past.count = past.count.max(worker.restarts + 1);
+        past.arrival = past.arrival.max(worker.arrival);
+        if self.past_starts.len() > MAX_PAST_STARTS {
+            let oldest = self.past_starts.iter().min_by_key(|(_, past)| past.arrival);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.past_starts.remove(&oldest);
+            }
+        }
+    }
+
+    pub(super) fn remove_worker(&mut self, id: &Incarnation) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -251,7 +283,9 @@
             };
             self.end(end, 0);
         }
-        self.workers.remove(id);
+        if let Some(worker) = self.workers.remove(id) {
+            self.note_past_start(&worker);
+        }
         self.news.note_worker(id);
     }
 }
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -8,6 +8,7 @@
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::rules::Rules;
+use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 use std::sync::Arc;
@@ -141,9 +142,9 @@
     /// A new one, or a known one with other particulars, whatever was known before.
     Known(WorkerInfo),
     /// It gets no new work.
-    Draining(Arc<str>),
+    Draining(Incarnation),
     /// It has ended, and everything that ran on it.
-    Gone(Arc<str>),
+    Gone(Incarnation),
 }
 
 /// A run about to be ordered.
@@ -152,7 +153,7 @@
     /// The run.
     pub run: RunId,
     /// Worker incarnation it goes to.
-    pub worker: Arc<str>,
+    pub worker: Incarnation,
 }
 
 /// How a run ended.
@@ -182,7 +183,7 @@
     /// The run.
     pub run: RunId,
     /// Worker incarnation it was on.
-    pub worker: Arc<str>,
+    pub worker: Incarnation,
     /// How it ended.
     pub kind: EndKind,
     /// Progress it saved, if any.
--- a/crates/bh-workload/src/state/start.rs
+++ b/crates/bh-workload/src/state/start.rs
@@ -6,8 +6,8 @@
 use super::Workload;
 use crate::job::Needs;
 use crate::job::StepId;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 impl Workload {
     /// Takes starts over into the record, a gang's all or none. What changed between plan and record is checked here again: the
@@ -81,7 +81,7 @@
         if !whole || !progress.gang_waits() {
             return false;
         }
-        let mut by_worker: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+        let mut by_worker: BTreeMap<&Incarnation, u64> = BTreeMap::new();
         for start in starts {
             *by_worker.entry(&start.worker).or_default() += 1;
         }
@@ -90,7 +90,7 @@
             .all(|(worker, count)| self.has_room(step, worker, count))
     }
 
-    fn has_room(&self, step: StepId, worker: &str, count: u64) -> bool {
+    fn has_room(&self, step: StepId, worker: &Incarnation, count: u64) -> bool {
         if self.is_in_upkeep(worker) {
             return false;
         }
--- a/crates/bh-workload/src/state/suspect.rs
+++ b/crates/bh-workload/src/state/suspect.rs
@@ -1,9 +1,9 @@
 //! Runs that may have crashed the worker they were on.
 
 use crate::job::RunId;
+use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// What is known of a run on a worker that crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -38,7 +38,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The worker.
-    pub worker: Arc<str>,
+    pub worker: Incarnation,
     /// Runs that may have crashed it.
     pub suspects: Vec<Suspect>,
 }
--- a/crates/bh-workload/src/state/wave.rs
+++ b/crates/bh-workload/src/state/wave.rs
@@ -1,5 +1,6 @@
 //! Waves of upkeep that an operator has ordered.
 
+use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -28,7 +29,7 @@
     /// Its upkeep was or is about to be ordered while this worker lived on it.
     Ordered {
         /// The worker; `None` when none was known.
-        worker: Option<Arc<str>>,
+        worker: Option<Incarnation>,
     },
     /// It is up again, or does not take part any more.
     Over,
@@ -65,7 +66,7 @@
     }
 
     /// Workers that end because the upkeep of their VMs is ordered.
-    pub fn ended_workers(&self) -> impl Iterator<Item = &Arc<str>> {
+    pub fn ended_workers(&self) -> impl Iterator<Item = &Incarnation> {
         self.vms.values().filter_map(|upkeep| match upkeep {
             VmUpkeep::Ordered { worker } => worker.as_ref(),
             VmUpkeep::Waiting | VmUpkeep::Over => None,
--- a/crates/bh-workload/src/state/worker.rs
+++ b/crates/bh-workload/src/state/worker.rs
@@ -3,6 +3,7 @@
 use crate::job::Needs;
 use crate::job::RunId;
 use crate::job::StepId;
+use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -13,8 +14,8 @@
 /// What a worker says of itself. Only its capacity may change during its life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerInfo {
-    /// Identity of this life of the worker; another one after each restart.
-    pub id: Arc<str>,
+    /// Worker id and start time.
+    pub id: Incarnation,
     /// VM it lives on, if it says so.
     pub vm: Option<Arc<str>>,
     /// Pool it works for.
@@ -45,6 +46,14 @@
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature required by skip_serializing_if"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 /// A worker incarnation and what was ordered to run there.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Worker {
@@ -53,6 +62,9 @@
     /// Place in the order in which workers came: of two on one VM the later one lives.
     #[serde(default)]
     pub arrival: u64,
+    /// Number of earlier incarnations of the worker, as far as recorded.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub restarts: u64,
     /// Whether it is leaving.
     pub draining: bool,
     /// Runs recorded there and not known to be over, with what each takes.
@@ -64,11 +76,12 @@
 }
 
 impl Worker {
-    /// A worker without runs.
-    pub fn new(info: WorkerInfo, arrival: u64) -> Self {
+    /// A worker without runs, with `restarts` earlier incarnations.
+    pub fn new(info: WorkerInfo, arrival: u64, restarts: u64) -> Self {
         Self {
             info,
             arrival,
+            restarts,
             draining: false,
             runs: BTreeMap::new(),
             unheard: BTreeSet::new(),
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -3,6 +3,7 @@
 use super::Job;
 use super::JobState;
 use super::News;
+use super::PastStarts;
 use super::Place;
 use super::Refusal;
 use super::Wave;
@@ -19,6 +20,7 @@
 use bh_group::decode;
 use bh_group::encode;
 use bh_protocol::Failure;
+use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -31,7 +33,10 @@
     /// The rules in force; `None` before the first.
     pub rules: Option<Arc<Rules>>,
     pub(super) jobs: BTreeMap<JobId, Job>,
-    pub(super) workers: BTreeMap<Arc<str>, Worker>,
+    pub(super) workers: BTreeMap<Incarnation, Worker>,
+    /// Start counts of removed workers, by worker id.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) past_starts: BTreeMap<Arc<str>, PastStarts>,
     /// Workers that have ever come.
     #[serde(default)]
     pub(super) arrivals: u64,
@@ -178,10 +183,20 @@
     }
 
     /// A worker.
-    pub fn worker(&self, id: &str) -> Option<&Worker> {
+    pub fn worker(&self, id: &Incarnation) -> Option<&Worker> {
         self.workers.get(id)
     }
 
+    /// All recorded incarnations of the worker that `id` belongs to.
+    pub fn incarnations(&self, id: &Incarnation) -> impl Iterator<Item = &Worker> {
+        self.workers.range(id.id_range()).map(|(_, worker)| worker)
+    }
+
+    /// Whether another incarnation of the same worker is recorded.
+    pub fn has_other_incarnation(&self, id: &Incarnation) -> bool {
+        self.incarnations(id).any(|other| other.info.id != *id)
+    }
+
     /// Number of workers.
     pub fn worker_count(&self) -> usize {
         self.workers.len()
@@ -230,11 +245,11 @@
     }
 
     /// Whether the upkeep of a worker's VM is ordered, which ends the worker.
-    pub fn is_in_upkeep(&self, worker: &str) -> bool {
+    pub fn is_in_upkeep(&self, worker: &Incarnation) -> bool {
         self.waves
             .values()
             .flat_map(Wave::ended_workers)
-            .any(|ended| **ended == *worker)
+            .any(|ended| ended == worker)
     }
 
     /// Whether a recorded run should go on.
--- a/crates/bh-workload/src/upkeep/keeper.rs
+++ b/crates/bh-workload/src/upkeep/keeper.rs
@@ -13,6 +13,7 @@
 use crate::state::Worker;
 use crate::state::WorkerChange;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -28,7 +29,7 @@
     /// Record a command; what depends on it follows once it is in the record.
     Record(Command),
     /// Stop a run on a worker.
-    Stop(Arc<str>, RunId),
+    Stop(Incarnation, RunId),
     /// Send an order.
     Order(UpkeepOrder),
 }
@@ -77,7 +78,7 @@
     }
 
     /// Workers that get no new work because their VMs are next, or because the order that ends them is on its way.
-    pub fn emptied_workers(&self, workload: &Workload) -> BTreeSet<Arc<str>> {
+    pub fn emptied_workers(&self, workload: &Workload) -> BTreeSet<Incarnation> {
         let emptied = self.emptying.keys().filter_map(|vm| workload.worker_on(vm));
         let ended = workload.waves().flat_map(|(_, wave)| wave.ended_workers());
         emptied
--- a/crates/bh-workload/src/upkeep/order.rs
+++ b/crates/bh-workload/src/upkeep/order.rs
@@ -1,5 +1,6 @@
 //! What the platform of the VMs is asked for.
 
+use bh_protocol::Incarnation;
 use std::sync::Arc;
 
 /// Asks for the upkeep of one VM. Everything that runs on it ends at once.
@@ -10,7 +11,7 @@
     /// The VM.
     pub vm: Arc<str>,
     /// Worker that lived on it when it was decided.
-    pub worker: Option<Arc<str>>,
+    pub worker: Option<Incarnation>,
     /// Who asks: name of the leading core.
     pub holder: Arc<str>,
     /// Fencing token: the leader's term.
