Don't count starts that reach a restarted worker as crashes

Cause: when a start order is sent over a kept-alive connection to a worker that has crashed and restarted since, the connection breaks, and the resent order is answered with 421. Because the first send may have been carried out, the run was counted as a possible cause of the crash each time the task was started on such a worker. Four such crashes cause a job to be given up.

Change: an unconfirmed run whose start was first sent less than 150 ms before another incarnation answered is not a suspect: the worker had crashed before the start arrived. This applies to the first eight attempts of a task, so that a task that crashes workers which restart faster than that is still given up. A worker whose last order was lost with its carrier is no longer assumed to have been reachable until it crashed: its runs may have ended without a report.

`a_repetition_that_another_incarnation_answers_clears_no_suspect` now lets 200 ms pass before the answer. Without a delay, its worker would have crashed, restarted and answered in no time.

--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -18,6 +18,12 @@
 /// what most long jobs run: these must not be given up because, over hours, some of their workers crashed for other reasons.
 const OUTLASTED_MS: u64 = 30_000;
 
+/// Minimum time from the crash of a worker until its next incarnation answers, in milliseconds.
+const MIN_RESTART_MS: u64 = 150;
+/// Last attempt of a task whose run is not suspected if another incarnation answers within [`MIN_RESTART_MS`] of its first start order. The limit
+/// ensures that a task is given up if it crashes workers that restart faster than that.
+const MAX_UNSUSPECTED_ATTEMPTS: u32 = 8;
+
 /// How long a run must have been at work until other runs may begin beside it again, in milliseconds, when `crashes` workers have crashed under its
 /// task. Were others begun beside it sooner, they would be lost with it if it crashes its worker, and nothing would tell which of them did.
 /// After two crashes that proved nothing it may be one that crashes its worker later on.
@@ -57,6 +63,16 @@
             && matches!(self.start, StartPhase::Confirmed { at_ms } if at_ms >= since_ms)
     }
 
+    /// Whether the start order of an unconfirmed run is taken to have been sent after the worker crashed: another incarnation answered at `now_ms`, sooner
+    /// than the worker could have restarted.
+    fn was_sent_after_crash(&self, now_ms: u64, attempt: u32) -> bool {
+        !self.is_confirmed()
+            && attempt <= MAX_UNSUSPECTED_ATTEMPTS
+            && self
+                .first_sent_ms
+                .is_some_and(|sent_ms| now_ms < sent_ms + MIN_RESTART_MS)
+    }
+
     /// Whether it may have begun, and was not yet seen at work for long.
     pub fn has_just_begun(&self) -> bool {
         self.start != StartPhase::Unsent && self.at_work_ms() < JUST_BEGUN_MS
@@ -68,7 +84,8 @@
 /// A worker that crashed tells nothing any more; what remains is what it had answered before. A run that was never ordered is no suspect,
 /// nor one that was seen at work for long. A start without an answer may never have come to the worker: where another run had surely just
 /// begun, that one is the cause. Behind a cut a run may have ended well before the worker crashed for another reason, so where the silence
-/// did not begin at once nothing is certain.
+/// did not begin at once nothing is certain. An unconfirmed run whose start was first sent less than [`MIN_RESTART_MS`] before another incarnation answered
+/// is not a suspect in the first [`MAX_UNSUSPECTED_ATTEMPTS`] attempts of its task: the worker had crashed before the start arrived.
 ///
 /// A worker that said that it leaves may have left; only what it began at the very last may have crashed it before.
 pub(super) fn suspects(
@@ -103,6 +120,7 @@
     };
     let mut suspects: Vec<Suspect> = runs()
         .filter(|(_, watch)| watch.start != StartPhase::Unsent)
+        .filter(|(run, watch)| !watch.was_sent_after_crash(now_ms, run.attempt))
         .filter(|(_, watch)| watch.at_work_ms() < OUTLASTED_MS)
         .map(|(run, watch)| Suspect {
             run: *run,
--- a/crates/bh-workload/src/dispatch/run_watch.rs
+++ b/crates/bh-workload/src/dispatch/run_watch.rs
@@ -48,6 +48,8 @@
     pub start: StartPhase,
     /// The stop order.
     pub stop: StopPhase,
+    /// When the start order was first sent, on the leader's clock in milliseconds; `None` if it has not been sent or a previous leader sent it.
+    pub first_sent_ms: Option<u64>,
     /// Whether an earlier send of the start order had no answer, so that a refusal of a later one proves nothing.
     pub was_unsure: bool,
     /// Whether the last send of the start order was a repetition: an earlier one went out, and its connection broke before an answer came.
@@ -80,6 +82,7 @@
         Self {
             start,
             stop: StopPhase::None,
+            first_sent_ms: None,
             was_unsure: matches!(start, StartPhase::Unsure { .. }),
             was_repeated: false,
             refused_ms: None,
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -153,9 +153,10 @@
         self.broke_off = now_ms + SLACK_MS < order.sent_ms + order.answer_within_ms();
     }
 
-    /// Whether it answered until it was found to be gone, or broke off: what ran there then had no time to end unheard.
+    /// Whether it answered until it was found to be gone, or broke off: what ran there then had no time to end unheard. This is not known if the core that
+    /// carried an order to it was lost and nothing was heard of it since.
     pub fn went_at_once(&self) -> bool {
-        !self.is_failing() || self.broke_off
+        !self.carrier_lost && (!self.is_failing() || self.broke_off)
     }
 
     /// Whether it said that it ends, and has: nothing listens at its address, or nothing runs there.
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -237,6 +237,9 @@
             permission,
         };
         if let Some(watch) = target.runs.get_mut(&run) {
+            if watch.start == StartPhase::Unsent {
+                watch.first_sent_ms = Some(now_ms);
+            }
             watch.start = StartPhase::InFlight;
             watch.was_repeated = false;
         }
--- a/crates/bh-workload/tests/repeated_starts.rs
+++ b/crates/bh-workload/tests/repeated_starts.rs
@@ -156,11 +156,13 @@
     assert_eq!(counted.map(|task| task.failures), Some(1));
 }
 
-/// The worker crashes under the first send, and another incarnation answers the second: the run may have crashed it.
+/// The worker crashes under the first send, and another incarnation answers the second after the time a restart takes: the run may have crashed it.
 #[test]
 fn a_repetition_that_another_incarnation_answers_clears_no_suspect() {
+    const RESTART_MS: u64 = 200;
     let (mut site, _, start) = one_start();
     site.dispatcher.note_repeated(&start);
+    site.advance(RESTART_MS);
     let Some(Command::Ends {
         crash: Some(crash), ..
     }) = answer(&mut site, &start, &Answer::OtherIncarnation)
