Don't resend unanswered starts to a draining worker

Cause: a start without an answer was sent again every 0.8 s whether the worker was draining or not. Only evacuations, and workers that had said that they end, held starts back.

Change: starts are held back on a draining worker too. One that was never sent is withdrawn, one without an answer is settled by the next report or by a stop.

--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -72,7 +72,8 @@
             return;
         }
         let too_much = self.too_much(target);
-        let closed = target.left || self.workload.is_evacuated(&self.worker.info);
+        let closed =
+            target.left || self.worker.draining || self.workload.is_evacuated(&self.worker.info);
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
         for run in runs {
             let recorded = self.worker.runs.contains_key(&run);
