Don't fence off a running worker by looks at its earlier incarnation

Symptom: none seen. Found by reading the change. A delayed heartbeat names an earlier incarnation of a running worker; if the record of its departure takes longer than the 50 ms until the next look, that look carries a higher fencing token than the orders to the running incarnation, which then refuses them until the leader's term grows.

Cause: a look at an incarnation that was replaced was sent with one restart more than its own, also where the incarnation that replaced it was recorded already. And removing the earlier incarnation raised the count for the next delayed heartbeat.

Change: one restart more only while no other incarnation is recorded, and past starts are counted only when no incarnation of the worker is left.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -359,9 +359,10 @@
             }
             // Orders to a replaced incarnation reach the newest one, which refuses fencing tokens below the highest it has received.
             let recorded = workload.incarnations(&id).map(|other| other.restarts).max();
-            let known = worker.restarts + u64::from(target.restart.is_some());
+            // A later incarnation that is not recorded yet will have one restart more.
+            let is_unrecorded = target.restart.is_some() && !workload.has_other_incarnation(&id);
             let mut turn = WorkerTurn {
-                restarts: known.max(recorded.unwrap_or(0)),
+                restarts: recorded.unwrap_or(worker.restarts) + u64::from(is_unrecorded),
                 now_ms,
                 timing: &self.timing,
                 look_wait_ms: self.look_wait_ms,
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -255,7 +255,8 @@
         /// Limits the stored worker ids; the one with the earliest arrival is evicted first.
         const MAX_PAST_STARTS: usize = 4_096;
         let id = &worker.info.id;
-        if id.started_ms.is_none() {
+        // The count of an incarnation that is still recorded must not be exceeded: its worker would refuse its orders.
+        if id.started_ms.is_none() || self.incarnations(id).next().is_some() {
             return;
         }
         let past = self.past_starts.entry(id.id.clone()).or_default();
--- a/crates/bh-workload/tests/restarted_workers.rs
+++ b/crates/bh-workload/tests/restarted_workers.rs
@@ -353,3 +353,48 @@
     let worker = read.worker(&worker_id("w00")).unwrap();
     assert_eq!((worker.info.id.started_ms, worker.runs.len()), (None, 1));
 }
+
+/// Guards against a running worker that refuses all orders after looks at an earlier incarnation, known from a delayed heartbeat, carried a higher token.
+#[test]
+fn looks_at_an_earlier_incarnation_do_not_fence_off_the_running_one() {
+    let mut site = site();
+    let token = |orders: &[Order], started_ms| {
+        let own = orders
+            .iter()
+            .find(|order| order.to.worker == incarnation(started_ms));
+        own.map(Order::fencing_token)
+    };
+    for _ in 0..2 {
+        site.workload.apply(set_worker(Some(500)));
+        site.take_news();
+        site.heartbeats();
+        for _ in 0..3 {
+            site.advance(100);
+            let orders = site.orders();
+            assert_eq!(token(&orders, 500), token(&orders, FIRST_MS));
+            for order in &orders {
+                let answer = if order.to.worker == incarnation(500) {
+                    Answer::Restarted {
+                        started_ms: FIRST_MS,
+                        report: Report::default(),
+                    }
+                } else {
+                    report_answer(&site, &[], &[])
+                };
+                // The departure is not recorded yet.
+                site.dispatcher
+                    .note_answer(site.now_ms, order, &answer, &site.workload);
+            }
+        }
+        let before = site
+            .workload
+            .worker(&incarnation(FIRST_MS))
+            .unwrap()
+            .restarts;
+        let gone = WorkerChange::Gone(incarnation(500));
+        site.workload.apply(Command::Workers(vec![gone]));
+        site.workload.apply(set_worker(Some(500)));
+        let delayed = site.workload.worker(&incarnation(500)).unwrap().restarts;
+        assert!(delayed <= before, "{delayed} after {before}");
+    }
+}
