Read the report and the recorded worker of an answer in one place

Cause: `log_unrecorded` and the new `log_skipped_ends` took the report out of an answer and looked its worker up by the same nine lines.

Change: both call `reported`. Nothing else changes.

--- a/crates/bh-control/src/core/run_ends.rs
+++ b/crates/bh-control/src/core/run_ends.rs
@@ -7,9 +7,11 @@
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Report;
 use bh_workload::job::TaskId;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
+use bh_workload::state::Worker;
 use bh_workload::state::Workload;
 
 /// One line for each end that is about to be recorded: how it became known, whether the record still had the run open, and the failures
@@ -66,17 +68,22 @@
     }
 }
 
+/// The report in an answer, and its worker as recorded; `None` without either.
+fn reported<'a>(
+    order: &Order,
+    answer: &'a Answer,
+    workload: &'a Workload,
+) -> Option<(&'a Report, &'a Worker)> {
+    let Answer::Done { report, .. } = answer else {
+        return None;
+    };
+    Some((report.as_ref()?, workload.worker(&order.to.worker)?))
+}
+
 /// One line for each run that a worker reports and that the record does not have there: it began by an order that was taken to have come to
 /// nothing.
 pub(super) fn log_unrecorded(core: &CoreNode, order: &Order, answer: &Answer, workload: &Workload) {
-    let Answer::Done {
-        report: Some(report),
-        ..
-    } = answer
-    else {
-        return;
-    };
-    let Some(worker) = workload.worker(&order.to.worker) else {
+    let Some((report, worker)) = reported(order, answer, workload) else {
         return;
     };
     let unrecorded = report
@@ -108,14 +115,7 @@
     workload: &Workload,
     dispatcher: &Dispatcher,
 ) {
-    let Answer::Done {
-        report: Some(report),
-        ..
-    } = answer
-    else {
-        return;
-    };
-    let Some(worker) = workload.worker(&order.to.worker) else {
+    let Some((report, worker)) = reported(order, answer, workload) else {
         return;
     };
     let recorded_to = recorded_to(dispatcher, &order.to.worker);
