Tell why work waits whose turn has come

A job that stood still could not be told from one without room: `core explain` knew no reason for recorded runs that are not at work, for room that is promised or kept, for workers that have room and get no work, for gangs that may have no attempt left, nor for work that no plan has looked at.

`Wait` has these reasons now, and `RunPhase` tells how far a recorded run has come. `Planner::survey` gives the reason of every step whose turn has come and of which nothing is known to run, with the run and worker that hold it; `Standing` holds the rule of a job that stands still, as plain figures. `core explain` uses the same reasons. A pass leaves behind what it promised and kept; planning does not read it.

--- a/crates/beechctl/src/commands/core_explain.rs
+++ b/crates/beechctl/src/commands/core_explain.rs
@@ -6,8 +6,11 @@
 use crate::output::table;
 use bh_protocol::Code;
 use bh_protocol::Failure;
+use bh_workload::dispatch::RunPhase;
 use bh_workload::plan::JobReport;
+use bh_workload::plan::RunReport;
 use bh_workload::plan::StepReport;
+use bh_workload::plan::Unusable;
 use bh_workload::plan::Wait;
 use bh_workload::state::GiveUp;
 use clap::Arg;
@@ -70,18 +73,62 @@
         step.done.to_string(),
         step.failures.to_string(),
         step.crashes.to_string(),
-        step.wait.as_ref().map_or("-".to_owned(), wait_text),
+        step.wait.as_ref().map_or("-".to_owned(), wait_text) + &holder_text(step),
     ]
 }
 
+fn holder_text(step: &StepReport) -> String {
+    step.held_by.as_ref().map_or(String::new(), |holder| {
+        let phase = phase_text(holder.phase);
+        format!(
+            " (run {} on {}, for {} ms: {phase})",
+            holder.run, holder.worker, holder.held_ms
+        )
+    })
+}
+
+fn phase_text(phase: RunPhase) -> &'static str {
+    match phase {
+        RunPhase::Unsent => "its start is not sent",
+        RunPhase::InFlight => "its start is on its way",
+        RunPhase::Unsure => "its start is unanswered",
+        RunPhase::Running => "runs",
+        RunPhase::Unreported => "not in its worker's last report",
+        RunPhase::Silent => "its worker does not answer",
+        RunPhase::Stopping => "stopping",
+        RunPhase::Ending => "its end is being recorded",
+    }
+}
+
+/// A core of an older version tells no phase.
+fn state_text(run: &RunReport) -> String {
+    let otherwise = if run.is_stopping { "stopping" } else { "runs" };
+    run.phase.map_or(otherwise, phase_text).to_owned()
+}
+
+fn unusable_text(why: Unusable) -> &'static str {
+    match why {
+        Unusable::Draining => "leaving",
+        Unusable::Replaced => "replaced by another incarnation",
+        Unusable::Evacuated => "under evacuation",
+        Unusable::BesideSuspect => "with a task that may crash them",
+        Unusable::Emptied => "whose upkeep is next",
+        Unusable::Slow => "slow",
+        Unusable::Silent => "silent",
+        Unusable::Unheard => "not heard of lately",
+        Unusable::Unverified => "not looked at since they started",
+        Unusable::SetAside => "set aside after failures",
+    }
+}
+
 fn run_rows(step: &StepReport) -> Vec<Vec<String>> {
-    let row = |run: &bh_workload::plan::RunReport| {
+    let row = |run: &RunReport| {
         vec![
             run.run.clone(),
             run.worker.to_string(),
             run.percent.to_string(),
             format!("{} ms ago", run.report_age_ms),
-            if run.is_stopping { "stopping" } else { "runs" }.to_owned(),
+            state_text(run),
         ]
     };
     step.runs.iter().map(row).collect()
@@ -113,6 +160,25 @@
         Wait::Apart { crashes } => {
             format!("workers on which nothing has just begun, since {crashes} crashed under it")
         }
+        Wait::Ordered { phase } => format!("its recorded runs: {}", phase_text(*phase)),
+        Wait::UncertainFailures => "word of whether its earlier attempts failed".to_owned(),
+        Wait::Advice => "the adviser".to_owned(),
+        Wait::WorkersUnusable { places, why } => {
+            format!("workers that are {}: {places} places", unusable_text(*why))
+        }
+        Wait::RoomPromised { places } => {
+            format!("room that is promised to other work; {places} places are left")
+        }
+        Wait::RoomKept { places } => {
+            format!("room that is kept for urgent work; {places} places are left")
+        }
+        Wait::WorkersAvoided { workers } => {
+            format!("room elsewhere than on {workers} workers, where it failed or was slow")
+        }
+        Wait::Rack => "room in a rack that suits it".to_owned(),
+        Wait::StartRecording => "the record of its start".to_owned(),
+        Wait::NotPlanned => "the next plan".to_owned(),
+        Wait::Unexplained => "nothing that is known; please report it".to_owned(),
         Wait::Placing => "the next plan, or room that is kept for what comes first".to_owned(),
     }
 }
--- a/crates/bh-workload/benches/cost/main.rs
+++ b/crates/bh-workload/benches/cost/main.rs
@@ -113,6 +113,15 @@
     })
 }
 
+/// What is told of why work waits, from the same state each time.
+fn survey_ms(site: &Site) -> f64 {
+    let times = (site.now_ms, site.wall_ms());
+    median_ms(PASSES, || {
+        let survey = site.planner.survey(times, &site.workload, &site.dispatcher);
+        drop(survey);
+    })
+}
+
 /// Going through all workers for what is due, and taking one worker's report: both without any network.
 fn orders_ms(site: &mut Site) -> (f64, f64) {
     let mut orders = Vec::new();
@@ -172,19 +181,20 @@
         asked
     };
     println!(
-        "| workers | runs | jobs waiting | plan, ms | orders, ms | report, µs | snapshot, MB | snapshot, ms |"
+        "| workers | runs | jobs waiting | plan, ms | orders, ms | report, µs | snapshot, MB | snapshot, ms | survey, ms |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|");
     for workers in fleets {
         for queue in QUEUES {
             let mut site = build(workers, queue);
             let plan_ms = plan_ms(&mut site);
+            let survey_ms = survey_ms(&site);
             let (orders_ms, report_ms) = orders_ms(&mut site);
             let snapshot = || (Workload::CODEC.snapshot)(&site.workload).unwrap();
             let bytes = snapshot().len();
             let snapshot_ms = median_ms(3, || drop(snapshot()));
             println!(
-                "| {workers} | {} | {queue} | {plan_ms:.2} | {orders_ms:.2} | {:.1} | {:.1} | {snapshot_ms:.1} |",
+                "| {workers} | {} | {queue} | {plan_ms:.2} | {orders_ms:.2} | {:.1} | {:.1} | {snapshot_ms:.1} | {survey_ms:.2} |",
                 site.open_runs().len(),
                 report_ms * 1e3,
                 bytes as f64 / 1e6,
--- a/crates/bh-workload/src/dispatch/fleet_counts.rs
+++ b/crates/bh-workload/src/dispatch/fleet_counts.rs
@@ -54,7 +54,7 @@
 }
 
 /// Whether the worker answers and its latest report, requested after the run's start was confirmed, does not list the run as running.
-fn is_unreported(target: &Target, watch: &RunWatch) -> bool {
+pub(super) fn is_unreported(target: &Target, watch: &RunWatch) -> bool {
     !target.is_failing()
         && watch
             .confirmed_ms()
--- /dev/null
+++ b/crates/bh-workload/src/dispatch/run_phase.rs
@@ -0,0 +1,82 @@
+//! How far a recorded run has come, as far as the leader knows.
+
+use super::Dispatcher;
+use super::StartPhase;
+use super::fleet_counts::is_unreported;
+use crate::job::RunId;
+use crate::state::Workload;
+use bh_protocol::Incarnation;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How far a recorded run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunPhase {
+    /// Its start order has not gone out.
+    Unsent,
+    /// Its start order is on its way.
+    InFlight,
+    /// Its start order had no answer, or an earlier leader recorded the run: it may have begun.
+    Unsure,
+    /// The worker has confirmed it, and no later report lacks it.
+    Running,
+    /// The worker has confirmed it, and its latest report lacks it.
+    Unreported,
+    /// The worker has confirmed it, and has not answered its latest order.
+    Silent,
+    /// It is to end: the record no longer wants it, or the leader has given it up.
+    Stopping,
+    /// Its end is being recorded.
+    Ending,
+}
+
+impl RunPhase {
+    /// The phase of a recorded run at `now_ms`, and since when, both on the leader's clock in milliseconds.
+    pub fn of(
+        now_ms: u64,
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+        (worker, run): (&Incarnation, RunId),
+    ) -> (RunPhase, u64) {
+        let target = dispatcher.view(worker);
+        let watch = target.and_then(|target| target.runs.get(&run));
+        let (Some(target), Some(watch)) = (target, watch) else {
+            return (RunPhase::Unsent, now_ms);
+        };
+        let listed = watch.seen_ms == Some(target.reported_ms);
+        let reported_since = |at_ms: u64| target.reported_ms >= at_ms;
+        let confirmed_ms = watch.confirmed_ms();
+        let records_end =
+            target.recording_to.is_some() && !listed && confirmed_ms.is_some_and(reported_since);
+        if watch.settled || records_end {
+            return (RunPhase::Ending, target.reported_ms.max(watch.since_ms));
+        }
+        let ordered_ms = watch.first_sent_ms.unwrap_or(watch.since_ms);
+        if !workload.wants(run) || watch.give_up {
+            return (RunPhase::Stopping, ordered_ms);
+        }
+        match watch.start {
+            StartPhase::Unsent => (RunPhase::Unsent, watch.since_ms),
+            StartPhase::InFlight => (RunPhase::InFlight, ordered_ms),
+            StartPhase::Unsure { .. } => (RunPhase::Unsure, ordered_ms),
+            StartPhase::Confirmed { at_ms } => {
+                if let Some(since_ms) = target.failing_since_ms {
+                    (RunPhase::Silent, since_ms)
+                } else if is_unreported(target, watch) {
+                    (RunPhase::Unreported, watch.seen_ms.unwrap_or(at_ms))
+                } else {
+                    (RunPhase::Running, at_ms)
+                }
+            }
+        }
+    }
+
+    /// Whether the run takes room on its worker, as far as known: it runs there, or is about to.
+    pub fn takes_room(self) -> bool {
+        match self {
+            RunPhase::InFlight | RunPhase::Running | RunPhase::Silent | RunPhase::Stopping => true,
+            RunPhase::Unsent | RunPhase::Unsure | RunPhase::Unreported | RunPhase::Ending => false,
+        }
+    }
+}
--- a/crates/bh-workload/src/plan/explain.rs
+++ b/crates/bh-workload/src/plan/explain.rs
@@ -1,11 +1,14 @@
 //! Why a job is where it is.
 
 use super::Planner;
-use super::Room;
 use super::Unit;
+use super::Wait;
 use super::collect;
 use super::entitled_jobs;
+use super::outlook::Outlook;
+use super::planner::is_uncertain;
 use crate::dispatch::Dispatcher;
+use crate::dispatch::RunPhase;
 use crate::job::JobId;
 use crate::job::StepId;
 use crate::job::StepSpec;
@@ -17,7 +20,6 @@
 use bh_protocol::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// What is known of a job.
@@ -60,6 +62,9 @@
     pub runs: Vec<RunReport>,
     /// Why the others wait.
     pub wait: Option<Wait>,
+    /// The earlier run that they wait for, the one that has been so for longest; `None` when they wait for none.
+    #[serde(default)]
+    pub held_by: Option<Holder>,
 }
 
 /// What is known of one run.
@@ -75,52 +80,22 @@
     pub report_age_ms: u64,
     /// Whether it is being stopped.
     pub is_stopping: bool,
+    /// How far it has come; `None` from a core of an older version.
+    #[serde(default)]
+    pub phase: Option<RunPhase>,
 }
 
-/// Why tasks wait.
+/// The recorded run that work waits for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Wait {
-    /// Their time has not come.
-    NotDue {
-        /// When it comes, in milliseconds since 1970.
-        due_ms: u64,
-    },
-    /// Earlier steps are not done.
-    EarlierSteps {
-        /// Their positions.
-        steps: Vec<u32>,
-    },
-    /// Some of a gang's earlier runs may still go on.
-    EarlierRuns,
-    /// All workers that may run them are in data centres under evacuation.
-    Evacuated {
-        /// The data centres.
-        data_centres: BTreeSet<Arc<str>>,
-    },
-    /// No worker that can be used now may run them: label, pool, or the adviser.
-    NoWorkerAllowed,
-    /// The workers that may run them are too small.
-    NoWorkerLargeEnough,
-    /// Room is being made by stopping others.
-    RoomIsMade {
-        /// On so many workers.
-        workers: usize,
-    },
-    /// There are fewer places free than tasks.
-    NoRoom {
-        /// Tasks.
-        tasks: u64,
-        /// Places.
-        places: u64,
-    },
-    /// A worker has crashed under one of the tasks, which wait for workers on which nothing has just begun.
-    Apart {
-        /// Workers that crashed.
-        crashes: u32,
-    },
-    /// There are places enough; kept for a rack, a larger gang or work that comes first, or taken at the next plan.
-    Placing,
+pub struct Holder {
+    /// `JOB.OCCURRENCE.STEP.INDEX#ATTEMPT`.
+    pub run: String,
+    /// Its worker.
+    pub worker: Incarnation,
+    /// How far it has come.
+    pub phase: RunPhase,
+    /// For how long this leader has known it to be so, in milliseconds.
+    pub held_ms: u64,
 }
 
 impl Planner {
@@ -141,7 +116,8 @@
             &entitled,
             (wall_ms, dispatcher.timing().remote_percent),
         );
-        let rooms = Room::of_all(workload, dispatcher, &self.speeds, now_ms);
+        let unheard = dispatcher.unheard_attempts(now_ms);
+        let outlook = Outlook::new(self, (now_ms, wall_ms), workload, dispatcher);
         let mut steps = Vec::new();
         for occurrence in 0..job.spec.occurrences() {
             for (spec, position) in job.spec.steps.iter().zip(0..) {
@@ -154,8 +130,20 @@
                 if let Some(unit) = unit.as_mut().filter(|unit| unit.advised.is_some()) {
                     unit.permitted = Some(dispatcher.permissions.permitted(step, now_ms));
                 }
-                let wait = self.wait(wall_ms, job, spec, step, unit.as_ref(), &rooms);
-                steps.extend(step_report(now_ms, workload, dispatcher, step, wait));
+                let wait = if wall_ms < job.spec.due_ms(occurrence).unwrap_or(0) {
+                    let due_ms = job.spec.due_ms(occurrence).unwrap_or(0);
+                    Some(Wait::NotDue { due_ms })
+                } else if !job.is_unblocked(step) {
+                    let steps = spec.after.clone();
+                    Some(Wait::EarlierSteps { steps })
+                } else if let Some(unit) = &unit {
+                    let uncertain = is_uncertain(step, &unheard, workload);
+                    Some(wait_of_unit(unit, uncertain, &outlook))
+                } else {
+                    is_held(job, spec, step).then_some(Wait::EarlierRuns)
+                };
+                let times = (now_ms, wait);
+                steps.extend(step_report(times, workload, dispatcher, step));
             }
         }
         Some(JobReport {
@@ -170,97 +158,65 @@
             steps,
         })
     }
-
-    fn wait(
-        &self,
-        wall_ms: u64,
-        job: &Job,
-        spec: &StepSpec,
-        step: StepId,
-        unit: Option<&Unit>,
-        rooms: &[Room],
-    ) -> Option<Wait> {
-        let due_ms = job.spec.due_ms(step.occurrence).unwrap_or(0);
-        if wall_ms < due_ms {
-            return Some(Wait::NotDue { due_ms });
-        }
-        if !job.is_unblocked(step) {
-            let steps = spec.after.clone();
-            return Some(Wait::EarlierSteps { steps });
-        }
-        let Some(unit) = unit else {
-            let progress = job.step(step)?;
-            let held = spec.gang && progress.open_runs > 0 && !progress.is_done();
-            let whole = progress
-                .tasks
-                .first()
-                .is_some_and(|task| progress.gang_is_whole(task.attempt));
-            return (held && !whole).then_some(Wait::EarlierRuns);
-        };
-        if let Some(claim) = self.claims.get(&step) {
-            let workers = claim.places.len();
-            return Some(Wait::RoomIsMade { workers });
-        }
-        Some(wait_for_room(unit, rooms))
-    }
 }
 
-fn wait_for_room(unit: &Unit, rooms: &[Room]) -> Wait {
-    let allowed: Vec<&Room> = rooms.iter().filter(|room| room.admits(unit)).collect();
-    if allowed.is_empty() {
-        return no_worker(unit, rooms);
-    }
-    if allowed.iter().all(|room| !unit.needs.fits(&room.capacity)) {
-        return Wait::NoWorkerLargeEnough;
+/// Why a unit waits; `uncertain` gangs are left out of the plan.
+pub(super) fn wait_of_unit(unit: &Unit, uncertain: bool, outlook: &Outlook) -> Wait {
+    if uncertain {
+        Wait::UncertainFailures
+    } else {
+        outlook.wait(unit)
     }
-    let none = BTreeSet::new();
-    let places = allowed.iter().map(|room| room.places(unit, &none)).sum();
-    if places < unit.count() {
-        let tasks = unit.count();
-        return Wait::NoRoom { tasks, places };
-    }
-    if unit.is_suspect() {
-        let crashes = unit.crashes;
-        return Wait::Apart { crashes };
-    }
-    Wait::Placing
 }
 
-/// Why no worker admits a unit.
-fn no_worker(unit: &Unit, rooms: &[Room]) -> Wait {
-    let closed = rooms
-        .iter()
-        .filter(|room| room.evacuated && room.suits(unit));
-    let data_centres: BTreeSet<Arc<str>> = closed.map(|room| room.data_centre.clone()).collect();
-    if data_centres.is_empty() {
-        return Wait::NoWorkerAllowed;
-    }
-    Wait::Evacuated { data_centres }
+/// Whether a gang that is broken waits for some of its runs to be over.
+pub(super) fn is_held(job: &Job, spec: &StepSpec, step: StepId) -> bool {
+    let Some(progress) = job.step(step) else {
+        return false;
+    };
+    let whole = progress
+        .tasks
+        .first()
+        .is_some_and(|task| progress.gang_is_whole(task.attempt));
+    spec.gang && progress.open_runs > 0 && !progress.is_done() && !whole
 }
 
 /// The report of a step; `None` when it is done.
 fn step_report(
-    now_ms: u64,
+    (now_ms, wait): (u64, Option<Wait>),
     workload: &Workload,
     dispatcher: &Dispatcher,
     step: StepId,
-    wait: Option<Wait>,
 ) -> Option<StepReport> {
     let progress = workload.job(step.job)?.step(step)?;
     if progress.is_done() {
         return None;
     }
     let mut runs = Vec::new();
+    let mut holder: Option<Holder> = None;
     for worker in workload.workers() {
         let target = dispatcher.view(&worker.info.id);
         for run in worker.runs.keys().filter(|run| run.task.step == step) {
             let watch = target.and_then(|target| target.runs.get(run));
+            let at = (&worker.info.id, *run);
+            let (phase, since_ms) = RunPhase::of(now_ms, workload, dispatcher, at);
+            let held_ms = now_ms.saturating_sub(since_ms);
+            let longest = holder.as_ref().is_none_or(|other| held_ms > other.held_ms);
+            if wait == Some(Wait::EarlierRuns) && longest {
+                holder = Some(Holder {
+                    run: run.to_string(),
+                    worker: worker.info.id.clone(),
+                    phase,
+                    held_ms,
+                });
+            }
             runs.push(RunReport {
                 run: run.to_string(),
                 worker: worker.info.id.clone(),
                 percent: watch.map_or(0, |watch| watch.percent),
                 report_age_ms: target.map_or(0, |t| now_ms.saturating_sub(t.reported_ms)),
                 is_stopping: !workload.wants(*run) || watch.is_some_and(|watch| watch.give_up),
+                phase: Some(phase),
             });
         }
     }
@@ -274,5 +230,6 @@
         crashes: crashes.unwrap_or(0),
         runs,
         wait,
+        held_by: holder,
     })
 }
--- /dev/null
+++ b/crates/bh-workload/src/plan/outlook.rs
@@ -0,0 +1,195 @@
+//! Why a unit finds no place, as the last pass left the workers.
+
+use super::Planner;
+use super::Room;
+use super::Unit;
+use super::Unusable;
+use super::Wait;
+use super::place;
+use super::place::Unplaced;
+use super::planner::avoided;
+use crate::dispatch::Dispatcher;
+use crate::state::Workload;
+use bh_protocol::Incarnation;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Workers as they are now, with what the last pass held back.
+pub(super) struct Outlook<'a> {
+    planner: &'a Planner,
+    dispatcher: &'a Dispatcher,
+    now_ms: u64,
+    wall_ms: u64,
+    /// All of them.
+    rooms: Vec<Room>,
+    /// The same without what was promised to waiting work.
+    unpromised: Vec<Room>,
+    /// The same without those kept for work of priority 0.
+    open: Vec<Room>,
+    /// Those that can't be used for a while, as if they could.
+    unusable: Vec<Room>,
+}
+
+/// Places for tasks of `unit` in `rooms`.
+fn places(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Incarnation>) -> u64 {
+    rooms.iter().map(|room| room.places(unit, avoid)).sum()
+}
+
+impl<'a> Outlook<'a> {
+    /// The workers at a time of the leader's clock and of the wall clock, both in milliseconds.
+    pub fn new(
+        planner: &'a Planner,
+        (now_ms, wall_ms): (u64, u64),
+        workload: &Workload,
+        dispatcher: &'a Dispatcher,
+    ) -> Self {
+        let rooms = Room::of_all(workload, dispatcher, &planner.speeds, now_ms);
+        let last = &planner.last_pass;
+        let mut unpromised = rooms.clone();
+        for room in &mut unpromised {
+            room.promised = last.promised.get(&room.worker).copied().unwrap_or_default();
+        }
+        let mut open = unpromised.clone();
+        for room in &mut open {
+            room.kept = last.kept.contains(&room.worker);
+        }
+        let may_pass = |room: &&Room| room.unusable.is_some_and(Unusable::may_pass);
+        let unusable = rooms.iter().filter(may_pass).map(|room| Room {
+            usable: true,
+            ..room.clone()
+        });
+        Self {
+            planner,
+            dispatcher,
+            now_ms,
+            wall_ms,
+            unusable: unusable.collect(),
+            unpromised,
+            open,
+            rooms,
+        }
+    }
+
+    /// Why a unit is not placed.
+    pub fn wait(&self, unit: &Unit) -> Wait {
+        if let Some(claim) = self.planner.claims.get(&unit.step) {
+            let workers = claim.places.len();
+            return Wait::RoomIsMade { workers };
+        }
+        let allowed: Vec<&Room> = self.rooms.iter().filter(|room| room.admits(unit)).collect();
+        if allowed.is_empty() {
+            return self.no_worker(unit);
+        }
+        if allowed.iter().all(|room| !unit.needs.fits(&room.capacity)) {
+            return Wait::NoWorkerLargeEnough;
+        }
+        let none = BTreeSet::new();
+        let tasks = unit.count();
+        let free = places(unit, &self.rooms, &none);
+        if free < tasks {
+            return self
+                .asks_adviser(unit)
+                .or_else(|| self.unusable(unit, free))
+                .unwrap_or(Wait::NoRoom {
+                    tasks,
+                    places: free,
+                });
+        }
+        if unit.is_suspect() {
+            let crashes = unit.crashes;
+            return Wait::Apart { crashes };
+        }
+        self.held_back(unit)
+    }
+
+    /// Why a unit for which there are places enough is not placed.
+    fn held_back(&self, unit: &Unit) -> Wait {
+        let last = &self.planner.last_pass;
+        if last.started.contains(&unit.step) {
+            return Wait::StartRecording;
+        }
+        // A gang needs all of its places; of other tasks some begin if there are any.
+        let least = if unit.spec.gang { unit.count() } else { 1 };
+        let avoid = avoided(&self.planner.failed_on, unit, &self.rooms);
+        if places(unit, &self.rooms, &avoid) < least {
+            let workers = avoid.len();
+            return Wait::WorkersAvoided { workers };
+        }
+        let waits_for_rack = if unit.spec.gang {
+            let placed = place::place_gang(unit, &self.rooms, &avoid, self.wall_ms);
+            placed.is_err_and(|why| why == Unplaced::Waits)
+        } else {
+            place::place_tasks(unit, &self.rooms, &avoid, self.wall_ms).is_empty()
+        };
+        if waits_for_rack {
+            return Wait::Rack;
+        }
+        // What was promised to the unit itself is told as wanting a rack, or as a claim.
+        let left = places(unit, &self.unpromised, &avoid);
+        if left < least {
+            return Wait::RoomPromised { places: left };
+        }
+        let left = places(unit, &self.open, &avoid);
+        if left < least {
+            return Wait::RoomKept { places: left };
+        }
+        if !last.looked_at.contains(&unit.step) {
+            return Wait::NotPlanned;
+        }
+        Wait::Placing
+    }
+
+    /// Why no worker admits a unit.
+    fn no_worker(&self, unit: &Unit) -> Wait {
+        let suits = |room: &&Room| room.suits(unit);
+        let evacuated = self.rooms.iter().filter(|room| room.evacuated);
+        let data_centres: BTreeSet<Arc<str>> = evacuated
+            .filter(suits)
+            .map(|room| room.data_centre.clone())
+            .collect();
+        if let Some(wait) = self.asks_adviser(unit) {
+            return wait;
+        }
+        if let Some(wait) = self.unusable(unit, 0) {
+            return wait;
+        }
+        if data_centres.is_empty() {
+            return Wait::NoWorkerAllowed;
+        }
+        Wait::Evacuated { data_centres }
+    }
+
+    /// Whether the unit would have places on workers that its adviser was not asked about, or whose permission has run out.
+    fn asks_adviser(&self, unit: &Unit) -> Option<Wait> {
+        let advice = unit.advised.as_ref()?;
+        let anywhere = Unit {
+            permitted: None,
+            ..unit.clone()
+        };
+        if places(&anywhere, &self.rooms, &BTreeSet::new()) < unit.count() {
+            return None;
+        }
+        let candidates = self.rooms.iter().filter(|room| room.admits(&anywhere));
+        let candidates = candidates.map(|room| room.worker.clone());
+        self.dispatcher
+            .permissions
+            .question(self.now_ms, unit.step, advice, candidates)
+            .map(|_| Wait::Advice)
+    }
+
+    /// Whether the unit would have places enough if the workers that can't be used could be; `free` are those on the others.
+    fn unusable(&self, unit: &Unit, free: u64) -> Option<Wait> {
+        let none = BTreeSet::new();
+        let mut by_cause: BTreeMap<Unusable, u64> = BTreeMap::new();
+        for room in &self.unusable {
+            if let Some(why) = room.unusable {
+                *by_cause.entry(why).or_default() += room.places(unit, &none);
+            }
+        }
+        let places: u64 = by_cause.values().sum();
+        let (why, most) = by_cause.into_iter().max_by_key(|(_, places)| *places)?;
+        let enough = most > 0 && free.saturating_add(places) >= unit.count();
+        enough.then_some(Wait::WorkersUnusable { places, why })
+    }
+}
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -10,6 +10,7 @@
 use super::claim::Claim;
 use super::collect;
 use super::entitled_jobs;
+use super::last_pass::LastPass;
 use super::leaving;
 use super::overdue::overdue;
 use super::pass::Pass;
@@ -46,12 +47,14 @@
     reserve: Reserve,
     pub(super) claims: BTreeMap<StepId, Claim>,
     /// Workers on which a task failed; it tries others first.
-    failed_on: BTreeMap<TaskId, BTreeSet<Incarnation>>,
+    pub(super) failed_on: BTreeMap<TaskId, BTreeSet<Incarnation>>,
     /// Tasks that were begun anew because they were slow. One that is as slow elsewhere takes that long, and begun anew each time it would
     /// never end.
     was_slow: BTreeSet<TaskId>,
     /// Since when work under which a worker has crashed waits, on the leader's clock in milliseconds.
     apart_since_ms: BTreeMap<StepId, u64>,
+    /// What the last pass left behind, to explain why work waits.
+    pub(super) last_pass: LastPass,
 }
 
 impl Planner {
@@ -185,6 +188,7 @@
             failed_on,
             was_slow: _,
             apart_since_ms,
+            last_pass,
         } = self;
         let entitled = entitled_jobs(workload);
         let mut units = collect::collect(
@@ -244,6 +248,7 @@
                 pass.claim(claims, &unit.without_first(placed));
             }
         }
+        *last_pass = LastPass::new(&units, &pass.rooms, &pass.plan.starts);
         pass.plan
     }
 }
@@ -259,7 +264,7 @@
 }
 
 /// Workers that a unit's tasks failed on, unless nothing else is there.
-fn avoided(
+pub(super) fn avoided(
     failed_on: &BTreeMap<TaskId, BTreeSet<Incarnation>>,
     unit: &Unit,
     rooms: &[Room],
@@ -289,17 +294,24 @@
     dispatcher: &Dispatcher,
 ) {
     let unheard = dispatcher.unheard_attempts(now_ms);
-    units.retain(|unit| {
-        let Some(attempts) = unheard.get(&unit.step) else {
-            return true;
-        };
-        let job = workload.job(unit.step.job);
-        let Some((job, step)) = job.and_then(|job| Some((job, job.step(unit.step)?))) else {
-            return true;
-        };
-        let counted = [step.failed_attempt, step.late_failed_attempt];
-        let uncertain = attempts.iter().filter(|attempt| !counted.contains(attempt));
-        let uncertain = u32::try_from(uncertain.count()).unwrap_or(u32::MAX);
-        step.failures.saturating_add(uncertain) < workload.max_attempts(job)
-    });
+    units.retain(|unit| !is_uncertain(unit.step, &unheard, workload));
+}
+
+/// Whether a gang would be begun after its last allowed failure if every one of its `unheard` attempts turns out to have failed.
+pub(super) fn is_uncertain(
+    step: StepId,
+    unheard: &BTreeMap<StepId, BTreeSet<u32>>,
+    workload: &Workload,
+) -> bool {
+    let Some(attempts) = unheard.get(&step) else {
+        return false;
+    };
+    let job = workload.job(step.job);
+    let Some((job, progress)) = job.and_then(|job| Some((job, job.step(step)?))) else {
+        return false;
+    };
+    let counted = [progress.failed_attempt, progress.late_failed_attempt];
+    let uncertain = attempts.iter().filter(|attempt| !counted.contains(attempt));
+    let uncertain = u32::try_from(uncertain.count()).unwrap_or(u32::MAX);
+    progress.failures.saturating_add(uncertain) >= workload.max_attempts(job)
 }
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -2,6 +2,7 @@
 
 use super::Speeds;
 use super::Unit;
+use super::Unusable;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::RunWatch;
 use crate::dispatch::Target;
@@ -79,6 +80,8 @@
     pub cold: bool,
     /// Whether it may be given work now.
     pub usable: bool,
+    /// Why it may not, before the pass.
+    pub unusable: Option<Unusable>,
 }
 
 /// Whether so many workers are set aside that what they were given is the likelier cause. Left out, they stand idle for half a minute and more
@@ -89,6 +92,27 @@
     dispatcher.count_aside(now_ms) * 100 > workload.worker_count() * AT_FAULT_PERCENT
 }
 
+/// Why the worker behind `target` can't be given work, as far as its answers tell.
+fn not_ready(
+    target: &Target,
+    dispatcher: &Dispatcher,
+    (now_ms, none_aside): (u64, bool),
+) -> Option<Unusable> {
+    if target.is_failing() || target.carrier_lost {
+        Some(Unusable::Silent)
+    } else if !target.answers() {
+        Some(Unusable::Unheard)
+    } else if !target.is_verified() {
+        Some(Unusable::Unverified)
+    } else if !target.is_current(now_ms, dispatcher.timing()) {
+        Some(Unusable::Unheard)
+    } else if !none_aside && now_ms < target.set_aside_until_ms {
+        Some(Unusable::SetAside)
+    } else {
+        None
+    }
+}
+
 impl Room {
     /// The room of `worker` at `now_ms`.
     fn new(
@@ -98,22 +122,26 @@
         speeds: &Speeds,
         (now_ms, none_aside): (u64, bool),
     ) -> Self {
-        let ready = |target: &Target| {
-            target.answers()
-                && target.is_verified()
-                && target.is_current(now_ms, dispatcher.timing())
-                && (none_aside || now_ms >= target.set_aside_until_ms)
-        };
         let view = dispatcher.view(&worker.info.id);
         let begun = Begun::new(worker, view, workload);
         let evacuated = workload.is_evacuated(&worker.info);
-        let usable = !worker.draining
-            && !workload.has_other_incarnation(&worker.info.id)
-            && !evacuated
-            && !begun.suspect
-            && !dispatcher.is_emptied(&worker.info.id)
-            && !speeds.is_slow(&worker.info.id, now_ms)
-            && view.is_some_and(ready);
+        let unusable = if worker.draining {
+            Some(Unusable::Draining)
+        } else if workload.has_other_incarnation(&worker.info.id) {
+            Some(Unusable::Replaced)
+        } else if evacuated {
+            Some(Unusable::Evacuated)
+        } else if begun.suspect {
+            Some(Unusable::BesideSuspect)
+        } else if dispatcher.is_emptied(&worker.info.id) {
+            Some(Unusable::Emptied)
+        } else if speeds.is_slow(&worker.info.id, now_ms) {
+            Some(Unusable::Slow)
+        } else {
+            view.map_or(Some(Unusable::Unheard), |target| {
+                not_ready(target, dispatcher, (now_ms, none_aside))
+            })
+        };
         let mut runs = BTreeMap::new();
         for run in worker.runs.keys() {
             *runs.entry(run.task.step).or_default() += 1;
@@ -135,7 +163,8 @@
             just_begun: begun.any,
             cold: view.is_some_and(|target| now_ms < target.cold_until_ms),
             pace_percent: speeds.percent(&worker.info.data_centre),
-            usable,
+            usable: unusable.is_none(),
+            unusable,
         }
     }
 
--- /dev/null
+++ b/crates/bh-workload/src/plan/runnable.rs
@@ -0,0 +1,255 @@
+//! Work whose turn has come and of which nothing runs.
+
+use super::Holder;
+use super::Planner;
+use super::Standing;
+use super::Unit;
+use super::Wait;
+use super::collect;
+use super::entitled_jobs;
+use super::explain::is_held;
+use super::explain::wait_of_unit;
+use super::outlook::Outlook;
+use super::planner::is_uncertain;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::RunPhase;
+use crate::job::JobId;
+use crate::job::Needs;
+use crate::job::RunId;
+use crate::job::StepId;
+use crate::job::StepSpec;
+use crate::state::Job;
+use crate::state::Worker;
+use crate::state::Workload;
+use bh_protocol::Incarnation;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Steps of which a survey tells why they wait, at most: the cost of one is that of a look at every worker.
+const MOST_STEPS: usize = 512;
+
+/// Tasks of one step that wait for the same reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnableStep {
+    /// The step.
+    pub step: StepId,
+    /// The tasks.
+    pub tasks: u64,
+    /// Why they wait.
+    pub wait: Wait,
+    /// The recorded run that they wait for, the one that has been so for longest.
+    pub held_by: Option<Holder>,
+    /// When its job was accepted, or the occurrence was due, in milliseconds since 1970.
+    pub ready_ms: u64,
+    /// Runs of the job that have ended with a result: when this grows, something of it has run.
+    pub results: u64,
+    /// What tells whether the job stands still.
+    pub standing: Standing,
+}
+
+/// All work whose turn has come and of which nothing runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Survey {
+    /// Steps and why they wait; a step of which some tasks are recorded and others wait for room is there twice.
+    pub steps: Vec<RunnableStep>,
+    /// Steps beyond those of which the reason was looked up.
+    pub left_out: usize,
+}
+
+/// A recorded run and how far it has come.
+struct Known<'a> {
+    run: RunId,
+    worker: &'a Incarnation,
+    phase: RunPhase,
+    since_ms: u64,
+}
+
+/// Workers by what is known to run on them.
+struct Fleet<'a> {
+    runs: BTreeMap<StepId, Vec<Known<'a>>>,
+    /// Runs at work, by job.
+    at_work: BTreeMap<JobId, u64>,
+    /// Workers that may stay, what they have free beside the runs that take room, and runs there by step.
+    free: Vec<(&'a Worker, Needs)>,
+    /// In use and in all, by pool.
+    pools: BTreeMap<Arc<str>, (Needs, Needs)>,
+}
+
+impl<'a> Fleet<'a> {
+    fn new(now_ms: u64, workload: &'a Workload, dispatcher: &Dispatcher) -> Self {
+        let mut fleet = Self {
+            runs: BTreeMap::new(),
+            at_work: BTreeMap::new(),
+            free: Vec::new(),
+            pools: BTreeMap::new(),
+        };
+        for worker in workload.workers() {
+            let id = &worker.info.id;
+            let mut used = Needs::default();
+            for (run, needs) in &worker.runs {
+                let (phase, since_ms) = RunPhase::of(now_ms, workload, dispatcher, (id, *run));
+                if phase.takes_room() {
+                    used.add(needs);
+                }
+                let step = run.task.step;
+                let at_work = fleet.at_work.entry(step.job).or_default();
+                *at_work += u64::from(phase == RunPhase::Running);
+                fleet.runs.entry(step).or_default().push(Known {
+                    run: *run,
+                    worker: id,
+                    phase,
+                    since_ms,
+                });
+            }
+            let stays = !worker.draining
+                && !workload.has_other_incarnation(id)
+                && !workload.is_evacuated(&worker.info);
+            if stays {
+                let pool = fleet.pools.entry(worker.info.pool.clone()).or_default();
+                pool.0.add(&used);
+                pool.1.add(&worker.info.capacity);
+                let mut free = worker.info.capacity;
+                free.subtract(&used);
+                fleet.free.push((worker, free));
+            }
+        }
+        fleet
+    }
+
+    /// What tells whether a job of which `tasks` could run stands still. No more places are counted than that takes.
+    fn standing(&self, job: JobId, pool: &Arc<str>, spec: &StepSpec, tasks: u64) -> Standing {
+        let needs = spec.reserved();
+        let enough = tasks.saturating_mul(Standing::TIMES_PLACES);
+        let mut places = 0;
+        for (worker, free) in &self.free {
+            let labels = &worker.info.labels;
+            let label = spec.required_label.as_ref();
+            let suits =
+                worker.info.pool == *pool && label.is_none_or(|label| labels.contains(label));
+            if suits {
+                places += needs.times_in(free, spec.most_on_worker().min(enough));
+            }
+            if places >= enough {
+                break;
+            }
+        }
+        let (in_use, capacity) = self.pools.get(pool).copied().unwrap_or_default();
+        Standing {
+            runs: self.at_work.get(&job).copied().unwrap_or(0),
+            tasks,
+            places,
+            needs,
+            in_use,
+            capacity,
+        }
+    }
+}
+
+/// Runs of a job that have ended with a result.
+fn results(job: &Job) -> u64 {
+    let of_step = job.steps.iter().map(|step| {
+        let failures: u64 = step.tasks.iter().map(|task| u64::from(task.failures)).sum();
+        failures + u64::from(step.done) + u64::from(step.failures)
+    });
+    of_step.sum()
+}
+
+impl Planner {
+    /// All work whose turn has come at `now_ms` of the leader's clock and `wall_ms` since 1970, and of which nothing is known to run.
+    pub fn survey(
+        &self,
+        (now_ms, wall_ms): (u64, u64),
+        workload: &Workload,
+        dispatcher: &Dispatcher,
+    ) -> Survey {
+        let entitled = entitled_jobs(workload);
+        let mut units: BTreeMap<StepId, Unit> = BTreeMap::new();
+        let remote_percent = dispatcher.timing().remote_percent;
+        let times = (wall_ms, remote_percent);
+        for mut unit in collect::collect(workload, &self.runtimes, &entitled, times) {
+            if unit.advised.is_some() {
+                unit.permitted = Some(dispatcher.permissions.permitted(unit.step, now_ms));
+            }
+            units.insert(unit.step, unit);
+        }
+        let unheard = dispatcher.unheard_attempts(now_ms);
+        let outlook = Outlook::new(self, (now_ms, wall_ms), workload, dispatcher);
+        let fleet = Fleet::new(now_ms, workload, dispatcher);
+        let mut survey = Survey::default();
+        for (id, job) in workload.active_jobs() {
+            let pool = &workload.queue_of(job).pool;
+            let results = results(job);
+            for (step, spec, ready_ms) in steps_in_turn(id, job, wall_ms) {
+                let known = fleet.runs.get(&step).map_or(&[][..], Vec::as_slice);
+                if known.iter().any(|known| known.phase == RunPhase::Running) {
+                    continue;
+                }
+                if survey.steps.len() >= MOST_STEPS {
+                    survey.left_out += 1;
+                    continue;
+                }
+                let unit = units.get(&step);
+                let mut note = |tasks: u64, wait: Wait, held_by: Option<Holder>| {
+                    survey.steps.push(RunnableStep {
+                        step,
+                        tasks,
+                        wait,
+                        held_by,
+                        ready_ms,
+                        results,
+                        standing: fleet.standing(id, pool, spec, tasks),
+                    });
+                };
+                if let Some(unit) = unit {
+                    let uncertain = is_uncertain(step, &unheard, workload);
+                    note(unit.count(), wait_of_unit(unit, uncertain, &outlook), None);
+                }
+                let Some(longest) = known.iter().min_by_key(|known| known.since_ms) else {
+                    if unit.is_none() {
+                        note(u64::from(spec.count), Wait::Unexplained, None);
+                    }
+                    continue;
+                };
+                let holder = Holder {
+                    run: longest.run.to_string(),
+                    worker: longest.worker.clone(),
+                    phase: longest.phase,
+                    held_ms: now_ms.saturating_sub(longest.since_ms),
+                };
+                if is_held(job, spec, step) {
+                    note(u64::from(spec.count), Wait::EarlierRuns, Some(holder));
+                } else {
+                    let phase = longest.phase;
+                    let tasks = u64::try_from(known.len()).unwrap_or(u64::MAX);
+                    note(tasks, Wait::Ordered { phase }, Some(holder));
+                }
+            }
+        }
+        survey
+    }
+}
+
+/// Steps of a job that are due, unblocked and not done, and since when they could have begun for all that is recorded, in milliseconds since 1970.
+fn steps_in_turn(
+    id: JobId,
+    job: &Job,
+    wall_ms: u64,
+) -> impl Iterator<Item = (StepId, &StepSpec, u64)> {
+    let due = (0..job.spec.occurrences()).map_while(move |occurrence| {
+        let ready_ms = job.spec.due_ms(occurrence).unwrap_or(job.accepted_ms);
+        let is_due = job.spec.due_ms(occurrence).is_none_or(|ms| ms <= wall_ms);
+        is_due.then_some((occurrence, ready_ms))
+    });
+    due.flat_map(move |(occurrence, ready_ms)| {
+        let specs = (0u32..).zip(&job.spec.steps);
+        specs.filter_map(move |(position, spec)| {
+            let step = StepId {
+                job: id,
+                occurrence,
+                step: position,
+            };
+            let in_turn = !job.step(step)?.is_done() && job.is_unblocked(step);
+            in_turn.then_some((step, spec, ready_ms))
+        })
+    })
+}
