Survey the work that waits, and tell of jobs that stand still

The record of an incident had no line about jobs of which nothing ran for seconds in an idle pool: only decisions are logged, and nothing was decided.

The leader surveys the work that waits each half second, and at most for a fiftieth of its time: gauges `runnable_tasks` by reason, `runnable_oldest_ms` and `jobs_standing_still`; a warning once for each stretch of 2 s in which a job stands still by `Standing`, with reason, run, worker and term, and a line when it is over. At most four lines a survey; the rest is counted. A leader that has not heard a majority lately surveys too, and says so.

Not run on real processes here.

--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -7,6 +7,8 @@
 use super::records::Origin;
 use super::records::RECORD_MS;
 use super::records::record;
+use super::runnable_watch::RunnableWatch;
+use super::surveys;
 use super::upkeep;
 use bh_net::runtime::within_ms;
 use bh_workload::dispatch::Dispatcher;
@@ -77,6 +79,7 @@
         .quorum_heard_ms
         .is_some_and(|heard_ms| now_ms < heard_ms + CONFIRMED_MS);
     if !confirmed {
+        surveys::survey(core, confirmed);
         return;
     }
     core.led_ms.set(Some(now_ms));
@@ -84,14 +87,16 @@
     upkeep::keep(core, now_ms);
     give_orders(core, now_ms);
     plan(core);
+    surveys::survey(core, confirmed);
 }
 
 fn step_down(core: &Rc<CoreNode>, why: &str) {
-    *core.leadership.borrow_mut() = None;
+    let led = core.leadership.borrow_mut().take();
+    let standing_still = led.map_or(0, |led| led.runnable.standing_still());
     if !core.shares_workers() {
         core.workers.close();
     }
-    log::info!(core = &*core.config.name; "stops leading: {why}");
+    log::info!(core = &*core.config.name, standing_still; "stops leading: {why}");
     core.inbound.tell_all(&core.status());
 }
 
@@ -126,6 +131,8 @@
         plan_due: true,
         planned_ms: 0,
         plan_from_ms: 0,
+        runnable: RunnableWatch::new(),
+        survey_from_ms: 0,
         swept_ms: 0,
         checked_ms: 0,
         sequences: BTreeMap::new(),
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -1,5 +1,6 @@
 //! What a core holds while it leads.
 
+use super::runnable_watch::RunnableWatch;
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::plan::Planner;
@@ -24,6 +25,10 @@
     pub planned_ms: u64,
     /// Earliest time of the next plan, on the process's clock in milliseconds.
     pub plan_from_ms: u64,
+    /// What its surveys of waiting work have shown.
+    pub runnable: RunnableWatch,
+    /// Earliest time of the next survey, on the process's clock in milliseconds.
+    pub survey_from_ms: u64,
     /// When all workers were last looked through, on the process's clock in milliseconds.
     pub swept_ms: u64,
     /// When runs were last checked for being overdue, on the process's clock in milliseconds.
@@ -31,3 +36,11 @@
     /// Highest number of a heartbeat heard from each worker.
     pub sequences: BTreeMap<Incarnation, u64>,
 }
+
+impl Leadership {
+    /// Time since the last plan was begun, or since the election before the first one, in milliseconds.
+    pub fn plan_age_ms(&self, now_ms: u64) -> u64 {
+        let since_ms = self.planned_ms.max(self.dispatcher.elected_ms());
+        now_ms.saturating_sub(since_ms)
+    }
+}
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -3,6 +3,7 @@
 use super::core_node::CoreNode;
 use super::evacuations;
 use super::evacuations::Evacuation;
+use super::surveys;
 use crate::observe::Metrics;
 use crate::observe::Readings;
 use crate::observe::log_lines_dropped;
@@ -110,6 +111,7 @@
         ),
         None => (FleetCounts::default(), 0),
     };
+    surveys::set_gauges(held.as_ref(), metrics);
     let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
     metrics.gauge("jobs_without_runs", size(jobs_without_runs));
     metrics.gauge("workers_silent", size(counts.workers_silent));
--- a/crates/bh-control/src/observe/metrics.rs
+++ b/crates/bh-control/src/observe/metrics.rs
@@ -12,11 +12,15 @@
 /// Shares of the values that are told, in percent.
 const SHARES: [f64; 3] = [50.0, 90.0, 99.0];
 
+/// Name of a gauge, and name and value of its label.
+type LabelledName = (&'static str, &'static str, &'static str);
+
 /// Counters and histograms by name.
 #[derive(Default)]
 pub struct Metrics {
     counters: RefCell<BTreeMap<&'static str, u64>>,
     gauges: RefCell<BTreeMap<&'static str, u64>>,
+    labelled: RefCell<BTreeMap<LabelledName, u64>>,
     times_ms: RefCell<BTreeMap<&'static str, Histogram<u64>>>,
 }
 
@@ -36,6 +40,16 @@
         self.gauges.borrow_mut().insert(name, value);
     }
 
+    /// Sets a gauge that has a label.
+    pub fn gauge_with(
+        &self,
+        name: &'static str,
+        (label, of): (&'static str, &'static str),
+        value: u64,
+    ) {
+        self.labelled.borrow_mut().insert((name, label, of), value);
+    }
+
     /// Notes how long something took.
     pub fn time_ms(&self, name: &'static str, took_ms: u64) {
         let mut times = self.times_ms.borrow_mut();
@@ -61,6 +75,9 @@
         for (name, value) in self.gauges.borrow().iter() {
             let _ = writeln!(text, "{name} {value}");
         }
+        for ((name, label, of), value) in self.labelled.borrow().iter() {
+            let _ = writeln!(text, "{name}{{{label}=\"{of}\"}} {value}");
+        }
         for (name, histogram) in self.times_ms.borrow().iter() {
             for share in SHARES {
                 let value = histogram.value_at_percentile(share);
