Tell what a new leader takes over, and when it has heard of all of it

`leads` told how many runs are recorded, but neither how many jobs were open nor how many gangs waited for some of their runs; and nothing told when the new leader knew of every run, the time until which such gangs may stand still.

`leads` has `jobs` and `gangs_broken` now; the line `all runs taken over are heard of`, with the time since the election, and `take_over_ms` and `runs_inherited` tell the rest.

Tests: crates/bh-control/tests/inherited.rs (2 pass).

--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -1,6 +1,7 @@
 //! The leader's loop: takes over what is recorded, gives orders, plans.
 
 use super::core_node::CoreNode;
+use super::inherited::Inherited;
 use super::leadership::Leadership;
 use super::orders::give_orders;
 use super::planning::plan;
@@ -30,6 +31,8 @@
 /// Time since a majority was heard after which a leader gives no more orders, in milliseconds. Another may have been elected without its
 /// knowing, for instance while this VM was suspended.
 const CONFIRMED_MS: u64 = 1_500;
+/// Time between looks for runs that were taken over and have been heard of, in milliseconds.
+const SETTLE_MS: u64 = 100;
 /// Time between looks for ended jobs that nobody asks for any more and for connections that nobody uses, in milliseconds.
 const FORGET_EVERY_MS: u64 = 10_000;
 
@@ -83,6 +86,7 @@
         return;
     }
     core.led_ms.set(Some(now_ms));
+    settle_inherited(core, now_ms);
     check_overdue(core, now_ms);
     upkeep::keep(core, now_ms);
     give_orders(core, now_ms);
@@ -114,7 +118,11 @@
         dispatcher = dispatcher.with_old_record();
     }
     core.unheard.borrow_mut().tell(&mut dispatcher, &workload);
-    let runs: usize = workload.workers().map(|worker| worker.runs.len()).sum();
+    let inherited = Inherited::new(&workload);
+    let runs = inherited.count();
+    let jobs = workload.active_jobs().count();
+    let broken = workload.active_jobs().map(|(id, job)| job.broken_gangs(id));
+    let gangs_broken: usize = broken.sum();
     drop(workload);
     let keeper = Keeper::new(
         core.config.name.clone(),
@@ -131,6 +139,8 @@
         plan_due: true,
         planned_ms: 0,
         plan_from_ms: 0,
+        inherited,
+        settled_ms: 0,
         runnable: RunnableWatch::new(),
         survey_from_ms: 0,
         swept_ms: 0,
@@ -138,7 +148,7 @@
         sequences: BTreeMap::new(),
     });
     core.metrics.count("leads", 1);
-    log::info!(core = &*core.config.name, term, runs, gap_ms; "leads");
+    log::info!(core = &*core.config.name, term, jobs, gangs_broken, runs, gap_ms; "leads");
     core.inbound.tell_all(&core.status());
 }
 
@@ -150,6 +160,28 @@
     }
 }
 
+/// Tells when the last of the runs that were taken over is known to be at work or over.
+fn settle_inherited(core: &Rc<CoreNode>, now_ms: u64) {
+    let mut held = core.leadership.borrow_mut();
+    let Some(leadership) = held.as_mut() else {
+        return;
+    };
+    let due = now_ms >= leadership.settled_ms + SETTLE_MS;
+    if !due || leadership.inherited.count() == 0 {
+        return;
+    }
+    leadership.settled_ms = now_ms;
+    let workload = core.group.machine.read();
+    let settled = leadership
+        .inherited
+        .settle(&workload, &leadership.dispatcher);
+    if let Some((worker, run)) = settled {
+        let led_ms = now_ms.saturating_sub(leadership.dispatcher.elected_ms());
+        core.metrics.time_ms("take_over", led_ms);
+        log::info!(core = &*core.config.name, term = leadership.term, led_ms, run = run.to_string(), worker = worker.to_string(); "all runs taken over are heard of");
+    }
+}
+
 fn check_overdue(core: &Rc<CoreNode>, now_ms: u64) {
     let mut held = core.leadership.borrow_mut();
     let Some(leadership) = held.as_mut() else {
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -1,5 +1,6 @@
 //! What a core holds while it leads.
 
+use super::inherited::Inherited;
 use super::runnable_watch::RunnableWatch;
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Dispatcher;
@@ -25,6 +26,10 @@
     pub planned_ms: u64,
     /// Earliest time of the next plan, on the process's clock in milliseconds.
     pub plan_from_ms: u64,
+    /// Runs that it took over and has not heard of yet.
+    pub inherited: Inherited,
+    /// When these were last looked through, on the process's clock in milliseconds.
+    pub settled_ms: u64,
     /// What its surveys of waiting work have shown.
     pub runnable: RunnableWatch,
     /// Earliest time of the next survey, on the process's clock in milliseconds.
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -113,6 +113,8 @@
     };
     surveys::set_gauges(held.as_ref(), metrics);
     let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    let inherited = held.as_ref().map_or(0, |led| led.inherited.count());
+    metrics.gauge("runs_inherited", size(inherited));
     metrics.gauge("jobs_without_runs", size(jobs_without_runs));
     metrics.gauge("workers_silent", size(counts.workers_silent));
     metrics.gauge("workers_outdated", size(counts.workers_outdated));
--- /dev/null
+++ b/crates/bh-control/tests/inherited.rs
@@ -0,0 +1,60 @@
+//! Runs that a new leader takes over.
+
+#[path = "../../bh-workload/tests/support/mod.rs"]
+mod support;
+
+use bh_control::core::Inherited;
+use bh_workload::job::StepSpec;
+use bh_workload::state::EndKind;
+use support::Site;
+use support::step;
+
+/// Guards against a take-over that counts as settled while a run is unheard of, or is told of twice.
+#[test]
+fn a_take_over_is_settled_once_every_run_is_heard_of() {
+    let mut site = Site::new(3, 3);
+    site.advance(60_000);
+    site.submit(2, "other", vec![step(3, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.take_over(2);
+    let mut inherited = Inherited::new(&site.workload);
+    assert_eq!(inherited.count(), 3);
+    let runs = site.open_runs();
+
+    site.advance(100);
+    let answer = site.looked(&runs[0].0, &[]);
+    site.answer_for(&runs[0].0, &answer);
+    site.end(runs[1].1, EndKind::Done);
+    assert_eq!(inherited.settle(&site.workload, &site.dispatcher), None);
+    assert_eq!(inherited.count(), 1);
+
+    site.end(runs[2].1, EndKind::Lost);
+    let last = inherited.settle(&site.workload, &site.dispatcher);
+    assert_eq!(last, Some(runs[2].clone()));
+    assert_eq!(inherited.settle(&site.workload, &site.dispatcher), None);
+}
+
+/// Guards against a gang that waits for some of its runs being counted as whole, or one that waits for room as broken.
+#[test]
+fn broken_gangs_are_counted() {
+    let mut site = Site::new(4, 4);
+    site.advance(60_000);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 8)
+    };
+    let job = site.submit(2, "other", vec![gang.clone(), gang]);
+    let broken = |site: &Site| site.workload.job(job).unwrap().broken_gangs(job);
+    assert_eq!(broken(&site), 0);
+    site.plan_and_start();
+    assert_eq!(broken(&site), 0);
+    let runs = site.open_runs();
+    site.end(runs[0].1, EndKind::Broken);
+    assert_eq!(broken(&site), 1);
+    let rest: Vec<_> = site.open_runs();
+    for (_, run) in rest {
+        site.end(run, EndKind::Lost);
+    }
+    assert_eq!(broken(&site), 0);
+}
--- a/crates/bh-workload/src/plan/explain.rs
+++ b/crates/bh-workload/src/plan/explain.rs
@@ -11,9 +11,7 @@
 use crate::dispatch::RunPhase;
 use crate::job::JobId;
 use crate::job::StepId;
-use crate::job::StepSpec;
 use crate::state::GiveUp;
-use crate::state::Job;
 use crate::state::JobState;
 use crate::state::Task;
 use crate::state::Workload;
@@ -140,7 +138,7 @@
                     let uncertain = is_uncertain(step, &unheard, workload);
                     Some(wait_of_unit(unit, uncertain, &outlook))
                 } else {
-                    is_held(job, spec, step).then_some(Wait::EarlierRuns)
+                    job.is_broken_gang(step).then_some(Wait::EarlierRuns)
                 };
                 let times = (now_ms, wait);
                 steps.extend(step_report(times, workload, dispatcher, step));
@@ -169,18 +167,6 @@
     }
 }
 
-/// Whether a gang that is broken waits for some of its runs to be over.
-pub(super) fn is_held(job: &Job, spec: &StepSpec, step: StepId) -> bool {
-    let Some(progress) = job.step(step) else {
-        return false;
-    };
-    let whole = progress
-        .tasks
-        .first()
-        .is_some_and(|task| progress.gang_is_whole(task.attempt));
-    spec.gang && progress.open_runs > 0 && !progress.is_done() && !whole
-}
-
 /// The report of a step; `None` when it is done.
 fn step_report(
     (now_ms, wait): (u64, Option<Wait>),
--- a/crates/bh-workload/src/plan/runnable.rs
+++ b/crates/bh-workload/src/plan/runnable.rs
@@ -7,7 +7,6 @@
 use super::Wait;
 use super::collect;
 use super::entitled_jobs;
-use super::explain::is_held;
 use super::explain::wait_of_unit;
 use super::outlook::Outlook;
 use super::planner::is_uncertain;
@@ -216,7 +215,7 @@
                     phase: longest.phase,
                     held_ms: now_ms.saturating_sub(longest.since_ms),
                 };
-                if is_held(job, spec, step) {
+                if job.is_broken_gang(step) {
                     note(u64::from(spec.count), Wait::EarlierRuns, Some(holder));
                 } else {
                     let phase = longest.phase;
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -3,6 +3,7 @@
 use super::GiveUp;
 use super::Step;
 use super::TaskState;
+use crate::job::JobId;
 use crate::job::JobSpec;
 use crate::job::RunId;
 use crate::job::StepId;
@@ -143,6 +144,31 @@
             .is_some_and(|task| task.state == TaskState::Open(run.attempt))
     }
 
+    /// Whether a step is a gang of which some runs are recorded and others are not: it waits until all of them are known to be over.
+    pub fn is_broken_gang(&self, id: StepId) -> bool {
+        let (Some(step), Some(spec)) = (self.step(id), self.step_spec(id)) else {
+            return false;
+        };
+        let is_whole = step
+            .tasks
+            .first()
+            .is_some_and(|task| step.gang_is_whole(task.attempt));
+        spec.gang && step.open_runs > 0 && !step.is_done() && !is_whole
+    }
+
+    /// Number of such gangs.
+    pub fn broken_gangs(&self, id: JobId) -> usize {
+        let steps = (0..self.spec.occurrences()).flat_map(|occurrence| {
+            let steps = (0u32..).zip(&self.spec.steps);
+            steps.map(move |(step, _)| StepId {
+                job: id,
+                occurrence,
+                step,
+            })
+        });
+        steps.filter(|step| self.is_broken_gang(*step)).count()
+    }
+
     /// Whether any recorded run of the job is not known to be over.
     pub fn has_open_runs(&self) -> bool {
         self.steps.iter().any(|step| step.open_runs > 0)
