Tell how old the last plan is, and what kept the next one back

Gauges `plan_age_ms` and `starts_recording_ms`, and `plans_deferred_total`: records of starts while which a plan was due, once each. The line about a job that stands still has the first two. When plans are made is unchanged.

--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -9,6 +9,7 @@
 use super::records::RECORD_MS;
 use super::records::record;
 use super::runnable_watch::RunnableWatch;
+use super::starts_record::StartsRecord;
 use super::surveys;
 use super::upkeep;
 use bh_net::runtime::within_ms;
@@ -135,7 +136,7 @@
         keeper,
         dispatcher,
         planner: Planner::new(),
-        planning: false,
+        starts_record: StartsRecord::new(),
         plan_due: true,
         planned_ms: 0,
         plan_from_ms: 0,
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -2,6 +2,7 @@
 
 use super::inherited::Inherited;
 use super::runnable_watch::RunnableWatch;
+use super::starts_record::StartsRecord;
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::plan::Planner;
@@ -18,8 +19,8 @@
     pub dispatcher: Dispatcher,
     /// The plan.
     pub planner: Planner,
-    /// Whether starts are being recorded: the next plan must see them.
-    pub planning: bool,
+    /// The record of the last planned starts.
+    pub starts_record: StartsRecord,
     /// Whether something has changed since the last plan.
     pub plan_due: bool,
     /// When the last plan was made, on the process's clock in milliseconds.
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -113,6 +113,12 @@
     };
     surveys::set_gauges(held.as_ref(), metrics);
     let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    let now_ms = core.clock.now_ms();
+    let plan_age_ms = held.as_ref().map_or(0, |led| led.plan_age_ms(now_ms));
+    metrics.gauge("plan_age_ms", plan_age_ms);
+    let record = held.as_ref().map(|led| led.starts_record);
+    let recording_ms = record.map_or(0, |record| record.age_ms(now_ms));
+    metrics.gauge("starts_recording_ms", recording_ms);
     let inherited = held.as_ref().map_or(0, |led| led.inherited.count());
     metrics.gauge("runs_inherited", size(inherited));
     metrics.gauge("jobs_without_runs", size(jobs_without_runs));
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -29,7 +29,12 @@
         return;
     };
     let due = leadership.plan_due || now_ms >= leadership.planned_ms + PLAN_MS;
-    if leadership.planning || !due || now_ms < leadership.plan_from_ms {
+    if !due || now_ms < leadership.plan_from_ms {
+        return;
+    }
+    if leadership.starts_record.is_open() {
+        let deferred = leadership.starts_record.defer_plan();
+        core.metrics.count("plans_deferred", u64::from(deferred));
         return;
     }
     leadership.plan_due = false;
@@ -68,7 +73,7 @@
     if starts.is_empty() {
         return;
     }
-    leadership.planning = true;
+    leadership.starts_record.begin(over_ms);
     let term = leadership.term;
     core.metrics
         .count("runs_planned", starts.len().try_into().unwrap_or(0));
@@ -86,7 +91,7 @@
         if let Some(leadership) = core.leadership.borrow_mut().as_mut()
             && leadership.term == term
         {
-            leadership.planning = false;
+            leadership.starts_record.end();
             leadership.plan_due = true;
         }
         core.wake();
--- a/crates/bh-control/src/core/surveys.rs
+++ b/crates/bh-control/src/core/surveys.rs
@@ -75,10 +75,11 @@
         return;
     }
     let accepted_ms_ago = wall_ms.saturating_sub(step.ready_ms);
+    let starts_recording_ms = leadership.starts_record.age_ms(now_ms);
     let led_ms = now_ms.saturating_sub(leadership.dispatcher.elected_ms());
     log::warn!(
         job = line.job.to_string(), step = step.step.to_string(), tasks = step.tasks, reason, wait:? = step.wait, stood_ms = line.stood_ms, accepted_ms_ago, run, worker, held_ms,
-        results = step.results, term = leadership.term, led_ms, plan_age_ms = leadership.plan_age_ms(now_ms), confirmed;
+        results = step.results, term = leadership.term, led_ms, plan_age_ms = leadership.plan_age_ms(now_ms), starts_recording_ms, confirmed;
         "job stands still though there is room"
     );
 }
