Judge by the simulated workers whether jobs stand still beside free room

The fuzz of delays asked only whether every job ends, 140 s after the start: one that stood still for seconds while most of the pool was idle passed. The oracle in tests/support/standing.rs finds jobs of which nothing runs on any worker that is up and reachable, though a step's turn has come, attempts are left, there is room for it twice over and under half of the pool's accelerators are in use. It looks at the workers, not at what the leader believes. A job may stand so for 3 s, counted from 4 s after the last disturbance. What breaks it is printed with the planner's explanation, the watches and targets of its runs, and what else waits.

--- a/crates/bh-workload/tests/delays/event.rs
+++ b/crates/bh-workload/tests/delays/event.rs
@@ -13,6 +13,8 @@
     Submit { job: u64 },
     /// A fault begins.
     Fault { index: usize },
+    /// A fault ends that does not end by itself.
+    FaultEnds { index: usize },
     /// A worker says that it is there.
     Heartbeat { index: usize },
     /// The leader reads that.
--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -1,5 +1,6 @@
 //! What is done to a site while its jobs run.
 
+use super::fleet::Fleet;
 use bh_testkit::model_worker::Planted;
 use proptest::prelude::*;
 
@@ -17,6 +18,8 @@
     Cut { worker: usize, for_ms: u64 },
     /// A worker crashes, and lives again under another identity.
     Reborn { worker: usize },
+    /// A worker that runs a member of a gang crashes, and lives again under another identity.
+    CrashInGang,
     /// The leader is replaced as soon as ends wait to be committed, after `gap_ms` without any. Up to `lost` of the newest proposals are lost. One
     /// that is deposed goes on for a while.
     Leader {
@@ -47,6 +50,45 @@
     FailsAll { worker: usize, for_ms: u64 },
     /// The leader wants the runs of a job to end, to begin them anew elsewhere.
     GiveUp { job: usize },
+    /// A share of heartbeats comes up to three seconds late, and as many do not come at all, percent.
+    LateHeartbeats { percent: u64, for_ms: u64 },
+    /// One of two data centres is evacuated.
+    Evacuation { far: bool, for_ms: u64 },
+    /// A queue is not in the rules.
+    NoQueue { priority: u32, for_ms: u64 },
+    /// Jobs may fail but once.
+    FewerAttempts { for_ms: u64 },
+}
+
+impl Fault {
+    /// How long it lasts, in milliseconds, where its beginning and its end matter; `None` for one that disturbs for all of its time.
+    pub fn lasts_ms(&self) -> Option<u64> {
+        match self {
+            Fault::Cut { for_ms, .. }
+            | Fault::Evacuation { for_ms, .. }
+            | Fault::NoQueue { for_ms, .. }
+            | Fault::FewerAttempts { for_ms } => Some(*for_ms),
+            _ => None,
+        }
+    }
+
+    /// For how long it disturbs from its beginning, in milliseconds.
+    pub fn disturbs_ms(&self) -> u64 {
+        match self {
+            Fault::LateOrders { for_ms, .. }
+            | Fault::LateAnswers { for_ms, .. }
+            | Fault::LateReads { for_ms, .. }
+            | Fault::BrokenConnections { for_ms, .. }
+            | Fault::Repeats { for_ms, .. }
+            | Fault::Carriers { for_ms, .. }
+            | Fault::Stall { for_ms, .. }
+            | Fault::StuckRecords { for_ms }
+            | Fault::Busy { for_ms, .. }
+            | Fault::FailsAll { for_ms, .. }
+            | Fault::LateHeartbeats { for_ms, .. } => *for_ms,
+            _ => 0,
+        }
+    }
 }
 
 /// One run of the fuzz.
@@ -66,6 +108,7 @@
     pub planted: Planted,
     /// Whether some steps are gangs.
     pub gangs: bool,
+    pub fleet: Fleet,
 }
 
 fn share() -> impl Strategy<Value = (u64, u64)> {
@@ -132,6 +175,78 @@
                 faults,
                 planted: Planted::Nothing,
                 gangs: false,
+                fleet: Fleet::SMALL,
             },
         )
 }
+
+/// Time between bursts of faults, in milliseconds: what is left of one shows before the next.
+const BURST_MS: u64 = 17_000;
+/// Bursts of a case.
+const BURSTS: u64 = 3;
+
+/// One fault of a burst, on `workers` workers.
+fn short_fault(workers: usize) -> impl Strategy<Value = Fault> {
+    let short = || (5u64..70, 300u64..3_000);
+    prop_oneof![
+        3 => (0..workers, 300u64..14_000).prop_map(|(worker, for_ms)| Fault::Cut { worker, for_ms }),
+        1 => (0..workers).prop_map(|worker| Fault::Reborn { worker }),
+        3 => Just(Fault::CrashInGang),
+        1 => short().prop_map(|(percent, for_ms)| Fault::LateOrders { percent, for_ms }),
+        1 => short().prop_map(|(percent, for_ms)| Fault::LateAnswers { percent, for_ms }),
+        1 => short().prop_map(|(percent, for_ms)| Fault::LateReads { percent, for_ms }),
+        1 => short().prop_map(|(percent, for_ms)| Fault::BrokenConnections { percent, for_ms }),
+        1 => short().prop_map(|(percent, for_ms)| Fault::Repeats { percent, for_ms }),
+        2 => short().prop_map(|(percent, for_ms)| Fault::Carriers { percent, for_ms }),
+        1 => (50u64..MOST_HELD_MS, any::<bool>()).prop_map(|(for_ms, in_turn)| Fault::Stall { for_ms, in_turn }),
+        2 => (500u64..4_500).prop_map(|for_ms| Fault::StuckRecords { for_ms }),
+        1 => short().prop_map(|(percent, for_ms)| Fault::Busy { percent, for_ms }),
+        1 => (0..workers, 500u64..3_000).prop_map(|(worker, for_ms)| Fault::FailsAll { worker, for_ms }),
+        1 => (0usize..40).prop_map(|job| Fault::GiveUp { job }),
+        2 => short().prop_map(|(percent, for_ms)| Fault::LateHeartbeats { percent, for_ms }),
+        1 => (any::<bool>(), 500u64..12_000).prop_map(|(far, for_ms)| Fault::Evacuation { far, for_ms }),
+        1 => (0u32..3, 500u64..12_000).prop_map(|(priority, for_ms)| Fault::NoQueue { priority, for_ms }),
+        1 => (500u64..12_000).prop_map(|for_ms| Fault::FewerAttempts { for_ms }),
+    ]
+}
+
+/// The leader is replaced.
+fn leader() -> impl Strategy<Value = Fault> {
+    (any::<bool>(), 0usize..5, 0u64..5_000, 0u64..1_500).prop_map(
+        |(same_core, lost, gap_ms, deposed_ms)| Fault::Leader {
+            same_core,
+            lost,
+            gap_ms,
+            deposed_ms,
+        },
+    )
+}
+
+/// Leaders lost in series, each among other faults that come within a second or two.
+pub fn series(fleet: Fleet) -> impl Strategy<Value = Case> {
+    let burst = (
+        proptest::collection::vec((0u64..1_500, short_fault(fleet.workers)), 0..6),
+        proptest::option::weighted(0.8, (0u64..1_500, leader())),
+    );
+    let bursts = proptest::collection::vec(burst, usize::try_from(BURSTS).unwrap());
+    let failing_percent = prop_oneof![2 => Just(0u64), 1 => 1u64..20];
+    (any::<u64>(), 1u64..200, failing_percent, bursts).prop_map(
+        move |(seed, record_ms, failing_percent, bursts)| {
+            let bursts = (0u64..).zip(bursts);
+            let faults = bursts.flat_map(|(at, (others, leader))| {
+                let own = others.into_iter().chain(leader);
+                own.map(move |(at_ms, fault)| (BURST_MS * at + 4_000 + at_ms, fault))
+            });
+            Case {
+                seed,
+                record_ms,
+                failing_percent,
+                busy_percent: 0,
+                faults: faults.collect(),
+                planted: Planted::Nothing,
+                gangs: true,
+                fleet,
+            }
+        },
+    )
+}
--- a/crates/bh-workload/tests/delays/gangs.rs
+++ b/crates/bh-workload/tests/delays/gangs.rs
@@ -1,7 +1,6 @@
 //! Gangs: tasks that work only together, and end together.
 
 use super::site::Site;
-use bh_workload::dispatch::Timing;
 use bh_workload::job::RunId;
 use bh_workload::job::StepId;
 use bh_workload::state::EndKind;
@@ -25,6 +24,13 @@
     breaking: BTreeMap<(usize, RunId), u64>,
 }
 
+impl Gangs {
+    /// Whether members of broken gangs are being ended.
+    pub fn is_breaking(&self) -> bool {
+        !self.breaking.is_empty()
+    }
+}
+
 impl Site<'_> {
     /// Whether a step is a gang.
     pub fn is_gang(&self, step: StepId) -> bool {
@@ -44,6 +50,18 @@
         gangs
     }
 
+    /// A worker that runs a member of a gang.
+    pub fn worker_of_gang(&mut self) -> Option<usize> {
+        let members = self.members();
+        let all: Vec<usize> = members
+            .values()
+            .flatten()
+            .map(|(worker, _)| *worker)
+            .collect();
+        let at = self.random.index(all.len());
+        all.get(at).copied()
+    }
+
     /// Gangs work once all members are there, end together, and break when one is gone; a member that waits for long ends alone.
     pub fn pass_gangs(&mut self) {
         let now_ms = self.now_ms;
@@ -91,7 +109,7 @@
     /// A member of a broken gang ends within the time of a stop.
     fn break_off(&mut self, index: usize, run: RunId) {
         if !self.gangs.breaking.contains_key(&(index, run)) {
-            let over_ms = self.now_ms + self.random.below(Timing::DEFAULT.stop_timeout_ms);
+            let over_ms = self.now_ms + self.random.below(self.fleet().timing.stop_timeout_ms);
             self.gangs.breaking.insert((index, run), over_ms);
         }
     }
--- a/crates/bh-workload/tests/delays/history.rs
+++ b/crates/bh-workload/tests/delays/history.rs
@@ -21,6 +21,10 @@
     RecordedFirst,
     /// Every job ends.
     JobsEnd,
+    /// What may begin does so soon where there is room.
+    BeginsSoon,
+    /// The same for what would be slower there than in a rack of its own.
+    BeginsSoonElsewhere,
 }
 
 /// A rule that was broken.
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -13,12 +13,16 @@
 use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::RecordOutcome;
-use bh_workload::dispatch::Timing;
+use bh_workload::dispatch::Target;
+use bh_workload::job::JobId;
 use bh_workload::plan::Planner;
+use bh_workload::plan::Wait;
 use bh_workload::state::Command;
+use bh_workload::state::Worker;
 use bh_workload::state::WorkerChange;
 use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 /// Longest time between two turns of the leader, in milliseconds.
@@ -122,6 +126,7 @@
         if stall_ms > 0 {
             self.reached.stalls_in_turn += 1;
             leader.stalled_until_ms = now_ms + stall_ms;
+            self.disturb(now_ms + stall_ms);
             self.note(|| {
                 format!(
                     "core{} stalls for {stall_ms} ms with {} orders to send",
@@ -326,6 +331,8 @@
                 leader.core
             )
         });
+        self.reached.changes += 1;
+        self.reached.changes_with_broken_gangs += usize::from(self.has_broken_gangs());
         self.deposed = None;
         if !same_core && deposed_ms > 0 {
             leader.deposed = Some((self.record.clone(), now_ms + deposed_ms));
@@ -358,7 +365,7 @@
         self.record = machine.read().clone();
         self.record.take_news();
         let (term, now_ms) = (self.term, self.now_ms);
-        let mut dispatcher = Dispatcher::new(Timing::DEFAULT, term, now_ms, &self.record);
+        let mut dispatcher = Dispatcher::new(self.fleet().timing, term, now_ms, &self.record);
         if gap_ms > SHORT_GAP_MS {
             dispatcher = dispatcher.with_old_record();
         }
@@ -380,6 +387,96 @@
         self.push(now_ms, Event::Turn { term });
     }
 
+    /// What the leader knows of a job, and of the workers that the record has runs of it on.
+    pub fn explain(&self, job: JobId) -> String {
+        let Some(leader) = &self.leader else {
+            return "no leader".to_owned();
+        };
+        let now_ms = self.now_ms;
+        let times = (now_ms, START_WALL_MS + now_ms);
+        let dispatcher = &leader.dispatcher;
+        let report = leader.planner.explain(times, &self.record, dispatcher, job);
+        let mut lines = vec![format!(
+            "term {}, planning {}, plan due {}, planned at {}",
+            leader.term, leader.planning, leader.plan_due, leader.planned_ms
+        )];
+        if let Some(job) = self.record.job(job) {
+            let specs = job.spec.steps.iter().cycle();
+            for (step, spec) in job.steps.iter().zip(specs) {
+                let tasks = step.tasks.iter();
+                let states: Vec<_> = tasks.map(|task| (task.attempt, task.state)).collect();
+                lines.push(format!(
+                    "{spec:?}: done {}, open {}, failures {}, {states:?}",
+                    step.done, step.open_runs, step.failures
+                ));
+            }
+        }
+        lines.push(format!("{report:?}"));
+        for worker in self.record.workers() {
+            let target = dispatcher.view(&worker.info.id);
+            let runs = worker.runs.keys();
+            let own: Vec<String> = runs
+                .filter(|run| run.task.step.job == job)
+                .map(|run| {
+                    let watch = target.and_then(|target| target.runs.get(run));
+                    format!("{run}: {watch:?}")
+                })
+                .collect();
+            if own.is_empty() {
+                continue;
+            }
+            let target = target.map(|target| Target {
+                runs: BTreeMap::new(),
+                ..target.clone()
+            });
+            lines.push(format!("{}: {own:?}, {target:?}", worker.info.id));
+        }
+        let usable = |worker: &&Worker| {
+            let target = dispatcher.view(&worker.info.id);
+            let is_ready = |target: &Target| {
+                target.answers()
+                    && target.is_verified()
+                    && target.is_current(now_ms, dispatcher.timing())
+                    && now_ms >= target.set_aside_until_ms
+            };
+            target.is_some_and(is_ready)
+        };
+        let unusable = self.record.workers().filter(|worker| !usable(worker));
+        let unusable: Vec<String> = unusable.map(|worker| worker.info.id.to_string()).collect();
+        lines.push(format!("not usable: {unusable:?}"));
+        for (other, _) in self.record.active_jobs() {
+            let report = leader
+                .planner
+                .explain(times, &self.record, dispatcher, other);
+            for step in report.iter().flat_map(|report| &report.steps) {
+                let Some(wait) = &step.wait else {
+                    continue;
+                };
+                if !matches!(wait, Wait::EarlierSteps { .. }) {
+                    lines.push(format!(
+                        "waits too: {}, {} tasks, {wait:?}",
+                        step.step, step.tasks
+                    ));
+                }
+            }
+        }
+        lines.join("\n")
+    }
+
+    /// Whether a gang has ended in part, as its workers or the record know it.
+    fn has_broken_gangs(&self) -> bool {
+        let mut jobs = self.record.active_jobs();
+        self.gangs.is_breaking()
+            || jobs.any(|(_, job)| {
+                let specs = job.spec.steps.iter().cycle();
+                let mut steps = job.steps.iter().zip(specs);
+                steps.any(|(step, spec)| {
+                    let attempt = step.next_gang_attempt() - 1;
+                    spec.gang && step.open_runs > 0 && !step.gang_is_whole(attempt)
+                })
+            })
+    }
+
     /// The leader wants all runs of a job to end.
     pub fn give_up(&mut self, job: usize) {
         let Some(id) = self.jobs.get(job) else {
--- a/crates/bh-workload/tests/delays/network.rs
+++ b/crates/bh-workload/tests/delays/network.rs
@@ -157,6 +157,7 @@
     pub fn arrive(&mut self, call: u64, order: Order, way: Way) {
         let now_ms = self.now_ms;
         let index = self.index_of(&order.to.worker);
+        let index = index.or_else(|| self.later_of(&order.to.worker));
         let slot = self.slot_of(&order);
         if self.is_cut(slot) {
             return;
@@ -225,7 +226,7 @@
             wait_ms: 0,
         };
         let now_ms = self.now_ms;
-        match self.workers[index].take(now_ms, order.token, &body, 0, false) {
+        match self.workers[index].take(now_ms, order.fencing_token(), &body, 0, false) {
             (Answer::Done { clock_ms, .. }, _) => Answer::Denied {
                 clock_ms,
                 denial: Denial::NoRoom,
@@ -237,6 +238,8 @@
     /// A worker carries an order out; what it begins and forgets is checked.
     fn carry_out(&mut self, index: usize, order: &Order) -> Answer {
         let now_ms = self.now_ms;
+        let is_restarted = self.workers[index].id != order.to.worker;
+        let is_first = !self.workers[index].has_received_orders();
         let fails_all = self.percent(|fault| match fault {
             Fault::FailsAll { worker, for_ms } if *worker == index => Some((100, *for_ms)),
             _ => None,
@@ -244,8 +247,18 @@
         let fails = self.chance(self.case.failing_percent.max(fails_all));
         let run_ms = self.run_ms(fails);
         let (answer, began) =
-            self.workers[index].take(now_ms, order.token, &order.body, run_ms, fails);
-        if let Some(run) = began {
+            self.workers[index].take(now_ms, order.fencing_token(), &order.body, run_ms, fails);
+        self.reached.misdelivered += usize::from(is_restarted);
+        if let Some(run) = began
+            && is_restarted
+            && is_first
+        {
+            // It has no fencing token yet; the leader stops the run once it is reported.
+            self.misdelivered.insert(run);
+            if let Some(state) = self.workers[index].runs.get_mut(&run) {
+                state.done_ms = None;
+            }
+        } else if let Some(run) = began {
             if self.is_gang(run.task.step)
                 && let Some(state) = self.workers[index].runs.get_mut(&run)
             {
@@ -257,7 +270,16 @@
         if let (OrderBody::Look { recorded_to, .. }, Answer::Done { .. }) = (&order.body, &answer) {
             self.note_cursor(index, *recorded_to);
         }
-        answer
+        match answer {
+            Answer::Done {
+                report: Some(report),
+                ..
+            } if is_restarted => Answer::Restarted {
+                started_ms: self.workers[index].id.started_ms.unwrap(),
+                report,
+            },
+            answer => answer,
+        }
     }
 
     /// How long a run takes, in milliseconds.
@@ -280,6 +302,7 @@
             .iter()
             .flat_map(|worker| worker.runs.keys().map(|other| (&worker.id, other)))
             .filter(|(_, other)| other.task == run.task && **other != run)
+            .filter(|(_, other)| !self.misdelivered.contains(other))
             .map(|(worker, other)| format!("{other} on {worker}"))
             .collect();
         if !others.is_empty() {
@@ -340,9 +363,9 @@
         let Some(order) = self.calls.remove(&call) else {
             return;
         };
-        if let Some(slot) = self.index_of(&order.to.worker)
-            && self.is_cut(slot)
-        {
+        let index = self.index_of(&order.to.worker);
+        let index = index.or_else(|| self.later_of(&order.to.worker));
+        if index.is_some_and(|index| self.is_cut(index)) {
             self.calls.insert(call, order);
             return;
         }
--- a/crates/bh-workload/tests/delays/reached.rs
+++ b/crates/bh-workload/tests/delays/reached.rs
@@ -23,4 +23,10 @@
     pub denied: usize,
     /// Stalls between decisions and their sending.
     pub stalls_in_turn: usize,
+    /// Changes of the leader.
+    pub changes: usize,
+    /// Those while gangs were broken.
+    pub changes_with_broken_gangs: usize,
+    /// Orders that later incarnations took in place of those they were for.
+    pub misdelivered: usize,
 }
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -3,7 +3,8 @@
 use super::event::Event;
 use super::faults::Case;
 use super::faults::Fault;
-use super::faults::WORKERS;
+use super::faults::MOST_HELD_MS;
+use super::fleet::Fleet;
 use super::gangs::Gangs;
 use super::history::Finding;
 use super::history::History;
@@ -12,7 +13,11 @@
 use super::log::Log;
 use super::network::WaitingLook;
 use super::reached::Reached;
+use super::stands::Stands;
+use super::stands::Stretch;
+use super::work;
 use crate::support;
+use crate::support::FAR;
 use crate::support::START_WALL_MS;
 use crate::support::place;
 use crate::support::step;
@@ -25,25 +30,24 @@
 use bh_workload::dispatch::RecordOutcome;
 use bh_workload::job::JobId;
 use bh_workload::job::JobSpec;
+use bh_workload::job::Needs;
 use bh_workload::job::RunId;
 use bh_workload::job::StepSpec;
 use bh_workload::state::Command;
 use bh_workload::state::EndKind;
+use bh_workload::state::Reply;
 use bh_workload::state::WorkerChange;
 use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Time between looks at the workers' own doings, in milliseconds.
 const TICK_MS: u64 = 10;
 /// Time between a worker's heartbeats, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_500;
-/// Jobs of a site.
-const JOBS: u64 = 8;
-/// Time within which they come, in milliseconds.
-const SUBMIT_MS: u64 = 12_000;
 /// Time for which the site goes on after the last fault at least, in milliseconds: what was held up arrives.
 const CALM_MS: u64 = 4_000;
 /// By then everything must have ended: the last fault, the longest lease and several attempts after it.
@@ -56,6 +60,7 @@
     pub now_ms: u64,
     pub workers: Vec<ModelWorker>,
     lives: Vec<usize>,
+    addresses: Vec<SocketAddr>,
     /// Ends that each worker has not forgotten, as they were.
     pub listed: Vec<Vec<(u64, RunId, EndKind)>>,
     /// What is committed.
@@ -78,6 +83,10 @@
     pub jobs: Vec<JobId>,
     pub history: History,
     pub gangs: Gangs,
+    pub stands: Stands,
+    /// Runs that a later incarnation began by an order for an earlier one.
+    pub misdelivered: BTreeSet<RunId>,
+    rules_version: u64,
     pub reached: Reached,
     /// Faults whose stall in a turn has been used up.
     used: BTreeSet<usize>,
@@ -88,16 +97,14 @@
 pub fn reached(case: &Case) -> Reached {
     let mut site = Site::new(case, false);
     site.run();
-    let (begins, begun_again) = site.history.begins();
-    let lapses: u64 = site.workers.iter().map(|worker| worker.lapses).sum();
-    Reached {
-        begins,
-        begun_again,
-        lapses: usize::try_from(lapses).unwrap(),
-        noted_done: site.history.noted(EndKind::Done),
-        noted_failed: site.history.noted(EndKind::Failed),
-        ..site.reached
-    }
+    site.all_reached()
+}
+
+/// Runs a case; returns how often it came to what it is for, and for how long jobs stood still in it.
+pub fn stretches(case: &Case) -> (Reached, Vec<Stretch>) {
+    let mut site = Site::new(case, false);
+    site.run();
+    (site.all_reached(), site.stands.over)
 }
 
 /// Runs a case; returns what it broke.
@@ -135,14 +142,18 @@
 
 impl<'a> Site<'a> {
     fn new(case: &'a Case, traced: bool) -> Self {
-        let workers = (0..WORKERS).map(|index| worker(case, index, 0)).collect();
+        let slots = case.fleet.workers;
+        let workers = (0..slots).map(|index| worker(case, index, 0, 0));
+        let workers = workers.collect();
+        let addresses = (0..slots).map(|index| worker_info(index, 1).address);
         let mut site = Self {
             case,
             random: Random::new(case.seed),
             now_ms: 0,
             workers,
-            lives: vec![0; WORKERS],
-            listed: vec![Vec::new(); WORKERS],
+            lives: vec![0; slots],
+            addresses: addresses.collect(),
+            listed: vec![Vec::new(); slots],
             record: Workload::default(),
             recorded: BTreeSet::new(),
             log: Log::default(),
@@ -158,20 +169,23 @@
             jobs: Vec::new(),
             history: History::default(),
             gangs: Gangs::default(),
+            stands: Stands::default(),
+            misdelivered: BTreeSet::new(),
+            rules_version: 1,
             reached: Reached::default(),
             used: BTreeSet::new(),
             trace: traced.then(Vec::new),
         };
         site.record
             .apply(Command::SetRules(Box::new(support::rules(1))));
-        for index in 0..WORKERS {
+        for index in 0..slots {
             let known = WorkerChange::Known(site.info(index));
             site.record.apply(Command::Workers(vec![known]));
             let at_ms = site.random.below(HEARTBEAT_MS);
             site.push(at_ms, Event::Heartbeat { index });
         }
-        for job in 1..=JOBS {
-            let at_ms = site.random.below(SUBMIT_MS);
+        for job in 1..=case.fleet.jobs {
+            let at_ms = site.random.below(case.fleet.submit_ms);
             site.push(at_ms, Event::Submit { job });
         }
         for (index, (at_ms, _)) in case.faults.iter().enumerate() {
@@ -181,6 +195,19 @@
         site
     }
 
+    fn all_reached(&self) -> Reached {
+        let (begins, begun_again) = self.history.begins();
+        let lapses: u64 = self.workers.iter().map(|worker| worker.lapses).sum();
+        Reached {
+            begins,
+            begun_again,
+            lapses: usize::try_from(lapses).unwrap(),
+            noted_done: self.history.noted(EndKind::Done),
+            noted_failed: self.history.noted(EndKind::Failed),
+            ..self.reached
+        }
+    }
+
     /// Notes what happened, for a run that is traced.
     pub fn note(&mut self, text: impl FnOnce() -> String) {
         if let Some(trace) = &mut self.trace {
@@ -231,12 +258,17 @@
         self.workers.iter().position(|worker| worker.id == *id)
     }
 
+    /// Where a later incarnation of a worker is.
+    pub fn later_of(&self, id: &Incarnation) -> Option<usize> {
+        let mut workers = self.workers.iter();
+        workers.position(|worker| worker.id.is_other_incarnation(id))
+    }
+
     /// The machine that an order goes to, whoever lives there.
     pub fn slot_of(&self, order: &Order) -> usize {
-        let address = order.to.address;
-        let mut slots = 0..WORKERS;
-        slots
-            .find(|index| worker_info(*index, 2).address == address)
+        let mut addresses = self.addresses.iter();
+        addresses
+            .position(|address| *address == order.to.address)
             .unwrap()
     }
 
@@ -256,9 +288,25 @@
         0
     }
 
-    fn info(&self, index: usize) -> WorkerInfo {
-        let mut info = worker_info(index, 2);
+    pub fn fleet(&self) -> &'a Fleet {
+        &self.case.fleet
+    }
+
+    /// What a worker says of itself.
+    pub fn info(&self, index: usize) -> WorkerInfo {
+        let fleet = self.fleet();
+        let mut info = worker_info(index, fleet.per_rack);
         info.id = self.workers[index].id.clone();
+        if fleet.is_mixed() {
+            info.capacity = Needs {
+                cpu_millis: 32_000,
+                memory_mb: 65_536,
+                accelerators: 8,
+            };
+            if index * 2 >= fleet.workers {
+                info.data_centre = Arc::from(FAR);
+            }
+        }
         info
     }
 
@@ -279,6 +327,9 @@
                 self.pass();
             }
             self.answer_looks();
+            if self.fleet().is_mixed() {
+                self.look_at_stands();
+            }
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > self.now_ms {
                     break;
@@ -305,14 +356,14 @@
 
     fn is_over(&self) -> bool {
         let last_ms = self.case.faults.iter().map(|(at_ms, _)| *at_ms).max();
-        self.now_ms > last_ms.unwrap_or(0).max(SUBMIT_MS) + CALM_MS
+        self.now_ms > last_ms.unwrap_or(0).max(self.fleet().submit_ms) + CALM_MS
             && self.record.active_jobs().next().is_none()
     }
 
     /// Lets time pass for the workers.
     fn pass(&mut self) {
         let now_ms = self.now_ms;
-        for index in 0..WORKERS {
+        for index in 0..self.workers.len() {
             let worker = &mut self.workers[index];
             worker.pass(now_ms);
             let known = self.listed[index].last().map_or(0, |end| end.0);
@@ -338,6 +389,7 @@
         match event {
             Event::Submit { job } => self.submit(job),
             Event::Fault { index } => self.begin_fault(index),
+            Event::FaultEnds { index } => self.end_fault(index),
             Event::Heartbeat { index } => self.heartbeat(index),
             Event::Hear {
                 term,
@@ -405,6 +457,10 @@
     /// A job of a step of tasks and another one after it.
     fn submit(&mut self, job: u64) {
         let id = JobId(job);
+        if self.fleet().is_mixed() {
+            self.submit_mixed(id);
+            return;
+        }
         let first = StepSpec {
             gang: self.case.gangs && job % 2 == 1,
             ..step(1 + u32::try_from(job % 3).unwrap(), 1 + job % 4)
@@ -427,11 +483,77 @@
         self.wake(self.term);
     }
 
+    fn submit_mixed(&mut self, id: JobId) {
+        let work = work::draw(&mut self.random, &self.case.fleet);
+        let reply = self.record.apply(Command::Accept {
+            place: place(work.priority, work.customer, id),
+            spec: JobSpec {
+                text: Arc::from("text"),
+                steps: work.steps,
+                schedule: None,
+            },
+            now_ms: START_WALL_MS + self.now_ms,
+        });
+        // Its queue may not be in the rules now.
+        if reply == Reply::Done {
+            self.jobs.push(id);
+            self.wake(self.term);
+        }
+    }
+
+    /// Puts rules in force as the faults that go on now have them.
+    fn change_rules(&mut self) {
+        self.rules_version += 1;
+        let mut rules = support::rules(self.rules_version);
+        let now_ms = self.now_ms;
+        for (at_ms, fault) in &self.case.faults {
+            let goes_on = |for_ms: &u64| now_ms >= *at_ms && now_ms < at_ms + for_ms;
+            match fault {
+                Fault::NoQueue { priority, for_ms } if goes_on(for_ms) => {
+                    rules.queues.retain(|queue| queue.priority != *priority);
+                }
+                Fault::FewerAttempts { for_ms } if goes_on(for_ms) => {
+                    for queue in &mut rules.queues {
+                        Arc::make_mut(queue).max_attempts = 1;
+                    }
+                }
+                _ => {}
+            }
+        }
+        let reply = self.record.apply(Command::SetRules(Box::new(rules)));
+        assert_eq!(reply, Reply::Done);
+        self.wake(self.term);
+    }
+
+    fn end_fault(&mut self, index: usize) {
+        self.disturb(self.now_ms);
+        let (_, fault) = &self.case.faults[index];
+        self.note(|| format!("fault ends: {fault:?}"));
+        match fault {
+            Fault::Evacuation { far, .. } => {
+                let data_centre = Arc::from(data_centre(*far));
+                self.record.apply(Command::EndEvacuation { data_centre });
+                self.wake(self.term);
+            }
+            Fault::NoQueue { .. } | Fault::FewerAttempts { .. } => self.change_rules(),
+            _ => {}
+        }
+    }
+
     fn begin_fault(&mut self, index: usize) {
         let fault = self.case.faults[index].1.clone();
         self.note(|| format!("fault {fault:?}"));
+        self.disturb(self.now_ms + fault.disturbs_ms());
+        if let Some(for_ms) = fault.lasts_ms() {
+            self.push(self.now_ms + for_ms, Event::FaultEnds { index });
+        }
         match fault {
             Fault::Reborn { worker } => self.reborn(worker),
+            Fault::CrashInGang => {
+                if let Some(worker) = self.worker_of_gang() {
+                    self.reborn(worker);
+                }
+            }
             Fault::Leader { .. } => {
                 let by_ms = self.now_ms + 1_000;
                 self.push(self.now_ms, Event::Depose { index, by_ms });
@@ -447,6 +569,14 @@
                 self.note(|| format!("leader stalls for {for_ms} ms"));
             }
             Fault::GiveUp { job } => self.give_up(job),
+            Fault::Evacuation { far, .. } => {
+                self.record.apply(Command::Evacuate {
+                    data_centre: Arc::from(data_centre(far)),
+                    now_ms: START_WALL_MS + self.now_ms,
+                });
+                self.wake(self.term);
+            }
+            Fault::NoQueue { .. } | Fault::FewerAttempts { .. } => self.change_rules(),
             _ => {}
         }
     }
@@ -467,7 +597,7 @@
 
     fn reborn(&mut self, index: usize) {
         self.lives[index] += 1;
-        self.workers[index] = worker(self.case, index, self.lives[index]);
+        self.workers[index] = worker(self.case, index, self.lives[index], self.now_ms);
         self.listed[index].clear();
     }
 
@@ -479,10 +609,22 @@
         }
         let info = Box::new(self.info(index));
         let clock_ms = self.workers[index].clock_ms(now_ms);
+        let late = self.percent(|fault| match fault {
+            Fault::LateHeartbeats { percent, for_ms } => Some((*percent, *for_ms)),
+            _ => None,
+        });
+        if self.chance(late) {
+            return;
+        }
+        let held_ms = if self.chance(late) {
+            self.random.below(MOST_HELD_MS)
+        } else {
+            0
+        };
         let terms = self.leader.iter().chain(&self.deposed);
         if let Some(term) = terms.map(|leader| leader.term).next() {
             self.push(
-                now_ms + 1,
+                now_ms + 1 + held_ms,
                 Event::Hear {
                     term,
                     info,
@@ -493,10 +635,17 @@
     }
 }
 
-/// One life of a worker. The clocks of half of them are as slow as is allowed.
-fn worker(case: &Case, index: usize, life: usize) -> ModelWorker {
+/// The name of one of two data centres.
+fn data_centre(far: bool) -> &'static str {
+    if far { FAR } else { "dc" }
+}
+
+/// One life of a worker, which starts at `now_ms`. The clocks of half of them are as slow as is allowed.
+fn worker(case: &Case, index: usize, life: usize, now_ms: u64) -> ModelWorker {
     let rate = if index.is_multiple_of(2) { 980 } else { 1_000 };
-    let id = if life == 0 {
+    let id = if case.fleet.is_mixed() {
+        format!("w{index:02}@{}", START_WALL_MS + now_ms)
+    } else if life == 0 {
         format!("w{index:02}")
     } else {
         format!("w{index:02}-{life}")
--- a/crates/bh-workload/tests/fuzz_delays.rs
+++ b/crates/bh-workload/tests/fuzz_delays.rs
@@ -10,15 +10,19 @@
 
 use bh_testkit::model_worker::Planted;
 use delays::Reached;
+use delays::Stretch;
 use delays::faults::Case;
 use delays::faults::Fault;
 use delays::faults::case;
 use delays::faults::fault;
 use delays::faults::repeating_fault;
+use delays::faults::series;
 use delays::faults::slow_record;
 use delays::findings;
+use delays::fleet::Fleet;
 use delays::history::Finding;
 use delays::history::Rule;
+use delays::load::Load;
 use delays::reached;
 use delays::trace;
 use proptest::prelude::*;
@@ -33,6 +37,8 @@
 
 const SEED: u64 = 20_261_203;
 const CASES: u32 = 300;
+/// Cases of the others for one of a series, which takes as much longer.
+const SERIES_SHARE: u32 = 20;
 
 /// The configuration of CI, unless `PROPTEST_CASES` or `PROPTEST_RNG_SEED` say otherwise.
 fn config() -> ProptestConfig {
@@ -60,6 +66,14 @@
     SentTwice,
     /// Gangs.
     Gangs,
+    /// Narrow jobs of all ranks, leaders lost in series.
+    Series,
+    /// The same in a larger fleet.
+    LargeSeries,
+    /// With wide gangs.
+    WideSeries,
+    /// And with jobs that are slower outside a rack of their own.
+    RackSeries,
 }
 
 impl Group {
@@ -73,15 +87,30 @@
                 let cases = case(repeating_fault());
                 cases.prop_map(move |case| Case { gangs, ..case }).boxed()
             }
+            Group::Series => series(Fleet::with_load(Load::Narrow, 24, 40)).boxed(),
+            Group::LargeSeries => series(Fleet::with_load(Load::Narrow, 48, 80)).boxed(),
+            Group::WideSeries => series(Fleet::with_load(Load::Mixed, 24, 25)).boxed(),
+            Group::RackSeries => series(Fleet::with_load(Load::Racks, 24, 25)).boxed(),
+        }
+    }
+
+    /// How many are run.
+    fn count(self, config: &ProptestConfig) -> u32 {
+        match self {
+            Group::Series | Group::WideSeries | Group::RackSeries => {
+                config.cases.div_ceil(SERIES_SHARE)
+            }
+            Group::LargeSeries => config.cases.div_ceil(SERIES_SHARE * 2),
+            _ => config.cases,
         }
     }
 
     /// Runs all cases once, whichever test asks first.
     fn broken(self) -> &'static BTreeMap<Rule, Broken> {
-        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 4] = [const { OnceLock::new() }; 4];
+        static ALL: [OnceLock<BTreeMap<Rule, Broken>>; 8] = [const { OnceLock::new() }; 8];
         ALL[self as usize].get_or_init(|| {
             let config = config();
-            let count = config.cases;
+            let count = self.count(&config);
             let (mut runner, cases) = (TestRunner::new(config), self.cases());
             let mut broken: BTreeMap<Rule, Broken> = BTreeMap::new();
             for _ in 0..count {
@@ -170,6 +199,78 @@
     keeps(group, rule);
 }
 
+/// A job of which nothing runs, though its turn has come and there is room for it twice over, begins soon once nothing is disturbed, whoever leads: the
+/// workers decide, not what their leader knows.
+#[rstest]
+fn fuzz_delays_begin_what_may_begin(
+    #[values(Group::Series, Group::LargeSeries)] group: Group,
+    #[values(
+        Rule::BeginsSoon,
+        Rule::OneAtOnce,
+        Rule::NotAfterDone,
+        Rule::NotAfterFailures,
+        Rule::RecordedFirst,
+        Rule::JobsEnd
+    )]
+    rule: Rule,
+) {
+    keeps(group, rule);
+}
+
+/// The series come to what they are for: leaders that are lost while gangs are broken, and jobs that stand though there is room.
+#[rstest]
+fn the_series_reach_what_they_are_for(
+    #[values(
+        Group::Series,
+        Group::LargeSeries,
+        Group::WideSeries,
+        Group::RackSeries
+    )]
+    group: Group,
+) {
+    let cases = group.cases();
+    let config = config();
+    let count = group.count(&config);
+    let mut runner = TestRunner::new(config);
+    let (mut all, mut stretches) = (Vec::new(), Vec::new());
+    for _ in 0..count {
+        let case = cases.new_tree(&mut runner).unwrap().current();
+        let (reached, stood) = delays::stretches(&case);
+        all.push(reached);
+        stretches.extend(stood);
+    }
+    for (what, of) in [
+        ("whole", Stretch::whole_ms as fn(&Stretch) -> u64),
+        ("calm", Stretch::calm_ms),
+    ] {
+        let mut times_ms: Vec<u64> = stretches.iter().map(of).collect();
+        times_ms.sort_unstable();
+        let longer = [1, 500, 1_000, 2_000, 3_000].map(|ms| {
+            let longer = times_ms.iter().filter(|time_ms| **time_ms >= ms).count();
+            format!("{longer} of {ms} ms")
+        });
+        println!("{what}: {longer:?}, longest {:?}", times_ms.last());
+    }
+    let sum = |of: fn(&Reached) -> usize| all.iter().map(of).sum::<usize>();
+    let counts = [
+        ("cases", all.len()),
+        ("begins", sum(|reached| reached.begins)),
+        ("begun again", sum(|reached| reached.begun_again)),
+        ("lapses", sum(|reached| reached.lapses)),
+        ("changes of the leader", sum(|reached| reached.changes)),
+        (
+            "those with broken gangs",
+            sum(|reached| reached.changes_with_broken_gangs),
+        ),
+        ("misdelivered orders", sum(|reached| reached.misdelivered)),
+        ("jobs that stood", stretches.len()),
+    ];
+    println!("{counts:?}");
+    for (what, number) in counts {
+        assert!(number > 0, "{what}: none in {count} cases");
+    }
+}
+
 /// A case that was found by hand, with these faults.
 fn found(seed: u64, (record_ms, failing_percent): (u64, u64), faults: Vec<(u64, Fault)>) -> Case {
     Case {
@@ -180,6 +281,7 @@
         faults,
         planted: Planted::Nothing,
         gangs: false,
+        fleet: Fleet::SMALL,
     }
 }
 
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -5,6 +5,9 @@
 )]
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod standing;
+pub mod true_worker;
+
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
