Record what is lost with its lease as lapsed, and hold no gang for it

A gang waits beside free room for 11.4 s after each election where attempts of it were lost with the leases of workers that are still silent.

A member given up at the end of its worker's lease and one given up since its gang is broken were both recorded as `Lost`, and both put into the worker's `unheard`. A new leader takes those for attempts that may still turn out to have failed, until the lease that an earlier leader may have granted has run out: the time of overlap and a whole lease after the election, though the lease in question ran out before the end was recorded. With two such attempts and two allowed failures the gang is held, at every election again.

The first is now recorded as `Lapsed`, which older versions know; only the second is unheard. Within one leadership nothing changes.

A worker that lists a run as lapsed never lists it as done, so the second allows no more than before.

--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -121,7 +121,7 @@
     fn give_up_lapsed(&mut self, target: &mut Target) {
         let runs: Vec<RunId> = target.runs.keys().copied().collect();
         for run in runs {
-            self.give_up(target, run);
+            self.give_up(target, run, EndKind::Lapsed);
         }
     }
 
@@ -146,7 +146,7 @@
             let times = (self.now_ms, self.timing.stop_timeout_ms);
             if confirmed && self.broken.are_over(times, &members, self.workload) {
                 for run in members {
-                    self.give_up(target, run);
+                    self.give_up(target, run, EndKind::Lost);
                     target.unsaid.insert(run);
                 }
             }
@@ -154,7 +154,7 @@
     }
 
     /// A run is over though the worker has not said so.
-    fn give_up(&mut self, target: &mut Target, run: RunId) {
+    fn give_up(&mut self, target: &mut Target, run: RunId, kind: EndKind) {
         let Some(watch) = target.runs.get_mut(&run).filter(|watch| !watch.settled) else {
             return;
         };
@@ -166,7 +166,7 @@
         self.ends.push(End {
             run,
             worker: self.worker.info.id.clone(),
-            kind: EndKind::Lost,
+            kind,
             checkpoint: watch.checkpoint.clone(),
         });
     }
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -165,7 +165,7 @@
     Failed,
     /// It was stopped by our order.
     Stopped,
-    /// The worker's lease ran out.
+    /// The worker's lease ran out, as it says or as it surely has by now.
     Lapsed,
     /// Another member of its gang ended.
     Broken,
@@ -173,7 +173,7 @@
     Alone,
     /// It never began.
     NotStarted,
-    /// Its worker is gone or its lease has surely run out unseen.
+    /// Its worker is gone, or other members of its gang say that it is over; a worker that lives may yet say that it failed.
     Lost,
 }
 
--- a/crates/bh-workload/src/state/worker.rs
+++ b/crates/bh-workload/src/state/worker.rs
@@ -70,7 +70,7 @@
     /// Runs recorded there and not known to be over, with what each takes.
     #[serde(with = "crate::pairs")]
     pub runs: BTreeMap<RunId, Needs>,
-    /// Members of gangs that are recorded as lost though the worker lives: it may still say that they failed, to whoever leads then.
+    /// Members of gangs that are recorded as lost though the worker lives and its lease had not run out: it may still say that they failed, to whoever leads then.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub unheard: BTreeSet<RunId>,
 }
