Let tasks avoid workers only while others that may run them can hold them

A task stands still for ever, beside free room, once it has failed or stood still on every worker that it is allowed on.

Workers on which a task failed are avoided unless none is left in its pool. Those left were not asked whether they may run the task: with a required label, an adviser or too few of them for a gang they are no help, and nothing but a change of leader ends the wait.

They are avoided only while the workers left that admit the unit could hold it, the whole of a gang, if they were empty.

--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -263,7 +263,7 @@
     }
 }
 
-/// Workers that a unit's tasks failed on, unless nothing else is there.
+/// Workers that a unit's tasks failed on, unless those left that may run it could not hold it if they were empty.
 pub(super) fn avoided(
     failed_on: &BTreeMap<TaskId, BTreeSet<Incarnation>>,
     unit: &Unit,
@@ -279,10 +279,21 @@
             avoid.extend(workers.iter().cloned());
         }
     }
+    if avoid.is_empty() {
+        return avoid;
+    }
     let others = rooms
         .iter()
-        .any(|room| room.usable && room.pool == unit.pool && !avoid.contains(&room.worker));
-    if others { avoid } else { BTreeSet::new() }
+        .filter(|room| room.admits(unit) && !avoid.contains(&room.worker));
+    let places: u64 = others
+        .map(|room| unit.needs.times_in(&room.capacity, room.most(unit)))
+        .fold(0, u64::saturating_add);
+    let least = if unit.spec.gang { unit.count() } else { 1 };
+    if places >= least {
+        avoid
+    } else {
+        BTreeSet::new()
+    }
 }
 
 /// Leaves out gangs that would be begun after their last allowed failure if every attempt that is over unheard turns out to have failed. They wait until
