Don't take services to end soon when room is kept for a gang

Small tasks stand still for ever beside free workers behind a gang that lacks the room that services take.

Room is kept for a gang on the workers that are expected to be free first. The runs of services counted with the expected time of their kind, and from then on as about to end, so that the gang seemed to fit at once, and kept all that was free for as long as the services went on.

The runs of services are no room to come, unless they are to be stopped. A gang that fits nowhere without it has no room kept.

--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -78,6 +78,7 @@
         ends
     }
 
+    /// Services are left out: they go on until they are cancelled.
     fn ends_of(&self, worker: &Incarnation) -> Vec<(u64, Needs)> {
         let (Some(recorded), Some(target)) =
             (self.workload.worker(worker), self.dispatcher.view(worker))
@@ -91,6 +92,9 @@
                 let since_ms = target.runs.get(run)?.since_ms;
                 let job = self.workload.job(run.task.step.job)?;
                 let spec = job.step_spec(run.task.step)?;
+                if spec.long_running && self.workload.wants(*run) {
+                    return None;
+                }
                 let expected_ms = self
                     .runtimes
                     .expected_ms(&job.queue.name, run.task.step, spec);
