Begin what has stood still beside ample room for two seconds wherever it may

By the failing tests they stand for 3.6 to 20 s: they wait for a rack, for room kept for urgent work or for gangs that do not fit, for workers set aside, or are left out since others found no room. Each such wait has a patience of its own or none, and they follow each other: four expected run times for a rack (34 s for runs of 8.5 s), 15 s after the last urgent job or an election for what is kept, without a bound for what is kept for gangs, 4 to 32 s for workers set aside.

These are preferences, which pay where room is scarce. The plan now notes since when each step of a job of which nothing runs has waited beside ample room (`Standing`, the rule in one place, also for the survey's warnings: room twice over, whoever that is kept for, in a pool under half in use by cores and accelerators). After two seconds a gang takes any place that it is allowed on, if no ordinary one is found: in several racks, kept or held room, workers set aside, slow or cold, last of all those it avoids. Of tasks that need not begin together the first does, so that the others go on waiting for what suits them. What is promised by a claim, workers that don't answer, drain, are emptied or evacuated, labels, advisers, the order of units, and gangs that may have used up their failures hold as before. Where the pool is busier nothing changes.

`Standing` counted a pool as half in use by each resource that a task takes; by weight it covers more.

--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -173,6 +173,7 @@
                 due_ms: ready_ms + slack_ms,
                 expected_ms,
                 spread_ms: expected_ms * remote_percent / 100,
+                takes_any: false,
                 last_chance: spec.gang && on_time && late_soon,
                 on_time,
                 tight: queue.slack_factor < TIGHT_SLACK,
--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -44,7 +44,7 @@
             .filter_map(|places| soonest_free(places, unit.count()))
             .min_by_key(|(free_ms, _)| *free_ms);
         for at in soonest.map(|(_, rooms)| rooms).unwrap_or_default() {
-            self.rooms[at].promised.add(&unit.needs);
+            self.rooms[at].held.add(&unit.needs);
         }
     }
 
--- a/crates/bh-workload/src/plan/last_pass.rs
+++ b/crates/bh-workload/src/plan/last_pass.rs
@@ -17,7 +17,7 @@
     pub looked_at: BTreeSet<StepId>,
     /// Steps of which it planned starts.
     pub started: BTreeSet<StepId>,
-    /// What it promised to work that does not begin yet, by worker.
+    /// What it promised to work that does not begin yet, or kept for gangs, by worker.
     pub promised: BTreeMap<Incarnation, Needs>,
     /// Workers that it kept for work of priority 0.
     pub kept: BTreeSet<Incarnation>,
@@ -26,15 +26,17 @@
 impl LastPass {
     /// What a pass over `units` left in `rooms`, with the starts it planned.
     pub fn new(units: &[Unit], rooms: &[Room], starts: &[Start]) -> Self {
-        let promised = rooms
-            .iter()
-            .filter(|room| room.promised != Needs::default());
+        let promised = rooms.iter().map(|room| {
+            let mut promised = room.promised;
+            promised.add(&room.held);
+            (room.worker.clone(), promised)
+        });
         let kept = rooms.iter().filter(|room| room.kept);
         Self {
             looked_at: collect::steps(units),
             started: starts.iter().map(|start| start.run.task.step).collect(),
             promised: promised
-                .map(|room| (room.worker.clone(), room.promised))
+                .filter(|(_, promised)| *promised != Needs::default())
                 .collect(),
             kept: kept.map(|room| room.worker.clone()).collect(),
         }
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -23,6 +23,7 @@
 mod runtimes;
 mod speeds;
 mod standing;
+mod standing_since;
 mod tried;
 mod unit;
 mod unusable;
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -181,6 +181,26 @@
         }
     }
 
+    /// Finds workers for a unit that has stood still for long, whatever they are kept for; those that it avoids only where no others are left.
+    pub fn place_anywhere(
+        &mut self,
+        unit: &Unit,
+        avoid: &BTreeSet<Incarnation>,
+    ) -> Option<Placement> {
+        let unit = Unit {
+            takes_any: true,
+            ..unit.clone()
+        };
+        let none = BTreeSet::new();
+        [avoid, &none].into_iter().find_map(|avoid| {
+            if unit.spec.gang {
+                self.place_gang(&unit, avoid)
+            } else {
+                Some(self.place_tasks(&unit, avoid)).filter(|placement| !placement.is_empty())
+            }
+        })
+    }
+
     /// Finds workers for as many of a unit's tasks as may begin now.
     pub fn place_tasks(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) -> Placement {
         /// What did not even find this many places.
@@ -214,6 +234,7 @@
         for (at, count) in placement {
             self.rooms[*at].just_begun = true;
             self.rooms[*at].usable &= !unit.is_suspect();
+            self.rooms[*at].aside &= !unit.is_suspect();
             for _ in 0..*count {
                 self.rooms[*at].free.subtract(&unit.needs);
                 let Some((index, attempt)) = tasks.next() else {
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -155,7 +155,7 @@
     } else {
         unit.expected_ms * RACK_PATIENCE_RUNS
     };
-    wall_ms < unit.ready_ms + patience_ms && !able_racks(unit, rooms).is_empty()
+    !unit.takes_any && wall_ms < unit.ready_ms + patience_ms && !able_racks(unit, rooms).is_empty()
 }
 
 fn sites(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Incarnation>) -> Vec<Site> {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -15,6 +15,7 @@
 use super::overdue::overdue;
 use super::pass::Pass;
 use super::reserve::Reserve;
+use super::standing_since::StandingSince;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::StartPhase;
 use crate::job::JobId;
@@ -55,6 +56,7 @@
     apart_since_ms: BTreeMap<StepId, u64>,
     /// What the last pass left behind, to explain why work waits.
     pub(super) last_pass: LastPass,
+    standing_since: StandingSince,
 }
 
 impl Planner {
@@ -189,6 +191,7 @@
             was_slow: _,
             apart_since_ms,
             last_pass,
+            standing_since,
         } = self;
         let entitled = entitled_jobs(workload);
         let mut units = collect::collect(
@@ -230,8 +233,11 @@
             }
             pass.ask(unit);
             let avoid = avoided(failed_on, unit, &pass.rooms);
+            let stood_long = standing_since.is_long(now_ms, unit.step);
             if unit.spec.gang {
-                if let Some(placement) = pass.place_gang(unit, &avoid) {
+                let placement = pass.place_gang(unit, &avoid);
+                let anywhere = || pass.place_anywhere(unit, &avoid);
+                if let Some(placement) = placement.or_else(|| stood_long.then(anywhere).flatten()) {
                     pass.start(unit, &placement);
                 } else if pass.claim(claims, unit) {
                     continue;
@@ -241,7 +247,12 @@
                 }
                 continue;
             }
-            let placement = pass.place_tasks(unit, &avoid);
+            let mut placement = pass.place_tasks(unit, &avoid);
+            if placement.is_empty() && stood_long {
+                // The others may go on waiting for what suits them.
+                let first = unit.first_task();
+                placement = pass.place_anywhere(&first, &avoid).unwrap_or_default();
+            }
             let placed = placement.iter().map(|(_, count)| count).sum();
             pass.start(unit, &placement);
             if placed < unit.count() {
@@ -249,6 +260,7 @@
             }
         }
         *last_pass = LastPass::new(&units, &pass.rooms, &pass.plan.starts);
+        standing_since.note(now_ms, (&units, &last_pass.started), &pass.rooms, workload);
         pass.plan
     }
 }
@@ -270,6 +282,9 @@
     rooms: &[Room],
 ) -> BTreeSet<Incarnation> {
     let mut avoid = BTreeSet::new();
+    if unit.takes_any {
+        return avoid;
+    }
     for index in &unit.indices {
         let task = TaskId {
             step: unit.step,
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -66,6 +66,8 @@
     pub excess: Needs,
     /// What is promised to work that waits for it, free already or not.
     pub promised: Needs,
+    /// What is kept for gangs that do not fit yet, free already or not.
+    pub held: Needs,
     /// Recorded runs by step.
     pub runs: BTreeMap<StepId, u64>,
     /// Times as long as in the fastest data centre that runs take here, in percent.
@@ -82,6 +84,8 @@
     pub usable: bool,
     /// Why it may not, before the pass.
     pub unusable: Option<Unusable>,
+    /// Whether it could be, but is left to itself since it fails what it is given, or is slow.
+    pub aside: bool,
 }
 
 /// Whether so many workers are set aside that what they were given is the likelier cause. Left out, they stand idle for half a minute and more
@@ -93,11 +97,7 @@
 }
 
 /// Why the worker behind `target` can't be given work, as far as its answers tell.
-fn not_ready(
-    target: &Target,
-    dispatcher: &Dispatcher,
-    (now_ms, none_aside): (u64, bool),
-) -> Option<Unusable> {
+fn not_ready(target: &Target, dispatcher: &Dispatcher, now_ms: u64) -> Option<Unusable> {
     if target.is_failing() || target.carrier_lost {
         Some(Unusable::Silent)
     } else if !target.answers() {
@@ -106,8 +106,6 @@
         Some(Unusable::Unverified)
     } else if !target.is_current(now_ms, dispatcher.timing()) {
         Some(Unusable::Unheard)
-    } else if !none_aside && now_ms < target.set_aside_until_ms {
-        Some(Unusable::SetAside)
     } else {
         None
     }
@@ -135,13 +133,17 @@
             Some(Unusable::BesideSuspect)
         } else if dispatcher.is_emptied(&worker.info.id) {
             Some(Unusable::Emptied)
+        } else if let Some(why) = view.map_or(Some(Unusable::Unheard), |target| {
+            not_ready(target, dispatcher, now_ms)
+        }) {
+            Some(why)
         } else if speeds.is_slow(&worker.info.id, now_ms) {
             Some(Unusable::Slow)
         } else {
-            view.map_or(Some(Unusable::Unheard), |target| {
-                not_ready(target, dispatcher, (now_ms, none_aside))
-            })
+            let is_aside = |target: &Target| !none_aside && now_ms < target.set_aside_until_ms;
+            view.is_some_and(is_aside).then_some(Unusable::SetAside)
         };
+        let aside = matches!(unusable, Some(Unusable::Slow | Unusable::SetAside));
         let mut runs = BTreeMap::new();
         for run in worker.runs.keys() {
             *runs.entry(run.task.step).or_default() += 1;
@@ -157,6 +159,7 @@
             free: worker.free(),
             excess: worker.excess(),
             promised: Needs::default(),
+            held: Needs::default(),
             runs,
             fill_percent: view.map_or(100, |target| target.filling.percent()),
             kept: false,
@@ -165,6 +168,7 @@
             pace_percent: speeds.percent(&worker.info.data_centre),
             usable: unusable.is_none(),
             unusable,
+            aside,
         }
     }
 
@@ -187,9 +191,14 @@
         label.is_none_or(|label| self.labels.contains(label))
     }
 
+    /// Whether it could be given work now, left to itself or not.
+    pub fn is_reachable(&self) -> bool {
+        self.usable || self.aside
+    }
+
     /// Whether tasks of a unit may be here at all, whatever room there is.
     pub fn admits(&self, unit: &Unit) -> bool {
-        self.usable && self.suits(unit)
+        (self.usable || self.aside && unit.takes_any) && self.suits(unit)
     }
 
     /// Whether tasks of a unit may be here once the worker can be given work.
@@ -202,7 +211,7 @@
                 .is_none_or(|permitted| permitted.contains(&self.worker))
     }
 
-    /// What is free and not promised.
+    /// What is free, and neither promised nor kept.
     pub fn open(&self) -> Needs {
         self.open_with(&Needs::default())
     }
@@ -214,6 +223,17 @@
         let mut open = self.free;
         open.add(&gained);
         open.subtract(&self.promised);
+        open.subtract(&self.held);
+        open
+    }
+
+    /// What is open to a unit.
+    fn open_to(&self, unit: &Unit) -> Needs {
+        if !unit.takes_any {
+            return self.open();
+        }
+        let mut open = self.free;
+        open.subtract(&self.promised);
         open
     }
 
@@ -236,7 +256,7 @@
     /// Whether tasks of a unit begin here one after the other. A worker that has just started and is filled at once is slow for all that it got, while
     /// others stand idle a moment later. A gang begins together or not at all, and what a guarantee covers must begin in time.
     fn takes_one_by_one(&self, unit: &Unit) -> bool {
-        self.cold && !unit.spec.gang && !unit.entitled
+        self.cold && !unit.spec.gang && !unit.entitled && !unit.takes_any
     }
 
     /// How many of a unit's tasks may be placed here now.
@@ -246,6 +266,6 @@
         if !self.admits(unit) || kept || unclear || avoid.contains(&self.worker) {
             return 0;
         }
-        unit.needs.times_in(&self.open(), self.most(unit))
+        unit.needs.times_in(&self.open_to(unit), self.most(unit))
     }
 }
--- a/crates/bh-workload/src/plan/runnable.rs
+++ b/crates/bh-workload/src/plan/runnable.rs
@@ -137,7 +137,6 @@
             runs: self.at_work.get(&job).copied().unwrap_or(0),
             tasks,
             places,
-            needs,
             in_use,
             capacity,
         }
--- /dev/null
+++ b/crates/bh-workload/src/plan/standing_since.rs
@@ -0,0 +1,93 @@
+//! Since when work waits beside free room.
+
+use super::Room;
+use super::Standing;
+use super::Unit;
+use crate::job::Needs;
+use crate::job::StepId;
+use crate::state::Workload;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Time beside ample room after which a unit begins wherever it may, in milliseconds. Callers bear a second more; recording and ordering its runs
+/// takes part of that.
+const PATIENCE_MS: u64 = 2_000;
+
+/// Since when steps of jobs of which nothing runs wait beside ample room, on the leader's clock in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StandingSince {
+    since_ms: BTreeMap<StepId, u64>,
+}
+
+impl StandingSince {
+    /// Whether a step has waited so for too long.
+    pub fn is_long(&self, now_ms: u64, step: StepId) -> bool {
+        let since_ms = self.since_ms.get(&step);
+        since_ms.is_some_and(|since_ms| now_ms >= since_ms + PATIENCE_MS)
+    }
+
+    /// Notes which units wait beside ample room once a pass has decided what begins. Those in `begun` do not wait.
+    pub fn note(
+        &mut self,
+        now_ms: u64,
+        (units, begun): (&[Unit], &BTreeSet<StepId>),
+        rooms: &[Room],
+        workload: &Workload,
+    ) {
+        let before = std::mem::take(&mut self.since_ms);
+        let pools = pools(rooms);
+        for unit in units.iter().filter(|unit| !begun.contains(&unit.step)) {
+            let job = workload.job(unit.step.job);
+            let runs = job.is_none_or(|job| job.has_open_runs());
+            if !runs && is_still(unit, rooms, &pools) {
+                let since_ms = before.get(&unit.step).copied().unwrap_or(now_ms);
+                self.since_ms.insert(unit.step, since_ms);
+            }
+        }
+    }
+}
+
+/// What is in use of each pool, and what it has.
+type Pools = BTreeMap<Arc<str>, (Needs, Needs)>;
+
+fn pools(rooms: &[Room]) -> Pools {
+    let mut pools = Pools::new();
+    for room in rooms {
+        let (in_use, capacity) = pools.entry(room.pool.clone()).or_default();
+        let mut used = room.capacity;
+        used.subtract(&room.free);
+        in_use.add(&used);
+        capacity.add(&room.capacity);
+    }
+    pools
+}
+
+/// Whether a unit waits beside ample room, whoever that is kept for. Of tasks that need not begin together one is enough.
+fn is_still(unit: &Unit, rooms: &[Room], pools: &Pools) -> bool {
+    let (in_use, capacity) = pools.get(&unit.pool).copied().unwrap_or_default();
+    let mut standing = Standing {
+        runs: 0,
+        tasks: if unit.spec.gang { unit.count() } else { 1 },
+        places: u64::MAX,
+        in_use,
+        capacity,
+    };
+    // Most pools are too busy for any of their work to be looked up.
+    if !standing.is_still() {
+        return false;
+    }
+    let wanted = standing.tasks.saturating_mul(Standing::TIMES_PLACES);
+    let able = rooms
+        .iter()
+        .filter(|room| room.is_reachable() && room.suits(unit));
+    standing.places = 0;
+    for room in able {
+        let most = unit.spec.most_on_worker().min(wanted);
+        standing.places += unit.needs.times_in(&room.free, most);
+        if standing.places >= wanted {
+            break;
+        }
+    }
+    standing.is_still()
+}
--- a/crates/bh-workload/src/plan/tried.rs
+++ b/crates/bh-workload/src/plan/tried.rs
@@ -34,8 +34,11 @@
         }
     }
 
-    /// Whether `count` tasks of `unit` surely find no room.
+    /// Whether `count` tasks of `unit` surely find no room. Room that others are kept from is open to one that takes any.
     pub fn covers(&self, class: &C, unit: &Unit, count: u64) -> bool {
+        if unit.takes_any {
+            return false;
+        }
         let class = class_of(class.clone(), unit);
         self.asks.get(&class).is_some_and(|asks| {
             asks.iter()
@@ -47,7 +50,7 @@
     /// nor does one that waits for workers of its own.
     pub fn note(&mut self, class: C, unit: &Unit, count: u64) {
         let picky = unit.permitted.is_some() || unit.spec.most_per_worker.is_some();
-        if picky || unit.is_suspect() {
+        if picky || unit.is_suspect() || unit.takes_any {
             return;
         }
         let needs = unit.needs;
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -49,6 +49,8 @@
     pub last_chance: bool,
     /// Whether the job can still be done within its objective, as far as is known.
     pub on_time: bool,
+    /// Whether it has waited beside ample room for so long that it begins wherever it may.
+    pub takes_any: bool,
     /// Value of the whole job against its work, larger first.
     pub density: f64,
 }
@@ -56,7 +58,7 @@
 impl Unit {
     /// Whether it may use workers that are kept for work of priority 0.
     pub fn may_use_kept(&self) -> bool {
-        self.priority == 0 || self.last_chance
+        self.priority == 0 || self.last_chance || self.takes_any
     }
 
     /// Whether a worker has crashed under one of its tasks, which may be the cause.
@@ -69,6 +71,15 @@
         self.spec.needs.weight() * self.expected_ms * self.count()
     }
 
+    /// The first task alone.
+    pub fn first_task(&self) -> Unit {
+        Unit {
+            indices: self.indices.iter().take(1).copied().collect(),
+            attempts: self.attempts.iter().take(1).copied().collect(),
+            ..self.clone()
+        }
+    }
+
     /// What is left once the first `placed` tasks are placed.
     pub fn without_first(&self, placed: u64) -> Unit {
         let placed = usize::try_from(placed).unwrap_or(usize::MAX);
