Prefer sound workers for work that has stood still

Work that begins wherever it may after two seconds could be placed on workers set aside or slow while sound ones were free, and use up its attempts there: places are taken on the fullest workers first, and those set aside are often as empty as others. They now come last, with the cold ones.

The test here has a gang, since of other tasks only the first begins anywhere.

--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -29,8 +29,8 @@
     spare: u64,
     /// Lower where the unit would rather be.
     rank: u64,
-    /// Whether the worker is slow since it has just started.
-    cold: bool,
+    /// Whether the worker is slow since it has just started, or left to itself.
+    shunned: bool,
 }
 
 /// Why a gang is not placed.
@@ -65,7 +65,7 @@
             .filter(|(rack, sites)| suits(unit, rack) && places(sites) >= unit.count())
             .min_by_key(|(_, sites)| {
                 (
-                    needs_cold(sites, unit.count()),
+                    needs_shunned(sites, unit.count()),
                     rank_of(sites),
                     spare(sites),
                 )
@@ -167,12 +167,13 @@
             places: room.places(unit, avoid),
             spare: room.open().accelerators,
             rank: rank(unit, room),
-            cold: room.cold,
+            shunned: room.cold || room.aside,
         })
         .filter(|site| site.places > 0)
         .collect();
-    // The fullest workers first: whole free ones are kept for large tasks. Cold ones last: one slow member holds a whole gang up.
-    sites.sort_by_key(|site| (site.cold, site.rank, site.spare, site.room));
+    // The fullest workers first: whole free ones are kept for large tasks. Cold ones and those left to themselves last: one slow member holds a
+    // whole gang up.
+    sites.sort_by_key(|site| (site.shunned, site.rank, site.spare, site.room));
     sites
 }
 
@@ -215,10 +216,10 @@
     sites.iter().map(|site| site.spare).sum()
 }
 
-/// Whether `count` places are more than the workers have that are not cold.
-fn needs_cold(sites: &[Site], count: u64) -> bool {
-    let warm = sites.iter().filter(|site| !site.cold);
-    warm.map(|site| site.places).sum::<u64>() < count
+/// Whether `count` places are more than the workers have that are not shunned.
+fn needs_shunned(sites: &[Site], count: u64) -> bool {
+    let sound = sites.iter().filter(|site| !site.shunned);
+    sound.map(|site| site.places).sum::<u64>() < count
 }
 
 fn fill_some(sites: &[Site], count: u64) -> Placement {
--- a/crates/bh-workload/tests/standing_still.rs
+++ b/crates/bh-workload/tests/standing_still.rs
@@ -188,6 +188,34 @@
     assert_begins(&mut site, job);
 }
 
+/// Guards against failed attempts where work that has stood still gives up its rack: workers set aside come last, sound ones are free.
+#[test]
+fn work_that_has_stood_still_prefers_sound_workers() {
+    let mut site = Site::new(24, 4);
+    pass(&mut site, QUIET_MS, &BTreeSet::new());
+    let near = |spec: StepSpec| StepSpec {
+        near_rack: Some(Arc::from(NEAR)),
+        ..spec
+    };
+    site.submit(1, "other", vec![near(long(step(4, 8)))]);
+    site.plan_and_start();
+    let workers = site.workload.workers().skip(4).take(4);
+    let aside: Vec<Incarnation> = workers.map(|worker| worker.info.id.clone()).collect();
+    for id in &aside {
+        site.dispatcher.set_aside(site.now_ms, id);
+    }
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 1)
+    };
+    let job = site.submit(2, "other", vec![near(gang)]);
+    assert_begins(&mut site, job);
+    let runs = site.open_runs().into_iter();
+    let own: Vec<_> = runs.filter(|(_, run)| run.task.step.job == job).collect();
+    assert_eq!(own.len(), 4);
+    assert!(own.iter().all(|(worker, _)| !aside.contains(worker)));
+}
+
 /// Guards against tasks that wait for the rack of their data, which is empty but kept for urgent work, in an empty pool.
 #[test]
 fn tasks_do_not_wait_for_a_rack_that_is_kept_for_urgent_work() {
