--- a/crates/bh-workload/tests/standing_tasks.rs
+++ b/crates/bh-workload/tests/standing_tasks.rs
@@ -278,6 +278,36 @@
     assert!(stands_ms <= STANDS_MS, "stands for {stands_ms} ms");
 }
 
+/// The leader and one worker of a gang are lost together. The other members tell the next leader that the gang is broken, so the lost member has ended; but this
+/// leader has not heard that it began, and waits for the lease.
+#[test]
+fn a_gang_that_broke_before_a_change_of_leader_begins_anew() {
+    let mut scene = Scene::new(12);
+    let job = scene.site.submit(1, "other", gang(3));
+    scene.run_for(9_000);
+    let at_work = scene.at_work(job);
+    scene.lose(&at_work[0].0, job, Manner::Silent);
+    scene.take_over();
+    let stands_ms = scene.stands_ms(job);
+    assert!(stands_ms <= STANDS_MS, "stands for {stands_ms} ms");
+}
+
+/// The same, but the leader before has recorded the ends of the other members. They are not listed again, and nothing tells the next leader that the gang
+/// is broken.
+#[test]
+fn a_gang_whose_broken_members_are_recorded_begins_anew_under_a_new_leader() {
+    let mut scene = Scene::new(12);
+    let job = scene.site.submit(1, "other", gang(3));
+    scene.run_for(9_000);
+    let at_work = scene.at_work(job);
+    scene.lose(&at_work[0].0, job, Manner::Silent);
+    scene.run_for(100);
+    assert_eq!(scene.site.open_runs().len(), 1);
+    scene.take_over();
+    let stands_ms = scene.stands_ms(job);
+    assert!(stands_ms <= STANDS_MS, "stands for {stands_ms} ms");
+}
+
 /// A worker is lost, and what was to carry orders to it gives no answer in time. Its lease runs out all the same, but its run is never given up.
 #[test]
 fn a_run_behind_lost_carriers_is_given_up_with_its_lease() {
