Add a failing test of calls to workers that take longer than their limit

The limit counts for each connection that is tried, and the time to open one comes on top. A leader waits for a carried order for the limit and 150 ms; a later answer counts as that of a lost carrier.

--- /dev/null
+++ b/crates/bh-control/tests/worker_calls.rs
@@ -0,0 +1,74 @@
+//! Calls to workers, and how long they take.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+use bh_control::core::WorkerCalls;
+use bh_net::Clock;
+use bh_net::runtime;
+use bytes::Bytes;
+use http::Request;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+/// Time that a call may take, in milliseconds.
+const LIMIT_MS: u64 = 500;
+/// Time after which the worker breaks the kept connection off, in milliseconds.
+const BREAKS_MS: u64 = 400;
+
+/// Reads one request without a body.
+fn read_request(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    let mut byte = [0];
+    while !request.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).unwrap();
+        request.push(byte[0]);
+    }
+}
+
+/// Answers one request, breaks the connection off while the next one waits, and answers nothing on any later connection.
+fn answer_once(listener: &TcpListener) {
+    let (mut first, _) = listener.accept().unwrap();
+    read_request(&mut first);
+    first
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    read_request(&mut first);
+    thread::sleep(Duration::from_millis(BREAKS_MS));
+    drop(first);
+    let _silent = listener.accept().unwrap();
+    thread::sleep(Duration::from_millis(2 * LIMIT_MS));
+}
+
+fn request() -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = "/-/hold".parse().unwrap();
+    request
+}
+
+/// A core carries an order to a worker that is lost. Its sender waits for no longer than the limit and a hop; an answer that comes later counts as that of a lost
+/// carrier, and the worker is never found to be silent.
+#[test]
+fn a_call_takes_no_longer_than_its_limit() {
+    /// Lateness of timers on a busy machine, in milliseconds.
+    const SLACK_MS: u64 = 100;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || answer_once(&listener));
+    runtime::run(1, async move {
+        let clock = Clock::new();
+        let calls = WorkerCalls::new(clock.clone(), 1_024);
+        calls.send(address, request(), LIMIT_MS).await.unwrap();
+        let from_ms = clock.now_ms();
+        let answer = calls.send(address, request(), LIMIT_MS).await;
+        let took_ms = clock.now_ms() - from_ms;
+        assert!(answer.is_err());
+        assert!(took_ms <= LIMIT_MS + SLACK_MS, "took {took_ms} ms");
+    })
+    .unwrap();
+}
