--- /dev/null
+++ b/crates/bh-control/src/core/plan_gap.rs
@@ -0,0 +1,12 @@
+//! How long the leader waits between plans.
+
+/// Shortest time between plans, in milliseconds. What comes within it is planned together: a record of starts takes about as long to be synced.
+const GAP_MS: u64 = 10;
+/// Time between plans as a multiple of what the last one took: planning takes at most a fifth of the leader's processor. Without this bound it
+/// takes all of it when a burst meets a large fleet, and the leader's leases and answers come late.
+const GAP_PASSES: u64 = 4;
+
+/// Time from the end of a plan that took `took_ms` until the next one may begin, in milliseconds.
+pub fn plan_gap_ms(took_ms: u64) -> u64 {
+    (took_ms * GAP_PASSES).max(GAP_MS)
+}
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -3,6 +3,7 @@
 use super::advice;
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
+use super::plan_gap::plan_gap_ms;
 use super::records::propose;
 use super::run_ends::failures;
 use bh_workload::plan::Plan;
@@ -15,12 +16,6 @@
 
 /// Longest time between plans while jobs wait, in milliseconds: patience runs out and times come due without any other event.
 const PLAN_MS: u64 = 200;
-/// Shortest time between plans, in milliseconds. What comes within it is planned together: a record of starts takes about as long to be synced.
-const GAP_MS: u64 = 10;
-/// Time between plans as a multiple of what the last one took: planning takes at most a fifth of the leader's processor. Without this bound it
-/// takes all of it when a burst meets a large fleet, and the leader's leases and answers come late.
-const GAP_PASSES: u64 = 4;
-
 /// Plans when there is reason to, records what shall start and stops what gives way.
 pub(super) fn plan(core: &Rc<CoreNode>) {
     let now_ms = core.clock.now_ms();
@@ -47,7 +42,7 @@
     drop(workload);
     let over_ms = core.clock.now_ms();
     let took_ms = over_ms.saturating_sub(now_ms);
-    leadership.plan_from_ms = over_ms + (took_ms * GAP_PASSES).max(GAP_MS);
+    leadership.plan_from_ms = over_ms + plan_gap_ms(took_ms);
     core.metrics.time_ms("plan", took_ms);
     advice::ask(core, leadership, now_ms, questions);
     for (step, why) in unclaimed {
