Take the lease of a worker behind lost carriers to be over in time

A worker whose orders end as CarrierLost, one after the other, never counted as failing. Its lease ran out, since none is renewed meanwhile, but its runs were never given up, and attempts that it may still report held their gang back for ever.

Cause: the end of a lease was only looked at where an order had no answer. It depends on renewals alone, so that the same holds where the carriers gave none.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -246,8 +246,8 @@
     /// counts no more.
     pub fn unheard_attempts(&self, now_ms: u64) -> BTreeMap<StepId, BTreeSet<u32>> {
         let mut attempts: BTreeMap<StepId, BTreeSet<u32>> = BTreeMap::new();
-        let lapsed = |target: &&Target| target.is_failing() && now_ms >= target.lapse_ms;
-        let targets = self.targets.values().filter(|target| !lapsed(target));
+        let targets = self.targets.values();
+        let targets = targets.filter(|target| !target.has_lapsed(now_ms));
         for run in targets.flat_map(|target| &target.unsaid) {
             let of_step = attempts.entry(run.task.step).or_default();
             of_step.insert(run.attempt);
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -189,6 +189,11 @@
         self.failing_since_ms.is_some()
     }
 
+    /// Whether its lease has surely run out at `now_ms`. Without an answer none is renewed, whether the worker or its carrier gave none.
+    pub fn has_lapsed(&self, now_ms: u64) -> bool {
+        (self.is_failing() || self.carrier_lost) && now_ms >= self.lapse_ms
+    }
+
     /// Whether a worker that did not answer has been heard since. A look tells whether it can be used again; without one a worker that was
     /// cut off while it had nothing to run would never get work any more.
     pub fn is_back(&self) -> bool {
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -62,7 +62,7 @@
 impl WorkerTurn<'_> {
     /// Adds what the worker needs now to the orders and ends.
     pub fn serve(&mut self, target: &mut Target) {
-        if target.is_failing() && self.now_ms >= target.lapse_ms {
+        if target.has_lapsed(self.now_ms) {
             self.give_up_lapsed(target);
         } else if target.is_failing() {
             self.give_up_broken(target);
