Take back a recorded start that was never sent to a worker that is not heard

A worker may fall silent, or cease to count as heard, between the plan and the record of a start. The start was then held: until the worker was heard again, which may be never, or until its lease was over. Nothing had been sent, so the run surely never began, and it is recorded so at once; the planner gives such a worker nothing before it is heard.

--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -200,6 +200,15 @@
 
     fn start(&mut self, target: &mut Target, run: RunId) {
         let now_ms = self.now_ms;
+        let unsent = target
+            .runs
+            .get(&run)
+            .is_some_and(|watch| watch.start == StartPhase::Unsent);
+        // The gang, or another worker, need not wait until this one is heard again or its lease is over.
+        if unsent && (target.is_failing() || !target.is_current(now_ms, self.timing)) {
+            self.never_began(target, run);
+            return;
+        }
         let ready = target
             .runs
             .get(&run)
