Let a call to a worker take its limit in all, connections included

The limit counted anew for each connection that was tried, and opening one came on top, for 600 ms at most. A carrier that found a worker silent answered its leader later than the leader waits, which took the carrier for lost and the worker for no worse than before.

--- a/crates/bh-control/src/core/worker_calls.rs
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -102,7 +102,7 @@
             sleep_ms(POLL_MS).await;
         }
         self.busy.set(self.busy.get() + 1);
-        let result = self.exchange(address, request, limit_ms).await;
+        let result = self.exchange(address, request, until_ms).await;
         self.busy.set(self.busy.get() - 1);
         result
     }
@@ -111,12 +111,13 @@
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
-        limit_ms: u64,
+        until_ms: u64,
     ) -> Result<Answered, SendError> {
+        let left_ms = || until_ms.saturating_sub(self.clock.now_ms());
         let mut repeated = false;
         if let Some(mut connection) = self.pool.take(address, self.clock.now_ms()) {
             let copy = copy(&request);
-            match connection.send(copy, limit_ms, MAX_ANSWER_BYTES).await {
+            match connection.send(copy, left_ms(), MAX_ANSWER_BYTES).await {
                 Err(SendError::Broken) => repeated = true,
                 Err(error) => {
                     self.pool.forget(address);
@@ -129,8 +130,10 @@
                 }
             }
         }
-        let mut connection = Connection::open(address, CONNECT_MS).await?;
-        let response = connection.send(request, limit_ms, MAX_ANSWER_BYTES).await?;
+        let mut connection = Connection::open(address, left_ms().min(CONNECT_MS)).await?;
+        let response = connection
+            .send(request, left_ms(), MAX_ANSWER_BYTES)
+            .await?;
         self.pool
             .give_back(address, connection, self.clock.now_ms());
         Ok(Answered { response, repeated })
