--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -62,7 +62,7 @@
 impl WorkerTurn<'_> {
     /// Adds what the worker needs now to the orders and ends.
     pub fn serve(&mut self, target: &mut Target) {
-        if target.is_failing() && self.now_ms >= target.lapse_ms {
+        if target.has_lapsed(self.now_ms) {
             self.give_up_lapsed(target);
         } else if target.is_failing() {
             self.give_up_broken(target);
@@ -200,6 +200,15 @@
 
     fn start(&mut self, target: &mut Target, run: RunId) {
         let now_ms = self.now_ms;
+        let unsent = target
+            .runs
+            .get(&run)
+            .is_some_and(|watch| watch.start == StartPhase::Unsent);
+        // The gang, or another worker, need not wait until this one is heard again or its lease is over.
+        if unsent && (target.is_failing() || !target.is_current(now_ms, self.timing)) {
+            self.never_began(target, run);
+            return;
+        }
         let ready = target
             .runs
             .get(&run)
