Failing test: the only rack that may run a task is kept for urgent work; refused records in the series

FAILING, no fix yet: a_task_begins_though_the_only_rack_for_it_is_kept, 15 s in an idle pool without any fault. Reserve::keep (plan/reserve.rs) marks the emptiest workers of the emptiest rack as kept, up to 30 percent of the pool, whoever needs a label of that rack; work of another rank that may run nowhere else stands still as long as urgent work comes at least every 15 s, and for 15 s after each election.

The series now also have proposals that are refused at once while the leader goes on.

--- a/crates/bh-workload/tests/delays/faults.rs
+++ b/crates/bh-workload/tests/delays/faults.rs
@@ -44,6 +44,8 @@
     Stall { for_ms: u64, in_turn: bool },
     /// Nothing is committed.
     StuckRecords { for_ms: u64 },
+    /// A share of proposals is refused at once, percent.
+    RefusedRecords { percent: u64, for_ms: u64 },
     /// A share of orders is denied by busy workers, which have done nothing, percent.
     Busy { percent: u64, for_ms: u64 },
     /// A worker fails all it starts.
@@ -83,6 +85,7 @@
             | Fault::Carriers { for_ms, .. }
             | Fault::Stall { for_ms, .. }
             | Fault::StuckRecords { for_ms }
+            | Fault::RefusedRecords { for_ms, .. }
             | Fault::Busy { for_ms, .. }
             | Fault::FailsAll { for_ms, .. }
             | Fault::LateHeartbeats { for_ms, .. } => *for_ms,
@@ -200,6 +203,7 @@
         2 => short().prop_map(|(percent, for_ms)| Fault::Carriers { percent, for_ms }),
         1 => (50u64..MOST_HELD_MS, any::<bool>()).prop_map(|(for_ms, in_turn)| Fault::Stall { for_ms, in_turn }),
         2 => (500u64..4_500).prop_map(|for_ms| Fault::StuckRecords { for_ms }),
+        1 => short().prop_map(|(percent, for_ms)| Fault::RefusedRecords { percent, for_ms }),
         1 => short().prop_map(|(percent, for_ms)| Fault::Busy { percent, for_ms }),
         1 => (0..workers, 500u64..3_000).prop_map(|(worker, for_ms)| Fault::FailsAll { worker, for_ms }),
         1 => (0usize..40).prop_map(|job| Fault::GiveUp { job }),
--- a/crates/bh-workload/tests/delays/leader.rs
+++ b/crates/bh-workload/tests/delays/leader.rs
@@ -1,6 +1,7 @@
 //! A core that leads, driven like the real process drives it.
 
 use super::event::Event;
+use super::faults::Fault;
 use super::log::Waiting;
 use super::site::Site;
 use super::telling::of_answer;
@@ -196,6 +197,14 @@
                 of_command(&command)
             )
         });
+        let refused = self.percent(|fault| match fault {
+            Fault::RefusedRecords { percent, for_ms } => Some((*percent, *for_ms)),
+            _ => None,
+        });
+        if self.chance(refused) {
+            self.settle(id, RecordOutcome::NotRecorded, 1);
+            return;
+        }
         self.push(now_ms + RECORD_MS, Event::RecordTimeout { id });
         if leader.deposed.is_none() {
             let took_ms = 1 + self.random.below(self.case.record_ms);
--- a/crates/bh-workload/tests/kept_room.rs
+++ b/crates/bh-workload/tests/kept_room.rs
@@ -120,3 +120,17 @@
     let stands_ms = stands_ms(&mut site, job, 20 * BOUND_MS);
     assert!(stands_ms <= BOUND_MS, "stands still for {stands_ms} ms");
 }
+
+/// A task that only the workers of one rack may run stood still in an idle pool: all of that rack was kept for urgent work that had not come.
+#[test]
+fn a_task_begins_though_the_only_rack_for_it_is_kept() {
+    const BOUND_MS: u64 = 3_000;
+    let mut site = Site::new(48, 6);
+    let spec = StepSpec {
+        required_label: Some(Arc::from("rack0")),
+        ..step(1, 1)
+    };
+    let job = site.submit(1, "other", vec![spec]);
+    let stands_ms = stands_ms(&mut site, job, 20 * BOUND_MS);
+    assert!(stands_ms <= BOUND_MS, "stands still for {stands_ms} ms");
+}
