--- a/crates/bh-workload/src/plan/standing_since.rs
+++ b/crates/bh-workload/src/plan/standing_since.rs
@@ -13,18 +13,28 @@
 /// Time beside ample room after which a unit begins wherever it may, in milliseconds. Callers bear a second more; recording and ordering its runs
 /// takes part of that.
 const PATIENCE_MS: u64 = 2_000;
+/// Time for which the room may be short in between, in milliseconds. Where much else waits, runs that end and begin take it and leave it all the time.
+const SHORT_MS: u64 = 500;
 
-/// Since when steps of jobs of which nothing runs wait beside ample room, on the leader's clock in milliseconds.
+/// A wait beside ample room, on the leader's clock in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Stretch {
+    since_ms: u64,
+    /// When the room was last ample.
+    ample_ms: u64,
+}
+
+/// Waits of steps of jobs of which nothing runs, beside ample room.
 #[derive(Clone, Debug, Default)]
 pub(super) struct StandingSince {
-    since_ms: BTreeMap<StepId, u64>,
+    stretches: BTreeMap<StepId, Stretch>,
 }
 
 impl StandingSince {
     /// Whether a step has waited so for too long.
     pub fn is_long(&self, now_ms: u64, step: StepId) -> bool {
-        let since_ms = self.since_ms.get(&step);
-        since_ms.is_some_and(|since_ms| now_ms >= since_ms + PATIENCE_MS)
+        let stretch = self.stretches.get(&step);
+        stretch.is_some_and(|stretch| now_ms >= stretch.since_ms + PATIENCE_MS)
     }
 
     /// Notes which units wait beside ample room once a pass has decided what begins. Those in `begun` do not wait.
@@ -35,14 +45,25 @@
         rooms: &[Room],
         workload: &Workload,
     ) {
-        let before = std::mem::take(&mut self.since_ms);
+        let before = std::mem::take(&mut self.stretches);
         let pools = pools(rooms);
         for unit in units.iter().filter(|unit| !begun.contains(&unit.step)) {
             let job = workload.job(unit.step.job);
-            let runs = job.is_none_or(|job| job.has_open_runs());
-            if !runs && is_still(unit, rooms, &pools) {
-                let since_ms = before.get(&unit.step).copied().unwrap_or(now_ms);
-                self.since_ms.insert(unit.step, since_ms);
+            if job.is_none_or(|job| job.has_open_runs()) {
+                continue;
+            }
+            let before = before.get(&unit.step).copied();
+            let stretch = if is_still(unit, rooms, &pools) {
+                let since_ms = before.map_or(now_ms, |before| before.since_ms);
+                Some(Stretch {
+                    since_ms,
+                    ample_ms: now_ms,
+                })
+            } else {
+                before.filter(|before| now_ms < before.ample_ms + SHORT_MS)
+            };
+            if let Some(stretch) = stretch {
+                self.stretches.insert(unit.step, stretch);
             }
         }
     }
--- a/crates/bh-workload/tests/standing_still.rs
+++ b/crates/bh-workload/tests/standing_still.rs
@@ -366,3 +366,32 @@
     let still_ms = longest_still_ms(&mut site, job, &silent);
     assert!(still_ms < BOUND_MS, "stands still for {still_ms} ms");
 }
+
+/// Guards against work that stands still for ever where others take and leave the room beside it all the time.
+#[test]
+fn room_that_is_short_for_a_moment_does_not_begin_the_wait_anew() {
+    let mut site = site_with_a_run_in_each_rack();
+    let job = site.submit(1, "other", vec![local_gang(4)]);
+    pass(&mut site, 1_200, &BTreeSet::new());
+    let since_ms = site.now_ms;
+    while site.now_ms < since_ms + WATCHED_MS {
+        let short = site.submit(0, "other", vec![step(11, 8)]);
+        site.plan_and_start();
+        pass(&mut site, PLAN_MS, &BTreeSet::new());
+        for (_, run) in site.open_runs() {
+            if run.task.step.job == short {
+                site.end(run, EndKind::Done);
+            }
+        }
+        for _ in 0..4 {
+            site.plan_and_start();
+            if site.workload.job(job).unwrap().has_open_runs() {
+                let still_ms = site.now_ms - since_ms;
+                assert!(still_ms < BOUND_MS, "stands still for {still_ms} ms");
+                return;
+            }
+            pass(&mut site, PLAN_MS, &BTreeSet::new());
+        }
+    }
+    panic!("stands still for {WATCHED_MS} ms");
+}
