Don't tell tasks as kept apart once their patience is over

A task under which a worker has crashed was told as kept apart for as long as it waited, though the plan keeps it apart for 2 s only. The reason is given now only while the plan keeps it apart and that is what leaves too few places.

--- a/crates/bh-workload/src/plan/outlook.rs
+++ b/crates/bh-workload/src/plan/outlook.rs
@@ -36,6 +36,11 @@
     rooms.iter().map(|room| room.places(unit, avoid)).sum()
 }
 
+/// Places without which nothing of a unit begins: a gang needs all of them, of other tasks some begin if there are any.
+fn least(unit: &Unit) -> u64 {
+    if unit.spec.gang { unit.count() } else { 1 }
+}
+
 impl<'a> Outlook<'a> {
     /// The workers at a time of the leader's clock and of the wall clock, both in milliseconds.
     pub fn new(
@@ -96,11 +101,15 @@
                     places: free,
                 });
         }
-        if unit.is_suspect() {
+        let apart = Unit {
+            apart: self.planner.keeps_apart(self.now_ms, unit),
+            ..unit.clone()
+        };
+        if places(&apart, &self.rooms, &none) < least(unit) {
             let crashes = unit.crashes;
             return Wait::Apart { crashes };
         }
-        self.held_back(unit)
+        self.held_back(&apart)
     }
 
     /// Why a unit for which there are places enough is not placed.
@@ -109,8 +118,7 @@
         if last.started.contains(&unit.step) {
             return Wait::StartRecording;
         }
-        // A gang needs all of its places; of other tasks some begin if there are any.
-        let least = if unit.spec.gang { unit.count() } else { 1 };
+        let least = least(unit);
         let avoid = avoided(&self.planner.failed_on, unit, &self.rooms);
         if places(unit, &self.rooms, &avoid) < least {
             let workers = avoid.len();
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -172,6 +172,12 @@
         Some(collect::objective_ms(id, job, queue, &self.runtimes))
     }
 
+    /// Whether the next plan at `now_ms` would keep a unit apart.
+    pub(super) fn keeps_apart(&self, now_ms: u64, unit: &Unit) -> bool {
+        let since_ms = self.apart_since_ms.get(&unit.step).copied();
+        unit.is_suspect() && is_patient(now_ms, since_ms.unwrap_or(now_ms))
+    }
+
     /// What shall happen at `now_ms` of the leader's clock and `wall_ms` since 1970.
     pub fn plan(
         &mut self,
@@ -253,13 +259,18 @@
     }
 }
 
+/// Whether work under which a worker has crashed, and that has waited since `since_ms`, still waits for workers on which nothing has just begun.
+fn is_patient(now_ms: u64, since_ms: u64) -> bool {
+    now_ms < since_ms + APART_PATIENCE_MS
+}
+
 /// Notes which units wait for workers of their own.
 fn keep_apart(now_ms: u64, units: &mut [Unit], since_ms: &mut BTreeMap<StepId, u64>) {
     let before = std::mem::take(since_ms);
     for unit in units.iter_mut().filter(|unit| unit.is_suspect()) {
         let since = before.get(&unit.step).copied().unwrap_or(now_ms);
         since_ms.insert(unit.step, since);
-        unit.apart = now_ms < since + APART_PATIENCE_MS;
+        unit.apart = is_patient(now_ms, since);
     }
 }
 
--- a/crates/bh-workload/src/plan/wait.rs
+++ b/crates/bh-workload/src/plan/wait.rs
@@ -70,7 +70,7 @@
         /// Places that are left.
         places: u64,
     },
-    /// A worker has crashed under one of the tasks, which wait for workers on which nothing has just begun.
+    /// A worker has crashed under one of the tasks, which wait for a while for workers on which nothing has just begun.
     Apart {
         /// Workers that crashed.
         crashes: u32,
--- a/crates/bh-workload/tests/runnable.rs
+++ b/crates/bh-workload/tests/runnable.rs
@@ -369,9 +369,8 @@
     assert_eq!(wait(&site, job), Wait::Rack);
 }
 
-/// Guards against a task under which a worker crashed being told as one that has no room.
-#[test]
-fn a_task_that_may_crash_its_worker_says_so() {
+/// A job under which a worker has crashed, beside two workers with room on which something has just begun.
+fn suspect_beside_young_runs() -> (Site, JobId) {
     let mut site = quiet_site(2);
     let job = site.submit(2, "other", vec![step(1, 1)]);
     site.plan_and_start();
@@ -379,9 +378,50 @@
     site.advance(10);
     let worker = site.open_runs()[0].0.clone();
     site.crash(&worker);
+    let apart = StepSpec {
+        most_per_worker: Some(1),
+        ..step(2, 1)
+    };
+    site.submit(0, "guaranteed", vec![apart]);
+    site.plan_and_start();
+    site.send_starts();
+    (site, job)
+}
+
+/// Guards against a task under which a worker crashed being told as one that has no room.
+#[test]
+fn a_task_that_may_crash_its_worker_says_so() {
+    let (site, job) = suspect_beside_young_runs();
     assert_eq!(wait(&site, job), Wait::Apart { crashes: 1 });
 }
 
+/// Guards against such a task being told as kept apart when it no longer is, which would hide what it waits for.
+#[test]
+fn a_task_that_is_kept_apart_no_longer_tells_its_other_reason() {
+    const PATIENCE_MS: u64 = 2_000;
+    let (mut site, job) = suspect_beside_young_runs();
+    site.advance(PATIENCE_MS);
+    assert_eq!(wait(&site, job), Wait::Placing);
+}
+
+/// Guards against workers that are closed for a task that may crash them being told as silent or full.
+#[test]
+fn a_worker_that_a_suspect_task_closes_is_told() {
+    let mut site = quiet_site(1);
+    site.submit(2, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(10);
+    let worker = site.open_runs()[0].0.clone();
+    site.crash(&worker);
+    site.plan_and_start();
+    assert_eq!(site.open_runs().len(), 1);
+    let job = site.submit(2, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    let why = Unusable::BesideSuspect;
+    assert_eq!(wait(&site, job), Wait::WorkersUnusable { places: 1, why });
+}
+
 /// Guards against a wait for the end of an evacuation being told as one for workers that do not answer.
 #[test]
 fn an_evacuation_is_told() {
