Name the work that promised room is for

The wait and `core explain` name the first four steps that a pass promised room to, gangs it kept room for and claims. What is planned is unchanged.

--- a/crates/beechctl/src/commands/core_explain.rs
+++ b/crates/beechctl/src/commands/core_explain.rs
@@ -166,8 +166,9 @@
         Wait::WorkersUnusable { places, why } => {
             format!("workers that are {}: {places} places", unusable_text(*why))
         }
-        Wait::RoomPromised { places } => {
-            format!("room that is promised to other work; {places} places are left")
+        Wait::RoomPromised { places, to } => {
+            let to = to.join(", ");
+            format!("room that is promised to other work ({to}); {places} places are left")
         }
         Wait::RoomKept { places } => {
             format!("room that is kept for urgent work; {places} places are left")
--- a/crates/bh-workload/src/plan/last_pass.rs
+++ b/crates/bh-workload/src/plan/last_pass.rs
@@ -19,13 +19,22 @@
     pub started: BTreeSet<StepId>,
     /// What it promised to work that does not begin yet, by worker.
     pub promised: BTreeMap<Incarnation, Needs>,
+    /// Steps to which it promised that, the first in its order.
+    pub promised_to: Vec<StepId>,
     /// Workers that it kept for work of priority 0.
     pub kept: BTreeSet<Incarnation>,
 }
 
 impl LastPass {
-    /// What a pass over `units` left in `rooms`, with the starts it planned.
-    pub fn new(units: &[Unit], rooms: &[Room], starts: &[Start]) -> Self {
+    /// What a pass over `units` left in `rooms`, with the starts it planned and which steps wait with room promised to them.
+    pub fn new(
+        units: &[Unit],
+        rooms: &[Room],
+        starts: &[Start],
+        waits: impl Fn(StepId) -> bool,
+    ) -> Self {
+        /// Steps that are remembered, at most.
+        const MOST_STEPS: usize = 4;
         let promised = rooms
             .iter()
             .filter(|room| room.promised != Needs::default());
@@ -33,6 +42,12 @@
         Self {
             looked_at: collect::steps(units),
             started: starts.iter().map(|start| start.run.task.step).collect(),
+            promised_to: units
+                .iter()
+                .map(|unit| unit.step)
+                .filter(|step| waits(*step))
+                .take(MOST_STEPS)
+                .collect(),
             promised: promised
                 .map(|room| (room.worker.clone(), room.promised))
                 .collect(),
--- a/crates/bh-workload/src/plan/outlook.rs
+++ b/crates/bh-workload/src/plan/outlook.rs
@@ -136,7 +136,8 @@
         // What was promised to the unit itself is told as wanting a rack, or as a claim.
         let left = places(unit, &self.unpromised, &avoid);
         if left < least {
-            return Wait::RoomPromised { places: left };
+            let to = last.promised_to.iter().map(ToString::to_string).collect();
+            return Wait::RoomPromised { places: left, to };
         }
         let left = places(unit, &self.open, &avoid);
         if left < least {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -224,6 +224,7 @@
         let stop_ms = dispatcher.timing().stop_timeout_ms;
         reserve.keep((now_ms, stop_ms), &mut pass.rooms);
         let mut kept = 0;
+        let mut kept_for = BTreeSet::new();
         let racks: BTreeSet<&Arc<str>> = pass.rooms.iter().map(|room| &room.rack).collect();
         let most_kept = racks.len().max(FEWEST_KEPT_GANGS);
         for unit in &units {
@@ -243,6 +244,7 @@
                     continue;
                 } else if kept < most_kept {
                     kept += 1;
+                    kept_for.insert(unit.step);
                     pass.keep_room(unit);
                 }
                 continue;
@@ -254,7 +256,8 @@
                 pass.claim(claims, &unit.without_first(placed));
             }
         }
-        *last_pass = LastPass::new(&units, &pass.rooms, &pass.plan.starts);
+        let waits = |step| kept_for.contains(&step) || claims.contains_key(&step);
+        *last_pass = LastPass::new(&units, &pass.rooms, &pass.plan.starts, waits);
         pass.plan
     }
 }
--- a/crates/bh-workload/src/plan/wait.rs
+++ b/crates/bh-workload/src/plan/wait.rs
@@ -64,6 +64,8 @@
     RoomPromised {
         /// Places that are left.
         places: u64,
+        /// The first of the steps that it was promised to, `JOB.OCCURRENCE.STEP`.
+        to: Vec<String>,
     },
     /// There is room, but the last plan kept it for work of priority 0.
     RoomKept {
--- a/crates/bh-workload/tests/runnable.rs
+++ b/crates/bh-workload/tests/runnable.rs
@@ -303,16 +303,17 @@
     assert_eq!(wait(&site, job), Wait::NoWorkerAllowed);
 }
 
-/// Guards against room that the plan holds back for a larger gang being told as free.
+/// Guards against room that the plan holds back for a larger gang being told as free, or without that gang.
 #[test]
 fn room_that_is_promised_to_a_gang_is_told() {
     let mut site = quiet_site(2);
     site.submit(2, "other", vec![step(1, 8)]);
     site.plan_and_start();
-    site.submit(1, "other", vec![gang(2, 8)]);
+    let larger = site.submit(1, "other", vec![gang(2, 8)]);
     let job = site.submit(2, "other", vec![step(1, 1)]);
     site.plan_and_start();
-    assert_eq!(wait(&site, job), Wait::RoomPromised { places: 0 });
+    let to = vec![support::task(larger, 0, 0).step.to_string()];
+    assert_eq!(wait(&site, job), Wait::RoomPromised { places: 0, to });
 }
 
 /// Guards against room that the plan keeps for urgent work being told as free.
