Keep no room for a gang on workers that it avoids

A gang that failed on a worker, or was slow there, avoids it while others can be used. Room was kept for it there all the same when that was free soonest: it did not begin there, and nothing behind it could. It and they stood still until another worker had room, whatever the pool had free: as long as the runs there last.

keep_room leaves out the workers that the gang avoids, as its placement does.

--- a/crates/bh-workload/src/plan/keep_room.rs
+++ b/crates/bh-workload/src/plan/keep_room.rs
@@ -13,8 +13,8 @@
 impl Pass<'_> {
     /// Keeps the workers that are free soonest for a gang that does not fit yet: nobody after it in the order gets them. Without that
     /// small tasks would take every place that becomes free, and a gang that needs several at once would never begin. A gang that
-    /// wants one rack has them kept in the rack that is free soonest.
-    pub fn keep_room(&mut self, unit: &Unit) {
+    /// wants one rack has them kept in the rack that is free soonest. None is kept on workers to `avoid`, where the gang would not begin.
+    pub fn keep_room(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) {
         let able = if place::wants_rack(unit) {
             place::able_racks(unit, &self.rooms)
         } else {
@@ -25,7 +25,7 @@
         for at in 0..self.rooms.len() {
             let room = &self.rooms[at];
             let fit = room.admits(unit) && (!one_rack || able.contains(&room.rack));
-            if !fit {
+            if !fit || avoid.contains(&room.worker) {
                 continue;
             }
             let rack = if one_rack {
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -245,7 +245,7 @@
                 } else if kept < most_kept {
                     kept += 1;
                     kept_for.insert(unit.step);
-                    pass.keep_room(unit);
+                    pass.keep_room(unit, &avoid);
                 }
                 continue;
             }
