--- a/crates/bh-workload/src/plan/wait.rs
+++ b/crates/bh-workload/src/plan/wait.rs
@@ -64,13 +64,15 @@
     RoomPromised {
         /// Places that are left.
         places: u64,
+        /// The first of the steps that it was promised to, `JOB.OCCURRENCE.STEP`.
+        to: Vec<String>,
     },
     /// There is room, but the last plan kept it for work of priority 0.
     RoomKept {
         /// Places that are left.
         places: u64,
     },
-    /// A worker has crashed under one of the tasks, which wait for workers on which nothing has just begun.
+    /// A worker has crashed under one of the tasks, which wait for a while for workers on which nothing has just begun.
     Apart {
         /// Workers that crashed.
         crashes: u32,
