Take a start back at once where nothing listens at its worker's address

A process that ends between its last look and a start left the run recorded until its lease was over: 7,950 ms under a young leader, for a gang as a whole. Nothing had been sent. Whether an earlier send had gone out on a kept connection that broke was not told apart; calls now say so, carriers as well (never_sent, which cores of older versions leave out, so that their word settles nothing).

--- a/crates/bh-control/src/core/advice.rs
+++ b/crates/bh-control/src/core/advice.rs
@@ -3,6 +3,7 @@
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
 use super::worker_calls::Answered;
+use super::worker_calls::Unanswered;
 use bh_workload::dispatch::Permission;
 use bh_workload::dispatch::Question;
 use std::net::SocketAddr;
@@ -37,7 +38,7 @@
     let answer: Option<Vec<Permission>> =
         match core.workers.send(address, request, question.limit_ms).await {
             Ok(Answered { response, .. }) => (core.dialect.read_permissions)(&response),
-            Err(error) => {
+            Err(Unanswered { error, .. }) => {
                 log::warn!(step = question.step.to_string(); "no answer of the adviser: {error}");
                 None
             }
--- a/crates/bh-control/src/core/carry.rs
+++ b/crates/bh-control/src/core/carry.rs
@@ -9,6 +9,7 @@
 
 use super::core_node::CoreNode;
 use super::worker_calls::Answered;
+use super::worker_calls::Unanswered;
 use crate::mesh::Peer;
 use bh_net::http_client::SendError;
 use bh_net::link::CallError;
@@ -44,7 +45,10 @@
         repeated: bool,
     },
     /// Nothing listens at the worker's address.
-    NotListening,
+    NotListening {
+        /// Whether an earlier send of the order may have reached it.
+        repeated: bool,
+    },
     /// The worker did not answer.
     NoAnswer(String),
     /// The core that was to carry it was lost: nothing is known of the worker, and it may have been carried out.
@@ -84,8 +88,11 @@
     }
     match core.workers.send(to.address, request, limit_ms).await {
         Ok(Answered { response, repeated }) => Sent::Answered { response, repeated },
-        Err(SendError::Refused) => Sent::NotListening,
-        Err(error) => Sent::NoAnswer(error.to_string()),
+        Err(Unanswered {
+            error: SendError::Refused,
+            repeated,
+        }) => Sent::NotListening { repeated },
+        Err(Unanswered { error, .. }) => Sent::NoAnswer(error.to_string()),
     }
 }
 
@@ -120,7 +127,9 @@
 fn sent(reply: CarryReply) -> Sent {
     let why = || String::from_utf8_lossy(&reply.body).into_owned();
     match reply.outcome() {
-        CarryOutcome::NotListening => Sent::NotListening,
+        CarryOutcome::NotListening => Sent::NotListening {
+            repeated: !reply.never_sent,
+        },
         CarryOutcome::NotCarried | CarryOutcome::NoAnswer => Sent::NoAnswer(why()),
         CarryOutcome::Answered => {
             let status = u16::try_from(reply.status)
@@ -174,15 +183,17 @@
             status: response.status().as_u16().into(),
             body: response.into_body().to_vec(),
             repeated,
+            never_sent: false,
         },
-        Err(error) => CarryReply {
+        Err(Unanswered { error, repeated }) => CarryReply {
+            never_sent: error == SendError::Refused && !repeated,
             outcome: match error {
                 SendError::Refused => CarryOutcome::NotListening.into(),
                 _ => CarryOutcome::NoAnswer.into(),
             },
             status: 0,
             body: error.to_string().into_bytes(),
-            repeated: false,
+            repeated,
         },
     }
 }
@@ -194,6 +205,7 @@
         status: 0,
         body: why.into_bytes(),
         repeated: false,
+        never_sent: true,
     }
 }
 
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -51,4 +51,5 @@
 pub use standstill::StandstillEnd;
 pub use starts_record::StartsRecord;
 pub use unheard::Unheard;
+pub use worker_calls::Unanswered;
 pub use worker_calls::WorkerCalls;
--- a/crates/bh-control/src/core/orders.rs
+++ b/crates/bh-control/src/core/orders.rs
@@ -76,8 +76,11 @@
             }
             (core.dialect.read_answer)(&order, &response)
         }
-        Sent::NotListening => {
+        Sent::NotListening { repeated } => {
             core.metrics.count("orders_lost", 1);
+            if repeated {
+                note_earlier_send(&core, &order);
+            }
             log::warn!(worker = order.to.worker.to_string(), order = order.body.to_string(); "nothing listens at a worker's address");
             Answer::NotListening
         }
@@ -102,6 +105,11 @@
         worker = order.to.worker.to_string(), order = order.body.to_string(), term = order.token, status = status.as_u16();
         "order sent again: its connection broke after it was sent"
     );
+    note_earlier_send(core, order);
+}
+
+/// Notes that an earlier send of an order may have been carried out.
+fn note_earlier_send(core: &CoreNode, order: &Order) {
     let mut held = core.leadership.borrow_mut();
     if let Some(leadership) = held.as_mut().filter(|held| held.term == order.token) {
         leadership.dispatcher.note_repeated(order);
--- a/crates/bh-control/src/core/upkeep.rs
+++ b/crates/bh-control/src/core/upkeep.rs
@@ -5,6 +5,7 @@
 use super::learnt::Learnt;
 use super::records::propose;
 use super::worker_calls::Answered;
+use super::worker_calls::Unanswered;
 use bh_workload::state::Command;
 use bh_workload::upkeep::Step;
 use bh_workload::upkeep::UpkeepAnswer;
@@ -69,7 +70,7 @@
     core.metrics.count("upkeep_orders", 1);
     let answer = match core.workers.send(address, request, ORDER_MS).await {
         Ok(Answered { response, .. }) => (core.dialect.read_upkeep)(&response),
-        Err(error) => {
+        Err(Unanswered { error, .. }) => {
             log::warn!(vm = &*order.vm; "no answer to an order on a VM: {error}");
             UpkeepAnswer::Lost
         }
--- a/crates/bh-control/src/core/worker_calls.rs
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -40,6 +40,16 @@
     pub repeated: bool,
 }
 
+/// A call that had no answer.
+#[derive(Debug)]
+pub struct Unanswered {
+    /// Why.
+    pub error: SendError,
+    /// Whether the request was sent before, on a kept connection that broke then: it may have been carried out, whatever the error says of the
+    /// last send.
+    pub repeated: bool,
+}
+
 /// Connections to workers.
 pub struct WorkerCalls {
     pool: Pool,
@@ -86,18 +96,21 @@
     ///
     /// # Errors
     ///
-    /// [`SendError`].
+    /// [`Unanswered`].
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         limit_ms: u64,
-    ) -> Result<Answered, SendError> {
+    ) -> Result<Answered, Unanswered> {
         let until_ms = self.clock.now_ms() + limit_ms;
         // A process without descriptors can do nothing any more, so calls wait for each other instead.
         while self.busy.get() >= self.most_busy {
             if self.clock.now_ms() >= until_ms {
-                return Err(SendError::NotConnected);
+                return Err(Unanswered {
+                    error: SendError::NotConnected,
+                    repeated: false,
+                });
             }
             sleep_ms(POLL_MS).await;
         }
@@ -112,7 +125,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         until_ms: u64,
-    ) -> Result<Answered, SendError> {
+    ) -> Result<Answered, Unanswered> {
         let left_ms = || until_ms.saturating_sub(self.clock.now_ms());
         let mut repeated = false;
         if let Some(mut connection) = self.pool.take(address, self.clock.now_ms()) {
@@ -121,7 +134,7 @@
                 Err(SendError::Broken) => repeated = true,
                 Err(error) => {
                     self.pool.forget(address);
-                    return Err(error);
+                    return Err(Unanswered { error, repeated });
                 }
                 Ok(response) => {
                     self.pool
@@ -130,10 +143,14 @@
                 }
             }
         }
-        let mut connection = Connection::open(address, left_ms().min(CONNECT_MS)).await?;
+        let unanswered = |error| Unanswered { error, repeated };
+        let mut connection = Connection::open(address, left_ms().min(CONNECT_MS))
+            .await
+            .map_err(unanswered)?;
         let response = connection
             .send(request, left_ms(), MAX_ANSWER_BYTES)
-            .await?;
+            .await
+            .map_err(unanswered)?;
         self.pool
             .give_back(address, connection, self.clock.now_ms());
         Ok(Answered { response, repeated })
--- a/crates/bh-control/tests/worker_calls.rs
+++ b/crates/bh-control/tests/worker_calls.rs
@@ -6,6 +6,7 @@
 
 use bh_control::core::WorkerCalls;
 use bh_net::Clock;
+use bh_net::http_client::SendError;
 use bh_net::runtime;
 use bytes::Bytes;
 use http::Request;
@@ -72,3 +73,32 @@
     })
     .unwrap();
 }
+
+/// Answers one request, breaks the connection off once the next one is there, and listens no more.
+fn answer_once_and_end(listener: TcpListener) {
+    let (mut first, _) = listener.accept().unwrap();
+    read_request(&mut first);
+    first
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    read_request(&mut first);
+    drop(listener);
+    drop(first);
+}
+
+/// Guards against a start that is taken not to have reached its worker, since nothing listens there any more, though a kept connection had taken it.
+#[test]
+fn a_call_that_was_sent_before_it_was_refused_says_so() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || answer_once_and_end(listener));
+    runtime::run(1, async move {
+        let calls = WorkerCalls::new(Clock::new(), 1_024);
+        calls.send(address, request(), LIMIT_MS).await.unwrap();
+        let sent = calls.send(address, request(), LIMIT_MS).await;
+        assert!(sent.is_err_and(|why| why.error == SendError::Refused && why.repeated));
+        let unsent = calls.send(address, request(), LIMIT_MS).await;
+        assert!(unsent.is_err_and(|why| why.error == SendError::Refused && !why.repeated));
+    })
+    .unwrap();
+}
--- a/crates/bh-protocol/src/wire/carry.rs
+++ b/crates/bh-protocol/src/wire/carry.rs
@@ -69,6 +69,9 @@
     /// Whether the order was sent again since the connection of an earlier send broke before its answer came.
     #[prost(bool, tag = "4")]
     pub repeated: bool,
+    /// Whether the order surely did not reach the worker. Cores of older versions don't say so.
+    #[prost(bool, tag = "5")]
+    pub never_sent: bool,
 }
 
 /// A heartbeat that changed nothing, as the core that took it tells the leader.
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -43,6 +43,11 @@
             watch.start = StartPhase::Confirmed { at_ms: now_ms };
             None
         }
+        // Nothing was sent: a gang, or another worker, need not wait for the end of a lease.
+        Answer::NotListening if !watch.may_have_begun() => {
+            watch.settled = true;
+            ends_command(vec![not_started])
+        }
         // The run was there: its end is listed, or it is fenced off for good. The next look tells which.
         Answer::Denied {
             denial: Denial::Outdated,
