--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -2,6 +2,7 @@
 
 use super::Room;
 use super::Unit;
+use crate::job::Needs;
 use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -31,6 +32,8 @@
     rank: u64,
     /// Whether the worker is slow since it has just started, or left to itself.
     shunned: bool,
+    /// Whether room there is kept for a gang that does not fit yet.
+    held: bool,
 }
 
 /// Why a gang is not placed.
@@ -168,12 +171,13 @@
             spare: room.open().accelerators,
             rank: rank(unit, room),
             shunned: room.cold || room.aside,
+            held: room.held != Needs::default(),
         })
         .filter(|site| site.places > 0)
         .collect();
     // The fullest workers first: whole free ones are kept for large tasks. Cold ones and those left to themselves last: one slow member holds a
-    // whole gang up.
-    sites.sort_by_key(|site| (site.shunned, site.rank, site.spare, site.room));
+    // whole gang up. What is kept for a gang looks full, and is taken only where nothing else is left, or that gang would never begin.
+    sites.sort_by_key(|site| (site.shunned, site.held, site.rank, site.spare, site.room));
     sites
 }
 
--- a/crates/bh-workload/tests/standing_still.rs
+++ b/crates/bh-workload/tests/standing_still.rs
@@ -395,3 +395,56 @@
     }
     panic!("stands still for {WATCHED_MS} ms");
 }
+
+fn near(spec: StepSpec) -> StepSpec {
+    StepSpec {
+        near_rack: Some(Arc::from(NEAR)),
+        ..spec
+    }
+}
+
+/// Guards against a gang that never begins beside small work that has stood still: kept room looks full, and is taken first.
+#[test]
+fn work_that_has_stood_still_leaves_kept_room_where_there_is_other() {
+    let mut site = Site::new(24, 4);
+    pass(&mut site, QUIET_MS, &BTreeSet::new());
+    let spread = StepSpec {
+        most_per_worker: Some(1),
+        ..long(step(24, 1))
+    };
+    site.submit(0, "other", vec![spread]);
+    site.plan_and_start();
+    for (worker, run) in site.open_runs() {
+        let number: usize = worker.id[1..].parse().unwrap();
+        if (4..8).contains(&number) {
+            site.end(run, EndKind::Done);
+        }
+    }
+    pass(&mut site, QUIET_MS, &BTreeSet::new());
+    site.submit(1, "other", vec![near(long(step(4, 7)))]);
+    site.plan_and_start();
+    let busy = StepSpec {
+        required_label: Some(Arc::from("rack1")),
+        ..step(1, 8)
+    };
+    site.submit(1, "other", vec![busy]);
+    site.plan_and_start();
+    let gang = site.submit(1, "other", vec![local_gang(4)]);
+    let from_ms = site.now_ms;
+    let mut small = Vec::new();
+    while site.now_ms < from_ms + BOUND_MS && !site.workload.job(gang).unwrap().has_open_runs() {
+        small.push(site.submit(2, "other", vec![near(step(1, 1))]));
+        site.plan_and_start();
+        pass(&mut site, PLAN_MS, &BTreeSet::new());
+    }
+    let kept = |worker: &Incarnation| {
+        let info = &site.workload.worker(worker).unwrap().info;
+        &*info.rack == "rack1"
+    };
+    let runs = site.open_runs().into_iter();
+    let own: Vec<_> = runs
+        .filter(|(_, run)| small.contains(&run.task.step.job))
+        .collect();
+    assert!(!own.is_empty());
+    assert!(own.iter().all(|(worker, _)| !kept(worker)));
+}
