Judge by what runs, not by what is recorded, whether work stands still

A job with any recorded run did not count as standing still: a run on a worker that does not answer held the rest of its job back until its lease was over (11,600 ms in the test), and a service of which one task ran missed the others for as long as they waited for a rack (40,000 ms, watched no longer). Runs on workers that answer count now, and for services each task, however full the pool is. A start that comes to nothing, or room that is short for less than a second, does not begin the wait anew; the longest time between plans is as long.

a_service_does_not_miss_tasks_for_a_rack and a_run_on_a_lost_worker_does_not_count_as_running failed before, pass now.

--- a/crates/bh-control/src/core/plan_gap.rs
+++ b/crates/bh-control/src/core/plan_gap.rs
@@ -2,8 +2,8 @@
 
 /// Shortest time between plans, in milliseconds. What comes within it is planned together: a record of starts takes about as long to be synced.
 const GAP_MS: u64 = 10;
-/// Time between plans as a multiple of what the last one took: planning takes at most a fifth of the leader's processor. Without this bound it
-/// takes all of it when a burst meets a large fleet, and the leader's leases and answers come late.
+/// Time between plans as a multiple of what the last one took: planning takes at most a fifth of the leader's processor, up to the longest
+/// time between plans. Without this bound it takes all of it when a burst meets a large fleet, and the leader's leases and answers come late.
 const GAP_PASSES: u64 = 4;
 /// Longest time between plans, in milliseconds. A pause of the whole leader while it plans counts as time that planning took; the next plan may wait for no
 /// multiple of that.
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -257,9 +257,13 @@
             }
             let mut placement = pass.place_tasks(unit, &avoid);
             if placement.is_empty() && stood_long {
-                // The others may go on waiting for what suits them.
-                let first = unit.first_task();
-                placement = pass.place_anywhere(&first, &avoid).unwrap_or_default();
+                // The others may go on waiting for what suits them, but those of a service are missed one by one.
+                let least = if unit.spec.long_running {
+                    unit.clone()
+                } else {
+                    unit.first_task()
+                };
+                placement = pass.place_anywhere(&least, &avoid).unwrap_or_default();
             }
             let placed = placement.iter().map(|(_, count)| count).sum();
             pass.start(unit, &placement);
@@ -269,7 +273,12 @@
         }
         let waits = |step| kept_for.contains(&step) || claims.contains_key(&step);
         *last_pass = LastPass::new(&units, &pass.rooms, &pass.plan.starts, waits);
-        standing_since.note(now_ms, (&units, &last_pass.started), &pass.rooms, workload);
+        standing_since.note(
+            now_ms,
+            (&units, &last_pass.started),
+            &pass.rooms,
+            (workload, dispatcher),
+        );
         pass.plan
     }
 }
--- a/crates/bh-workload/src/plan/standing_since.rs
+++ b/crates/bh-workload/src/plan/standing_since.rs
@@ -3,8 +3,11 @@
 use super::Room;
 use super::Standing;
 use super::Unit;
+use crate::dispatch::Dispatcher;
+use crate::job::JobId;
 use crate::job::Needs;
 use crate::job::StepId;
+use crate::state::Worker;
 use crate::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -14,7 +17,7 @@
 /// takes part of that.
 const PATIENCE_MS: u64 = 2_000;
 /// Time for which the room may be short in between, in milliseconds. Where much else waits, runs that end and begin take it and leave it all the time.
-const SHORT_MS: u64 = 500;
+const SHORT_MS: u64 = 1_000;
 
 /// A wait beside ample room, on the leader's clock in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -24,7 +27,7 @@
     ample_ms: u64,
 }
 
-/// Waits of steps of jobs of which nothing runs, beside ample room.
+/// Waits beside ample room: of steps of jobs of which nothing runs, and of services, which miss each of their tasks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct StandingSince {
     stretches: BTreeMap<StepId, Stretch>,
@@ -37,38 +40,43 @@
         stretch.is_some_and(|stretch| now_ms >= stretch.since_ms + PATIENCE_MS)
     }
 
-    /// Notes which units wait beside ample room once a pass has decided what begins. Those in `begun` do not wait.
+    /// Notes which units wait beside ample room once a pass has decided what begins. Those in `begun` do not wait, but one whose start comes to nothing
+    /// goes on with its wait.
     pub fn note(
         &mut self,
         now_ms: u64,
         (units, begun): (&[Unit], &BTreeSet<StepId>),
         rooms: &[Room],
-        workload: &Workload,
+        (workload, dispatcher): (&Workload, &Dispatcher),
     ) {
-        let before = std::mem::take(&mut self.stretches);
+        self.stretches
+            .retain(|_, stretch| now_ms < stretch.ample_ms + SHORT_MS);
         let pools = pools(rooms);
-        for unit in units.iter().filter(|unit| !begun.contains(&unit.step)) {
-            let job = workload.job(unit.step.job);
-            if job.is_none_or(|job| job.has_open_runs()) {
-                continue;
-            }
-            let before = before.get(&unit.step).copied();
-            let stretch = if is_still(unit, rooms, &pools) {
-                let since_ms = before.map_or(now_ms, |before| before.since_ms);
-                Some(Stretch {
-                    since_ms,
+        let waiting = units
+            .iter()
+            .filter(|unit| !begun.contains(&unit.step) && is_still(unit, rooms, &pools));
+        let mut running = None;
+        for unit in waiting {
+            let running = running.get_or_insert_with(|| running_jobs(workload, dispatcher));
+            if unit.spec.long_running || !running.contains(&unit.step.job) {
+                let fresh = Stretch {
+                    since_ms: now_ms,
                     ample_ms: now_ms,
-                })
-            } else {
-                before.filter(|before| now_ms < before.ample_ms + SHORT_MS)
-            };
-            if let Some(stretch) = stretch {
-                self.stretches.insert(unit.step, stretch);
+                };
+                self.stretches.entry(unit.step).or_insert(fresh).ample_ms = now_ms;
             }
         }
     }
 }
 
+/// Jobs with recorded runs on workers that answer. What is on the others may have ended long before the record says so.
+fn running_jobs(workload: &Workload, dispatcher: &Dispatcher) -> BTreeSet<JobId> {
+    let answers = |worker: &&Worker| dispatcher.answers(&worker.info.id);
+    let workers = workload.workers().filter(answers);
+    let runs = workers.flat_map(|worker| worker.runs.keys());
+    runs.map(|run| run.task.step.job).collect()
+}
+
 /// What is in use of each pool, and what it has.
 type Pools = BTreeMap<Arc<str>, (Needs, Needs)>;
 
@@ -94,6 +102,10 @@
         in_use,
         capacity,
     };
+    // A service is missed however full the pool is.
+    if unit.spec.long_running {
+        standing.in_use = Needs::default();
+    }
     // Most pools are too busy for any of their work to be looked up.
     if !standing.is_still() {
         return false;
--- a/crates/bh-workload/tests/standing_still.rs
+++ b/crates/bh-workload/tests/standing_still.rs
@@ -448,3 +448,59 @@
     assert!(!own.is_empty());
     assert!(own.iter().all(|(worker, _)| !kept(worker)));
 }
+
+/// Guards against a service of which one task runs while the others wait for a rack beside an idle pool.
+#[test]
+fn a_service_does_not_miss_tasks_for_a_rack() {
+    let mut site = Site::new(24, 4);
+    pass(&mut site, QUIET_MS, &BTreeSet::new());
+    let service = |count| StepSpec {
+        long_running: true,
+        ..near(long(step(count, 8)))
+    };
+    site.submit(1, "other", vec![service(3)]);
+    site.plan_and_start();
+    let job = site.submit(1, "other", vec![service(3)]);
+    let since_ms = site.now_ms;
+    let at_work = |site: &Site| {
+        let runs = site.open_runs();
+        let own = runs.iter().filter(|(_, run)| run.task.step.job == job);
+        own.count()
+    };
+    while at_work(&site) < 3 && site.now_ms < since_ms + WATCHED_MS {
+        site.plan_and_start();
+        pass(&mut site, PLAN_MS, &BTreeSet::new());
+    }
+    let missed_ms = site.now_ms - since_ms;
+    assert!(missed_ms < BOUND_MS, "misses tasks for {missed_ms} ms");
+}
+
+/// Guards against work that stands still since one run of its job is recorded on a worker that is lost.
+#[test]
+fn a_run_on_a_lost_worker_does_not_count_as_running() {
+    let mut site = Site::new(24, 4);
+    pass(&mut site, QUIET_MS, &BTreeSet::new());
+    site.submit(1, "other", vec![near(long(step(31, 1)))]);
+    site.plan_and_start();
+    pass(&mut site, PLAN_MS, &BTreeSet::new());
+    let job = site.submit(1, "other", vec![near(long(step(2, 1)))]);
+    for _ in 0..10 {
+        site.plan_and_start();
+        pass(&mut site, PLAN_MS, &BTreeSet::new());
+    }
+    let runs = site.open_runs().into_iter();
+    let own: Vec<_> = runs.filter(|(_, run)| run.task.step.job == job).collect();
+    assert_eq!(own.len(), 1);
+    let silent: BTreeSet<Incarnation> = own.into_iter().map(|(worker, _)| worker).collect();
+    let since_ms = site.now_ms;
+    let runs_elsewhere = |site: &Site| {
+        let mut runs = site.open_runs().into_iter();
+        runs.any(|(worker, run)| run.task.step.job == job && !silent.contains(&worker))
+    };
+    while !runs_elsewhere(&site) && site.now_ms < since_ms + WATCHED_MS {
+        pass(&mut site, PLAN_MS, &silent);
+        site.plan_and_start();
+    }
+    let still_ms = site.now_ms - since_ms;
+    assert!(still_ms < BOUND_MS, "stands still for {still_ms} ms");
+}
