Record that the lease of a member given up has run out

Cause: a gang's member that is given up because the others broke is recorded as lost, and kept in its worker's `unheard`: it may still be said to have failed. The leader that sees the worker's lease run out stops counting it, but does not record that. Each later leader takes it for a possible failure again and holds the gang back until that lease has run out on its own clock.

Change: when the lease of a silent worker has run out, the end `Lapsed` is recorded of the members given up there, once; that takes them out of `unheard`. A record that fails is made again; one of unknown fate is left to the next leader, which reads `unheard`. Such a worker is served until then, but not asked for it.

--- a/crates/bh-control/src/core/run_ends.rs
+++ b/crates/bh-control/src/core/run_ends.rs
@@ -48,7 +48,8 @@
         return Learnt::NeverSent;
     }
     let target = dispatcher.view(&end.worker);
-    if target.is_some_and(|target| target.unsaid.contains(&end.run)) {
+    let was_unsaid = target.is_some_and(|target| target.unsaid.contains(&end.run));
+    if end.kind == EndKind::Lost && was_unsaid {
         Learnt::BrokenGang
     } else {
         Learnt::Lapsed
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -219,6 +219,8 @@
             target
                 .unsaid
                 .retain(|run| worker.runs.contains_key(run) || worker.unheard.contains(run));
+            let unsaid = &target.unsaid;
+            target.unsaid_lapsing.retain(|run| unsaid.contains(run));
             for run in worker.runs.keys() {
                 target
                     .runs
@@ -319,6 +321,7 @@
             for watch in target.runs.values_mut() {
                 watch.settled = false;
             }
+            target.unsaid_lapsing.clear();
         }
         self.due.insert(worker.clone());
     }
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -78,6 +78,8 @@
     pub lapsed: BTreeMap<RunId, RunWatch>,
     /// Runs of gangs taken to be over though the worker had not said so and its lease had not run out: it may still say that they failed.
     pub unsaid: BTreeSet<RunId>,
+    /// Those of them of which is being recorded that the lease has run out.
+    pub unsaid_lapsing: BTreeSet<RunId>,
     /// Looks that shall tell whether it has crashed, since another worker says that it is reached at the same address.
     pub checks_left: u32,
     /// When it was last found to be gone, on the leader's clock in milliseconds.
@@ -254,7 +256,7 @@
 
     /// Whether there is anything to order or ask.
     pub fn needs_orders(&self) -> bool {
-        !self.runs.is_empty() || self.must_be_asked()
+        !self.runs.is_empty() || !self.unsaid.is_empty() || self.must_be_asked()
     }
 
     /// Grants a lease from `now_ms` on; returns its end on the worker's clock. While the worker does not answer nothing more is
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -123,6 +123,17 @@
         for run in runs {
             self.give_up(target, run, EndKind::Lapsed);
         }
+        // Members given up earlier may no longer be said to have failed: otherwise each new leader would wait for this lease again.
+        for run in self.worker.unheard.intersection(&target.unsaid) {
+            if target.unsaid_lapsing.insert(*run) {
+                self.ends.push(End {
+                    run: *run,
+                    worker: self.worker.info.id.clone(),
+                    kind: EndKind::Lapsed,
+                    checkpoint: None,
+                });
+            }
+        }
     }
 
     /// Gangs that are known to be over here, though the worker does not answer: without this their callers would wait for its lease. Only runs that it
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -13,10 +13,10 @@
 impl Workload {
     /// Notes that a run is over.
     pub(super) fn end(&mut self, end: End, now_ms: u64) {
-        let was_open = self
-            .workers
-            .get_mut(&end.worker)
-            .is_some_and(|worker| worker.runs.remove(&end.run).is_some());
+        let was_open = self.workers.get_mut(&end.worker).is_some_and(|worker| {
+            worker.unheard.remove(&end.run);
+            worker.runs.remove(&end.run).is_some()
+        });
         self.news.note_worker(&end.worker);
         let id = end.run.task.step.job;
         let max_attempts = self.jobs.get(&id).map(|job| self.max_attempts(job));
@@ -32,12 +32,12 @@
         if was_open {
             step.open_runs = step.open_runs.saturating_sub(1);
         }
-        if let Some(worker) = self.workers.get_mut(&end.worker) {
-            if was_open && spec.gang && end.kind == EndKind::Lost {
-                worker.unheard.insert(end.run);
-            } else {
-                worker.unheard.remove(&end.run);
-            }
+        if was_open
+            && spec.gang
+            && end.kind == EndKind::Lost
+            && let Some(worker) = self.workers.get_mut(&end.worker)
+        {
+            worker.unheard.insert(end.run);
         }
         let failed_too_often = if spec.gang {
             end_in_gang(step, &end, was_open)
--- a/crates/bh-workload/tests/standing_tasks.rs
+++ b/crates/bh-workload/tests/standing_tasks.rs
@@ -18,6 +18,7 @@
 use bh_workload::plan::Planner;
 use bh_workload::state::Command;
 use bh_workload::state::EndKind;
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use support::Site;
@@ -278,6 +279,38 @@
     assert!(stands_ms <= STANDS_MS, "stands for {stands_ms} ms");
 }
 
+/// The lease runs out of a worker of which a gang's member was given up earlier. Were the record of that lost or made at every turn, each new leader would hold the
+/// gang back, or the log would grow; and the worker is not asked for it.
+#[rstest]
+#[case::of_unknown_fate(RecordOutcome::Unknown, 0)]
+#[case::not_recorded(RecordOutcome::NotRecorded, 1)]
+fn the_lapse_of_a_member_given_up_is_recorded_once(
+    #[case] outcome: RecordOutcome,
+    #[case] again: usize,
+) {
+    let mut scene = Scene::new(12);
+    let job = scene.site.submit(1, "other", gang(3));
+    scene.run_for(2_000);
+    let (worker, lost) = scene.at_work(job)[0].clone();
+    scene.lose(&worker, job, Manner::Silent);
+    scene.run_for(2_000);
+    let open = scene.site.open_runs();
+    assert!(open.iter().all(|(_, run)| *run != lost), "it is given up");
+    let site = &mut scene.site;
+    let given = |site: &mut Site| {
+        let (orders, ends) = site.dispatcher.orders(site.now_ms, &site.workload, true);
+        let asked = orders.iter().any(|order| order.to.worker == worker);
+        assert!(!asked, "a worker that is silent is asked");
+        ends.iter().filter(|end| end.run == lost).count()
+    };
+    assert_eq!(given(site), 0, "while the lease may last");
+    site.now_ms += LONG_MS;
+    assert_eq!(given(site), 1);
+    assert_eq!(given(site), 0, "it is on its way");
+    site.dispatcher.note_recorded(&worker, None, outcome);
+    assert_eq!(given(site), again);
+}
+
 /// The leader and one worker of a gang are lost together. The other members tell the next leader that the gang is broken, so the lost member has ended; but this
 /// leader has not heard that it began, and waits for the lease.
 #[test]
