Begin a broken gang anew under a new leader too

Cause: a gang of which all members but those on one silent worker ended as broken is over there, and begins anew without waiting for that worker's lease. Two things kept a new leader from seeing that. Members whose broken ends an earlier leader had recorded are not listed again. And only runs whose start this leader had seen confirmed counted, while a new leader has found every run in the record and confirmed none.

Change: a step keeps the members of its attempt that ended as broken while others of it are open; a new leader starts from those, and waits the longest stop out on its own clock. A single member that is left needs no confirmation: a member ends as broken only when another has ended, so this one has begun and ended, and its worker refuses from then on a run not higher than one that ended there. That does not hold where workers restart under their ids (a late start may reach the later incarnation), so there a confirmed start is still asked for, as with two members or more.

Tests: a_member_that_may_still_begin_is_waited_for had the scene of one member that never began while both others are broken, on workers that get a new id after a crash, where no start reaches a later one. The protocol rules this out. It is replaced by the same demand where it can happen: two members on the silent worker, one start unanswered, under the same leader and the next; and one member where workers restart under their ids, the silent one or the others. The old scene now must begin anew.

--- a/crates/bh-workload/src/dispatch/broken_gangs.rs
+++ b/crates/bh-workload/src/dispatch/broken_gangs.rs
@@ -4,6 +4,7 @@
 use crate::job::StepId;
 use crate::state::EndKind;
 use crate::state::Workload;
+use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -23,24 +24,57 @@
     heard_ms: u64,
     /// Those that ended as broken.
     members: BTreeSet<u32>,
+    /// Whether one of them ended on a worker that may restart under its id: a late copy of its start may have begun it there once more, and it is not known
+    /// which of its runs ended so.
+    may_have_restarted: bool,
 }
 
 /// Time beyond the longest stop in which the other members on the lost worker may still end, in milliseconds: rounding, and a clock that is slow.
 const SLACK_MS: u64 = 100;
 
 impl BrokenGangs {
-    /// Notes an end that a worker listed, heard at `now_ms`.
-    pub fn note(&mut self, now_ms: u64, run: RunId, kind: EndKind) {
+    /// What the record tells the leader that was elected at `now_ms`. When an earlier leader heard it is not known on this clock.
+    pub fn recorded(now_ms: u64, workload: &Workload) -> Self {
+        let mut broken = Self::default();
+        for run in workload.workers().flat_map(|worker| worker.runs.keys()) {
+            let step = run.task.step;
+            let progress = workload.job(step.job).and_then(|job| job.step(step));
+            if let Some(progress) = progress.filter(|progress| !progress.broken.is_empty()) {
+                let gang = broken.gang(now_ms, run);
+                gang.members.clone_from(&progress.broken);
+            }
+        }
+        broken
+    }
+
+    fn gang(&mut self, now_ms: u64, run: &RunId) -> &mut Broken {
+        let gang = (run.task.step, run.attempt);
+        self.gangs.entry(gang).or_insert_with(|| Broken {
+            heard_ms: now_ms,
+            members: BTreeSet::new(),
+            may_have_restarted: false,
+        })
+    }
+
+    /// Notes an end that `worker` listed, heard at `now_ms`.
+    pub fn note(&mut self, now_ms: u64, worker: &Incarnation, run: RunId, kind: EndKind) {
         if kind == EndKind::Broken {
-            let gang = (run.task.step, run.attempt);
-            let broken = self.gangs.entry(gang).or_insert_with(|| Broken {
-                heard_ms: now_ms,
-                members: BTreeSet::new(),
-            });
-            broken.members.insert(run.task.index);
+            let gang = self.gang(now_ms, &run);
+            gang.members.insert(run.task.index);
+            gang.may_have_restarted |= worker.started_ms.is_some();
         }
     }
 
+    /// Whether the run `left`, of which no start is known to have been carried out, can be what broke its gang, if it is all that is left of it: it has
+    /// then begun and ended on `worker`, which refuses it from then on.
+    pub fn must_have_begun(&self, worker: &Incarnation, left: &[RunId]) -> bool {
+        let [run] = left else {
+            return false;
+        };
+        let broken = self.gangs.get(&(run.task.step, run.attempt));
+        worker.started_ms.is_none() && broken.is_some_and(|broken| !broken.may_have_restarted)
+    }
+
     /// Forgets gangs of which nothing is open any more.
     pub fn forget_ended(&mut self, workload: &Workload) {
         self.gangs.retain(|(step, _), _| {
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -76,7 +76,7 @@
             look_wait_ms: look_wait_ms(workload.worker_count()),
             permissions: Permissions::default(),
             emptied: BTreeSet::new(),
-            broken: BrokenGangs::default(),
+            broken: BrokenGangs::recorded(now_ms, workload),
             departed: BTreeSet::new(),
         };
         for worker in workload.workers() {
@@ -484,7 +484,7 @@
                         target.asked_ms = order.sent_ms;
                         let worker = workload.worker(id)?;
                         for ended in &report.ended {
-                            self.broken.note(now_ms, ended.run, ended.kind);
+                            self.broken.note(now_ms, id, ended.run, ended.kind);
                         }
                         note_report(now_ms, order, target, (workload, worker), report)
                     }
--- a/crates/bh-workload/src/dispatch/worker_turn.rs
+++ b/crates/bh-workload/src/dispatch/worker_turn.rs
@@ -137,7 +137,8 @@
     }
 
     /// Gangs that are known to be over here, though the worker does not answer: without this their callers would wait for its lease. Only runs that it
-    /// had confirmed count: an order for another may still be on its way, and begin it after the gang has begun anew elsewhere.
+    /// had confirmed count, or one that must have been what ended: an order for another may still be on its way, and begin it after the gang has begun
+    /// anew elsewhere.
     fn give_up_broken(&mut self, target: &mut Target) {
         let mut gangs: BTreeMap<(StepId, u32), Vec<RunId>> = BTreeMap::new();
         for run in self.worker.runs.keys() {
@@ -151,11 +152,12 @@
             }
         }
         for members in gangs.into_values() {
-            let confirmed = members
-                .iter()
-                .all(|run| target.runs.get(run).is_some_and(RunWatch::is_confirmed));
+            let have_begun = self.broken.must_have_begun(&self.worker.info.id, &members)
+                || members
+                    .iter()
+                    .all(|run| target.runs.get(run).is_some_and(RunWatch::is_confirmed));
             let times = (self.now_ms, self.timing.stop_timeout_ms);
-            if confirmed && self.broken.are_over(times, &members, self.workload) {
+            if have_begun && self.broken.are_over(times, &members, self.workload) {
                 for run in members {
                     self.give_up(target, run, EndKind::Lost);
                     target.unsaid.insert(run);
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -46,6 +46,9 @@
         }
         .is_some_and(|failures| max_attempts.is_some_and(|most| failures >= most));
         step.count_done();
+        if step.open_runs == 0 {
+            step.broken.clear();
+        }
         // The rules may allow fewer failures than when the run began.
         let used_up = max_attempts.is_some_and(|most| step.has_used_up(most, spec.gang));
         let others_open = spec.gang && step.open_runs > 0;
@@ -158,6 +161,9 @@
     if task.state == TaskState::Open(attempt) {
         task.state = TaskState::Waiting;
     }
+    if end.kind == EndKind::Broken && end.worker.started_ms.is_none() {
+        step.broken.insert(end.run.task.index);
+    }
     if end.kind != EndKind::Failed {
         return None;
     }
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Where a task stands.
@@ -61,6 +62,10 @@
     /// The last attempt of the gang whose failure was heard after it had been recorded as lost.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub late_failed_attempt: u32,
+    /// Members of the gang's last attempt that ended because another one did, while others of them are open. A leader that comes later does not hear of
+    /// them any more. Not those on workers that may begin a run again after a restart.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub broken: BTreeSet<u32>,
 }
 
 impl Step {
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -7,6 +7,7 @@
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Ended;
+use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Report;
 use bh_workload::dispatch::Timing;
@@ -17,8 +18,12 @@
 use bh_workload::state::EndKind;
 use bh_workload::state::Outcome;
 use bh_workload::state::WorkerChange;
+use rstest::rstest;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use support::Site;
 use support::step;
+use support::worker_info;
 
 /// Longest time that a worker takes to end a run, in milliseconds.
 const STOP_MS: u64 = Timing::DEFAULT.stop_timeout_ms;
@@ -169,20 +174,32 @@
     assert!(!begins_anew(&mut site, &runs, &says));
 }
 
-/// The start of a member had no answer, so that it may still be on its way: it would begin beside the new run of its task.
-#[test]
-fn a_member_that_may_still_begin_is_waited_for() {
-    let mut site = Site::new(6, 3);
-    site.advance(60_000);
+/// A gang of three members of this size is recorded, and the starts on the first of its workers have no answer but for the first; returns the site and the runs,
+/// those on that worker first.
+fn gang_with_a_start_unanswered(
+    mut site: Site,
+    accelerators: u64,
+) -> (Site, Vec<(Incarnation, RunId)>) {
     let spec = StepSpec {
         gang: true,
-        ..step(3, 8)
+        ..step(3, accelerators)
     };
     site.submit(1, "other", vec![spec]);
     site.plan_and_start();
-    let runs = site.open_runs();
+    let mut runs = site.open_runs();
+    assert_eq!(runs.len(), 3);
+    let mut counts: BTreeMap<Incarnation, usize> = BTreeMap::new();
+    for (worker, _) in &runs {
+        *counts.entry(worker.clone()).or_default() += 1;
+    }
+    runs.sort_by_key(|(worker, run)| (Reverse(counts[worker]), worker.clone(), *run));
+    let silent = runs[0].0.clone();
+    let own = runs.iter().filter(|(worker, _)| *worker == silent);
+    let unanswered = own.map(|(_, run)| *run).max();
     for order in site.orders() {
-        let answer = if order.to.worker == runs[0].0 {
+        let is_unanswered =
+            matches!(&order.body, OrderBody::Start { run, .. } if Some(*run) == unanswered);
+        let answer = if is_unanswered {
             Answer::Lost
         } else {
             site.done()
@@ -190,6 +207,56 @@
         site.dispatcher
             .note_answer(site.now_ms, &order, &answer, &site.workload);
     }
+    (site, runs)
+}
+
+/// Two members are on the silent worker, and the start of one had no answer, so that it may still be on its way: what broke the gang may be the other one, and it
+/// would begin beside the new run of its task.
+#[rstest]
+#[case::under_the_same_leader(false)]
+#[case::under_the_next_leader(true)]
+fn a_member_that_may_still_begin_is_waited_for(#[case] take_over: bool) {
+    let mut site = Site::new(6, 3);
+    site.advance(QUIET_MS);
+    let (mut site, runs) = gang_with_a_start_unanswered(site, 4);
+    assert_eq!(runs[0].0, runs[1].0);
+    if take_over {
+        site.take_over(2);
+    }
+    let says = [Nothing, Nothing, BROKEN];
+    assert!(!begins_anew(&mut site, &runs, &says));
+}
+
+/// A gang is broken, and the start of the only member left had no answer: it has begun, since nothing else can have broken the gang.
+#[test]
+fn the_only_member_left_has_ended_though_its_start_had_no_answer() {
+    let mut site = Site::new(6, 3);
+    site.advance(QUIET_MS);
+    let (mut site, runs) = gang_with_a_start_unanswered(site, 8);
+    let says = [Nothing, BROKEN, BROKEN];
+    assert!(begins_anew(&mut site, &runs, &says));
+}
+
+/// The same on workers that restart under their ids. A start of the member left may still be on its way to a later incarnation, or the others may have ended there a
+/// second time: it would begin beside the new run of its task.
+#[rstest]
+#[case::the_silent_worker(true)]
+#[case::the_others(false)]
+fn a_member_that_may_begin_after_a_restart_is_waited_for(#[case] silent_restarts: bool) {
+    let mut site = Site::new(6, 3);
+    let first = worker_info(0, 3).id;
+    let infos = (0..6).map(|index| worker_info(index, 3));
+    for mut info in infos.filter(|info| (info.id == first) == silent_restarts) {
+        let gone = WorkerChange::Gone(info.id.clone());
+        info.id.started_ms = Some(1);
+        let known = WorkerChange::Known(info);
+        site.workload.apply(Command::Workers(vec![gone, known]));
+    }
+    site.take_news();
+    site.advance(QUIET_MS);
+    site.report();
+    let (mut site, runs) = gang_with_a_start_unanswered(site, 8);
+    assert_eq!(runs[0].0.id, first.id);
     let says = [Nothing, BROKEN, BROKEN];
     assert!(!begins_anew(&mut site, &runs, &says));
 }
