--- a/crates/bh-workload/src/plan/last_pass.rs
+++ b/crates/bh-workload/src/plan/last_pass.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-/// What the last pass looked at and held back. Planning itself does not use it.
+/// What the last pass looked at and held back. It explains why work waits; no placement depends on it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LastPass {
     /// Steps that it looked at.
--- a/crates/bh-workload/tests/standing_still.rs
+++ b/crates/bh-workload/tests/standing_still.rs
@@ -178,10 +178,6 @@
 fn tasks_do_not_wait_for_a_full_rack_in_an_idle_pool() {
     let mut site = Site::new(24, 4);
     pass(&mut site, QUIET_MS, &BTreeSet::new());
-    let near = |spec: StepSpec| StepSpec {
-        near_rack: Some(Arc::from(NEAR)),
-        ..spec
-    };
     site.submit(1, "other", vec![near(long(step(4, 8)))]);
     site.plan_and_start();
     let job = site.submit(2, "other", vec![near(step(4, 1))]);
@@ -193,10 +189,6 @@
 fn work_that_has_stood_still_prefers_sound_workers() {
     let mut site = Site::new(24, 4);
     pass(&mut site, QUIET_MS, &BTreeSet::new());
-    let near = |spec: StepSpec| StepSpec {
-        near_rack: Some(Arc::from(NEAR)),
-        ..spec
-    };
     site.submit(1, "other", vec![near(long(step(4, 8)))]);
     site.plan_and_start();
     let workers = site.workload.workers().skip(4).take(4);
