Record: the runs of a job are found by an index

Cause: each end of a gang member, and each end of a job, scanned all workers and their runs for the other holders, on every core.

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -186,11 +186,7 @@
         job.ended_ms = now_ms;
         self.active.remove(&id);
         self.events.ended_jobs.insert(id);
-        let holding_workers = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.runs.keys().any(|run| run.task.step.job == id));
-        for (worker, _) in holding_workers {
+        for (_, worker) in self.open_runs.of_job(id) {
             self.events.mark_worker(worker);
         }
     }
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -17,6 +17,9 @@
             worker.unheard.remove(&end.run);
             worker.runs.remove(&end.run).is_some()
         });
+        if was_open {
+            self.open_runs.remove(end.run);
+        }
         self.events.mark_worker(&end.worker);
         let id = end.run.task.step.job;
         let max_attempts = self.jobs.get(&id).map(|job| self.max_attempts(job));
@@ -59,7 +62,12 @@
         } else if job.outcome.is_none() && job.is_done() {
             self.end_job(id, Outcome::Completed, now_ms);
         } else if has_other_open_runs {
-            self.mark_gang_workers(end.run.task.step);
+            self.mark_holders(end.run.task.step);
+        } else if end.kind == EndKind::Done {
+            // A later run of the task may still be open. It is to be stopped.
+            for (_, worker) in self.open_runs.of_task(end.run.task) {
+                self.events.mark_worker(worker);
+            }
         }
     }
 
@@ -98,13 +106,9 @@
         self.end_job(id, Outcome::Failed, now_ms);
     }
 
-    /// Marks the workers that hold other members of a gang as changed after one member ended.
-    fn mark_gang_workers(&mut self, step: StepId) {
-        let holding_workers = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.runs.keys().any(|run| run.task.step == step));
-        for (worker, _) in holding_workers {
+    /// Marks the workers that hold runs of a step as changed.
+    fn mark_holders(&mut self, step: StepId) {
+        for (_, worker) in self.open_runs.of_step(step) {
             self.events.mark_worker(worker);
         }
     }
--- a/crates/bh-workload/src/state/start.rs
+++ b/crates/bh-workload/src/state/start.rs
@@ -118,6 +118,7 @@
             let needs = self.reserved(run.task.step);
             if let Some(target_worker) = self.workers.get_mut(&worker) {
                 target_worker.runs.insert(run, needs);
+                self.open_runs.insert(run, &worker);
             }
             self.events.mark_worker(&worker);
             let Some(job) = self.jobs.get_mut(&run.task.step.job) else {
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -2,6 +2,7 @@
 
 use super::Job;
 use super::JobState;
+use super::OpenRuns;
 use super::PastStarts;
 use super::Place;
 use super::RecordEvents;
@@ -52,6 +53,9 @@
     /// Jobs that have not ended. Not serialized: derived from `jobs`.
     #[serde(skip)]
     pub(super) active: BTreeSet<JobId>,
+    /// Not serialized: derived from `workers`.
+    #[serde(skip)]
+    pub(super) open_runs: OpenRuns,
     #[serde(skip)]
     pub(super) events: RecordEvents,
 }
@@ -90,6 +94,7 @@
             .filter(|(_, job)| job.outcome.is_none())
             .map(|(id, _)| *id)
             .collect();
+        self.open_runs = OpenRuns::new(self.workers.values());
         self.events.mark_workers(self.workers.keys());
         Ok(())
     }
@@ -208,6 +213,17 @@
         self.workers.values()
     }
 
+    /// The worker on which a run is recorded.
+    pub fn holder(&self, run: RunId) -> Option<&Worker> {
+        self.worker(self.open_runs.holder(run)?)
+    }
+
+    /// The recorded runs of a step, with their workers.
+    pub fn runs_of(&self, step: StepId) -> impl Iterator<Item = (RunId, &Worker)> {
+        let runs = self.open_runs.of_step(step);
+        runs.filter_map(|(run, worker)| Some((run, self.worker(worker)?)))
+    }
+
     /// The upkeep wave with this number.
     pub fn wave(&self, id: u64) -> Option<&Wave> {
         self.waves.get(&id)
--- /dev/null
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -0,0 +1,81 @@
+//! Work of the leader whose time must not grow faster than the fleet.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+
+mod support;
+
+use bh_workload::job::StepSpec;
+use bh_workload::state::Command;
+use bh_workload::state::End;
+use bh_workload::state::EndKind;
+use std::time::Duration;
+use std::time::Instant;
+use support::Site;
+use support::step;
+
+const RACK: usize = 12;
+/// Sizes that are compared, in workers.
+const SMALL: usize = 300;
+const GROWTH: usize = 8;
+/// Growth in time that is accepted for work on all of the fleet: between that of the fleet, 8, and its square, 64, since the time to search
+/// a map grows too.
+const MAX_GROWTH: u32 = 32;
+const MEMBERS: u32 = 6;
+
+/// A site of `workers` workers, each of which runs one member of a gang.
+fn site_with_gangs(workers: usize) -> Site {
+    let mut site = Site::new(workers, RACK);
+    for _ in 0..workers / usize::try_from(MEMBERS).unwrap() {
+        let gang = StepSpec {
+            gang: true,
+            rack_local: true,
+            ..step(MEMBERS, 8)
+        };
+        site.submit(0, "other", vec![gang]);
+    }
+    site.plan_and_start();
+    site.send_starts();
+    site.report();
+    site.advance(50);
+    assert!(site.open_runs().len() * 10 > workers * 9);
+    site
+}
+
+/// Returns the time of the fastest of several passes: other load on the machine only makes passes slower.
+fn fastest(mut pass: impl FnMut() -> Duration) -> Duration {
+    (0..9).map(|_| pass()).min().unwrap()
+}
+
+/// Checks that the time of `pass` grows at most by `max_growth` in a fleet that is [`GROWTH`] times as large.
+fn assert_growth(max_growth: u32, pass: impl Fn(&mut Site) -> Duration) {
+    let time = |workers| {
+        let site = site_with_gangs(workers);
+        fastest(|| pass(&mut site.clone()))
+    };
+    let (small, large) = (time(SMALL), time(SMALL * GROWTH));
+    assert!(
+        large < small * max_growth,
+        "{large:?} with {GROWTH} times the fleet, {small:?} before"
+    );
+}
+
+/// Guards against scans of the fleet for each gang that breaks, which every replica would make.
+#[test]
+fn recording_the_ends_of_gangs_grows_with_the_fleet() {
+    assert_growth(MAX_GROWTH, |site| {
+        let runs = site.open_runs();
+        let first_members = runs.iter().filter(|(_, run)| run.task.index == 0);
+        let ends = first_members.map(|(worker, run)| End {
+            run: *run,
+            worker: worker.clone(),
+            kind: EndKind::Failed,
+            checkpoint: None,
+        });
+        let ends = Command::ends(ends.collect());
+        let started = Instant::now();
+        site.workload.apply(ends);
+        started.elapsed()
+    });
+}
