Overdue runs: the racks of a gang are looked up once a check

Cause: for each run of the fleet, the check scanned all workers and all their runs for the racks of the run's gang: runs times workers. It is made every 400 ms on the loop of the leader, which answers no call meanwhile.

Ruled out: plans, whose time sets their own gap; the disk (its writes are late because the loop is).

Change: the racks of a gang come from the index of recorded runs, once for each gang; single tasks need their own worker only.

--- a/crates/bh-workload/src/plan/overdue.rs
+++ b/crates/bh-workload/src/plan/overdue.rs
@@ -5,10 +5,11 @@
 use crate::dispatch::RunState;
 use crate::dispatch::StartPhase;
 use crate::job::RunId;
+use crate::job::StepId;
 use crate::job::StepSpec;
 use crate::state::Workload;
 use bh_protocol::Incarnation;
-use std::sync::Arc;
+use std::collections::BTreeMap;
 
 /// Time without progress after which a short run counts as stalled, in milliseconds. Workers are probed every two seconds, and a run must
 /// survive one lost probe.
@@ -51,6 +52,7 @@
     runtimes: &Runtimes,
 ) -> Vec<OverdueRun> {
     let mut overdue = Vec::new();
+    let mut racks_of_gangs = RacksOfGangs::new();
     for worker in workload.workers() {
         let Some(target) = dispatcher.view(&worker.info.id) else {
             continue;
@@ -72,7 +74,7 @@
             if spec.long_running {
                 continue;
             }
-            let slowdown = slowdown_percent(workload, dispatcher, *run, spec);
+            let slowdown = slowdown_percent(&mut racks_of_gangs, workload, dispatcher, *run, spec);
             let expected_ms =
                 runtimes.expected_ms(&job.queue.name, run.task.step, spec) * slowdown / 100;
             // A run counts as slow only relative to a learnt run time, because declared ones are off by factors. Gangs are exempt because
@@ -100,29 +102,28 @@
     overdue
 }
 
+/// Whether each gang runs away from its data, and whether it is spread over racks, by step.
+type RacksOfGangs = BTreeMap<StepId, (bool, bool)>;
+
 /// Returns how long the run takes, relative to the usual time, because it is away from its data or because its gang is spread over racks.
 /// In percent.
 fn slowdown_percent(
+    known: &mut RacksOfGangs,
     workload: &Workload,
     dispatcher: &Dispatcher,
     run: RunId,
     spec: &StepSpec,
 ) -> u64 {
-    let racks: Vec<&Arc<str>> = workload
-        .workers()
-        .filter(|worker| {
-            worker
-                .runs
-                .keys()
-                .any(|other| other.task.step == run.task.step && (spec.gang || *other == run))
+    let (away, spread) = if spec.gang {
+        let step = run.task.step;
+        *known.entry(step).or_insert_with(|| {
+            let racks = workload.runs_of(step).map(|(_, worker)| &*worker.info.rack);
+            racks_of_gang(racks, spec)
         })
-        .map(|worker| &worker.info.rack)
-        .collect();
-    let away = spec
-        .near_rack
-        .as_ref()
-        .is_some_and(|near| racks.iter().any(|rack| *rack != near));
-    let spread = spec.gang && spec.rack_local && racks.iter().any(|rack| **rack != *racks[0]);
+    } else {
+        let rack = workload.holder(run).map(|worker| &*worker.info.rack);
+        racks_of_gang(rack.into_iter(), spec)
+    };
     let remote = dispatcher.timing().remote_percent;
     match (away, spread) {
         (true, true) => remote * remote / 100,
@@ -131,6 +132,20 @@
     }
 }
 
+/// Returns whether runs on these racks are away from their data, and whether they are a rack-local gang that is spread.
+fn racks_of_gang<'a>(mut racks: impl Iterator<Item = &'a str>, spec: &StepSpec) -> (bool, bool) {
+    let Some(first) = racks.next() else {
+        return (false, false);
+    };
+    let is_away = |rack: &str| spec.near_rack.as_ref().is_some_and(|near| **near != *rack);
+    let (mut away, mut spread) = (is_away(first), false);
+    for rack in racks {
+        away |= is_away(rack);
+        spread |= spec.gang && spec.rack_local && rack != first;
+    }
+    (away, spread)
+}
+
 /// Returns whether two reports of the worker, some time apart, show no progress. A lack of reports proves nothing.
 fn has_stalled(reported_ms: u64, run_state: &RunState, expected_ms: u64) -> bool {
     let StartPhase::Confirmed { at_ms } = run_state.start else {
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -61,6 +61,17 @@
     );
 }
 
+/// Guards against scans of the fleet for each run that is checked: the leader then answers no call for as long as the check takes.
+#[test]
+fn checks_for_overdue_runs_grow_with_the_fleet() {
+    assert_growth(MAX_GROWTH, |site| {
+        let started = Instant::now();
+        site.planner
+            .overdue(site.now_ms, &site.workload, &site.dispatcher);
+        started.elapsed()
+    });
+}
+
 /// Guards against scans of the fleet for each gang that breaks, which every replica would make.
 #[test]
 fn recording_the_ends_of_gangs_grows_with_the_fleet() {
