Consensus: many observers get entries with the heartbeats

Cause: a leader sends a round to every replica for each batch of commands, each commit and each read. With 25 cores, 5 of which vote, 20 of 24 messages, and as many answers, go to observers that nothing waits for. So the leader's messages grew with commands times cores.

Weighed: relaying the log from core to core (one more way for the record to be late, for 20 messages every 120 ms); observers that ask (the same messages, and a longer way for a newcomer).

Change: where observers outnumber the voters, a round of commands and reads goes to the voters only, and the observers get what they lack with the heartbeat, so they are up to 120 ms behind. One that lacks more than a batch is still sent batch after batch. An observer has caught up, and may replace a silent voter, once it holds what was committed when the last heartbeat was sent: under load it never holds what is committed now. Deployments of up to ten cores have no more observers than voters, and are as before.

--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -102,19 +102,38 @@
             .leadership()
             .is_some_and(|leadership| leadership.unsent);
         if has_unsent {
-            self.start_round(now_ms);
+            let includes_observers = !self.has_many_observers();
+            self.start_round(now_ms, includes_observers);
         }
     }
 
-    /// Starts a round: sends every replica the entries that it lacks, or a heartbeat.
-    fn start_round(&mut self, now_ms: u64) {
+    /// Whether there are more observers than voters. New entries then reach the observers with the next heartbeat only: nothing waits for
+    /// their answers, and a message to each of them for each commit and each read would cost the leader more than the voters do.
+    pub(crate) fn has_many_observers(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let replicas = leadership.progress.keys();
+        let observers = replicas.filter(|id| !self.voters.contains(**id)).count();
+        observers > self.voters.len()
+    }
+
+    /// Starts a round: sends the voters the entries that they lack, or a heartbeat, and the observers too if `includes_observers`.
+    fn start_round(&mut self, now_ms: u64, includes_observers: bool) {
         let retention_ms = self.config.election_timeout_ms * ROUND_RETENTION_ELECTION_TIMEOUTS;
         let Some(leadership) = self.leadership() else {
             return;
         };
         leadership.advance_round(now_ms, retention_ms);
         leadership.unsent = false;
-        self.replicate_all(now_ms);
+        if includes_observers {
+            self.replicate_all(now_ms);
+        } else {
+            let voters: Vec<u64> = self.voters.iter().map(|(id, _)| id).collect();
+            for id in voters {
+                self.replicate(now_ms, id, true);
+            }
+        }
         self.update_commit_index();
         self.release_confirmed_reads();
     }
@@ -156,12 +175,14 @@
         self.remove_silent_observers(now_ms);
         self.change_membership(now_ms);
         let heartbeat_ms = self.config.heartbeat_ms;
+        let commit = self.commit;
         let Some(leadership) = self.leadership() else {
             return;
         };
         if now_ms >= leadership.next_heartbeat_ms {
             leadership.next_heartbeat_ms = now_ms + heartbeat_ms;
-            self.start_round(now_ms);
+            leadership.heartbeat_commit = commit;
+            self.start_round(now_ms, true);
         }
     }
 
@@ -293,6 +314,8 @@
 
     pub(crate) fn receive_append_reply(&mut self, now_ms: u64, from: u64, body: &RaftBody) {
         let last = self.log.last_index();
+        // An observer that only lacks the newest entries gets them with the next heartbeat.
+        let waits_for_heartbeat = !self.voters.contains(from) && self.has_many_observers();
         let retention_ms = self.config.election_timeout_ms * ROUND_RETENTION_ELECTION_TIMEOUTS;
         let Some(leadership) = self.leadership() else {
             return;
@@ -311,7 +334,12 @@
         } else if restarts_probe {
             progress.restart_probe((body.index + 1).min(last + 1), next_round);
         }
-        let is_behind = body.granted && progress.next <= last;
+        let max_lag = if waits_for_heartbeat {
+            u64::try_from(MAX_BATCH_ENTRIES).unwrap_or(u64::MAX)
+        } else {
+            0
+        };
+        let is_behind = body.granted && progress.next + max_lag <= last;
         if restarts_probe {
             leadership.advance_round(now_ms, retention_ms);
         }
--- a/crates/bh-consensus/src/membership.rs
+++ b/crates/bh-consensus/src/membership.rs
@@ -45,8 +45,13 @@
 
     fn next_voters(&self, now_ms: u64, leadership: &Leadership) -> Option<Voters> {
         let recent_since_ms = now_ms.saturating_sub(self.config.election_timeout_ms * 2);
+        let caught_up_index = if self.has_many_observers() {
+            leadership.heartbeat_commit.max(leadership.term_start_index)
+        } else {
+            self.commit
+        };
         let caught_up = |p: &Progress| {
-            p.durable && p.last_contact_ms >= recent_since_ms && p.matched >= self.commit
+            p.durable && p.last_contact_ms >= recent_since_ms && p.matched >= caught_up_index
         };
         let mut caught_up_observers = leadership.progress.iter().filter(|(id, p)| {
             !self.voters.contains(**id) && self.config.voter_policy.allows(&p.name) && caught_up(p)
--- a/crates/bh-consensus/src/role.rs
+++ b/crates/bh-consensus/src/role.rs
@@ -32,6 +32,8 @@
     /// Start times of recent rounds by round number, in milliseconds.
     pub(crate) round_started_ms: BTreeMap<u64, u64>,
     pub(crate) next_heartbeat_ms: u64,
+    /// Index that was committed when the last heartbeat was sent.
+    pub(crate) heartbeat_commit: u64,
     pub(crate) elected_ms: u64,
     /// Index of the first entry of the leader's own term.
     pub(crate) term_start_index: u64,
--- a/crates/bh-consensus/tests/fuzz.rs
+++ b/crates/bh-consensus/tests/fuzz.rs
@@ -172,6 +172,12 @@
     check_group(4, || Group::with_voters(4, VOTERS));
 }
 
+/// Groups in which the observers outnumber the voters.
+#[test]
+fn fuzz_many_observers() {
+    check_group(8, || Group::with_voters(8, VOTERS));
+}
+
 /// A voter that loses its vote over a restart votes twice in a term, so that two leaders are elected. The steps are only those of elections:
 /// two VMs must be candidates in the same term while the third restarts between their requests for its vote.
 #[test]
