Entries: links to a few of many cores, which relay calls to the leader

Cause: each entry kept a link to each core, with a heartbeat five times a second each way, and each answer listed the addresses of all cores, written and parsed anew. So links grew with entries times cores, and their bytes with the square of the cores: 583 entries and 25 cores have 14,575 links and exchange some 146,000 frames a second.

Weighed: an entry links to some cores and to the leader (the leader keeps hundreds of links, and a new one gets them all at once when it has most to do); fewer heartbeats (a constant, and silence is found later).

Change: where there are more than ten cores, an entry links to four of them, by an order of its own, and to others once some fail. A core passes an entry's call on to the leader, as it does for workers and operators, and tells with its status which leader it has contact with and how old that contact is, so readiness and the wait for a later leader are as before. A status names the cores only if the link's other end has not been told them. Deployments of up to ten cores are linked as before.

Tests of bh-control's links pass.

--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -7,7 +7,6 @@
 use bh_net::link::CallError;
 use bh_net::runtime::sleep_ms;
 use bh_net::runtime::within_ms;
-use bh_protocol::wire::RpcKind;
 use bh_protocol::wire::RpcReply;
 use bh_workload::state::Refusal;
 use std::rc::Rc;
@@ -37,7 +36,7 @@
     let mut may_be_recorded = false;
     loop {
         let leader = mesh.fresh_leader();
-        let asked_term = leader.as_ref().map(|leader| leader.status.borrow().term);
+        let asked_term = leader.as_ref().map(|leader| leader.leader_term());
         if let Some(leader) = leader {
             let left_ms = until_ms.saturating_sub(mesh.now_ms()).max(1);
             let reply = ask(mesh, &leader, body.clone(), left_ms.min(ATTEMPT_TIMEOUT_MS)).await;
@@ -87,9 +86,9 @@
     body: Vec<u8>,
     limit_ms: u64,
 ) -> Result<RpcReply, CallError> {
-    let term = leader.status.borrow().term;
+    let term = leader.leader_term();
     monoio::select! {
-        reply = leader.call(RpcKind::Workload, body, limit_ms) => reply,
+        reply = leader.call(leader.leader_call_kind(), body, limit_ms) => reply,
         () = newer_leader(mesh, term) => Err(CallError::Lost),
     }
 }
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -84,8 +84,16 @@
             .map(SocketAddr::to_string)
             .collect();
         cores.push(self.config.peer_address().to_string());
+        let leads = self.leadership.borrow().is_some() && status.is_leader;
+        let leader = self.mesh.fresh_leader().filter(|_| !leads);
         CoreStatus {
-            leads: self.leadership.borrow().is_some() && status.is_leader,
+            leads,
+            leader_term: leader.as_ref().map_or(0, |leader| leader.leader_term()),
+            leader_contact_age_ms: leader.map_or(0, |leader| {
+                self.clock
+                    .now_ms()
+                    .saturating_sub(leader.leader_contact_ms())
+            }),
             term: status.term,
             rules_version,
             cores,
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -20,6 +20,10 @@
 /// Timeout of a call whose sender does not give one, in milliseconds. Workers and operators try another core after a second.
 const DEFAULT_TIMEOUT_MS: u64 = 900;
 
+/// Part of the sender's time limit that is left for the answer to a relayed call to reach the sender, in milliseconds. If a call that was
+/// not recorded were answered later than that, its sender would have to take its outcome for unknown.
+const RELAY_MARGIN_MS: u64 = 40;
+
 /// Creates the handlers for messages that arrive over links.
 pub(super) fn link_handler(core: &Rc<CoreNode>) -> LinkHandler {
     let (delivering, answering, telling) = (core.clone(), core.clone(), core.clone());
@@ -42,7 +46,12 @@
         heartbeats::handle_relayed(&core, &request.body);
         return Vec::new();
     }
+    let is_relayed = request.kind == i32::from(RpcKind::Relay);
     let answer = match serde_json::from_slice::<Call>(&request.body) {
+        Ok(call) if is_relayed => {
+            let limit_ms = request.limit_ms.saturating_sub(RELAY_MARGIN_MS).max(1);
+            decide(&core, &call, limit_ms).await
+        }
         Ok(call) => count_in_progress(&core, answer_call(&core, call)).await,
         Err(error) => {
             log::warn!("a call between processes cannot be read: {error}");
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -124,6 +124,7 @@
     });
     monoio::spawn(leader_loop::run(core.clone(), wakes));
     monoio::spawn(heartbeats::relay_to_leader(core.clone()));
+    monoio::spawn(report_leader_changes(core.clone()));
     let serving = core.clone();
     monoio::spawn(server::serve(
         control_listener,
@@ -147,6 +148,15 @@
     Ok(())
 }
 
+/// Sends this core's status to all linked processes whenever it learns of another leader. Entries that have no link to that leader learn of
+/// it this way.
+async fn report_leader_changes(core: Rc<CoreNode>) {
+    loop {
+        core.mesh.leader_change().await;
+        core.inbound.broadcast(&core.status());
+    }
+}
+
 /// Dials the seeds and the last known cores, and saves the list of cores to disk: the seeds may be wrong at the next start.
 fn dial_known_cores(core: &Rc<CoreNode>, folder: &std::path::Path) {
     let file = folder.join(CORES_FILE);
--- a/crates/bh-control/src/entry/readiness.rs
+++ b/crates/bh-control/src/entry/readiness.rs
@@ -27,7 +27,7 @@
         if let Some(leader) = mesh.leader()
             && leader.status.borrow().rules_version > 0
         {
-            let last_contact_ms = leader.last_contact_ms.get().max(self.last_contact_ms.get());
+            let last_contact_ms = leader.leader_contact_ms().max(self.last_contact_ms.get());
             self.last_contact_ms.set(last_contact_ms);
         }
         let last_contact_ms = self.last_contact_ms.get();
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -148,7 +148,7 @@
         data_centre: config.data_centre.to_string(),
         ..Hello::default()
     };
-    let mesh = Mesh::new(hello, Clock::new(), stop.clone());
+    let mesh = Mesh::of_entry(hello, Clock::new(), stop.clone());
     mesh.add_cores(config.seed_peers());
     reload::follow(mesh.clone(), config.path.clone())?;
     let missing = |key: &str| Failure::new(Code::BadConfigFile, format!("`{key}` is missing"));
--- a/crates/bh-control/src/mesh/accept.rs
+++ b/crates/bh-control/src/mesh/accept.rs
@@ -45,10 +45,14 @@
 }
 
 impl Inbound {
-    /// Sends this core's status to all processes linked to it.
+    /// Sends this core's status to all processes linked to it, without the list of cores.
     pub fn broadcast(&self, status: &CoreStatus) {
+        let status = CoreStatus {
+            cores: Vec::new(),
+            ..status.clone()
+        };
         let frame = Frame {
-            payload: Some(Payload::Core(status.clone())),
+            payload: Some(Payload::Core(status)),
         };
         self.queues
             .borrow_mut()
@@ -92,28 +96,39 @@
         mesh.add_cores([address]);
     }
     let (sender, receiver) = unbounded::channel();
+    let status = (handler.status)();
+    let sent_cores = status.cores.len();
     let first = Frame {
-        payload: Some(Payload::Core((handler.status)())),
+        payload: Some(Payload::Core(status)),
     };
     // The receiver is held below, so this cannot fail.
     let _ = sender.send(first);
     inbound.queues.borrow_mut().push(sender.clone());
     monoio::select! {
-        () = read(reader, sender, &handler) => {}
+        () = read(reader, sender, &handler, sent_cores) => {}
         () = link::write_frames(writer, receiver, |_| {}) => {}
     }
 }
 
+/// Handles what arrives over a link on which `sent_cores` cores have been named so far. Cores are only ever added, so that the number tells
+/// whether the other end knows all of them: a list in each status would be most of the traffic of many links.
 async fn read(
     mut reader: link::Reader<OwnedReadHalf<TcpStream>>,
     queue: unbounded::Tx<Frame>,
     handler: &Rc<LinkHandler>,
+    mut sent_cores: usize,
 ) {
     while let Some(Ok(Some(frame))) = within_ms(LINK_TIMEOUT_MS, reader.next()).await {
         match frame.payload {
             Some(Payload::Heartbeat(_)) => {
+                let mut status = (handler.status)();
+                if status.cores.len() == sent_cores {
+                    status.cores.clear();
+                } else {
+                    sent_cores = status.cores.len();
+                }
                 let status = Frame {
-                    payload: Some(Payload::Core((handler.status)())),
+                    payload: Some(Payload::Core(status)),
                 };
                 if queue.send(status).is_err() {
                     return;
--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -24,20 +24,27 @@
 /// Timeout for opening a connection, in milliseconds. A VM without power sends no answer, not even a refusal.
 const CONNECT_TIMEOUT_MS: u64 = 800;
 
-/// Keeps a link to `peer` open until the process ends.
+/// Keeps a link to `peer` open until the process ends or the link is not needed any more.
 pub(super) async fn keep_link(mesh: Rc<Mesh>, peer: Rc<Peer>) {
     let mut backoff_ms = MIN_BACKOFF_MS;
-    while !mesh.stop.is_cancelled() {
+    while !mesh.stop.is_cancelled() && !mesh.is_spare(&peer) {
         if let Ok(opened) = open(&mesh, &peer).await {
             backoff_ms = MIN_BACKOFF_MS;
+            peer.has_failed.set(false);
             log::info!(core = peer.address.to_string(), replica = opened.hello.replica; "link opened");
             let why = serve(&mesh, &peer, opened).await;
             close(&peer);
             log::info!(core = peer.address.to_string(); "link lost: {why}");
+            if mesh.is_spare(&peer) {
+                break;
+            }
         }
+        peer.has_failed.set(true);
+        mesh.open_wanted_links();
         sleep_ms(backoff_ms).await;
         backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
     }
+    peer.is_kept.set(false);
 }
 
 async fn open(mesh: &Rc<Mesh>, peer: &Rc<Peer>) -> io::Result<OpenedLink> {
@@ -60,7 +67,7 @@
     monoio::select! {
         () = read(mesh, peer, reader) => "the core closed it or fell silent",
         () = link::write_frames(writer, receiver, |_| peer.channel.note_sent()) => "writing failed",
-        () = send_heartbeats(mesh, peer) => "the process ends",
+        why = send_heartbeats(mesh, peer) => why,
     }
 }
 
@@ -86,12 +93,16 @@
     }
 }
 
-async fn send_heartbeats(mesh: &Rc<Mesh>, peer: &Rc<Peer>) {
+async fn send_heartbeats(mesh: &Rc<Mesh>, peer: &Rc<Peer>) -> &'static str {
     while !mesh.stop.is_cancelled() {
+        if peer.channel.is_idle() && mesh.is_spare(peer) {
+            return "it is not needed";
+        }
         peer.channel.send(Payload::Heartbeat(Heartbeat::default()));
         sleep_ms(HEARTBEAT_INTERVAL_MS).await;
         peer.note_silence(mesh.now_ms());
     }
+    "the process ends"
 }
 
 /// Closes the link; calls without an answer are lost.
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -1,4 +1,4 @@
-//! Outbound links of a process to all known cores.
+//! Outbound links of a process to cores.
 
 use super::Peer;
 use super::dial;
@@ -7,10 +7,12 @@
 use bh_protocol::wire::Hello;
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between heartbeats on a link, in milliseconds: two of them fit into the silence after which no more calls are sent.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 200;
@@ -21,10 +23,16 @@
 /// Callers wait about three seconds, so half of that is left for another attempt.
 pub const LINK_TIMEOUT_MS: u64 = 1_300;
 
+/// Number of cores up to which every process has a link to each of them.
+const MAX_FULL_MESH: usize = 10;
+/// Number of links that an entry has where there are more cores. If it had one to each, the links and their heartbeats would grow with
+/// entries times cores. All of a few links chosen by chance are hardly lost at once, and others are opened then.
+const ENTRY_LINKS: usize = 4;
+
 /// Callback that receives all known cores.
 type OnCoresAdded = Box<dyn Fn(&[SocketAddr])>;
 
-/// Outbound links to all known cores.
+/// Outbound links to the known cores, or to some of them.
 pub struct Mesh {
     /// How this process introduces itself.
     hello: Hello,
@@ -34,6 +42,8 @@
     pub(super) clock: Clock,
     /// Cancelled when the process ends.
     pub(super) stop: CancellationToken,
+    /// Number of links that are enough where a full mesh would be too large; `None` if this process has a link to each core in any case.
+    enough_links: Option<usize>,
     peers: RefCell<BTreeMap<SocketAddr, Rc<Peer>>>,
     cores_added_callback: RefCell<OnCoresAdded>,
     leader_last_contact_ms: Cell<u64>,
@@ -42,8 +52,22 @@
 }
 
 impl Mesh {
-    /// Creates a mesh without links.
+    /// Creates the mesh of a core, without links.
     pub fn new(hello: Hello, clock: Clock, stop: CancellationToken) -> Rc<Self> {
+        Self::with_enough_links(hello, clock, stop, None)
+    }
+
+    /// Creates the mesh of an entry, without links. Where there are many cores it links to a few of them, which relay its calls to the leader.
+    pub fn of_entry(hello: Hello, clock: Clock, stop: CancellationToken) -> Rc<Self> {
+        Self::with_enough_links(hello, clock, stop, Some(ENTRY_LINKS))
+    }
+
+    fn with_enough_links(
+        hello: Hello,
+        clock: Clock,
+        stop: CancellationToken,
+        enough_links: Option<usize>,
+    ) -> Rc<Self> {
         // The platform gives its processes no secret, so the authentication code of each frame protects against corruption only.
         let key = LinkKey::new(*b"beechhollow links without secret");
         Rc::new(Self {
@@ -51,6 +75,7 @@
             key,
             clock,
             stop,
+            enough_links,
             peers: RefCell::new(BTreeMap::new()),
             cores_added_callback: RefCell::new(Box::new(|_| {})),
             leader_last_contact_ms: Cell::new(0),
@@ -82,16 +107,61 @@
             {
                 continue;
             }
-            let peer = Rc::new(Peer::new(address));
-            self.peers.borrow_mut().insert(address, peer.clone());
-            monoio::spawn(dial::keep_link(self.clone(), peer));
+            let preference = xxh3_64(format!("{} {address}", self.hello.name).as_bytes());
+            let peer = Rc::new(Peer::new(address, preference));
+            self.peers.borrow_mut().insert(address, peer);
             added = true;
         }
         if added {
+            self.open_wanted_links();
             (self.cores_added_callback.borrow())(&self.known());
         }
     }
 
+    /// Whether this process has links to some cores only, which relay its calls.
+    fn is_partial(&self) -> bool {
+        self.enough_links.is_some() && self.peers.borrow().len() > MAX_FULL_MESH
+    }
+
+    /// The cores that this process should have links to. In a partial mesh these are the first ones in an order of its own, until enough of
+    /// them are not known to fail.
+    fn wanted(&self) -> Vec<Rc<Peer>> {
+        let mut peers = self.peers();
+        let Some(enough) = self.enough_links.filter(|_| self.is_partial()) else {
+            return peers;
+        };
+        peers.sort_by_key(|peer| peer.preference);
+        let mut sound = 0;
+        peers
+            .into_iter()
+            .take_while(|peer| {
+                let is_wanted = sound < enough;
+                sound += usize::from(!peer.has_failed.get());
+                is_wanted
+            })
+            .collect()
+    }
+
+    /// Opens the wanted links that no task keeps yet.
+    pub(super) fn open_wanted_links(self: &Rc<Self>) {
+        for peer in self.wanted() {
+            if !peer.is_kept.replace(true) {
+                monoio::spawn(dial::keep_link(self.clone(), peer));
+            }
+        }
+    }
+
+    /// Whether a link to `peer` is not needed, because enough of the wanted links are open.
+    pub(super) fn is_spare(&self, peer: &Rc<Peer>) -> bool {
+        if !self.is_partial() {
+            return false;
+        }
+        let wanted = self.wanted();
+        let open = wanted.iter().filter(|peer| peer.is_linked()).count();
+        let enough = self.enough_links.is_none_or(|enough| open >= enough);
+        enough && !wanted.iter().any(|other| Rc::ptr_eq(other, peer))
+    }
+
     /// Addresses of all known cores except this one.
     pub fn known(&self) -> Vec<SocketAddr> {
         self.peers.borrow().keys().copied().collect()
@@ -123,20 +193,36 @@
             .cloned()
     }
 
-    /// The core that claims to lead; if several do, the one with the highest term.
+    /// The core over which calls reach the leader: the one that claims to lead, or in a partial mesh one that has contact with the leader.
+    /// If several cores claim to lead, the one with the highest term counts.
     pub fn leader(&self) -> Option<Rc<Peer>> {
+        let is_partial = self.is_partial();
+        let reaches_leader = |peer: &&Rc<Peer>| {
+            let leads = peer.status.borrow().leads;
+            peer.is_linked() && (leads || is_partial && peer.leader_term() > 0)
+        };
+        let now_ms = self.now_ms();
         let leader = self
             .peers
             .borrow()
             .values()
-            .filter(|peer| peer.is_linked() && peer.status.borrow().leads)
-            .max_by_key(|peer| peer.status.borrow().term)
+            .filter(reaches_leader)
+            .max_by_key(|peer| {
+                let leads = peer.status.borrow().leads;
+                let is_fresh = peer.is_fresh(now_ms);
+                (
+                    peer.leader_term(),
+                    is_fresh,
+                    leads,
+                    Reverse(peer.preference),
+                )
+            })
             .cloned();
         if let Some(leader) = &leader {
             self.leader_last_contact_ms.set(
                 self.leader_last_contact_ms
                     .get()
-                    .max(leader.last_contact_ms.get()),
+                    .max(leader.leader_contact_ms()),
             );
         }
         leader
@@ -150,8 +236,7 @@
 
     /// The term in which [`Self::fresh_leader`] leads, if there is one.
     pub fn fresh_term(&self) -> Option<u64> {
-        let leader = self.fresh_leader()?;
-        Some(leader.status.borrow().term)
+        Some(self.fresh_leader()?.leader_term())
     }
 
     /// Returns once calls are sent to another core as the leader than now. Waiting tasks continue in the order in which they arrived, so
--- a/crates/bh-net/src/link/channel.rs
+++ b/crates/bh-net/src/link/channel.rs
@@ -61,6 +61,11 @@
         self.queue.borrow().is_some()
     }
 
+    /// Whether no call waits for its answer.
+    pub fn is_idle(&self) -> bool {
+        self.pending_calls.borrow().is_empty()
+    }
+
     /// Records that a queued frame was sent.
     pub fn note_sent(&self) {
         self.queued_frames
--- a/crates/bh-protocol/src/wire/peer.rs
+++ b/crates/bh-protocol/src/wire/peer.rs
@@ -44,6 +44,8 @@
     Carry = 6,
     /// Heartbeats of workers, relayed to the leader; body: [`super::RelayedHeartbeats`].
     Signs = 7,
+    /// Pass a call on to the leader of the workload, wherever it is; body: the call as JSON.
+    Relay = 8,
 }
 
 /// A call to the other end of a link.
@@ -64,6 +66,9 @@
     /// Body of the call.
     #[prost(bytes = "vec", tag = "5")]
     pub body: Vec<u8>,
+    /// How long the sender waits for the answer, in milliseconds; 0 if it does not say.
+    #[prost(uint64, tag = "6")]
+    pub limit_ms: u64,
 }
 
 /// Answer to an [`RpcRequest`].
