Planner: a pass looks nothing up by worker, and nothing at all if no work waits

Cause: each pass looked up every worker in the leader's views, in the learnt speeds, among other incarnations and in an index of its own, and sorted all workers by keys that look up their rack in each comparison; each unit then sorted all workers that could take a task of it and grouped them by the names of their racks. Most passes follow the end of a run when nothing waits, and cost the same.

Change: the record and the leader's views are read side by side; racks have numbers; a search sorts no more workers than it has tasks; a pass without waiting units ends at once. The plans are the same.

The test of passes with many urgent jobs compared with a pass in which nothing waits, which now takes nothing.

--- a/crates/bh-workload/benches/cost/main.rs
+++ b/crates/bh-workload/benches/cost/main.rs
@@ -21,11 +21,15 @@
 use std::time::Instant;
 use support::Site;
 
-/// Fleet sizes, in workers: a large current deployment, several times that, and the size that the design must handle.
-const FLEETS: [usize; 3] = [540, 3_000, 16_000];
+/// Fleet sizes, in workers: a large deployment, several times that, a whole fleet, and the size that the design must handle.
+const FLEETS: [usize; 4] = [540, 3_000, 6_000, 16_000];
 const RACK: usize = 12;
 /// Lengths of the queue beside a full fleet, in jobs.
 const QUEUES: [usize; 3] = [0, 100, 2_000];
+/// Number of jobs that arrive together at a fleet of which a tenth is in use.
+const ARRIVALS: usize = 20;
+/// Number of workers for each job that runs on such a fleet.
+const WORKERS_PER_JOB: usize = 20;
 /// Number of passes of each part; the median counts.
 const PASSES: usize = 9;
 /// Kinds of ten consecutive jobs. The kind is also the priority of the job's queue.
@@ -93,6 +97,22 @@
     site
 }
 
+/// A site with a tenth of its fleet in use, at which `arrivals` jobs have just arrived.
+fn build_idle(workers: usize, arrivals: usize) -> Site {
+    let mut site = Site::new(workers, RACK);
+    let running = workers / WORKERS_PER_JOB;
+    for number in 0..running {
+        submit(&mut site, number);
+    }
+    site.plan_and_start();
+    site.send_starts();
+    for number in running..running + arrivals {
+        submit(&mut site, number);
+    }
+    site.advance(50);
+    site
+}
+
 /// Returns the median time of the passes, in milliseconds.
 fn median_ms(passes: usize, mut pass: impl FnMut()) -> f64 {
     let mut times: Vec<f64> = (0..passes)
@@ -124,8 +144,9 @@
     })
 }
 
-/// Returns the time to collect the due orders of all workers, and the time to process one worker's report. Neither uses the network.
-fn orders_ms(site: &mut Site) -> (f64, f64) {
+/// Returns the time to collect the first orders to all workers, the time of a sweep after that, and the time to process one worker's report.
+/// None of them uses the network.
+fn orders_ms(site: &mut Site) -> (f64, f64, f64) {
     let mut orders = Vec::new();
     let started = Instant::now();
     orders.extend(site.dispatcher.orders(site.now_ms, &site.workload, true).0);
@@ -151,10 +172,7 @@
             .note_answer(site.now_ms, order, &answer, &site.workload);
     }
     let answers_ms = started.elapsed().as_secs_f64() * 1e3;
-    (
-        first_ms.max(sweep_ms),
-        answers_ms / probes.len().max(1) as f64,
-    )
+    (first_ms, sweep_ms, answers_ms / probes.len().max(1) as f64)
 }
 
 /// Report of a worker on which all runs are at work.
@@ -183,20 +201,22 @@
         requested
     };
     println!(
-        "| workers | runs | jobs waiting | plan, ms | orders, ms | report, µs | snapshot, MB | snapshot, ms | survey, ms |"
+        "| workers | runs | jobs waiting | plan, ms | first orders, ms | sweep, ms | report, µs | snapshot, MB | snapshot, ms | survey, ms |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|");
     for workers in fleets {
-        for queue in QUEUES {
+        let idle = [0, ARRIVALS].map(|arrivals| (arrivals, build_idle as fn(usize, usize) -> Site));
+        let full = QUEUES.map(|queue| (queue, build as fn(usize, usize) -> Site));
+        for (queue, build) in idle.into_iter().chain(full) {
             let mut site = build(workers, queue);
             let plan_ms = plan_ms(&mut site);
             let survey_ms = survey_ms(&site);
-            let (orders_ms, report_ms) = orders_ms(&mut site);
+            let (first_ms, sweep_ms, report_ms) = orders_ms(&mut site);
             let snapshot = || (Workload::CODEC.snapshot)(&site.workload).unwrap();
             let bytes = snapshot().len();
             let snapshot_ms = median_ms(3, || drop(snapshot()));
             println!(
-                "| {workers} | {} | {queue} | {plan_ms:.2} | {orders_ms:.2} | {:.1} | {:.1} | {snapshot_ms:.1} | {survey_ms:.2} |",
+                "| {workers} | {} | {queue} | {plan_ms:.2} | {first_ms:.2} | {sweep_ms:.2} | {:.1} | {:.1} | {snapshot_ms:.1} | {survey_ms:.2} |",
                 site.open_runs().len(),
                 report_ms * 1e3,
                 bytes as f64 / 1e6,
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -151,6 +151,11 @@
         self.targets.get(worker)
     }
 
+    /// The leader's views of all workers, ordered by worker.
+    pub fn views(&self) -> impl Iterator<Item = (&Incarnation, &Target)> {
+        self.targets.iter()
+    }
+
     /// The view of a worker, created if missing. Marks the worker for the next call of [`Dispatcher::orders`].
     fn target_mut(&mut self, worker: &Incarnation) -> &mut Target {
         self.due.insert(worker.clone());
--- a/crates/bh-workload/src/plan/hold_for_gang.rs
+++ b/crates/bh-workload/src/plan/hold_for_gang.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::sync::Arc;
 
 impl Pass<'_> {
     /// Holds the capacity that becomes free soonest for a gang that does not fit yet, so that no later unit in the order takes it. Without
@@ -22,19 +21,15 @@
             BTreeSet::new()
         };
         let one_rack = !large_racks.is_empty();
-        let mut racks: BTreeMap<Arc<str>, Vec<(u64, usize)>> = BTreeMap::new();
+        let mut racks: BTreeMap<usize, Vec<(u64, usize)>> = BTreeMap::new();
         for at in 0..self.rooms.len() {
             let room = &self.rooms[at];
             let is_candidate =
-                room.accepts(unit) && (!one_rack || large_racks.contains(&room.rack));
+                room.accepts(unit) && (!one_rack || large_racks.contains(&room.rack_number));
             if !is_candidate || avoid.contains(&room.worker) {
                 continue;
             }
-            let rack = if one_rack {
-                room.rack.clone()
-            } else {
-                Arc::from("")
-            };
+            let rack = if one_rack { room.rack_number } else { 0 };
             let ends = self.cached_ends(at);
             racks
                 .entry(rack)
--- a/crates/bh-workload/src/plan/last_pass.rs
+++ b/crates/bh-workload/src/plan/last_pass.rs
@@ -36,10 +36,11 @@
     ) -> Self {
         /// Maximum number of steps in `reserved_for`.
         const MAX_REPORTED_STEPS: usize = 4;
-        let reserved_capacity = rooms.iter().map(|room| {
+        let reserved_capacity = rooms.iter().filter_map(|room| {
             let mut reserved_capacity = room.reserved_capacity;
             reserved_capacity.add(&room.held_for_gangs);
-            (room.worker.clone(), reserved_capacity)
+            let is_any = reserved_capacity != Resources::default();
+            is_any.then(|| (room.worker.clone(), reserved_capacity))
         });
         let urgent_only = rooms.iter().filter(|room| room.urgent_only);
         Self {
@@ -51,9 +52,7 @@
                 .filter(|step| has_withheld(*step))
                 .take(MAX_REPORTED_STEPS)
                 .collect(),
-            reserved_capacity: reserved_capacity
-                .filter(|(_, reserved_capacity)| *reserved_capacity != Resources::default())
-                .collect(),
+            reserved_capacity: reserved_capacity.collect(),
             urgent_only: urgent_only.map(|room| room.worker.clone()).collect(),
         }
     }
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -34,10 +34,8 @@
     pub(super) runtimes: &'a Runtimes,
     /// Jobs that are covered by a customer's guarantee.
     pub(super) guaranteed: &'a BTreeSet<JobId>,
-    /// Workers and their free capacity. The pass updates them as it places work.
+    /// Workers and their free capacity, ordered by worker. The pass updates them as it places work.
     pub rooms: Vec<Room>,
-    /// Position of each worker in `rooms`.
-    pub(super) index: BTreeMap<Incarnation, usize>,
     /// All recorded runs, collected when the first unit attempts to preempt others.
     pub(super) preemption_candidates: Option<PreemptionCandidates>,
     /// Expected end and resources of the runs on each worker, computed on first use.
@@ -61,11 +59,6 @@
         guaranteed: &'a BTreeSet<JobId>,
     ) -> Self {
         let rooms = Room::for_all_workers(workload, dispatcher, speeds, now_ms);
-        let index = rooms
-            .iter()
-            .enumerate()
-            .map(|(index, room)| (room.worker.clone(), index))
-            .collect();
         Self {
             now_ms,
             wall_ms,
@@ -74,7 +67,6 @@
             runtimes,
             guaranteed,
             rooms,
-            index,
             preemption_candidates: None,
             run_ends: BTreeMap::new(),
             failed_placements: FailedSearches::new(),
@@ -89,8 +81,9 @@
         reservations: &mut BTreeMap<StepId, Reservation>,
         waiting: &BTreeSet<StepId>,
     ) {
-        let (now_ms, rooms, index) = (self.now_ms, &self.rooms, &self.index);
-        let usable = |worker: &Incarnation| index.get(worker).is_some_and(|at| rooms[*at].usable);
+        let (now_ms, rooms) = (self.now_ms, &self.rooms);
+        let usable =
+            |worker: &Incarnation| Room::position(rooms, worker).is_some_and(|at| rooms[at].usable);
         let released = &mut self.plan.released;
         reservations.retain(|step, reservation| {
             let why = if !waiting.contains(step) {
@@ -118,9 +111,9 @@
                 continue;
             };
             for (worker, count) in &reservation.places {
-                if let Some(at) = self.index.get(worker) {
+                if let Some(at) = Room::position(&self.rooms, worker) {
                     for _ in 0..*count {
-                        self.rooms[*at].reserved_capacity.add(&unit.needs);
+                        self.rooms[at].reserved_capacity.add(&unit.needs);
                     }
                 }
             }
@@ -133,7 +126,7 @@
             .places
             .iter()
             .map(|(worker, count)| {
-                let at = *self.index.get(worker)?;
+                let at = Room::position(&self.rooms, worker)?;
                 let fits = unit.needs.count_in(&self.rooms[at].free, *count) >= *count;
                 fits.then_some((at, *count))
             })
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -4,7 +4,6 @@
 use super::Unit;
 use crate::job::Resources;
 use bh_protocol::Incarnation;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -39,6 +38,20 @@
     held_for_gangs: bool,
 }
 
+impl Candidate {
+    /// Fuller workers come first, so that empty ones stay available for large tasks. Cold workers and those set aside come last, because one
+    /// slow member delays a whole gang. Workers held for a gang look full, but come after the others, or that gang would never start.
+    fn precedence(&self) -> (bool, bool, u64, u64, usize) {
+        (
+            self.last_resort,
+            self.held_for_gangs,
+            self.rank,
+            self.free_accelerators,
+            self.room,
+        )
+    }
+}
+
 /// Why a gang can't be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementFailure {
@@ -60,32 +73,29 @@
     wall_ms: u64,
 ) -> Result<Placement, PlacementFailure> {
     let candidates = candidates(unit, rooms, avoid);
-    let total: u64 = candidates.iter().map(|candidate| candidate.places).sum();
-    if total < unit.count() {
+    if places(&candidates) < unit.count() {
         return Err(PlacementFailure::NoRoom);
     }
-    let racks = by_rack(&candidates, rooms);
     if prefers_one_rack(unit) {
+        let racks = by_rack(unit, &candidates, rooms);
         let best_rack = racks
-            .iter()
-            .filter(|(rack, candidates)| {
-                is_preferred_rack(unit, rack) && places(candidates) >= unit.count()
-            })
-            .min_by_key(|(_, candidates)| {
+            .into_iter()
+            .filter(|candidates| places(candidates) >= unit.count())
+            .min_by_key(|candidates| {
                 (
                     needs_last_resort(candidates, unit.count()),
                     worst_rank(candidates),
                     free_accelerators(candidates),
                 )
             });
-        if let Some((_, candidates)) = best_rack {
+        if let Some(candidates) = best_rack {
             return Ok(fill(candidates, unit.count()));
         }
         if waits_for_rack(unit, rooms, wall_ms) && !must_spread_now(unit, rooms, wall_ms) {
             return Err(PlacementFailure::WaitForRack);
         }
     }
-    Ok(fill(&candidates, unit.count()))
+    Ok(fill(candidates, unit.count()))
 }
 
 /// Returns whether the unit must start now, spread over several racks, to be on time, and whether the pool is idle enough for the extra
@@ -116,21 +126,21 @@
     unit.spec.near_rack.as_ref().is_none_or(|near| near == rack)
 }
 
-/// Returns the preferred racks that could hold the unit if they were empty.
-pub fn large_enough_racks(unit: &Unit, rooms: &[Room]) -> BTreeSet<Arc<str>> {
-    let mut capacity: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+/// Returns the numbers of the preferred racks that could hold the unit if they were empty.
+pub fn large_enough_racks(unit: &Unit, rooms: &[Room]) -> BTreeSet<usize> {
+    let mut places_by_rack = vec![0; Room::count_racks(rooms)];
     let eligible = rooms
         .iter()
         .filter(|room| room.accepts(unit) && is_preferred_rack(unit, &room.rack));
     for room in eligible {
-        *capacity.entry(&room.rack).or_default() +=
+        places_by_rack[room.rack_number] +=
             unit.needs.count_in(&room.capacity, room.max_tasks(unit));
     }
     let min_places = if unit.spec.gang { unit.count() } else { 1 };
-    capacity
-        .into_iter()
+    let racks = places_by_rack.into_iter().enumerate();
+    racks
         .filter(|(_, places)| *places >= min_places)
-        .map(|(rack, _)| rack.clone())
+        .map(|(rack, _)| rack)
         .collect()
 }
 
@@ -143,15 +153,15 @@
 ) -> Placement {
     let candidates = candidates(unit, rooms, avoid);
     let Some(near) = &unit.spec.near_rack else {
-        return fill(&candidates, unit.count());
+        return fill(candidates, unit.count());
     };
     let (close, far): (Vec<Candidate>, Vec<Candidate>) = candidates
         .into_iter()
         .partition(|candidate| rooms[candidate.room].rack == *near);
-    let mut placement = fill(&close, unit.count());
+    let mut placement = fill(close, unit.count());
     let placed: u64 = placement.iter().map(|(_, count)| count).sum();
     if placed < unit.count() && !waits_for_rack(unit, rooms, wall_ms) {
-        placement.extend(fill(&far, unit.count() - placed));
+        placement.extend(fill(far, unit.count() - placed));
     }
     placement
 }
@@ -168,32 +178,20 @@
         && !large_enough_racks(unit, rooms).is_empty()
 }
 
+/// Returns the workers that can run some of the unit's tasks, in no particular order.
 fn candidates(unit: &Unit, rooms: &[Room], avoid: &BTreeSet<Incarnation>) -> Vec<Candidate> {
-    let mut candidates: Vec<Candidate> = rooms
-        .iter()
-        .enumerate()
-        .map(|(index, room)| Candidate {
+    let candidate = |(index, room): (usize, &Room)| {
+        let places = room.places(unit, avoid);
+        (places > 0).then(|| Candidate {
             room: index,
-            places: room.places(unit, avoid),
+            places,
             free_accelerators: room.available().accelerators,
             rank: rank(unit, room),
             last_resort: room.cold || room.set_aside,
             held_for_gangs: room.held_for_gangs != Resources::default(),
         })
-        .filter(|candidate| candidate.places > 0)
-        .collect();
-    // Fuller workers come first, so that empty ones stay available for large tasks. Cold workers and those set aside come last, because one
-    // slow member delays a whole gang. Workers held for a gang look full, but come after the others, or that gang would never start.
-    candidates.sort_by_key(|candidate| {
-        (
-            candidate.last_resort,
-            candidate.held_for_gangs,
-            candidate.rank,
-            candidate.free_accelerators,
-            candidate.room,
-        )
-    });
-    candidates
+    };
+    rooms.iter().enumerate().filter_map(candidate).collect()
 }
 
 /// Returns the preference for a worker; lower is better. Units with tight deadlines go where runs are fastest. Others have time to spare
@@ -221,13 +219,14 @@
         .unwrap_or(0)
 }
 
-fn by_rack(candidates: &[Candidate], rooms: &[Room]) -> BTreeMap<Arc<str>, Vec<Candidate>> {
-    let mut racks: BTreeMap<Arc<str>, Vec<Candidate>> = BTreeMap::new();
-    for candidate in candidates {
-        racks
-            .entry(rooms[candidate.room].rack.clone())
-            .or_default()
-            .push(*candidate);
+/// Groups the candidates on racks that the unit prefers by rack, in the order of the racks' names.
+fn by_rack(unit: &Unit, candidates: &[Candidate], rooms: &[Room]) -> Vec<Vec<Candidate>> {
+    let mut racks = vec![Vec::new(); Room::count_racks(rooms)];
+    let preferred = candidates
+        .iter()
+        .filter(|candidate| is_preferred_rack(unit, &rooms[candidate.room].rack));
+    for candidate in preferred {
+        racks[rooms[candidate.room].rack_number].push(*candidate);
     }
     racks
 }
@@ -249,10 +248,19 @@
     preferred.map(|candidate| candidate.places).sum::<u64>() < count
 }
 
-fn fill(candidates: &[Candidate], count: u64) -> Placement {
+/// Takes workers in the order of precedence until `count` tasks are placed.
+fn fill(mut candidates: Vec<Candidate>, count: u64) -> Placement {
+    // Each candidate takes a task at least, so no more than `count` of them matter. Sorting all workers of a large fleet takes longer than
+    // all the rest of a search.
+    let most = usize::try_from(count).unwrap_or(usize::MAX);
+    if 0 < most && most < candidates.len() {
+        candidates.select_nth_unstable_by_key(most - 1, Candidate::precedence);
+        candidates.truncate(most);
+    }
+    candidates.sort_unstable_by_key(Candidate::precedence);
     let mut left = count;
     let mut placement = Vec::new();
-    for candidate in candidates {
+    for candidate in &candidates {
         if left == 0 {
             break;
         }
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -3,6 +3,7 @@
 use super::OverdueReason;
 use super::OverdueRun;
 use super::Plan;
+use super::ReleaseReason;
 use super::Room;
 use super::Runtimes;
 use super::Speeds;
@@ -28,7 +29,6 @@
 use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 /// Capacity is held at the same time for at most this many waiting gangs, or for as many as there are racks if that is more. If it were held
 /// for one gang at a time, the next large gang would starve behind it. If it were held for many gangs in a small fleet, much of the fleet
@@ -227,6 +227,19 @@
         }
         let waiting = collect::steps_of(&units);
         isolate_suspects(now_ms, &mut units, isolated_since_ms);
+        if units.is_empty() {
+            // Most passes follow the end of a run when nothing waits. They do not look at the workers.
+            let released = std::mem::take(reservations).into_keys();
+            let nothing_started = BTreeSet::new();
+            stall_tracker.record(now_ms, (&[], &nothing_started), &[], (workload, dispatcher));
+            *last_pass = LastPass::default();
+            return Plan {
+                released: released
+                    .map(|step| (step, ReleaseReason::NotWaiting))
+                    .collect(),
+                ..Plan::default()
+            };
+        }
         let mut pass = Pass::new(
             (now_ms, wall_ms),
             workload,
@@ -242,8 +255,7 @@
         headroom.mark_rooms((now_ms, stop_ms), &mut pass.rooms);
         let mut held_gangs = 0;
         let mut held_for = BTreeSet::new();
-        let racks: BTreeSet<&Arc<str>> = pass.rooms.iter().map(|room| &room.rack).collect();
-        let max_held_gangs = racks.len().max(MIN_HELD_GANGS);
+        let max_held_gangs = Room::count_racks(&pass.rooms).max(MIN_HELD_GANGS);
         for unit in &units {
             if let Some(reservation) = reservations.get(&unit.step) {
                 if let Some(placement) = pass.reserved_placement(reservation, unit) {
--- a/crates/bh-workload/src/plan/preempt.rs
+++ b/crates/bh-workload/src/plan/preempt.rs
@@ -1,6 +1,7 @@
 //! Preempts runs to make room for more important work.
 
 use super::PreemptionCandidate;
+use super::Room;
 use super::Unit;
 use super::disruption_budget::DisruptionBudget;
 use super::pass::Pass;
@@ -131,8 +132,8 @@
     /// of the fleet.
     fn collect_candidates(&self) -> Vec<PreemptionCandidate> {
         let workers = self.workload.workers().filter_map(|worker| {
-            let room = self.index.get(&worker.info.id)?;
-            Some((worker, *room))
+            let room = Room::position(&self.rooms, &worker.info.id)?;
+            Some((worker, room))
         });
         workers
             .flat_map(|(worker, room)| self.candidates_on(worker, room))
--- a/crates/bh-workload/src/plan/preemption.rs
+++ b/crates/bh-workload/src/plan/preemption.rs
@@ -11,7 +11,6 @@
 use crate::state::Workload;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 /// A recorded run that may be preempted, and the cost of stopping it.
 #[derive(Clone, Debug)]
@@ -114,12 +113,12 @@
     unit: &Unit,
     offers: &[Offer],
     rooms: &[Room],
-    large_racks: &BTreeSet<Arc<str>>,
+    large_racks: &BTreeSet<usize>,
 ) -> Option<(Placement, u64)> {
-    let mut racks: BTreeMap<&Arc<str>, Vec<Offer>> = BTreeMap::new();
+    let mut racks: BTreeMap<usize, Vec<Offer>> = BTreeMap::new();
     for offer in offers {
-        let rack = &rooms[offer.room].rack;
-        if large_racks.contains(rack) {
+        let rack = rooms[offer.room].rack_number;
+        if large_racks.contains(&rack) {
             racks.entry(rack).or_default().push(offer.clone());
         }
     }
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -51,6 +51,8 @@
     pub worker: Incarnation,
     /// Rack of the worker.
     pub rack: Arc<str>,
+    /// Position of the rack among all racks in the order of their names. It is cheaper to group by than the name.
+    pub rack_number: usize,
     /// Pool of the worker.
     pub pool: Arc<str>,
     /// Data centre of the worker.
@@ -116,21 +118,46 @@
     }
 }
 
+/// Numbers all racks in the order of their names.
+fn rack_numbers(workload: &Workload) -> BTreeMap<&str, usize> {
+    let names = workload.workers().map(|worker| &*worker.info.rack);
+    let mut racks: BTreeMap<&str, usize> = names.map(|name| (name, 0)).collect();
+    for (number, rack) in racks.values_mut().enumerate() {
+        *rack = number;
+    }
+    racks
+}
+
+/// What the views of all workers depend on.
+struct Context<'a> {
+    workload: &'a Workload,
+    dispatcher: &'a Dispatcher,
+    speeds: &'a Speeds,
+    now_ms: u64,
+    /// Whether workers that are set aside for failures are usable.
+    ignores_set_aside: bool,
+}
+
 impl Room {
-    /// Creates the view of `worker` at `now_ms`. With `ignores_set_aside`, a worker that is set aside for failures is usable.
+    /// Creates the view of `worker`. `view` is what the leader knows about it.
     fn new(
         worker: &Worker,
-        workload: &Workload,
-        dispatcher: &Dispatcher,
-        speeds: &Speeds,
-        (now_ms, ignores_set_aside): (u64, bool),
+        view: Option<&Target>,
+        context: &Context<'_>,
+        (rack_number, has_other_incarnation): (usize, bool),
     ) -> Self {
-        let view = dispatcher.view(&worker.info.id);
+        let Context {
+            workload,
+            dispatcher,
+            speeds,
+            now_ms,
+            ignores_set_aside,
+        } = *context;
         let recent = RecentStarts::new(worker, view, workload);
         let evacuated = workload.is_evacuated(&worker.info);
         let unusable = if worker.draining {
             Some(UnusableReason::Draining)
-        } else if workload.has_other_incarnation(&worker.info.id) {
+        } else if has_other_incarnation {
             Some(UnusableReason::Replaced)
         } else if evacuated {
             Some(UnusableReason::Evacuated)
@@ -161,6 +188,7 @@
         Self {
             worker: worker.info.id.clone(),
             rack: worker.info.rack.clone(),
+            rack_number,
             pool: worker.info.pool.clone(),
             data_centre: worker.info.data_centre.clone(),
             evacuated,
@@ -182,18 +210,58 @@
         }
     }
 
-    /// Creates the views of all workers.
+    /// Creates the views of all workers, ordered by worker.
+    ///
+    /// The record and the leader's views of the workers are read side by side in this order: looking up each worker takes longer than all
+    /// the rest.
     pub fn for_all_workers(
         workload: &Workload,
         dispatcher: &Dispatcher,
         speeds: &Speeds,
         now_ms: u64,
     ) -> Vec<Room> {
-        let context = (now_ms, too_many_set_aside(workload, dispatcher, now_ms));
-        let workers = workload.workers();
-        workers
-            .map(|worker| Room::new(worker, workload, dispatcher, speeds, context))
-            .collect()
+        let context = Context {
+            workload,
+            dispatcher,
+            speeds,
+            now_ms,
+            ignores_set_aside: too_many_set_aside(workload, dispatcher, now_ms),
+        };
+        let racks = rack_numbers(workload);
+        let mut views = dispatcher.views().peekable();
+        let mut rooms: Vec<Room> = Vec::with_capacity(workload.worker_count());
+        let mut workers = workload.workers().peekable();
+        while let Some(worker) = workers.next() {
+            let id = &worker.info.id;
+            while views.next_if(|(other, _)| *other < id).is_some() {}
+            let view = views.next_if(|(other, _)| *other == id);
+            let is_same_worker = |other: &Incarnation| other.id == id.id;
+            let has_other_incarnation = rooms
+                .last()
+                .is_some_and(|room| is_same_worker(&room.worker))
+                || workers
+                    .peek()
+                    .is_some_and(|next| is_same_worker(&next.info.id));
+            let rack_number = racks.get(&*worker.info.rack).copied().unwrap_or(0);
+            rooms.push(Room::new(
+                worker,
+                view.map(|(_, target)| target),
+                &context,
+                (rack_number, has_other_incarnation),
+            ));
+        }
+        rooms
+    }
+
+    /// Returns the position of a worker among the views of all workers.
+    pub fn position(rooms: &[Room], worker: &Incarnation) -> Option<usize> {
+        rooms.binary_search_by(|room| room.worker.cmp(worker)).ok()
+    }
+
+    /// Returns the number of racks of all workers.
+    pub fn count_racks(rooms: &[Room]) -> usize {
+        let last = rooms.iter().map(|room| room.rack_number).max();
+        last.map_or(0, |last| last + 1)
     }
 
     /// Returns whether the worker has the label that a step requires.
--- a/crates/bh-workload/src/plan/urgent_headroom.rs
+++ b/crates/bh-workload/src/plan/urgent_headroom.rs
@@ -133,16 +133,16 @@
             )]
             let wanted = (arrivals.accelerators * arrivals.target_jobs(stop_ms)) as u64;
             let mut left = wanted.min(total * MAX_POOL_PERCENT / 100);
-            let mut racks: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+            let mut available_by_rack = vec![0; Room::count_racks(rooms)];
             for room in rooms.iter().filter(in_pool) {
-                *racks.entry(room.rack.clone()).or_default() += room.available().accelerators;
+                available_by_rack[room.rack_number] += room.available().accelerators;
             }
             let mut order: Vec<usize> = (0..rooms.len())
                 .filter(|at| in_pool(&&rooms[*at]) && rooms[*at].available().accelerators > 0)
                 .collect();
-            order.sort_by_key(|at| {
+            order.sort_by_cached_key(|at| {
                 let room = &rooms[*at];
-                let rack_available = racks.get(&room.rack).copied().unwrap_or(0);
+                let rack_available = available_by_rack[room.rack_number];
                 let available = room.available().accelerators;
                 (
                     room.runtime_percent,
--- a/crates/bh-workload/tests/long_queues.rs
+++ b/crates/bh-workload/tests/long_queues.rs
@@ -59,6 +59,8 @@
     site.plan_and_start();
     site.send_starts();
     assert!(site.open_runs().len() > 2_000);
+    // No worker is large enough for this job, so every pass has something to place.
+    site.submit(2, "other", vec![step(1, 9)]);
     site.advance(50);
     let without_urgent = plan_time(&mut site);
     for _ in 0..100 {
