Carriers: a choice weighs the cores of the worker's data centre only

Cause: for each order and each heartbeat, the list of reachable cores was made anew (25 addresses parsed, 25 names copied), and each core was weighed by a hash of a formatted text, though only those of the worker's own data centre can be chosen. So each order cost the leader the more, the more cores there were.

Change: the list is used for 50 ms, a tenth of the time after which a silent core is left out; cores elsewhere are weighed only where there is none nearby. The choice is the same.

Test, failed before: cores_elsewhere_cost_a_choice_little.

--- a/crates/bh-control/src/core/carriers.rs
+++ b/crates/bh-control/src/core/carriers.rs
@@ -41,10 +41,10 @@
 ///
 /// All cores compute the same result, and when a core is lost only its own workers move (rendezvous hashing).
 pub fn carrier_of<'a>(worker: &WorkerInfo, cores: &'a [Carrier]) -> Option<&'a Carrier> {
-    cores.iter().max_by_key(|core| {
-        let near = core.data_centre == worker.data_centre;
-        (near, weight(&worker.id.id, core.address), core.address)
-    })
+    let is_near = |core: &&Carrier| core.data_centre == worker.data_centre;
+    let any_near = cores.iter().any(|core| is_near(&core));
+    let eligible = cores.iter().filter(|core| !any_near || is_near(core));
+    eligible.max_by_key(|core| (weight(&worker.id.id, core.address), core.address))
 }
 
 fn weight(worker: &str, core: SocketAddr) -> u64 {
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -26,6 +26,10 @@
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
+/// Time for which a list of the reachable cores is used, in milliseconds. It is needed for each order and each heartbeat, and a core that is
+/// lost shows only after half a second of silence.
+const CORES_TTL_MS: u64 = 50;
+
 /// State of a core process.
 pub struct CoreNode {
     /// Its file.
@@ -48,6 +52,8 @@
     pub last_led_ms: Cell<Option<u64>>,
     /// Result of the last check whether the cores share the workers.
     pub shared_workers: Cell<bool>,
+    /// The reachable cores, and when they were listed, on the process's clock in milliseconds.
+    pub(super) reachable_cores: RefCell<(u64, Rc<[Carrier]>)>,
     /// Measures the transit time of orders that this core carries.
     pub carry_delay: RefCell<CarryDelay>,
     /// Heartbeats received while there was no leader.
@@ -120,9 +126,19 @@
         shared
     }
 
-    /// The cores that are reachable now, including this one.
-    pub fn cores(&self) -> Vec<Carrier> {
+    /// The cores that are reachable now, including this one. The list may be [`CORES_TTL_MS`] old.
+    fn cores(&self) -> Rc<[Carrier]> {
         let now_ms = self.clock.now_ms();
+        let (listed_ms, known) = self.reachable_cores.borrow().clone();
+        if !known.is_empty() && now_ms < listed_ms + CORES_TTL_MS {
+            return known;
+        }
+        let cores = self.list_cores(now_ms);
+        self.reachable_cores.replace((now_ms, cores.clone()));
+        cores
+    }
+
+    fn list_cores(&self, now_ms: u64) -> Rc<[Carrier]> {
         let peers = self.mesh.peers();
         let reached = peers
             .iter()
@@ -139,7 +155,7 @@
             data_centre: self.config.data_centre.clone(),
             control_address: self.config.control_address,
         });
-        cores
+        cores.into()
     }
 
     /// The other core that talks to a worker; `None` if this core does.
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -85,6 +85,7 @@
         leadership: RefCell::new(None),
         last_led_ms: Cell::new(None),
         shared_workers: Cell::new(false),
+        reachable_cores: RefCell::new((0, Rc::from([]))),
         carry_delay: RefCell::new(CarryDelay::default()),
         undelivered_heartbeats: RefCell::new(UndeliveredHeartbeats::default()),
         heartbeats_to_relay: RefCell::new(BTreeMap::new()),
--- a/crates/bh-control/tests/carriers.rs
+++ b/crates/bh-control/tests/carriers.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 const DATA_CENTRES: u8 = 5;
 
@@ -74,6 +75,33 @@
     }
 }
 
+/// Guards against a choice that weighs all cores for each order: the leader then spends the more time on each, the more cores there are.
+#[test]
+fn cores_elsewhere_cost_a_choice_little() {
+    /// Growth in time that is accepted with forty times the cores.
+    const MAX_GROWTH: u32 = 10;
+    let near: Vec<Carrier> = (1..=5).map(|number| core(0, number)).collect();
+    let elsewhere = (1..=195).map(|number| core(1, number));
+    let all: Vec<Carrier> = near.iter().cloned().chain(elsewhere).collect();
+    let local: Vec<WorkerInfo> = (0..1_000)
+        .map(|n| worker(n * u16::from(DATA_CENTRES)))
+        .collect();
+    let time = |cores: &[Carrier]| {
+        let pass = || {
+            let started = Instant::now();
+            let chosen = local.iter().filter_map(|worker| carrier_of(worker, cores));
+            assert_eq!(chosen.count(), local.len());
+            started.elapsed()
+        };
+        (0..5).map(|_| pass()).min().unwrap()
+    };
+    let (few, many) = (time(&near), time(&all));
+    assert!(
+        many < few * MAX_GROWTH,
+        "{many:?} among 200 cores, {few:?} among 5"
+    );
+}
+
 /// A core is lost. Its workers are spread over the other cores so that none takes all of them, and no other worker moves: each move costs a
 /// connection and a probe.
 #[test]
