--- a/crates/bh-node/src/node/calls.rs
+++ b/crates/bh-node/src/node/calls.rs
@@ -245,10 +245,9 @@
                 .await
                 .map(|body| (String::new(), body)),
             RpcKind::RunRequest => requests::serve_forwarded(self, request).await,
-            RpcKind::Workload | RpcKind::Carry | RpcKind::Signs => Err(Failure::new(
-                Code::Internal,
-                "this entry serves no workload calls",
-            )),
+            RpcKind::Workload | RpcKind::Carry | RpcKind::Signs | RpcKind::Relay => Err(
+                Failure::new(Code::Internal, "this entry serves no workload calls"),
+            ),
             RpcKind::InForce => to_json(&self.in_force()).map(|body| (String::new(), body)),
             RpcKind::Formation => {
                 let group = self
