Record: workers are found by address and by VM in an index

Cause, by reading: the leader compared each new worker with all others, so a fleet that registers took time that grows with its square; and each turn of the leader looked up each waiting VM of a wave of upkeep among all workers.

Tests, failed before (300 and 2,400 workers, test profile): registering_workers_grows_with_the_fleet, 2.2 ms and 108 ms; waves_of_upkeep_grow_with_the_fleet, 1.1 ms and 73 ms a turn.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -266,10 +266,11 @@
 
     /// Schedules probes of recorded workers that have the same address or the same id as a new one.
     fn check_predecessors(&mut self, newcomer: &Worker, workload: &Workload) {
-        let conflicting = workload.workers().filter(|other| {
-            other.info.address == newcomer.info.address && other.info.id != newcomer.info.id
-                || other.info.id.is_other_incarnation(&newcomer.info.id)
-        });
+        let at_same_address = workload.workers_at(newcomer.info.address);
+        let incarnations = workload.incarnations(&newcomer.info.id);
+        let conflicting = at_same_address
+            .chain(incarnations)
+            .filter(|other| other.info.id != newcomer.info.id);
         for other in conflicting {
             if let Some(target) = self.targets.get_mut(&other.info.id) {
                 target.require_probes();
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -226,6 +226,8 @@
         if let Some(worker) = known {
             if info.sequence >= worker.info.sequence {
                 self.events.mark_worker(&info.id);
+                self.worker_index.remove(&worker.info);
+                self.worker_index.insert(&info);
                 worker.info = info;
             }
             return;
@@ -233,6 +235,7 @@
         self.events.mark_worker(&info.id);
         self.arrivals += 1;
         let restarts = self.restarts_of(&info.id);
+        self.worker_index.insert(&info);
         let worker = Worker::new(info, self.arrivals, restarts);
         self.workers.insert(worker.info.id.clone(), worker);
     }
@@ -284,6 +287,7 @@
             self.end_run(end, 0);
         }
         if let Some(worker) = self.workers.remove(id) {
+            self.worker_index.remove(&worker.info);
             self.note_past_start(&worker);
         }
         self.events.mark_worker(id);
--- a/crates/bh-workload/src/state/mod.rs
+++ b/crates/bh-workload/src/state/mod.rs
@@ -14,6 +14,7 @@
 mod task;
 mod wave;
 mod worker;
+mod worker_index;
 mod workload;
 
 pub use command::Command;
@@ -42,5 +43,6 @@
 pub use wave::WaveSpec;
 pub use worker::Worker;
 pub use worker::WorkerInfo;
+use worker_index::WorkerIndex;
 pub use workload::ResolvedCall;
 pub use workload::Workload;
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -9,6 +9,7 @@
 use super::Refusal;
 use super::Wave;
 use super::Worker;
+use super::WorkerIndex;
 use super::WorkerInfo;
 use crate::job::JobId;
 use crate::job::RunId;
@@ -26,6 +27,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// The replicated record. Every replica applies the same commands in the same order and so holds the same record.
@@ -56,6 +58,9 @@
     /// Not serialized: derived from `workers`.
     #[serde(skip)]
     pub(super) open_runs: OpenRuns,
+    /// Not serialized: derived from `workers`.
+    #[serde(skip)]
+    pub(super) worker_index: WorkerIndex,
     #[serde(skip)]
     pub(super) events: RecordEvents,
 }
@@ -95,6 +100,7 @@
             .map(|(id, _)| *id)
             .collect();
         self.open_runs = OpenRuns::new(self.workers.values());
+        self.worker_index = WorkerIndex::new(self.workers.values().map(|worker| &worker.info));
         self.events.mark_workers(self.workers.keys());
         Ok(())
     }
@@ -253,11 +259,17 @@
             || workers.any(|worker| *worker.info.data_centre == *name)
     }
 
+    /// The workers that are recorded at an address.
+    pub fn workers_at(&self, address: SocketAddr) -> impl Iterator<Item = &Worker> {
+        let workers = self.worker_index.at(address);
+        workers.filter_map(|id| self.worker(id))
+    }
+
     /// The worker that runs on a VM, as far as known.
     pub fn worker_on(&self, vm: &str) -> Option<&Worker> {
-        self.workers
-            .values()
-            .filter(|worker| worker.info.vm.as_deref() == Some(vm))
+        let workers = self.worker_index.on_vm(vm);
+        workers
+            .filter_map(|id| self.worker(id))
             .max_by_key(|worker| worker.arrival)
     }
 
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -6,11 +6,16 @@
 
 mod support;
 
+use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::Timing;
 use bh_workload::job::StepSpec;
 use bh_workload::state::Command;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
+use bh_workload::state::WaveSpec;
+use bh_workload::state::Workload;
+use bh_workload::upkeep::WaveScheduler;
 use std::time::Duration;
 use std::time::Instant;
 use support::Site;
@@ -51,6 +56,12 @@
     (0..9).map(|_| pass()).min().unwrap()
 }
 
+/// Returns the time of `pass` on a fleet of [`SMALL`] workers, and on one that is [`GROWTH`] times as large.
+fn times(pass: impl Fn(usize) -> Duration) -> (Duration, Duration) {
+    let time = |workers| fastest(|| pass(workers));
+    (time(SMALL), time(SMALL * GROWTH))
+}
+
 /// Checks that the time of `pass` grows at most by `max_growth` in a fleet that is [`GROWTH`] times as large.
 fn assert_growth(max_growth: u32, pass: impl Fn(&mut Site) -> Duration) {
     let time = |workers| {
@@ -113,3 +124,47 @@
         time
     });
 }
+
+/// Guards against a comparison of each new worker with all others: a data centre that comes back registers all its workers at once.
+#[test]
+fn registering_workers_grows_with_the_fleet() {
+    let (small, large) = times(|workers| {
+        let mut workload = Site::new(workers, RACK).workload;
+        let mut dispatcher = Dispatcher::new(Timing::DEFAULT, 1, 1, &Workload::default());
+        let mut events = workload.take_events();
+        events.workers = workload
+            .workers()
+            .map(|worker| worker.info.id.clone())
+            .collect();
+        let started = Instant::now();
+        dispatcher.note_events(1, &events, &workload);
+        started.elapsed()
+    });
+    assert!(large < small * MAX_GROWTH, "{small:?}, {large:?}");
+}
+
+/// Guards against a scan of the fleet for each VM of a wave, ten times a second and more for as long as the wave lasts.
+#[test]
+fn waves_of_upkeep_grow_with_the_fleet() {
+    let (small, large) = times(|workers| {
+        let mut site = Site::new(workers, RACK);
+        let vms = site
+            .workload
+            .workers()
+            .filter_map(|worker| worker.info.vm.clone());
+        let spec = WaveSpec {
+            id: 1,
+            vms: vms.collect(),
+            within_ms: 60_000,
+            most_at_once: 1,
+        };
+        let now_ms = site.wall_ms();
+        site.workload.apply(Command::StartWave { spec, now_ms });
+        let mut waves = WaveScheduler::new("core".into(), 1, 1, &Timing::DEFAULT);
+        let times = (site.now_ms, site.wall_ms());
+        let started = Instant::now();
+        waves.actions(times, &site.workload, &site.dispatcher);
+        started.elapsed()
+    });
+    assert!(large < small * MAX_GROWTH, "{small:?}, {large:?}");
+}
