Entries: a core that drains relays no new calls

A core that was told to stop finishes the calls that it has, and was given new ones until its links closed. Entries use another core of theirs at once and open a link to one more.

Test: draining_cores_relay_no_new_calls fails if the core's report is not looked at (run so on this commit).

--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -83,6 +83,9 @@
                 *peer.status.borrow_mut() = status.clone();
             }
         });
+        if peer.is_draining() {
+            mesh.open_wanted_links();
+        }
         match frame.payload {
             Some(Payload::Core(status)) => {
                 mesh.add_cores(status.cores.iter().filter_map(|core| core.parse().ok()));
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -136,7 +136,7 @@
             .into_iter()
             .take_while(|peer| {
                 let is_wanted = sound < enough;
-                sound += usize::from(!peer.has_failed.get());
+                sound += usize::from(!peer.has_failed.get() && !peer.is_draining());
                 is_wanted
             })
             .collect()
@@ -198,8 +198,8 @@
     pub fn leader(&self) -> Option<Rc<Peer>> {
         let is_partial = self.is_partial();
         let reaches_leader = |peer: &&Rc<Peer>| {
-            let leads = peer.status.borrow().leads;
-            peer.is_linked() && (leads || is_partial && peer.leader_term() > 0)
+            let relays = is_partial && peer.leader_term() > 0 && !peer.is_draining();
+            peer.is_linked() && (peer.status.borrow().leads || relays)
         };
         let now_ms = self.now_ms();
         let leader = self
--- a/crates/bh-control/src/mesh/peer.rs
+++ b/crates/bh-control/src/mesh/peer.rs
@@ -60,6 +60,11 @@
         self.channel.is_open()
     }
 
+    /// Whether the core is shutting down.
+    pub(super) fn is_draining(&self) -> bool {
+        self.status.borrow().draining
+    }
+
     /// Whether the last contact was recent enough at `now_ms` to send calls to the core.
     pub fn is_fresh(&self, now_ms: u64) -> bool {
         self.is_linked() && now_ms < self.last_contact_ms.get() + MAX_CALL_SILENCE_MS
--- a/crates/bh-control/tests/many_cores.rs
+++ b/crates/bh-control/tests/many_cores.rs
@@ -21,6 +21,7 @@
 use bh_testkit::Link;
 use bh_testkit::ports;
 use monoio::net::TcpListener;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,8 +41,8 @@
 type Calls = Rc<RefCell<Vec<(usize, i32)>>>;
 
 /// Starts the core at position `own` of `addresses`, which listens on `listen`. It leads if it is the first one, and has contact with the
-/// leader otherwise.
-fn core(own: usize, addresses: &[SocketAddr], listen: SocketAddr, calls: Calls) {
+/// leader otherwise. It reports that it drains once the result is set.
+fn core(own: usize, addresses: &[SocketAddr], listen: SocketAddr, calls: Calls) -> Rc<Cell<bool>> {
     let cores: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     let hello = Hello {
         name: format!("core {own}"),
@@ -50,6 +51,8 @@
         ..Hello::default()
     };
     let mesh = Mesh::new(hello, Clock::new(), CancellationToken::new());
+    let draining = Rc::new(Cell::new(false));
+    let drains = draining.clone();
     let handler = LinkHandler {
         deliver: Box::new(|_| {}),
         answer: Box::new(move |request| {
@@ -62,12 +65,14 @@
             leader_term: u64::from(own != LEADER),
             rules_version: 1,
             cores: cores.clone(),
+            draining: drains.get(),
             ..CoreStatus::default()
         }),
     };
     let listener = TcpListener::bind(listen).unwrap();
     let inbound = Rc::new(Inbound::default());
     monoio::spawn(mesh::accept(mesh, listener, Rc::new(handler), inbound));
+    draining
 }
 
 fn entry(name: &str) -> Rc<Mesh> {
@@ -143,3 +148,31 @@
     })
     .unwrap();
 }
+
+/// Guards against calls that are lost with a core that was told to stop: entries use other cores while it finishes what it has.
+#[test]
+fn draining_cores_relay_no_new_calls() {
+    let addresses = ports::free(CORES);
+    runtime::run(1, async move {
+        let calls = Calls::default();
+        let draining: Vec<Rc<Cell<bool>>> = (0..CORES)
+            .map(|own| core(own, &addresses, addresses[own], calls.clone()))
+            .collect();
+        let entry = entry("entry");
+        entry.add_cores(addresses.iter().copied());
+        sleep_ms(SETTLING_MS).await;
+        let used: Vec<usize> = linked(&entry)
+            .iter()
+            .filter_map(|used| addresses.iter().position(|address| address == used))
+            .filter(|used| *used != LEADER)
+            .collect();
+        for used in &used {
+            draining[*used].set(true);
+        }
+        sleep_ms(SETTLING_MS).await;
+        let answer = forward(&entry, &Call::GetRules, TIMEOUT_MS).await;
+        assert_eq!(answer, Answer::Done);
+        assert!(calls.borrow().iter().all(|(core, _)| !used.contains(core)));
+    })
+    .unwrap();
+}
