Entries: cores without contact to the leader are passed over

Cause, by reading the change of the links: an entry that has links to four of many cores may have chosen only cores on the side of a split without the leader (one entry in sixteen, if half of the cores are there), and was out of service for as long as the split lasted.

Change: such cores do not count as enough links, except during an election; up to four are passed over, so that a deployment without a leader does not get links from each entry to each core.

Test, failed before: cores_without_a_leader_are_not_relied_on.

--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -104,6 +104,9 @@
         peer.channel.send(Payload::Heartbeat(Heartbeat::default()));
         sleep_ms(HEARTBEAT_INTERVAL_MS).await;
         peer.note_silence(mesh.now_ms());
+        if mesh.fresh_leader().is_none() {
+            mesh.open_wanted_links();
+        }
     }
     "the process ends"
 }
--- a/crates/bh-control/src/mesh/mesh.rs
+++ b/crates/bh-control/src/mesh/mesh.rs
@@ -29,6 +29,9 @@
 /// entries times cores. All of a few links chosen by chance are hardly lost at once, and others are opened then.
 const ENTRY_LINKS: usize = 4;
 
+/// Time within which most elections end, in milliseconds.
+const ELECTION_MS: u64 = 1_500;
+
 /// Callback that receives all known cores.
 type OnCoresAdded = Box<dyn Fn(&[SocketAddr])>;
 
@@ -124,22 +127,31 @@
     }
 
     /// The cores that this process should have links to. In a partial mesh these are the first ones in an order of its own, until enough of
-    /// them are not known to fail.
+    /// them are sound: not known to fail, and in contact with the leader. After a split the first ones may all be on the side without it. If
+    /// there is no leader, more links do not help, so that only a few cores without contact are passed over, and none during an election.
     fn wanted(&self) -> Vec<Rc<Peer>> {
         let mut peers = self.peers();
         let Some(enough) = self.enough_links.filter(|_| self.is_partial()) else {
             return peers;
         };
         peers.sort_by_key(|peer| peer.preference);
-        let mut sound = 0;
-        peers
-            .into_iter()
-            .take_while(|peer| {
-                let is_wanted = sound < enough;
-                sound += usize::from(!peer.has_failed.get() && !peer.is_draining());
-                is_wanted
-            })
-            .collect()
+        let may_be_electing = self.fresh_leader().is_none()
+            && self.now_ms() < self.leader_last_contact_ms() + ELECTION_MS;
+        let (mut sound, mut without_leader) = (0, 0);
+        let is_wanted = |peer: &Rc<Peer>| {
+            let is_wanted = sound < enough;
+            let lacks_leader = peer.is_linked() && peer.leader_term() == 0 && !may_be_electing;
+            if peer.has_failed.get() || peer.is_draining() {
+                return is_wanted;
+            }
+            if lacks_leader && without_leader < enough {
+                without_leader += 1;
+            } else {
+                sound += 1;
+            }
+            is_wanted
+        };
+        peers.into_iter().take_while(is_wanted).collect()
     }
 
     /// Opens the wanted links that no task keeps yet.
@@ -158,8 +170,8 @@
         }
         let wanted = self.wanted();
         let open = wanted.iter().filter(|peer| peer.is_linked()).count();
-        let enough = self.enough_links.is_none_or(|enough| open >= enough);
-        enough && !wanted.iter().any(|other| Rc::ptr_eq(other, peer))
+        let is_enough = self.enough_links.is_none_or(|enough| open >= enough);
+        is_enough && !wanted.iter().any(|other| Rc::ptr_eq(other, peer))
     }
 
     /// Addresses of all known cores except this one.
--- a/crates/bh-control/tests/many_cores.rs
+++ b/crates/bh-control/tests/many_cores.rs
@@ -40,9 +40,17 @@
 /// Kinds of the calls that each core received.
 type Calls = Rc<RefCell<Vec<(usize, i32)>>>;
 
+/// What a core reports from now on.
+#[derive(Default)]
+struct Reported {
+    drains: Cell<bool>,
+    /// Whether it has no contact with the leader.
+    is_cut_off: Cell<bool>,
+}
+
 /// Starts the core at position `own` of `addresses`, which listens on `listen`. It leads if it is the first one, and has contact with the
-/// leader otherwise. It reports that it drains once the result is set.
-fn core(own: usize, addresses: &[SocketAddr], listen: SocketAddr, calls: Calls) -> Rc<Cell<bool>> {
+/// leader otherwise.
+fn core(own: usize, addresses: &[SocketAddr], listen: SocketAddr, calls: Calls) -> Rc<Reported> {
     let cores: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     let hello = Hello {
         name: format!("core {own}"),
@@ -51,8 +59,8 @@
         ..Hello::default()
     };
     let mesh = Mesh::new(hello, Clock::new(), CancellationToken::new());
-    let draining = Rc::new(Cell::new(false));
-    let drains = draining.clone();
+    let result = Rc::new(Reported::default());
+    let reported = result.clone();
     let handler = LinkHandler {
         deliver: Box::new(|_| {}),
         answer: Box::new(move |request| {
@@ -62,17 +70,17 @@
         status: Box::new(move || CoreStatus {
             leads: own == LEADER,
             term: 1,
-            leader_term: u64::from(own != LEADER),
+            leader_term: u64::from(own != LEADER && !reported.is_cut_off.get()),
             rules_version: 1,
             cores: cores.clone(),
-            draining: drains.get(),
+            draining: reported.drains.get(),
             ..CoreStatus::default()
         }),
     };
     let listener = TcpListener::bind(listen).unwrap();
     let inbound = Rc::new(Inbound::default());
     monoio::spawn(mesh::accept(mesh, listener, Rc::new(handler), inbound));
-    draining
+    result
 }
 
 fn entry(name: &str) -> Rc<Mesh> {
@@ -155,7 +163,7 @@
     let addresses = ports::free(CORES);
     runtime::run(1, async move {
         let calls = Calls::default();
-        let draining: Vec<Rc<Cell<bool>>> = (0..CORES)
+        let reported: Vec<Rc<Reported>> = (0..CORES)
             .map(|own| core(own, &addresses, addresses[own], calls.clone()))
             .collect();
         let entry = entry("entry");
@@ -167,7 +175,7 @@
             .filter(|used| *used != LEADER)
             .collect();
         for used in &used {
-            draining[*used].set(true);
+            reported[*used].drains.set(true);
         }
         sleep_ms(SETTLING_MS).await;
         let answer = forward(&entry, &Call::GetRules, TIMEOUT_MS).await;
@@ -176,3 +184,30 @@
     })
     .unwrap();
 }
+
+/// Guards against entries that have chosen only cores on the side of a split without the leader, and are out of service while it lasts.
+#[test]
+fn cores_without_a_leader_are_not_relied_on() {
+    /// Time until an entry has other links, in milliseconds: the time of an election and some heartbeats.
+    const CHANGING_MS: u64 = 2_500;
+    let addresses = ports::free(CORES);
+    runtime::run(1, async move {
+        let calls = Calls::default();
+        // The leader is none of the cores that are known here.
+        let reported: Vec<Rc<Reported>> = (LEADER + 1..CORES)
+            .map(|own| core(own, &addresses, addresses[own], calls.clone()))
+            .collect();
+        let entry = entry("entry");
+        entry.add_cores(addresses[LEADER + 1..].iter().copied());
+        sleep_ms(SETTLING_MS).await;
+        for used in linked(&entry) {
+            let own = addresses.iter().position(|address| *address == used);
+            reported[own.unwrap() - LEADER - 1].is_cut_off.set(true);
+        }
+        sleep_ms(CHANGING_MS).await;
+        assert!(Readiness::new().is_ready(&entry));
+        let answer = forward(&entry, &Call::GetRules, TIMEOUT_MS).await;
+        assert_eq!(answer, Answer::Done);
+    })
+    .unwrap();
+}
