--- a/crates/bh-workload/benches/cost/main.rs
+++ b/crates/bh-workload/benches/cost/main.rs
@@ -147,6 +147,9 @@
 /// Returns the time to collect the first orders to all workers, the time of a sweep after that, and the time to process one worker's report.
 /// None of them uses the network.
 fn orders_ms(site: &mut Site) -> (f64, f64, f64) {
+    /// Time after which a probe that was answered without a report is sent again, in milliseconds.
+    const NEXT_PROBE_MS: u64 = 500;
+    site.advance(NEXT_PROBE_MS);
     let mut orders = Vec::new();
     let started = Instant::now();
     orders.extend(site.dispatcher.orders(site.now_ms, &site.workload, true).0);
