Second reading: services' limits use the index of runs; one check of growth in the tests

The limit on unavailable tasks of a service scanned all workers for each run that might be stopped, the twin of the check for overdue runs; it asks the new index. The age of a core's contact with the leader is 0 when the core leads, so nothing need look whether it does. What a search for racks returns is named after that. The tests of large fleets repeated their comparison; the bounds are the same. Behaviour stays.

--- a/crates/bh-control/src/mesh/peer.rs
+++ b/crates/bh-control/src/mesh/peer.rs
@@ -82,12 +82,7 @@
 
     /// Last contact with that leader, on the process's clock in milliseconds.
     pub fn leader_contact_ms(&self) -> u64 {
-        let status = self.status.borrow();
-        let age_ms = if status.leads {
-            0
-        } else {
-            status.leader_contact_age_ms
-        };
+        let age_ms = self.status.borrow().leader_contact_age_ms;
         self.last_contact_ms.get().saturating_sub(age_ms)
     }
 
--- a/crates/bh-protocol/src/wire/core_status.rs
+++ b/crates/bh-protocol/src/wire/core_status.rs
@@ -24,7 +24,7 @@
     /// Term of the leader that the sender has contact with; 0 if there is none or the sender leads itself.
     #[prost(uint64, tag = "7")]
     pub leader_term: u64,
-    /// Time since that contact, in milliseconds.
+    /// Time since that contact, in milliseconds; 0 if the sender leads itself.
     #[prost(uint64, tag = "8")]
     pub leader_contact_age_ms: u64,
 }
--- a/crates/bh-workload/src/plan/disruption_budget.rs
+++ b/crates/bh-workload/src/plan/disruption_budget.rs
@@ -64,9 +64,8 @@
     fn unavailable(&self, step: StepId, spec: Option<&StepSpec>) -> u64 {
         let available = self
             .workload
-            .workers()
-            .flat_map(|worker| worker.runs.keys())
-            .filter(|run| run.task.step == step && self.is_available(**run))
+            .runs_of(step)
+            .filter(|(run, _)| self.is_available(*run))
             .count();
         let all = spec.map_or(0, |spec| u64::from(spec.count));
         all.saturating_sub(u64::try_from(available).unwrap_or(u64::MAX))
@@ -80,12 +79,11 @@
                 && !run_state.stop_requested
                 && matches!(run_state.start, StartPhase::Confirmed { .. })
         };
-        let seen_ready = self
+        let run_state = self
             .workload
-            .workers()
-            .filter(|worker| worker.runs.contains_key(&run))
-            .filter_map(|worker| self.dispatcher.view(&worker.info.id)?.runs.get(&run))
-            .any(is_ready);
+            .holder(run)
+            .and_then(|worker| self.dispatcher.view(&worker.info.id)?.runs.get(&run));
+        let seen_ready = run_state.is_some_and(is_ready);
         seen_ready && !self.stopping.iter().any(|(_, other)| *other == run)
     }
 }
--- a/crates/bh-workload/src/plan/overdue.rs
+++ b/crates/bh-workload/src/plan/overdue.rs
@@ -52,7 +52,7 @@
     runtimes: &Runtimes,
 ) -> Vec<OverdueRun> {
     let mut overdue = Vec::new();
-    let mut racks_of_gangs = RacksOfGangs::new();
+    let mut gang_places = GangPlaces::new();
     for worker in workload.workers() {
         let Some(target) = dispatcher.view(&worker.info.id) else {
             continue;
@@ -74,7 +74,7 @@
             if spec.long_running {
                 continue;
             }
-            let slowdown = slowdown_percent(&mut racks_of_gangs, workload, dispatcher, *run, spec);
+            let slowdown = slowdown_percent(&mut gang_places, workload, dispatcher, *run, spec);
             let expected_ms =
                 runtimes.expected_ms(&job.queue.name, run.task.step, spec) * slowdown / 100;
             // A run counts as slow only relative to a learnt run time, because declared ones are off by factors. Gangs are exempt because
@@ -103,12 +103,12 @@
 }
 
 /// Whether each gang runs away from its data, and whether it is spread over racks, by step.
-type RacksOfGangs = BTreeMap<StepId, (bool, bool)>;
+type GangPlaces = BTreeMap<StepId, (bool, bool)>;
 
 /// Returns how long the run takes, relative to the usual time, because it is away from its data or because its gang is spread over racks.
 /// In percent.
 fn slowdown_percent(
-    known: &mut RacksOfGangs,
+    known: &mut GangPlaces,
     workload: &Workload,
     dispatcher: &Dispatcher,
     run: RunId,
@@ -118,11 +118,11 @@
         let step = run.task.step;
         *known.entry(step).or_insert_with(|| {
             let racks = workload.runs_of(step).map(|(_, worker)| &*worker.info.rack);
-            racks_of_gang(racks, spec)
+            away_and_spread(racks, spec)
         })
     } else {
         let rack = workload.holder(run).map(|worker| &*worker.info.rack);
-        racks_of_gang(rack.into_iter(), spec)
+        away_and_spread(rack.into_iter(), spec)
     };
     let remote = dispatcher.timing().remote_percent;
     match (away, spread) {
@@ -132,8 +132,8 @@
     }
 }
 
-/// Returns whether runs on these racks are away from their data, and whether they are a rack-local gang that is spread.
-fn racks_of_gang<'a>(mut racks: impl Iterator<Item = &'a str>, spec: &StepSpec) -> (bool, bool) {
+/// Returns whether the runs of a task or gang on these racks are away from their data, and whether they are a rack-local gang that is spread.
+fn away_and_spread<'a>(mut racks: impl Iterator<Item = &'a str>, spec: &StepSpec) -> (bool, bool) {
     let Some(first) = racks.next() else {
         return (false, false);
     };
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -56,16 +56,15 @@
     (0..9).map(|_| pass()).min().unwrap()
 }
 
-/// Returns the time of `pass` on a fleet of [`SMALL`] workers, and on one that is [`GROWTH`] times as large.
-fn times(pass: impl Fn(usize) -> Duration) -> (Duration, Duration) {
-    let time = |workers| fastest(|| pass(workers));
-    (time(SMALL), time(SMALL * GROWTH))
-}
-
-/// Checks that the time of `pass` grows at most by `max_growth` in a fleet that is [`GROWTH`] times as large.
-fn assert_growth(max_growth: u32, pass: impl Fn(&mut Site) -> Duration) {
+/// Checks that the time of `pass` on what `build` returns for a number of workers grows at most by `max_growth` in a fleet that is [`GROWTH`]
+/// times as large.
+fn assert_growth(
+    max_growth: u32,
+    build: impl Fn(usize) -> Site,
+    pass: impl Fn(&mut Site) -> Duration,
+) {
     let time = |workers| {
-        let site = site_with_gangs(workers);
+        let site = build(workers);
         fastest(|| pass(&mut site.clone()))
     };
     let (small, large) = (time(SMALL), time(SMALL * GROWTH));
@@ -75,10 +74,15 @@
     );
 }
 
+/// A site of `workers` idle workers.
+fn idle_site(workers: usize) -> Site {
+    Site::new(workers, RACK)
+}
+
 /// Guards against scans of the fleet for each run that is checked: the leader then answers no call for as long as the check takes.
 #[test]
 fn checks_for_overdue_runs_grow_with_the_fleet() {
-    assert_growth(MAX_GROWTH, |site| {
+    assert_growth(MAX_GROWTH, site_with_gangs, |site| {
         let started = Instant::now();
         site.planner
             .overdue(site.now_ms, &site.workload, &site.dispatcher);
@@ -89,7 +93,7 @@
 /// Guards against scans of the fleet for each gang that breaks, which every replica would make.
 #[test]
 fn recording_the_ends_of_gangs_grows_with_the_fleet() {
-    assert_growth(MAX_GROWTH, |site| {
+    assert_growth(MAX_GROWTH, site_with_gangs, |site| {
         let runs = site.open_runs();
         let first_members = runs.iter().filter(|(_, run)| run.task.index == 0);
         let ends = first_members.map(|(worker, run)| End {
@@ -109,7 +113,7 @@
 /// processor with six thousand workers.
 #[test]
 fn sweeps_leave_out_workers_whose_probes_are_in_flight() {
-    assert_growth(MAX_PARTIAL_GROWTH, |site| {
+    assert_growth(MAX_PARTIAL_GROWTH, site_with_gangs, |site| {
         let (probes, _) = site.dispatcher.orders(site.now_ms, &site.workload, true);
         assert!(
             probes
@@ -128,8 +132,8 @@
 /// Guards against a comparison of each new worker with all others: a data centre that comes back registers all its workers at once.
 #[test]
 fn registering_workers_grows_with_the_fleet() {
-    let (small, large) = times(|workers| {
-        let mut workload = Site::new(workers, RACK).workload;
+    assert_growth(MAX_GROWTH, idle_site, |site| {
+        let workload = &mut site.workload;
         let mut dispatcher = Dispatcher::new(Timing::DEFAULT, 1, 1, &Workload::default());
         let mut events = workload.take_events();
         events.workers = workload
@@ -137,17 +141,15 @@
             .map(|worker| worker.info.id.clone())
             .collect();
         let started = Instant::now();
-        dispatcher.note_events(1, &events, &workload);
+        dispatcher.note_events(1, &events, workload);
         started.elapsed()
     });
-    assert!(large < small * MAX_GROWTH, "{small:?}, {large:?}");
 }
 
 /// Guards against a scan of the fleet for each VM of a wave, ten times a second and more for as long as the wave lasts.
 #[test]
 fn waves_of_upkeep_grow_with_the_fleet() {
-    let (small, large) = times(|workers| {
-        let mut site = Site::new(workers, RACK);
+    assert_growth(MAX_GROWTH, idle_site, |site| {
         let vms = site
             .workload
             .workers()
@@ -166,5 +168,4 @@
         waves.actions(times, &site.workload, &site.dispatcher);
         started.elapsed()
     });
-    assert!(large < small * MAX_GROWTH, "{small:?}, {large:?}");
 }
