Dispatcher: a worker that ended is gone only after its last report

Cause: a leaving worker reports its last ends to the probe that waits there and ends its process. Another order (a stop, a pace order) that finds nothing listening a millisecond later was taken as proof that the worker is gone, and its runs were recorded as lost while the report was still on its way through a carrier, or while its ends were being recorded.

Change: such a worker counts as gone once its probe in flight has an outcome and no reported ends are being recorded. A broken connection is known at once; the longest wait is the probe's own limit.

Result: three cases in leaving_workers.rs failed before and pass now; the tests of bh-workload pass.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -470,6 +470,9 @@
         let id = &order.to.worker;
         let target = self.targets.get_mut(id)?;
         self.due.insert(id.clone());
+        if matches!(order.body, OrderBody::Probe { .. }) {
+            target.probe_in_flight = false;
+        }
         match answer {
             // Only a report identifies the incarnation that answered.
             Answer::Done { .. } | Answer::Denied { .. } if target.restart.is_some() => {}
@@ -477,7 +480,6 @@
                 target.note_answer(now_ms, *clock_ms);
             }
             Answer::Restarted { started_ms, report } => {
-                target.probe_in_flight = false;
                 return note_restart(now_ms, order, target, (id, workload), (*started_ms, report));
             }
             Answer::Lost => target.note_no_answer(now_ms, order),
@@ -491,7 +493,6 @@
                     OrderBody::Start { run, .. } => target.note_not_started(*run),
                     // The worker is probed again in case the command is not committed.
                     OrderBody::Probe { .. } => {
-                        target.probe_in_flight = false;
                         target.next_probe_ms = now_ms + SILENT_PROBE_DELAY_MS;
                     }
                     OrderBody::Stop { .. } | OrderBody::Pace { .. } => {}
@@ -502,7 +503,6 @@
         }
         if target.has_ended(id, workload) {
             // The worker is probed again in case the command is not committed.
-            target.probe_in_flight &= !matches!(order.body, OrderBody::Probe { .. });
             target.next_probe_ms = now_ms + SILENT_PROBE_DELAY_MS;
             return target
                 .note_gone(now_ms)
@@ -535,7 +535,6 @@
                 None
             }
             OrderBody::Probe { recorded_to, .. } => {
-                target.probe_in_flight = false;
                 match answer {
                     Answer::Done {
                         report: Some(report),
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -170,12 +170,16 @@
     }
 
     /// Whether it announced that it ends, and has ended: nothing listens at its address, or nothing runs there.
+    ///
+    /// A worker reports its last ends just before its process ends, and another order may find nothing listening while that report is still on
+    /// its way or its ends are being recorded. If the worker counted as gone by then, its runs would be recorded as lost and run twice.
     pub fn has_ended(&self, id: &Incarnation, workload: &Workload) -> bool {
         let is_idle = || {
             let worker = workload.worker(id);
             worker.is_none_or(|worker| worker.runs.is_empty())
         };
-        self.announced_end && (self.not_listening || is_idle())
+        let awaits_report = self.probe_in_flight || self.recording_to.is_some();
+        self.announced_end && (self.not_listening && !awaits_report || is_idle())
     }
 
     /// Notes that the core that carried an order was lost.
--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -4,7 +4,12 @@
 
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Ended;
+use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::RecordOutcome;
+use bh_workload::dispatch::Report;
+use bh_workload::dispatch::Running;
 use bh_workload::job::RunId;
 use bh_workload::job::StepSpec;
 use bh_workload::state::Command;
@@ -243,3 +248,106 @@
         assert!(!orders.iter().any(is_start));
     }
 }
+
+/// Guards against running a task twice when its worker's last report is overtaken. The run ends, the worker reports that to a waiting probe and its
+/// process ends; the report is still on its way when another order finds nothing listening. The worker is gone only once the probe has its outcome.
+#[rstest]
+#[case::announced_before(true)]
+#[case::announced_after(false)]
+fn the_last_report_of_a_worker_that_ended_is_awaited(#[case] announced_before: bool) {
+    let (mut site, worker, run) = site_with_leaving_worker(step(2, 4), 2_000);
+    let other = site
+        .open_runs()
+        .into_iter()
+        .find(|(_, other)| *other != run);
+    let other = other.unwrap().1;
+    let probe = order_to(&mut site, &worker, |body| {
+        matches!(body, OrderBody::Probe { .. })
+    });
+    if announced_before {
+        assert_eq!(announce_end(&mut site, &worker), None);
+    }
+    site.dispatcher.request_stop(&worker, other);
+    let stop = order_to(&mut site, &worker, |body| {
+        matches!(body, OrderBody::Stop { .. })
+    });
+    let refused =
+        site.dispatcher
+            .note_answer(site.now_ms, &stop, &Answer::NotListening, &site.workload);
+    assert_eq!(refused, None, "a report may be on its way");
+    if !announced_before {
+        assert_eq!(announce_end(&mut site, &worker), None);
+    }
+
+    let ended = Ended {
+        number: 1,
+        run,
+        kind: EndKind::Done,
+        checkpoint: None,
+    };
+    let report = Report {
+        ended: vec![ended],
+        running: vec![Running {
+            run: other,
+            checkpoint: None,
+            percent: 1,
+            load: 0,
+        }],
+        ..Report::default()
+    };
+    let answer = Answer::Done {
+        clock_ms: Some(site.now_ms),
+        report: Some(report),
+    };
+    let ends = site
+        .dispatcher
+        .note_answer(site.now_ms, &probe, &answer, &site.workload);
+    let now_ms = site.wall_ms();
+    site.workload.apply(ends.unwrap().at(now_ms));
+    site.take_events();
+    site.dispatcher
+        .note_recorded(&worker, Some(1), RecordOutcome::Recorded);
+    site.answer_for(&worker, &Answer::NotListening);
+    assert!(site.workload.worker(&worker).is_none());
+    let starts = site.plan().starts;
+    assert!(starts.iter().all(|start| start.run.task == other.task));
+    assert_eq!(
+        starts.len(),
+        1,
+        "only the run that was cut off starts again"
+    );
+}
+
+/// Guards against waiting for ever for a report that was lost with its worker: the worker is gone as soon as its probe has failed too.
+#[test]
+fn a_worker_that_ended_is_gone_once_its_probe_has_failed() {
+    let (mut site, worker, run) = site_with_leaving_worker(step(1, 8), 2_000);
+    let probe = order_to(&mut site, &worker, |body| {
+        matches!(body, OrderBody::Probe { .. })
+    });
+    assert_eq!(announce_end(&mut site, &worker), None);
+    site.dispatcher.request_stop(&worker, run);
+    let stop = order_to(&mut site, &worker, |body| {
+        matches!(body, OrderBody::Stop { .. })
+    });
+    let answers = [(stop, Answer::NotListening), (probe, Answer::Lost)];
+    let commands = answers.map(|(order, answer)| {
+        site.dispatcher
+            .note_answer(site.now_ms, &order, &answer, &site.workload)
+    });
+    let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
+    assert_eq!(commands, [None, Some(gone)]);
+}
+
+/// Returns the order to `worker` that is due and has a body for which `is_wanted` is true.
+fn order_to(
+    site: &mut Site,
+    worker: &Incarnation,
+    is_wanted: impl Fn(&OrderBody) -> bool,
+) -> Order {
+    let orders = site.orders();
+    let mut own = orders
+        .into_iter()
+        .filter(|order| order.to.worker == *worker && is_wanted(&order.body));
+    own.next().unwrap()
+}
