--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -1,9 +1,11 @@
 //! Config file of a process: its identity, the addresses it listens on, and the seeds it learns the other cores from.
 
+use super::PolicyConfig;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::number::floor_to_u64;
 use bh_workload::dispatch::Timing;
+use bh_workload::plan::Policy;
 use rustix::process::Resource;
 use rustix::process::getrlimit;
 use serde::Deserialize;
@@ -81,6 +83,9 @@
     /// Time bounds promised to workers and callers.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Optional decisions under load; those without a value are off.
+    #[serde(default)]
+    pub policy: PolicyConfig,
     /// Maximum number of open files and connections of the process; the system's limit if the file does not give one.
     #[serde(default)]
     pub descriptors: Option<usize>,
@@ -256,6 +261,11 @@
         self.grace_s.map_or(DEFAULT_GRACE_MS, seconds_to_ms)
     }
 
+    /// The optional decisions of the planner that are in use.
+    pub fn planner_policy(&self) -> Policy {
+        self.policy.planner()
+    }
+
     /// The bounds with defaults filled in.
     pub fn timing(&self) -> Timing {
         let default = Timing::DEFAULT;
--- a/crates/bh-control/src/config/problems.rs
+++ b/crates/bh-control/src/config/problems.rs
@@ -10,8 +10,8 @@
     callers_address: '127.0.0.1:2', readiness_address: '127.0.0.1:3', control_address: '127.0.0.1:4', data_folder: /data}";
 /// Keys that are required for every role.
 const REQUIRED: [&str; 6] = ["name", "role", "data_centre", "ip", "peer_port", "seeds"];
-/// Key of the only section.
-const BOUNDS: &str = "bounds";
+/// Keys of the sections.
+const SECTIONS: [&str; 2] = ["bounds", "policy"];
 
 /// Whether a file is the config of an entry or a core of a deployment, and not that of an entry that lists all other entries.
 pub fn is_deployment_config(bytes: &[u8]) -> bool {
@@ -27,9 +27,9 @@
     let mut problems = Vec::new();
     for (key, value) in &file {
         match (key.as_str(), value) {
-            (Some(BOUNDS), Value::Mapping(bounds)) => {
-                for (bound, value) in bounds {
-                    let one = Mapping::from_iter([(bound.clone(), value.clone())]);
+            (Some(section), Value::Mapping(entries)) if SECTIONS.contains(&section) => {
+                for (entry, value) in entries {
+                    let one = Mapping::from_iter([(entry.clone(), value.clone())]);
                     problems.extend(problem_with(key, Value::Mapping(one)));
                 }
             }
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -141,7 +141,7 @@
         term,
         wave_scheduler,
         dispatcher,
-        planner: Planner::new(),
+        planner: Planner::new().with_policy(core.config.planner_policy()),
         starts_record: StartsRecord::new(),
         plan_due: true,
         last_plan_ms: 0,
--- a/crates/bh-control/tests/config_problems.rs
+++ b/crates/bh-control/tests/config_problems.rs
@@ -3,6 +3,7 @@
 use bh_control::config::LocalConfig;
 use bh_control::config::is_deployment_config;
 use bh_control::config::problems;
+use bh_workload::plan::Policy;
 
 const CORE: &str = "name: core\nrole: core\ndata_centre: dc\nip: 10.0.0.1\npeer_port: 7000\nseeds: '10.0.0.1:1'\n\
                     control_address: '10.0.0.1:2'\ndata_folder: /data\nbounds:\n  stop_timeout_ms: 900\n";
@@ -71,3 +72,35 @@
     let config = LocalConfig::parse(CORE.as_bytes()).expect("it is valid");
     assert!(config.data_centres.is_empty());
 }
+
+/// A ratio below 1 would be met by any customers, and a misspelt key would leave a decision off without notice. Each is reported by itself.
+#[test]
+fn mistakes_in_the_policy_section_are_told_one_by_one() {
+    let file = format!(
+        "{CORE}policy:\n  sharing_min_ratio: 0.5\n  max_displacments: 3\n  ranks_workers: true\n"
+    );
+    let found = problems(file.as_bytes());
+    assert_eq!(found.len(), 2, "{found:#?}");
+    assert!(found.iter().any(|problem| problem.contains("at least 1")));
+    assert!(
+        found
+            .iter()
+            .any(|problem| problem.contains("max_displacments"))
+    );
+}
+
+/// Decisions that a file does not mention are off, so that a deployment is served as before it knew of them.
+#[test]
+fn a_file_without_policy_switches_nothing_on() {
+    let config = LocalConfig::parse(CORE.as_bytes()).unwrap();
+    assert_eq!(config.planner_policy(), Policy::new());
+    let file = format!(
+        "{CORE}policy:\n  sharing_min_ratio: 4\n  max_displacements: 3\n  backfills: true\n"
+    );
+    let config = LocalConfig::parse(file.as_bytes()).unwrap();
+    let expected = Policy::new()
+        .with_fair_sharing(4.0)
+        .with_max_displacements(3)
+        .with_backfill();
+    assert_eq!(config.planner_policy(), expected);
+}
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -3,6 +3,7 @@
 use super::OverdueReason;
 use super::OverdueRun;
 use super::Plan;
+use super::Policy;
 use super::ReleaseReason;
 use super::Room;
 use super::Runtimes;
@@ -46,6 +47,8 @@
 /// What the planner learns is lost when its leader loses the leadership, and the next leader learns it again.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
+    /// The optional decisions in use.
+    pub(super) policy: Policy,
     pub(super) runtimes: Runtimes,
     pub(super) speeds: Speeds,
     headroom: UrgentHeadroom,
@@ -68,6 +71,12 @@
         Self::default()
     }
 
+    /// Sets the optional decisions in use.
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Learns from ends of runs that are about to be recorded.
     pub fn note_ends(
         &mut self,
@@ -203,6 +212,7 @@
         dispatcher: &Dispatcher,
     ) -> Plan {
         let Self {
+            policy: _,
             runtimes,
             speeds,
             headroom,
