--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -5,7 +5,6 @@
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Ended;
-use bh_workload::dispatch::Order;
 use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::RecordOutcome;
 use bh_workload::dispatch::Report;
@@ -261,16 +260,12 @@
         .into_iter()
         .find(|(_, other)| *other != run);
     let other = other.unwrap().1;
-    let probe = order_to(&mut site, &worker, |body| {
-        matches!(body, OrderBody::Probe { .. })
-    });
+    let probe = site.order_to(&worker, |body| matches!(body, OrderBody::Probe { .. }));
     if announced_before {
         assert_eq!(announce_end(&mut site, &worker), None);
     }
     site.dispatcher.request_stop(&worker, other);
-    let stop = order_to(&mut site, &worker, |body| {
-        matches!(body, OrderBody::Stop { .. })
-    });
+    let stop = site.order_to(&worker, |body| matches!(body, OrderBody::Stop { .. }));
     let refused =
         site.dispatcher
             .note_answer(site.now_ms, &stop, &Answer::NotListening, &site.workload);
@@ -322,14 +317,10 @@
 #[test]
 fn a_worker_that_ended_is_gone_once_its_probe_has_failed() {
     let (mut site, worker, run) = site_with_leaving_worker(step(1, 8), 2_000);
-    let probe = order_to(&mut site, &worker, |body| {
-        matches!(body, OrderBody::Probe { .. })
-    });
+    let probe = site.order_to(&worker, |body| matches!(body, OrderBody::Probe { .. }));
     assert_eq!(announce_end(&mut site, &worker), None);
     site.dispatcher.request_stop(&worker, run);
-    let stop = order_to(&mut site, &worker, |body| {
-        matches!(body, OrderBody::Stop { .. })
-    });
+    let stop = site.order_to(&worker, |body| matches!(body, OrderBody::Stop { .. }));
     let answers = [(stop, Answer::NotListening), (probe, Answer::Lost)];
     let commands = answers.map(|(order, answer)| {
         site.dispatcher
@@ -338,16 +329,3 @@
     let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
     assert_eq!(commands, [None, Some(gone)]);
 }
-
-/// Returns the order to `worker` that is due and has a body for which `is_wanted` is true.
-fn order_to(
-    site: &mut Site,
-    worker: &Incarnation,
-    is_wanted: impl Fn(&OrderBody) -> bool,
-) -> Order {
-    let orders = site.orders();
-    let mut own = orders
-        .into_iter()
-        .filter(|order| order.to.worker == *worker && is_wanted(&order.body));
-    own.next().unwrap()
-}
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::Report;
 use bh_workload::dispatch::Running;
 use bh_workload::dispatch::Timing;
@@ -325,6 +326,19 @@
         orders
     }
 
+    /// Returns the order to a worker that is due now and whose body `is_wanted`.
+    pub fn order_to(
+        &mut self,
+        worker: &Incarnation,
+        is_wanted: impl Fn(&OrderBody) -> bool,
+    ) -> Order {
+        let orders = self.orders();
+        let mut own = orders
+            .into_iter()
+            .filter(|order| order.to.worker == *worker && is_wanted(&order.body));
+        own.next().unwrap()
+    }
+
     /// Answer of a worker that has carried out an order, without a report.
     pub fn done(&self) -> Answer {
         Answer::Done {
