Planner: short tasks use capacity that is held for gangs

Cause: a gang that does not fit holds capacity until its last place is free, and up to one gang a rack holds at the same time; what is free of it until then was idle, also for tasks that would have ended long before.

Change: a pass marks held workers with the expected start of the gang; a unit whose learnt tail ends before that may use held capacity there. Off unless `policy.backfills` is set.

Tests of bh-workload pass.

--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -177,6 +177,7 @@
                 due_ms: ready_ms + allowed_ms,
                 expected_ms,
                 expected_spread_ms: expected_ms * remote_percent / 100,
+                backfill_ms: None,
                 relaxed: false,
                 last_chance: spec.gang && on_time && late_soon,
                 on_time,
--- a/crates/bh-workload/src/plan/hold_for_gang.rs
+++ b/crates/bh-workload/src/plan/hold_for_gang.rs
@@ -40,8 +40,11 @@
             .into_values()
             .filter_map(|places| earliest_places(places, unit.count()))
             .min_by_key(|(free_ms, _)| *free_ms);
-        for at in earliest.map(|(_, rooms)| rooms).unwrap_or_default() {
-            self.rooms[at].held_for_gangs.add(&unit.needs);
+        let Some((start_ms, rooms)) = earliest else {
+            return;
+        };
+        for at in rooms {
+            self.rooms[at].hold(&unit.needs, start_ms);
         }
     }
 
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -12,6 +12,7 @@
 //! - Tasks wait *apart* when a worker has crashed under one of them: for a short time they wait for workers on which nothing has just
 //!   started. If such a worker crashes too, the tasks are known to be the cause.
 
+mod backfill;
 mod collect;
 mod decided;
 mod disruption_budget;
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -40,8 +40,9 @@
     pub(super) preemption_candidates: Option<PreemptionCandidates>,
     /// Expected end and resources of the runs on each worker, computed on first use.
     pub(super) run_ends: BTreeMap<usize, Rc<[(u64, Resources)]>>,
-    /// Placements that failed for lack of free capacity, by whether the unit may use the urgent headroom.
-    pub(super) failed_placements: FailedSearches<bool>,
+    /// Placements that failed for lack of free capacity, by whether the unit may use the urgent headroom, and by the time in milliseconds
+    /// within which it ends if it may use capacity that is held for gangs.
+    pub(super) failed_placements: FailedSearches<(bool, Option<u64>)>,
     /// Preemptions that failed because stopping every run that may be stopped for the unit would not free enough, by whether the unit is
     /// guaranteed, whether it belongs to a service, and its priority.
     pub(super) failed_preemptions: FailedSearches<(bool, bool, u32)>,
@@ -166,7 +167,7 @@
     /// Finds workers for a whole gang. Returns `None` if the gang must wait.
     pub fn place_gang(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) -> Option<Placement> {
         // A failed search rules out others only if they may use the same workers.
-        let class = unit.may_use_headroom();
+        let class = (unit.may_use_headroom(), unit.backfill_ms);
         if self.failed_placements.rules_out(&class, unit, unit.count()) {
             return None;
         }
@@ -206,7 +207,7 @@
     pub fn place_tasks(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) -> Placement {
         /// Smallest number of tasks for which the search has failed.
         const ONE: u64 = 1;
-        let class = unit.may_use_headroom();
+        let class = (unit.may_use_headroom(), unit.backfill_ms);
         if self.failed_placements.rules_out(&class, unit, ONE) {
             return Placement::new();
         }
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -9,6 +9,7 @@
 use super::Runtimes;
 use super::Speeds;
 use super::Unit;
+use super::backfill;
 use super::collect;
 use super::guaranteed_jobs;
 use super::last_pass::LastPass;
@@ -212,7 +213,7 @@
         dispatcher: &Dispatcher,
     ) -> Plan {
         let Self {
-            policy: _,
+            policy,
             runtimes,
             speeds,
             headroom,
@@ -236,6 +237,9 @@
             unit.permitted = Some(permissions.permitted(unit.step, now_ms));
         }
         let waiting = collect::steps_of(&units);
+        if policy.backfills {
+            backfill::set_times(&mut units, workload, runtimes);
+        }
         isolate_suspects(now_ms, &mut units, isolated_since_ms);
         if units.is_empty() {
             // Most passes follow the end of a run when nothing waits. They do not look at the workers.
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -71,6 +71,8 @@
     pub reserved_capacity: Resources,
     /// Resources held for gangs that do not fit yet. Some of them may still be in use.
     pub held_for_gangs: Resources,
+    /// Earliest expected start of a gang for which capacity is held here, on the leader's clock in milliseconds; `None` if none is held.
+    pub held_until_ms: Option<u64>,
     /// Number of recorded runs, by step.
     pub runs: BTreeMap<StepId, u64>,
     /// Run time here relative to the fastest data centre, in percent.
@@ -87,6 +89,8 @@
     pub usable: bool,
     /// Why the worker got no new work when the pass began; `None` if it did.
     pub unusable: Option<UnusableReason>,
+    /// Time of the pass on the leader's clock, in milliseconds.
+    pub now_ms: u64,
     /// Whether the worker gets no new work only because it is set aside, for [`UnusableReason::SetAside`] or [`UnusableReason::Slow`].
     pub set_aside: bool,
 }
@@ -198,6 +202,7 @@
             excess: worker.excess(),
             reserved_capacity: Resources::default(),
             held_for_gangs: Resources::default(),
+            held_until_ms: None,
             runs,
             fill_percent: view.map_or(100, |target| target.fill_pace.percent()),
             urgent_only: false,
@@ -206,6 +211,7 @@
             runtime_percent: speeds.data_centre_percent(&worker.info.data_centre),
             usable: unusable.is_none(),
             unusable,
+            now_ms,
             set_aside,
         }
     }
@@ -306,9 +312,25 @@
         available
     }
 
-    /// Returns the resources that are available to the unit. A relaxed unit also gets what is held for gangs.
+    /// Holds resources for a gang that is expected to start at `start_ms` on the leader's clock.
+    pub fn hold(&mut self, needs: &Resources, start_ms: u64) {
+        self.held_for_gangs.add(needs);
+        let until_ms = self.held_until_ms.map_or(start_ms, |ms| ms.min(start_ms));
+        self.held_until_ms = Some(until_ms);
+    }
+
+    /// Returns whether the unit ends here before a gang starts for which capacity is held.
+    fn can_backfill(&self, unit: &Unit) -> bool {
+        let (Some(until_ms), Some(backfill_ms)) = (self.held_until_ms, unit.backfill_ms) else {
+            return false;
+        };
+        self.now_ms + backfill_ms * self.runtime_percent / 100 <= until_ms
+    }
+
+    /// Returns the resources that are available to the unit. A relaxed unit also gets what is held for gangs, and so does one that ends before
+    /// they start.
     fn available_to(&self, unit: &Unit) -> Resources {
-        if !unit.relaxed {
+        if !unit.relaxed && !self.can_backfill(unit) {
             return self.available();
         }
         let mut available = self.free;
--- a/crates/bh-workload/src/plan/runtimes.rs
+++ b/crates/bh-workload/src/plan/runtimes.rs
@@ -12,6 +12,12 @@
 /// Maximum number of steps that are remembered. The first in the order of their identifiers are forgotten first.
 const MAX_STEPS: usize = 2_048;
 
+/// Number of standard deviations of the logarithm by which the tail of a kind lies above its mean. About one run in forty takes longer.
+const TAIL_DEVIATIONS: f64 = 2.0;
+/// Tail of a step of which runs have ended, relative to their mean, in percent. Tasks of a step are alike, but data centres and workers differ
+/// by up to half.
+const STEP_TAIL_PERCENT: u64 = 150;
+
 /// Kind of task: queue and image.
 type Kind = (Arc<str>, Option<Arc<str>>);
 
@@ -95,6 +101,23 @@
         if let Some((sum_ms, count)) = self.steps.get(&step) {
             return Some((sum_ms / count).max(1));
         }
+        let (scale_ms, stats) = self.predictor(queue, spec)?;
+        Some(whole_ms(scale_ms * stats.mean.exp()))
+    }
+
+    /// Returns the time within which nearly all tasks like those of `step` end, in milliseconds, or `None` if too little is known.
+    pub fn tail_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> Option<u64> {
+        if let Some((sum_ms, count)) = self.steps.get(&step) {
+            return Some((sum_ms / count).max(1) * STEP_TAIL_PERCENT / 100);
+        }
+        let (scale_ms, stats) = self.predictor(queue, spec)?;
+        let log = stats.mean + TAIL_DEVIATIONS * stats.variance().sqrt();
+        Some(whole_ms(scale_ms * log.exp()))
+    }
+
+    /// Returns the statistics that predict the run time of a task best, and the time in milliseconds to which their values are relative;
+    /// `None` if too little is known.
+    fn predictor(&self, queue: &Arc<str>, spec: &StepSpec) -> Option<(f64, &LogStats)> {
         let stats = self
             .kinds
             .get(&(queue.clone(), spec.image.clone()))
@@ -102,21 +125,25 @@
         let by_ratio = spec.declared_ms > 0
             && stats.ratio.count >= MIN_TRUSTED_RUNS
             && stats.ratio.variance() < stats.time.variance();
-        let learnt_ms = if by_ratio {
-            as_f64(spec.declared_ms) * stats.ratio.mean.exp()
+        Some(if by_ratio {
+            (as_f64(spec.declared_ms), &stats.ratio)
         } else {
-            stats.time.mean.exp()
-        };
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped to a range that fits"
-        )]
-        let whole = learnt_ms.clamp(1.0, 1e12) as u64;
-        Some(whole)
+            (1.0, &stats.time)
+        })
     }
 }
 
+/// Rounds a time in milliseconds down to a whole number of at least 1.
+fn whole_ms(ms: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a range that fits"
+    )]
+    let whole = ms.clamp(1.0, 1e12) as u64;
+    whole
+}
+
 fn as_f64(ms: u64) -> f64 {
     #[expect(
         clippy::cast_precision_loss,
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -44,6 +44,8 @@
     pub expected_ms: u64,
     /// Expected run time, in milliseconds, if a unit that prefers one rack is spread over several.
     pub expected_spread_ms: u64,
+    /// Time within which the unit ends if it may use capacity that is held for gangs, in milliseconds; `None` if it may not.
+    pub backfill_ms: Option<u64>,
     /// Whether the completion objective leaves little time beyond the run time itself.
     pub tight_deadline: bool,
     /// Whether this is a gang that is on time if it starts now, but probably late if it keeps waiting.
