Record: usage by customer

Cause: no state says what a customer uses or has used, so capacity cannot be shared between customers, and a new leader could not continue where the last one stopped.

It advances at each start and end of a run by the record's own time. The usage of a run ends once: with its recorded end, or when its job is forgotten, since only the job names the customer.

Nothing reads the ledger yet, so plans are unchanged.

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -92,8 +92,7 @@
                 Reply::Done
             }
             Command::Forget { before_ms } => {
-                self.jobs
-                    .retain(|_, job| job.outcome.is_none() || job.ended_ms >= before_ms);
+                self.forget(before_ms);
                 Reply::Done
             }
         }
@@ -109,6 +108,7 @@
             self.rules = Some(Arc::new(rules));
             self.events.plan = true;
             self.give_up_exhausted_jobs();
+            self.drop_past_customers();
         }
         Reply::Done
     }
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -13,10 +13,11 @@
 impl Workload {
     /// Ends a run.
     pub(super) fn end_run(&mut self, end: End, now_ms: u64) {
-        let was_open = self.workers.get_mut(&end.worker).is_some_and(|worker| {
+        let taken = self.workers.get_mut(&end.worker).and_then(|worker| {
             worker.unheard.remove(&end.run);
-            worker.runs.remove(&end.run).is_some()
+            worker.runs.remove(&end.run)
         });
+        let was_open = taken.is_some();
         if was_open {
             self.open_runs.remove(end.run);
         }
@@ -26,6 +27,10 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if let Some(taken) = taken {
+            self.usage
+                .end(job.customer.as_ref(), &taken, self.latest_ms);
+        }
         let Some(spec) = job.step_spec(end.run.task.step).cloned() else {
             return;
         };
--- a/crates/bh-workload/src/state/start.rs
+++ b/crates/bh-workload/src/state/start.rs
@@ -124,6 +124,8 @@
             let Some(job) = self.jobs.get_mut(&run.task.step.job) else {
                 continue;
             };
+            self.usage
+                .start(job.customer.as_ref(), &needs, self.latest_ms);
             job.started = true;
             let Some(step) = job.step_mut(run.task.step) else {
                 continue;
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -7,6 +7,7 @@
 use super::Place;
 use super::RecordEvents;
 use super::Refusal;
+use super::UsageLedger;
 use super::Wave;
 use super::Worker;
 use super::WorkerIndex;
@@ -52,6 +53,9 @@
     /// Data centres under evacuation, and since when, in milliseconds since 1970.
     #[serde(default)]
     pub(super) evacuations: BTreeMap<Arc<str>, u64>,
+    /// Resources that each customer's runs take and took.
+    #[serde(default, skip_serializing_if = "UsageLedger::is_empty")]
+    pub(super) usage: UsageLedger,
     /// Jobs that have not ended. Not serialized: derived from `jobs`.
     #[serde(skip)]
     pub(super) active: BTreeSet<JobId>,
@@ -101,6 +105,7 @@
             .collect();
         self.open_runs = OpenRuns::new(self.workers.values());
         self.worker_index = WorkerIndex::new(self.workers.values().map(|worker| &worker.info));
+        self.rebuild_usage();
         self.events.mark_workers(self.workers.keys());
         Ok(())
     }
