Planner: fair sharing between customers

Cause: no decision looks at the customer. What no guarantee covers goes to whoever is first in the queue, so a burst of one customer makes the work of the others late.

Change: once per pass, the planner compares each customer's dominant share of the capacity (in use and past usage by age) with its entitled share by weight. While another customer waits, the value of waiting work that no guarantee covers, and the loss when a run is stopped, are divided by the ratio, at most by 4. Guaranteed work and services keep their precedence. In force only with policy.sharing_min_ratio and uneven guarantees. Planner::customer_shares returns the figures for operators. Sums of resources are limited to the maximum instead of overflowing, since workers report any capacity.

--- a/crates/bh-workload/src/job/resources.rs
+++ b/crates/bh-workload/src/job/resources.rs
@@ -38,11 +38,12 @@
         self.accelerators = self.accelerators.saturating_sub(other.accelerators);
     }
 
-    /// Adds `other`.
+    /// Adds `other`. Amounts that would exceed the maximum become the maximum: workers report any capacity, and the sum of all must not
+    /// overflow.
     pub fn add(&mut self, other: &Resources) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Returns one figure for the whole amount, in thousandths of a core. An accelerator counts as [`CORES_PER_ACCELERATOR`] cores; memory
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -241,7 +241,7 @@
 
 /// Sorts units by precedence: guaranteed work first, then services, whose callers wait for each missing task, then by value density, then
 /// by the time that the unit became ready.
-fn sort(units: &mut [Unit]) {
+pub(super) fn sort(units: &mut [Unit]) {
     let order = |a: &Unit, b: &Unit| {
         b.guaranteed
             .cmp(&a.guaranteed)
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -13,6 +13,7 @@
 //!   started. If such a worker crashes too, the tasks are known to be the cause.
 
 mod collect;
+mod customer_share;
 mod decided;
 mod disruption_budget;
 mod explain;
@@ -33,6 +34,7 @@
 mod room;
 mod runnable;
 mod runtimes;
+mod shares;
 mod speeds;
 mod stall_check;
 mod stall_tracker;
@@ -42,6 +44,7 @@
 mod wait_explainer;
 mod wait_reason;
 
+pub use customer_share::CustomerShare;
 pub use decided::Plan;
 pub use decided::ReleaseReason;
 pub use disruption_budget::DisruptionBudget;
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -12,6 +12,7 @@
 use super::place::PlacementFailure;
 use super::preemption_candidates::PreemptionCandidates;
 use super::reservation::Reservation;
+use super::shares::Shares;
 use crate::dispatch::Dispatcher;
 use crate::job::JobId;
 use crate::job::Resources;
@@ -34,6 +35,8 @@
     pub(super) runtimes: &'a Runtimes,
     /// Jobs that are covered by a customer's guarantee.
     pub(super) guaranteed: &'a BTreeSet<JobId>,
+    /// Shares of the customers in the capacity.
+    pub(super) shares: Shares,
     /// Workers and their free capacity, ordered by worker. The pass updates them as it places work.
     pub rooms: Vec<Room>,
     /// All recorded runs, collected when the first unit attempts to preempt others.
@@ -66,6 +69,7 @@
             dispatcher,
             runtimes,
             guaranteed,
+            shares: Shares::default(),
             rooms,
             preemption_candidates: None,
             run_ends: BTreeMap::new(),
@@ -75,6 +79,12 @@
         }
     }
 
+    /// Sets the shares of the customers, which discount the loss of runs of customers above theirs.
+    pub fn with_shares(mut self, shares: Shares) -> Self {
+        self.shares = shares;
+        self
+    }
+
     /// Drops reservations that are no longer needed, have timed out or include an unusable worker.
     pub fn drop_stale_reservations(
         &mut self,
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -16,6 +16,7 @@
 use super::overdue::overdue;
 use super::pass::Pass;
 use super::reservation::Reservation;
+use super::shares::Shares;
 use super::stall_tracker::StallTracker;
 use super::urgent_headroom::UrgentHeadroom;
 use crate::dispatch::Dispatcher;
@@ -212,7 +213,7 @@
         dispatcher: &Dispatcher,
     ) -> Plan {
         let Self {
-            policy: _,
+            policy,
             runtimes,
             speeds,
             headroom,
@@ -250,13 +251,18 @@
                 ..Plan::default()
             };
         }
+        let shares = Shares::new(policy, workload, &units);
+        if shares.discount_units(workload, &mut units) {
+            collect::sort(&mut units);
+        }
         let mut pass = Pass::new(
             (now_ms, wall_ms),
             workload,
             dispatcher,
             (runtimes, speeds),
             &guaranteed,
-        );
+        )
+        .with_shares(shares);
         pass.drop_stale_reservations(reservations, &waiting);
         pass.apply_reservations(reservations, &units);
         headroom.assume_arrivals(dispatcher.elected_ms(), workload, &pass.rooms);
--- a/crates/bh-workload/src/plan/preempt.rs
+++ b/crates/bh-workload/src/plan/preempt.rs
@@ -158,7 +158,11 @@
                 loss: if stopping {
                     0
                 } else {
-                    self.loss(*run, ran_ms, priority)
+                    self.shares.discount_loss(
+                        self.workload,
+                        *run,
+                        self.loss(*run, ran_ms, priority),
+                    )
                 },
                 stopping,
                 guaranteed: self.guaranteed.contains(&run.task.step.job),
--- a/crates/bh-workload/tests/fair_sharing.rs
+++ b/crates/bh-workload/tests/fair_sharing.rs
@@ -8,19 +8,30 @@
 
 use bh_protocol::Incarnation;
 use bh_workload::job::JobId;
+use bh_workload::job::JobSpec;
 use bh_workload::job::Resources;
 use bh_workload::job::RunId;
+use bh_workload::job::StepSpec;
+use bh_workload::plan::CustomerShare;
+use bh_workload::plan::Plan;
+use bh_workload::plan::Planner;
+use bh_workload::plan::Policy;
 use bh_workload::rules::Customer;
 use bh_workload::rules::Rules;
 use bh_workload::state::Command;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
+use bh_workload::state::Job;
+use bh_workload::state::Place;
+use bh_workload::state::Reply;
 use bh_workload::state::Start;
 use bh_workload::state::WorkerChange;
 use bh_workload::state::Workload;
+use rstest::rstest;
 use std::sync::Arc;
 use support::START_WALL_MS;
 use support::Site;
+use support::place;
 use support::rules;
 use support::run_of;
 use support::step;
@@ -340,3 +351,379 @@
     let value: serde_json::Value = serde_json::from_slice(&snapshot(&site.workload)).unwrap();
     assert!(value.get("usage").is_none());
 }
+
+/// Least ratio of guarantees at which the sites here share capacity.
+const MIN_RATIO: f64 = 4.0;
+/// Run time of the tasks here, in milliseconds.
+const RUN_MS: u64 = 5_000;
+
+/// A site on which no capacity is kept for urgent work, with these customers and their guaranteed accelerators.
+fn site_of(workers: usize, customers: &[(&str, u64)]) -> Site {
+    let mut site = Site::new(workers, 8);
+    set_customers(&mut site, 2, customers);
+    site.advance(60_000);
+    site
+}
+
+/// Lets a site share capacity between its customers.
+fn sharing(mut site: Site) -> Site {
+    let policy = Policy::new().with_fair_sharing(MIN_RATIO);
+    site.planner = Planner::new().with_policy(policy);
+    site
+}
+
+fn gang(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+/// Returns the jobs of which a plan starts runs, in the plan's order.
+fn started_jobs(plan: &Plan) -> Vec<JobId> {
+    plan.starts
+        .iter()
+        .map(|start| start.run.task.step.job)
+        .collect()
+}
+
+/// The share of a customer.
+fn share_of(site: &Site, customer: &str) -> CustomerShare {
+    let shares = site
+        .planner
+        .customer_shares(site.wall_ms(), &site.workload, &site.dispatcher);
+    let mut own = shares
+        .into_iter()
+        .filter(|share| &*share.customer == customer);
+    own.next().unwrap()
+}
+
+/// A site on which one customer, `many`, uses all four workers, and has another job in the queue before one of the customer `few`. Then one
+/// of its runs ends. Returns the two jobs.
+fn contended_site(priority: u32, customers: &[(&str, u64)]) -> (Site, JobId, JobId) {
+    let mut site = site_of(4, customers);
+    let first = site.submit(2, "many", vec![step(4, 8)]);
+    site.plan_and_start();
+    assert_eq!(site.open_runs().len(), 4);
+    site.advance(1_000);
+    let many = site.submit(priority, "many", vec![step(1, 8)]);
+    site.advance(10);
+    let few = site.submit(priority, "few", vec![step(1, 8)]);
+    site.end(run_of(&site, first, 0), EndKind::Done);
+    (site, many, few)
+}
+
+/// Guards against a customer that takes all capacity that becomes free because it was first in the queue.
+#[test]
+fn the_customer_below_its_share_goes_first() {
+    let (site, many, few) = contended_site(2, &[("many", 8), ("few", 0)]);
+    assert_eq!(started_jobs(&site.clone().plan()), [many]);
+    let mut site = sharing(site);
+    assert_eq!(started_jobs(&site.plan()), [few]);
+    let share = share_of(&site, "many");
+    assert_eq!(share.weight, 8);
+    assert_eq!(share_of(&site, "few").weight, 8);
+    assert_close(share.share_in_use, 0.75);
+    assert_close(share.mean_share, counted(1_010));
+    assert_close(share.entitled_share, 0.5);
+    assert_eq!(share.divisor_percent, 150);
+    assert_eq!(share_of(&site, "few").divisor_percent, 100);
+    assert!(share.waits);
+}
+
+/// Guards against a customer that has used everything until now and counts like one that has used nothing, because its runs have just ended.
+#[test]
+fn past_usage_counts_after_the_runs_have_ended() {
+    let mut site = site_of(1, &[("many", 8), ("few", 0)]);
+    let first = site.submit(2, "many", vec![step(1, 8)]);
+    site.plan_and_start();
+    site.advance(60_000);
+    let many = site.submit(2, "many", vec![step(1, 8)]);
+    site.advance(10);
+    let few = site.submit(2, "few", vec![step(1, 8)]);
+    site.end(run_of(&site, first, 0), EndKind::Done);
+    assert_eq!(started_jobs(&site.clone().plan()), [many]);
+    assert_eq!(started_jobs(&sharing(site).plan()), [few]);
+}
+
+/// Guards against sharing where it is not in force: it must be switched on, there must be two customers, and their guarantees must differ by
+/// the factor that is set. Otherwise each plan is the same as before.
+#[rstest]
+#[case::switched_off(&[("many", 64), ("few", 0)], None)]
+#[case::similar_guarantees(&[("many", 16), ("few", 8)], Some(MIN_RATIO))]
+fn plans_are_as_before_where_sharing_is_not_in_force(
+    #[case] customers: &[(&str, u64)],
+    #[case] sharing_min_ratio: Option<f64>,
+) {
+    let (mut site, many, _) = contended_site(2, customers);
+    let before = site.clone().plan();
+    let policy = Policy {
+        sharing_min_ratio,
+        ..Policy::new()
+    };
+    site.planner = Planner::new().with_policy(policy);
+    let plan = site.plan();
+    assert_eq!(plan.starts, before.starts);
+    assert_eq!(started_jobs(&plan), [many]);
+    assert_eq!(share_of(&site, "many").divisor_percent, 100);
+}
+
+/// Guards against sharing with a customer that was removed from the rules, so that only one is left there.
+#[test]
+fn one_customer_in_the_rules_shares_with_nobody() {
+    let (mut site, many, _) = contended_site(2, &[("many", 16), ("few", 0)]);
+    set_customers(&mut site, 3, &[("many", 0)]);
+    assert_eq!(started_jobs(&sharing(site).plan()), [many]);
+}
+
+/// Guards against holding back a customer while nobody else wants the capacity that it uses. The other customer uses some, and needs no more.
+#[test]
+fn a_customer_uses_what_no_other_waits_for() {
+    let mut site = sharing(site_of(4, &[("many", 1), ("few", 64)]));
+    site.submit(2, "few", vec![step(1, 1)]);
+    site.plan_and_start();
+    site.submit(2, "many", vec![step(64, 1)]);
+    site.plan_and_start();
+    assert_eq!(site.open_runs().len(), 32);
+    let share = share_of(&site, "many");
+    assert!(share.waits && share.ratio > 4.0, "{share:?}");
+    assert_close(share.entitled_share, 1.0 / 65.0);
+    assert_eq!(share.divisor_percent, 100);
+    site.submit(2, "few", vec![step(1, 1)]);
+    assert_eq!(share_of(&site, "many").divisor_percent, 400);
+}
+
+/// Guards against callers without a key that escape sharing: they count as one more customer.
+#[test]
+fn callers_without_a_key_share_one_entry() {
+    let mut site = site_of(4, &[("many", 8), ("few", 0)]);
+    let mut public = rules(3);
+    public.customers = site.workload.rules.as_ref().unwrap().customers.clone();
+    for queue in &mut public.queues {
+        Arc::make_mut(queue).public = true;
+    }
+    site.workload.apply(Command::SetRules(Box::new(public)));
+    for number in 0..2 {
+        let job = JobId(100 + number);
+        let accept = Command::Accept {
+            place: Place {
+                key: None,
+                ..place(2, "few", job)
+            },
+            spec: JobSpec {
+                steps: vec![step(2, 8)],
+                ..JobSpec::default()
+            },
+            now_ms: site.wall_ms(),
+        };
+        assert_eq!(site.workload.apply(accept), Reply::Done);
+    }
+    let mut site = sharing(site);
+    site.plan_and_start();
+    assert_eq!(in_use(&site.workload, ""), 32);
+    site.submit(2, "few", vec![step(1, 8)]);
+    let share = share_of(&site, "");
+    assert_eq!((share.weight, share.divisor_percent), (8, 200));
+}
+
+/// Guards against work that a guarantee covers and that waits behind other work, because its customer has borrowed much.
+#[test]
+fn guaranteed_work_is_not_delayed_by_what_its_customer_borrows() {
+    let mut site = site_of(4, &[("many", 8), ("few", 0)]);
+    let first = site.submit(2, "many", vec![step(4, 8)]);
+    site.plan_and_start();
+    site.advance(1_000);
+    site.submit(0, "few", vec![step(1, 8)]);
+    site.advance(10);
+    let guaranteed = site.submit(0, "many", vec![step(1, 8)]);
+    site.end(run_of(&site, first, 0), EndKind::Done);
+    let mut site = sharing(site);
+    assert_eq!(share_of(&site, "many").divisor_percent, 150);
+    assert_eq!(started_jobs(&site.plan()), [guaranteed]);
+}
+
+/// Guards against a service that lacks a task and waits behind batch work, because its customer is above its share.
+#[test]
+fn services_keep_their_precedence() {
+    let mut site = site_of(4, &[("many", 8), ("few", 0)]);
+    let first = site.submit(2, "many", vec![step(4, 8)]);
+    site.plan_and_start();
+    site.advance(1_000);
+    site.submit(1, "few", vec![step(1, 8)]);
+    let service = StepSpec {
+        long_running: true,
+        ..step(1, 8)
+    };
+    let service = site.submit(2, "many", vec![service]);
+    site.end(run_of(&site, first, 0), EndKind::Done);
+    assert_eq!(started_jobs(&sharing(site).plan()), [service]);
+}
+
+/// Guards against stopping the work of a customer within its share for guaranteed work, while another customer uses several times its own.
+#[test]
+fn work_of_the_customer_above_its_share_is_stopped_first() {
+    let mut site = site_of(4, &[("guaranteed", 16), ("many", 4), ("few", 4)]);
+    let many: Vec<JobId> = (0..3)
+        .map(|_| site.submit(2, "many", vec![gang(1, 8)]))
+        .collect();
+    site.plan_and_start();
+    site.advance(500);
+    let few = site.submit(2, "few", vec![gang(1, 8)]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(700);
+    site.submit(0, "guaranteed", vec![gang(1, 8)]);
+    let stopped = |plan: Plan| -> Vec<JobId> {
+        let evictions = plan.evictions.iter();
+        evictions.map(|(_, run)| run.task.step.job).collect()
+    };
+    // It has run for the shortest time, so the least work is lost.
+    assert_eq!(stopped(site.clone().plan()), [few]);
+    let stopped = stopped(sharing(site).plan());
+    assert_eq!(stopped.len(), 1);
+    assert!(many.contains(&stopped[0]), "{stopped:?}");
+}
+
+/// Guards against a change of leader, or of the process, after which customers start from zero and one that has just used everything goes
+/// first again.
+#[test]
+fn a_new_leader_makes_the_same_plan() {
+    // A new leader keeps capacity for urgent work, so only urgent work starts on the one free worker.
+    let (site, many, few) = contended_site(0, &[("many", 0), ("few", 0), ("third", 8)]);
+    assert_eq!(started_jobs(&site.clone().plan()), [many]);
+    let plan = sharing(site.clone()).plan();
+    assert_eq!(started_jobs(&plan), [few]);
+    let mut next = site;
+    next.workload = restored(&snapshot(&next.workload));
+    next.take_over(2);
+    let mut next = sharing(next);
+    assert_eq!(next.plan().starts, plan.starts);
+}
+
+/// Guards against a plan that fails, or a customer that escapes its share, when it is removed from the rules while its jobs wait and run.
+#[test]
+fn a_removed_customer_counts_like_the_smallest() {
+    let (mut site, _, few) = contended_site(2, &[("many", 64), ("few", 8)]);
+    set_customers(&mut site, 3, &[("few", 8), ("third", 0)]);
+    let mut site = sharing(site);
+    assert_eq!(share_of(&site, "many").weight, 8);
+    assert_eq!(started_jobs(&site.plan()), [few]);
+}
+
+/// Guards against shares that overflow, which ends a core: anyone who reaches a core may send a heartbeat with any capacity, and rules may
+/// contain any guarantee.
+#[test]
+fn shares_do_not_overflow_with_absurd_capacities() {
+    let (mut site, _, _) = contended_site(
+        2,
+        &[("many", u64::MAX), ("few", u64::MAX - 1), ("third", 0)],
+    );
+    for index in 4..6 {
+        let mut info = support::worker_info(index, 8);
+        info.capacity = Resources {
+            cpu_millis: u64::MAX,
+            memory_mb: u64::MAX,
+            accelerators: 0,
+        };
+        let known = WorkerChange::Known(info);
+        site.workload.apply(Command::Workers(vec![known]));
+    }
+    site.take_events();
+    assert_eq!(share_of(&site, "many").weight, u64::MAX);
+}
+
+/// Customers that submit a steady load, with their guaranteed accelerators and the share of all accelerators that each uses.
+const STEADY: [(&str, u64, f64); 2] = [("large", 64, 0.6), ("small", 16, 0.15)];
+const WORKERS: usize = 16;
+/// Jobs that take one worker each which the site can end within 100 ms.
+const JOBS_PER_STEP: f64 = 16.0 * 0.1 / 5.0;
+
+/// A run in progress on a modelled worker.
+struct Running {
+    run: RunId,
+    worker: Incarnation,
+    end_ms: u64,
+}
+
+/// Returns the share of the steady customers' jobs that end in time within 90 s. From 20 s to 30 s, the customer `burst`, which is guaranteed
+/// `guaranteed` accelerators, submits jobs at `burst` times the rate that the whole site can serve.
+fn share_in_time(is_shared: bool, guaranteed: u64, burst: f64) -> f64 {
+    const ACCELERATORS: u64 = 8;
+    const END_MS: u64 = 90_000;
+    const OBJECTIVE_MS: u64 = 3 * RUN_MS + 1_000;
+    let customers = STEADY
+        .iter()
+        .map(|(name, guaranteed, _)| (*name, *guaranteed));
+    let customers: Vec<(&str, u64)> = customers.chain([("burst", guaranteed)]).collect();
+    let mut site = site_of(WORKERS, &customers);
+    if is_shared {
+        site = sharing(site);
+    }
+    let start_ms = site.now_ms;
+    let mut submitting = vec![("burst", 0.0, 0.0)];
+    submitting.extend(STEADY.map(|(name, _, load)| (name, load, 0.0)));
+    let mut steady_jobs: Vec<JobId> = Vec::new();
+    let mut running: Vec<Running> = Vec::new();
+    while site.now_ms < start_ms + END_MS {
+        site.advance(100);
+        let now_ms = site.now_ms;
+        let over = running.extract_if(.., |running| running.end_ms <= now_ms);
+        let ends = over.map(|over| end_of(&(over.worker, over.run), EndKind::Done));
+        let ends = Command::ends(ends.collect()).at(site.wall_ms());
+        site.workload.apply(ends);
+        site.take_events();
+        submitting[0].1 = if (20_000..30_000).contains(&(now_ms - start_ms)) {
+            burst
+        } else {
+            0.0
+        };
+        for (name, load, due) in &mut submitting {
+            *due += *load * JOBS_PER_STEP;
+            while *due >= 1.0 {
+                *due -= 1.0;
+                let job = site.submit(2, name, vec![step(1, ACCELERATORS)]);
+                if *name != "burst" {
+                    steady_jobs.push(job);
+                }
+            }
+        }
+        let plan = site.plan_and_start();
+        site.send_starts();
+        running.extend(plan.starts.into_iter().map(|start| Running {
+            run: start.run,
+            worker: start.worker,
+            end_ms: now_ms + RUN_MS,
+        }));
+    }
+    let wall_ms = site.wall_ms();
+    // Jobs that could not end by now if they started at once and in time are left out.
+    let jobs: Vec<&Job> = steady_jobs
+        .iter()
+        .filter_map(|job| site.workload.job(*job))
+        .filter(|job| job.accepted_ms + OBJECTIVE_MS <= wall_ms)
+        .collect();
+    let in_time =
+        |job: &&&Job| job.outcome.is_some() && job.ended_ms <= job.accepted_ms + OBJECTIVE_MS;
+    let count = |number: usize| f64::from(u32::try_from(number).unwrap());
+    count(jobs.iter().filter(in_time).count()) / count(jobs.len())
+}
+
+/// Guards against a burst of one customer that makes the others late. The load is two customers that use three quarters of the site, each
+/// a little less than its entitlement, and a burst of a third one of three times the capacity of the
+/// site for 10 s.
+#[rstest]
+#[case::of_the_smallest_customer(0)]
+#[case::of_a_customer_with_a_guarantee(24)]
+fn a_burst_leaves_the_other_customers_in_time(#[case] guaranteed: u64) {
+    let without = share_in_time(true, guaranteed, 0.0);
+    let with = share_in_time(true, guaranteed, 3.0);
+    let unshared = share_in_time(false, guaranteed, 3.0);
+    assert!(
+        with >= without - 0.05,
+        "{with} with the burst, {without} without"
+    );
+    assert!(
+        unshared < without - 0.05,
+        "the burst is too small: {unshared} without shares"
+    );
+}
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -169,3 +169,25 @@
         started.elapsed()
     });
 }
+
+/// Guards against a scan of the fleet or of all customers' usage for each waiting unit when capacity is shared, in each pass of the planner.
+#[test]
+fn shares_of_customers_grow_with_the_fleet() {
+    let build = |workers: usize| {
+        let mut site = idle_site(workers);
+        for number in 0..workers / 4 {
+            let customer = ["other", "guaranteed"][number % 2];
+            site.submit(2, customer, vec![step(1, 8)]);
+        }
+        site
+    };
+    assert_growth(MAX_GROWTH, build, |site| {
+        let started = Instant::now();
+        let shares = site
+            .planner
+            .customer_shares(site.wall_ms(), &site.workload, &site.dispatcher);
+        let time = started.elapsed();
+        assert!(shares.iter().all(|share| share.waits));
+        time
+    });
+}
