--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -14,6 +14,7 @@
 
 mod backfill;
 mod collect;
+mod customer_share;
 mod decided;
 mod disruption_budget;
 mod explain;
@@ -34,6 +35,7 @@
 mod room;
 mod runnable;
 mod runtimes;
+mod shares;
 mod speeds;
 mod stall_check;
 mod stall_tracker;
@@ -43,6 +45,7 @@
 mod wait_explainer;
 mod wait_reason;
 
+pub use customer_share::CustomerShare;
 pub use decided::Plan;
 pub use decided::ReleaseReason;
 pub use disruption_budget::DisruptionBudget;
