Admission: refusals before the record, load shedding, spread retries

Cause: refused calls were retried after a fixed second, all at once and whatever the queue length; there was no order in which a leader that falls behind sheds load; and work that could not end while it was worth anything was accepted.

Change: `bh_workload::admission`, pure code: the lag of the leader, shedding levels in one written order, waiting jobs of a customer, expected waits by precedence, retry times that are spread by the job's name. The leader refuses before it proposes, after a quorum read, and never a job that is or may be recorded; the answer is `Busy`, 429 with `Retry-After`. A process that may have sent the call before answers unknown. `max_waiting_jobs`, `sheds_load` and `refuses_hopeless` of section `policy` switch the parts on; without them only the time to retry where no leader is known changes, from 1 s to 1 or 2 s. The handler of a link is called when a request is read, so that the age of a call includes its wait for the processor.

Result: with the modelled leader nothing is refused at 0.8 times its load. At 2, 3 and 5 times, urgent calls and ends are all served, and the rest is refused in the order. With the former forward.rs, two of the three tests in busy_leader.rs failed. The tests of bh-workload (343), bh-control and bh-platform pass. Two other tests in large_fleets.rs compare times and failed now and then beside a load of 24 on 12 processors, in 4 of 30 runs without the new test.

--- a/crates/bh-control/src/calls/answer.rs
+++ b/crates/bh-control/src/calls/answer.rs
@@ -36,6 +36,12 @@
         /// When to retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The call was refused because of load: nothing was recorded, and nothing will be for this call. Processes of older versions cannot read
+    /// this answer and treat the outcome as unknown.
+    Busy {
+        /// When to retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The effect of the call may or may not have been recorded.
     Unknown,
     /// The process that was asked does not lead; nothing was recorded.
--- a/crates/bh-control/src/calls/call.rs
+++ b/crates/bh-control/src/calls/call.rs
@@ -60,6 +60,26 @@
     },
 }
 
+impl Call {
+    /// Name of what the call is about, by which retries of refused calls are spread.
+    pub fn name(&self) -> Arc<str> {
+        match self {
+            Call::Submit { place, .. } | Call::Read { place } | Call::Cancel { place } => {
+                place.path.clone()
+            }
+            Call::Heartbeat(heartbeat) => Arc::from(heartbeat.info.id.to_string()),
+            Call::Leave { worker } => Arc::from(worker.to_string()),
+            Call::Evacuate { data_centre } | Call::EndEvacuation { data_centre } => {
+                data_centre.clone()
+            }
+            Call::SetRules(_) | Call::GetRules => Arc::from("rules"),
+            Call::StartWave(WaveSpec { id, .. }) | Call::GetWave { id } => {
+                Arc::from(id.to_string())
+            }
+        }
+    }
+}
+
 /// A worker's regular report about itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkerHeartbeat {
--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -8,6 +8,7 @@
 use bh_net::runtime::sleep_ms;
 use bh_net::runtime::within_ms;
 use bh_protocol::wire::RpcReply;
+use bh_workload::admission::retry_after_ms;
 use bh_workload::state::Refusal;
 use std::rc::Rc;
 
@@ -20,13 +21,14 @@
 /// Time without contact to a leader after which a call is answered at once, in milliseconds. An election takes less, so a process without a
 /// leader for longer is cut off, and another entry may serve the caller.
 const LEADERLESS_TIMEOUT_MS: u64 = 1_800;
-/// When a caller should retry after no leader was found, in milliseconds: about the duration of an election.
+/// When a caller should retry after no leader was found, in milliseconds: about the duration of an election. [`forward`] spreads the time by
+/// the names of the calls, so that callers do not retry together.
 pub const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Forwards `call` to the leader and returns its answer, within `limit_ms`.
 ///
 /// A call that may have been recorded is repeated until its outcome is known. `Unavailable` is returned only if it was certainly not
-/// recorded, since the caller is then told that nothing will run. A call that changes nothing is never recorded, so its caller may retry at
+/// recorded, since the caller is then told that nothing will run. The same holds for `Busy`, which is final: the leader has decided. A call that changes nothing is never recorded, so its caller may retry at
 /// once.
 pub async fn forward(mesh: &Rc<Mesh>, call: &Call, limit_ms: u64) -> Answer {
     let Ok(body) = serde_json::to_vec(call) else {
@@ -46,7 +48,7 @@
                     may_be_recorded = modifies_state(call);
                 }
                 Ok(Ok(Answer::Unavailable { .. })) => {}
-                Ok(Ok(Answer::Refused(_))) if may_be_recorded => {
+                Ok(Ok(Answer::Refused(_) | Answer::Busy { .. })) if may_be_recorded => {
                     return Answer::Unknown;
                 }
                 Ok(Ok(answer)) => return answer,
@@ -59,7 +61,7 @@
                 Answer::Unknown
             } else {
                 Answer::Unavailable {
-                    retry_after_ms: RETRY_AFTER_MS,
+                    retry_after_ms: retry_after_ms(RETRY_AFTER_MS, &call.name()),
                 }
             };
         }
--- a/crates/bh-control/src/config/policy_config.rs
+++ b/crates/bh-control/src/config/policy_config.rs
@@ -1,9 +1,11 @@
 //! Section `policy` of a process's config file: optional decisions under load.
 
+use bh_workload::admission::AdmissionPolicy;
 use bh_workload::plan::Policy;
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::de::Error;
+use std::num::NonZeroU32;
 
 /// Optional decisions under load. Each is off unless the file switches it on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
@@ -21,6 +23,15 @@
     /// Whether small tasks may use capacity that is held for a gang if they end before the gang can start.
     #[serde(default)]
     pub backfills: bool,
+    /// Number of waiting jobs of one customer from which on further ones are refused.
+    #[serde(default)]
+    pub max_waiting_jobs: Option<NonZeroU32>,
+    /// Whether calls are shed when the leader falls behind.
+    #[serde(default)]
+    pub sheds_load: bool,
+    /// Whether submissions are refused that cannot end while they are worth anything.
+    #[serde(default)]
+    pub refuses_hopeless: bool,
 }
 
 impl PolicyConfig {
@@ -33,6 +44,15 @@
             backfills: self.backfills,
         }
     }
+
+    /// The part that concerns admission.
+    pub fn admission(&self) -> AdmissionPolicy {
+        AdmissionPolicy {
+            max_waiting_jobs: self.max_waiting_jobs,
+            sheds_load: self.sheds_load,
+            refuses_hopeless: self.refuses_hopeless,
+        }
+    }
 }
 
 /// Deserializes an optional ratio, which must be a finite number of at least 1.
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -1,5 +1,6 @@
 //! Answers calls as the leader.
 
+use super::admit;
 use super::core_node::CoreNode;
 use super::departures::log_departures;
 use super::detection::Detection;
@@ -32,19 +33,12 @@
     if core.leadership.borrow().is_none() || !core.group.is_leader() {
         return Answer::NotLeader;
     }
+    admit::note_call(core);
     match call {
         Call::Submit {
             place,
             spec: Ok(spec),
-        } => {
-            // Here and below, a time of 0 is replaced when the command is proposed.
-            let command = Command::Accept {
-                place,
-                spec,
-                now_ms: 0,
-            };
-            change(core, command).await
-        }
+        } => admit::submit(core, place, spec).await,
         Call::Submit {
             place,
             spec: Err(problem),
@@ -55,11 +49,9 @@
                 Err(refusal) => refused(refusal),
             },
         },
+        // Here and below, a time of 0 is replaced when the command is proposed.
         Call::Cancel { place } => change(core, Command::Cancel { place, now_ms: 0 }).await,
-        Call::Read { place } => match confirm_state(core).await {
-            Err(answer) => answer,
-            Ok(()) => read_state(core, &place),
-        },
+        Call::Read { place } => read(core, &place).await,
         Call::Heartbeat(heartbeat) => handle_heartbeat(core, heartbeat).await,
         Call::Leave { worker } => leave(core, &worker).await,
         Call::SetRules(Ok(rules)) => change(core, Command::SetRules(rules)).await,
@@ -100,6 +92,16 @@
     }
 }
 
+async fn read(core: &Rc<CoreNode>, place: &Place) -> Answer {
+    if let Some(answer) = admit::shed_read(core, place) {
+        return answer;
+    }
+    match confirm_state(core).await {
+        Err(answer) => answer,
+        Ok(()) => read_state(core, place),
+    }
+}
+
 /// Handles a worker's announcement that it ends now. The worker is removed from the record once it has certainly ended. Until then it is
 /// probed, and recorded as draining, so that no leader gives it new work.
 async fn leave(core: &Rc<CoreNode>, worker: &Incarnation) -> Answer {
@@ -174,7 +176,7 @@
 }
 
 /// Waits until reads on this core are certain to see every change that was committed before; fails if that takes too long or this core no longer leads.
-async fn confirm_state(core: &Rc<CoreNode>) -> Result<(), Answer> {
+pub(super) async fn confirm_state(core: &Rc<CoreNode>) -> Result<(), Answer> {
     core.group
         .read(READ_TIMEOUT_MS)
         .await
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -16,6 +16,7 @@
 use bh_net::Clock;
 use bh_protocol::Incarnation;
 use bh_protocol::wire::CoreStatus;
+use bh_workload::admission::OpenCalls;
 use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
 use local_sync::mpsc::unbounded;
@@ -64,6 +65,8 @@
     pub draining: CancellationToken,
     /// Counters, gauges and latency histograms.
     pub metrics: Rc<Metrics>,
+    /// Calls that this core has not answered yet as the leader.
+    pub open_calls: RefCell<OpenCalls>,
     /// Number of calls in progress.
     pub in_progress: Cell<usize>,
     /// Wakes the leader's main loop.
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -1,5 +1,6 @@
 //! Incoming calls of a core: over links from other processes, and over HTTP from workers and operators.
 
+use super::admit::OpenCall;
 use super::answer_call::answer_call;
 use super::carry;
 use super::core_node::CoreNode;
@@ -29,12 +30,22 @@
     let (delivering, answering, telling) = (core.clone(), core.clone(), core.clone());
     LinkHandler {
         deliver: Box::new(move |message| delivering.group.deliver(message)),
-        answer: Box::new(move |request| Box::pin(serve_rpc(answering.clone(), request))),
+        answer: Box::new(move |request| {
+            let open = OpenCall::begin(&answering).filter(|_| is_call(&request));
+            Box::pin(serve_rpc(answering.clone(), request, open))
+        }),
         status: Box::new(move || telling.status()),
     }
 }
 
-async fn serve_rpc(core: Rc<CoreNode>, request: RpcRequest) -> Vec<u8> {
+/// Whether the request is a call that the leader answers, and not one between cores.
+fn is_call(request: &RpcRequest) -> bool {
+    let others = [RpcKind::Formation, RpcKind::Carry, RpcKind::Signs];
+    !others.iter().any(|kind| request.kind == i32::from(*kind))
+}
+
+/// Answers a request; `_open` is held until it is answered.
+async fn serve_rpc(core: Rc<CoreNode>, request: RpcRequest, _open: Option<OpenCall>) -> Vec<u8> {
     if request.kind == i32::from(RpcKind::Formation) {
         let formation = Formation::of(&core.group, core.mesh.hello().replica);
         return serde_json::to_vec(&formation).unwrap_or_default();
@@ -71,6 +82,7 @@
 
 /// Handles a call of a worker or an operator: answers it if this core leads, and forwards it otherwise.
 pub(super) async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
+    let _open = OpenCall::begin(&core);
     let received = match (core.dialect.read_control)(&request) {
         Ok(received) => received,
         Err(status) => {
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -1,5 +1,6 @@
 //! The leader's main loop: takes over the replicated state, sends orders and plans.
 
+use super::admit;
 use super::core_node::CoreNode;
 use super::inherited_runs::InheritedRuns;
 use super::leadership::Leadership;
@@ -13,6 +14,7 @@
 use super::surveys;
 use super::upkeep;
 use bh_net::runtime::within_ms;
+use bh_workload::admission::AdmissionController;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::plan::OverdueReason;
 use bh_workload::plan::Planner;
@@ -83,6 +85,7 @@
         take_over(core, status.term).await;
     }
     let now_ms = core.clock.now_ms();
+    admit::note_iteration(core, now_ms);
     let confirmed = status
         .quorum_confirmed_ms
         .is_some_and(|confirmed_ms| now_ms < confirmed_ms + QUORUM_TIMEOUT_MS);
@@ -137,11 +140,13 @@
         now_ms,
         &core.config.timing(),
     );
+    core.open_calls.borrow_mut().clear();
     *core.leadership.borrow_mut() = Some(Leadership {
         term,
         wave_scheduler,
         dispatcher,
         planner: Planner::new().with_policy(core.config.planner_policy()),
+        admission: AdmissionController::new(core.config.policy.admission(), LOOP_INTERVAL_MS),
         starts_record: StartsRecord::new(),
         plan_due: true,
         last_plan_ms: 0,
--- a/crates/bh-control/src/core/leadership.rs
+++ b/crates/bh-control/src/core/leadership.rs
@@ -4,6 +4,7 @@
 use super::runnable_tracker::RunnableTracker;
 use super::starts_record::StartsRecord;
 use bh_protocol::Incarnation;
+use bh_workload::admission::AdmissionController;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::plan::Planner;
 use bh_workload::upkeep::WaveScheduler;
@@ -19,6 +20,8 @@
     pub dispatcher: Dispatcher,
     /// Plans starts and stops of runs.
     pub planner: Planner,
+    /// Decides which submissions are refused and what is shed.
+    pub admission: AdmissionController,
     /// The recording of the last planned starts in the replicated state. No plan is made until it has ended.
     pub starts_record: StartsRecord,
     /// Whether something has changed since the last plan.
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! Cores: the processes that keep the replicated state, and what the one that leads does.
 
+mod admit;
 mod advice;
 mod answer_call;
 mod carriers;
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -1,5 +1,6 @@
 //! The operator's interface of a core: JSON at the metrics address.
 
+use super::admit;
 use super::core_node::CoreNode;
 use super::evacuations;
 use super::evacuations::Evacuation;
@@ -115,6 +116,7 @@
         None => (FleetCounts::default(), 0),
     };
     surveys::set_gauges(held.as_ref(), metrics);
+    admit::set_gauges(held.as_ref(), metrics);
     let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
     let now_ms = core.clock.now_ms();
     let plan_age_ms = held.as_ref().map_or(0, |led| led.plan_age_ms(now_ms));
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -27,6 +27,7 @@
 use bh_protocol::Failure;
 use bh_protocol::wire::Hello;
 use bh_storage::Folder;
+use bh_workload::admission::OpenCalls;
 use local_sync::mpsc::unbounded;
 use local_sync::oneshot;
 use std::cell::Cell;
@@ -91,6 +92,7 @@
         heartbeats_to_relay: RefCell::new(BTreeMap::new()),
         draining: CancellationToken::new(),
         metrics: Rc::new(Metrics::new()),
+        open_calls: RefCell::new(OpenCalls::new()),
         in_progress: Cell::new(0),
         wake,
         wake_pending: Cell::new(false),
--- a/crates/bh-control/src/core/surveys.rs
+++ b/crates/bh-control/src/core/surveys.rs
@@ -13,6 +13,9 @@
 /// processor time.
 const SURVEY_GAP_FACTOR: u64 = 50;
 
+/// Longest delay of a survey while load is shed, in milliseconds. Operators are told of stalled jobs also during a long overload.
+const MAX_SHED_DELAY_MS: u64 = 10_000;
+
 /// Surveys the waiting work if a survey is due.
 pub(super) fn survey(core: &Rc<CoreNode>, confirmed: bool) {
     let now_ms = core.clock.now_ms();
@@ -20,7 +23,9 @@
     let Some(leadership) = held.as_mut() else {
         return;
     };
-    if now_ms < leadership.next_survey_ms {
+    let is_delayed = leadership.admission.level().delays_surveys();
+    let delay_ms = if is_delayed { MAX_SHED_DELAY_MS } else { 0 };
+    if now_ms < leadership.next_survey_ms + delay_ms {
         return;
     }
     let workload = core.group.machine.read();
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -114,6 +114,7 @@
         Answer::Refused(Refusal::NoQueue | Refusal::NoJob) => "calls_refused_unknown_place",
         Answer::Refused(_) => "calls_refused_malformed",
         Answer::Unavailable { .. } | Answer::NotLeader => "calls_unavailable",
+        Answer::Busy { .. } => "calls_busy",
         Answer::Unknown => "calls_unknown",
         _ => "calls_served",
     }
--- a/crates/bh-control/src/mesh/accept.rs
+++ b/crates/bh-control/src/mesh/accept.rs
@@ -135,17 +135,19 @@
                 }
             }
             Some(Payload::Raft(message)) => (handler.deliver)(message),
-            Some(Payload::Request(request)) => answer(request, queue.clone(), handler.clone()),
+            Some(Payload::Request(request)) => answer(request, queue.clone(), handler),
             _ => {}
         }
     }
 }
 
-/// Answers a call in a separate task, so that a slow one does not delay others.
-fn answer(request: RpcRequest, queue: unbounded::Tx<Frame>, handler: Rc<LinkHandler>) {
+/// Answers a call in a separate task, so that a slow one does not delay others. The handler is called before the task first runs, so that it
+/// notes when the call arrived.
+fn answer(request: RpcRequest, queue: unbounded::Tx<Frame>, handler: &Rc<LinkHandler>) {
+    let id = request.id;
+    let answered = (handler.answer)(request);
     monoio::spawn(async move {
-        let id = request.id;
-        let body = (handler.answer)(request).await;
+        let body = answered.await;
         let reply = RpcReply {
             id,
             body,
--- a/crates/bh-control/tests/config_problems.rs
+++ b/crates/bh-control/tests/config_problems.rs
@@ -3,7 +3,9 @@
 use bh_control::config::LocalConfig;
 use bh_control::config::is_deployment_config;
 use bh_control::config::problems;
+use bh_workload::admission::AdmissionPolicy;
 use bh_workload::plan::Policy;
+use std::num::NonZeroU32;
 
 const CORE: &str = "name: core\nrole: core\ndata_centre: dc\nip: 10.0.0.1\npeer_port: 7000\nseeds: '10.0.0.1:1'\n\
                     control_address: '10.0.0.1:2'\ndata_folder: /data\nbounds:\n  stop_timeout_ms: 900\n";
@@ -104,3 +106,46 @@
         .with_backfill();
     assert_eq!(config.planner_policy(), expected);
 }
+
+/// Guards against a limit of 0, which would refuse all jobs of all customers, and against misspelt keys, which would leave admission as it is without notice.
+#[test]
+fn mistakes_in_the_keys_of_admission_are_told() {
+    for key in [
+        "max_waiting_jobs: 0",
+        "max_waiting_jobs: -1",
+        "max_waiting_jobs: many",
+        "sheds_load: often",
+        "refuses_hopeless: 1",
+        "refuse_hopeless: true",
+    ] {
+        let file = format!("{CORE}policy:\n  {key}\n");
+        let found = problems(file.as_bytes());
+        assert_eq!(found.len(), 1, "{key}: {found:#?}");
+        assert!(LocalConfig::parse(file.as_bytes()).is_err(), "{key}");
+    }
+}
+
+/// Guards against refusals in a deployment whose file does not ask for them, and against keys that switch on something else.
+#[test]
+fn each_key_of_admission_switches_on_one_decision() {
+    let read = |keys: &str| {
+        let file = format!("{CORE}policy:\n{keys}");
+        let config = LocalConfig::parse(file.as_bytes()).unwrap();
+        assert_eq!(config.planner_policy(), Policy::new());
+        config.policy.admission()
+    };
+    let off = AdmissionPolicy::new();
+    assert!(!off.may_refuse());
+    assert_eq!(read("  backfills: false\n"), off);
+    assert_eq!(read("  max_waiting_jobs:\n"), off);
+    let limit = NonZeroU32::new(500).unwrap();
+    assert_eq!(
+        read("  max_waiting_jobs: 500\n"),
+        off.with_max_waiting_jobs(limit)
+    );
+    assert_eq!(read("  sheds_load: true\n"), off.with_load_shedding());
+    assert_eq!(
+        read("  refuses_hopeless: true\n"),
+        off.with_hopeless_refused()
+    );
+}
--- /dev/null
+++ b/crates/bh-workload/src/admission/backlog.rs
@@ -0,0 +1,126 @@
+//! Snapshot of the waiting work that submissions are judged by.
+
+use super::PoolBacklog;
+use crate::plan::Planner;
+use crate::plan::WaitingWork;
+use crate::plan::guaranteed_jobs;
+use crate::plan::peak_accelerators;
+use crate::plan::priority_density;
+use crate::rules::Queue;
+use crate::rules::Rules;
+use crate::state::Job;
+use crate::state::JobState;
+use crate::state::Workload;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Snapshot of the waiting work that submissions are judged by.
+#[derive(Clone, Debug, Default)]
+pub struct Backlog {
+    /// The waiting work that it was made from.
+    pub waiting: WaitingWork,
+    pools: BTreeMap<Arc<str>, PoolBacklog>,
+    /// Number of jobs of which no task has started, and of those of which one has, by queue.
+    jobs: BTreeMap<Arc<str>, (u64, u64)>,
+    /// Number of jobs of which no task has started, by customer.
+    waiting_by_customer: BTreeMap<Arc<str>, u64>,
+    /// Guaranteed accelerators that no accepted job takes, by customer.
+    free_guarantees: BTreeMap<Arc<str>, u64>,
+}
+
+impl Backlog {
+    /// Takes a snapshot at `wall_ms`.
+    pub fn new(wall_ms: u64, workload: &Workload, planner: &Planner) -> Self {
+        let waiting = planner.waiting_work(wall_ms, workload);
+        let mut backlog = Self {
+            pools: pools(workload, &waiting),
+            free_guarantees: free_guarantees(workload),
+            waiting,
+            ..Self::default()
+        };
+        for (_, job) in workload.active_jobs() {
+            let counts = backlog.jobs.entry(job.queue.name.clone()).or_default();
+            if job.state() != JobState::Queued {
+                counts.1 += 1;
+                continue;
+            }
+            counts.0 += 1;
+            if let Some(customer) = &job.customer {
+                let count = backlog.waiting_by_customer.entry(customer.clone());
+                *count.or_default() += 1;
+            }
+        }
+        backlog
+    }
+
+    /// Returns the expected wait of work with this value density in the pool `pool`, in milliseconds.
+    pub fn expected_wait_ms(&self, pool: &str, value_density: f64) -> u64 {
+        let pool = self.pools.get(pool);
+        pool.map_or(0, |pool| pool.expected_wait_ms(value_density))
+    }
+
+    /// Returns the expected wait of a new job of mean size in `queue`, in milliseconds.
+    pub fn queue_wait_ms(&self, queue: &Queue) -> u64 {
+        self.expected_wait_ms(&queue.pool, priority_density(queue.priority))
+    }
+
+    /// Returns the number of jobs of a queue that wait, and of those that run.
+    pub fn jobs_of_queue(&self, queue: &str) -> (u64, u64) {
+        self.jobs.get(queue).copied().unwrap_or_default()
+    }
+
+    /// Returns the number of waiting jobs of a customer.
+    pub fn waiting_jobs(&self, customer: &str) -> u64 {
+        let count = self.waiting_by_customer.get(customer);
+        count.copied().unwrap_or(0)
+    }
+
+    /// Returns whether the customer's guarantee would cover `job` in a queue of `priority`.
+    pub fn is_covered(&self, customer: Option<&Arc<str>>, priority: u32, job: &Job) -> bool {
+        let free = customer.and_then(|customer| self.free_guarantees.get(customer));
+        priority == 0 && free.is_some_and(|free| peak_accelerators(job) <= *free)
+    }
+}
+
+/// Returns the backlogs of all pools. The capacity of standby pools does not count as known: their VMs are started when there is work.
+fn pools(workload: &Workload, waiting: &WaitingWork) -> BTreeMap<Arc<str>, PoolBacklog> {
+    let rules = workload.rules.as_deref();
+    let is_standby = |name: &str| {
+        let mut pools = rules.into_iter().flat_map(|rules| &rules.pools);
+        pools.any(|pool| &*pool.name == name && pool.standby)
+    };
+    let mut accelerators: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+    for worker in workload.workers() {
+        if !worker.draining && !workload.is_evacuated(&worker.info) {
+            let sum = accelerators.entry(&worker.info.pool).or_default();
+            *sum += worker.info.capacity.accelerators;
+        }
+    }
+    accelerators
+        .into_iter()
+        .map(|(name, sum)| {
+            let own = waiting.steps.iter().filter(|step| step.pool == *name);
+            let known = if is_standby(name) { 0 } else { sum };
+            (name.clone(), PoolBacklog::new(known, own))
+        })
+        .collect()
+}
+
+/// Returns the guaranteed accelerators of each customer that no accepted job takes.
+fn free_guarantees(workload: &Workload) -> BTreeMap<Arc<str>, u64> {
+    let rules: Option<&Rules> = workload.rules.as_deref();
+    let customers = rules.into_iter().flat_map(|rules| &rules.customers);
+    let mut free: BTreeMap<Arc<str>, u64> = customers
+        .map(|customer| (customer.name.clone(), customer.guaranteed_accelerators))
+        .collect();
+    for id in guaranteed_jobs(workload) {
+        let job = workload.job(id);
+        let Some((job, customer)) = job.and_then(|job| Some((job, job.customer.as_ref()?))) else {
+            continue;
+        };
+        if let Some(free) = free.get_mut(customer) {
+            *free = free.saturating_sub(peak_accelerators(job));
+        }
+    }
+    free
+}
--- a/crates/bh-workload/src/lib.rs
+++ b/crates/bh-workload/src/lib.rs
@@ -1,8 +1,8 @@
 //! Scheduling of jobs, which consist of steps and tasks, on leased workers.
 //!
 //! The modules do no I/O: [`state`] is the replicated record, [`plan`] decides which task runs on which worker, [`dispatch`] turns recorded
-//! runs into orders to workers and their answers into ends of runs, and [`upkeep`] empties VMs and orders their maintenance. None of them
-//! owns a socket, a file or a clock.
+//! runs into orders to workers and their answers into ends of runs, [`upkeep`] empties VMs and orders their maintenance, and [`admission`]
+//! decides which submissions are refused and what is shed under load. None of them owns a socket, a file or a clock.
 //!
 //! Terms that all modules use:
 //!
@@ -16,6 +16,7 @@
 //! - A *target* is the leader's view of one worker: what the leader knows of it beyond the record.
 //! - The *adviser* is an external service that says which workers may run a step.
 
+pub mod admission;
 pub mod dispatch;
 pub mod job;
 pub mod pairs;
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -31,7 +31,7 @@
 /// late. Small tasks fit elsewhere. One run time is about what other gangs take to leave a rack.
 const LAST_CHANCE_PERCENT: u64 = 100;
 /// A late job earns credit until this multiple of its objective.
-const MAX_LATE_FACTOR: u64 = 3;
+pub(super) const MAX_LATE_FACTOR: u64 = 3;
 
 /// Facts about a job that all its steps share. `mean_work` is the mean work of the active jobs of its queue.
 struct Context<'a> {
@@ -111,7 +111,7 @@
 }
 
 /// Returns the mean work of the active jobs of each queue.
-fn mean_work(workload: &Workload, runtimes: &Runtimes) -> BTreeMap<Arc<str>, f64> {
+pub(super) fn mean_work(workload: &Workload, runtimes: &Runtimes) -> BTreeMap<Arc<str>, f64> {
     let mut sums: BTreeMap<Arc<str>, (f64, f64)> = BTreeMap::new();
     for (id, job) in workload.active_jobs() {
         let (sum, count) = sums.entry(job.queue.name.clone()).or_default();
@@ -123,6 +123,18 @@
         .collect()
 }
 
+/// Returns the factor by which the value of a job, relative to its work, differs from that of a job with the mean work of its queue.
+pub(super) fn size_factor(mean_work: f64, own_work: f64) -> f64 {
+    (1.0 - FIXED_VALUE_SHARE) + FIXED_VALUE_SHARE * mean_work / own_work
+}
+
+/// Returns the divisor of the value of jobs of `priority`.
+pub(super) fn squared_rank(priority: u32) -> f64 {
+    // 1 for the most urgent queues, whose priority is 0.
+    let rank = f64::from(priority + 1);
+    rank * rank
+}
+
 fn collect_job(
     context: &Context,
     runtimes: &Runtimes,
@@ -152,10 +164,7 @@
             let on_time = value >= 1.0;
             let margin_ms = expected_ms * LAST_CHANCE_PERCENT / 100;
             let late_soon = wall_ms + expected_ms + margin_ms > ready_ms + allowed_ms;
-            let size_factor =
-                (1.0 - FIXED_VALUE_SHARE) + FIXED_VALUE_SHARE * context.mean_work / own_work;
-            // 1 for the most urgent queues, whose priority is 0.
-            let rank = f64::from(queue.priority + 1);
+            let size_factor = size_factor(context.mean_work, own_work);
             let (indices, attempts) = waiting_tasks(progress, spec);
             if indices.is_empty() {
                 continue;
@@ -181,7 +190,7 @@
                 last_chance: spec.gang && on_time && late_soon,
                 on_time,
                 tight_deadline: queue.slack_factor < TIGHT_SLACK_FACTOR,
-                value_density: value * size_factor / (rank * rank),
+                value_density: value * size_factor / squared_rank(queue.priority),
             });
         }
     }
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -41,6 +41,7 @@
 mod urgent_headroom;
 mod wait_explainer;
 mod wait_reason;
+mod waiting_work;
 
 pub use decided::Plan;
 pub use decided::ReleaseReason;
@@ -66,3 +67,7 @@
 pub use unit::Unit;
 pub use unusable_reason::UnusableReason;
 pub use wait_reason::WaitReason;
+pub use waiting_work::JobForecast;
+pub use waiting_work::WaitingStep;
+pub use waiting_work::WaitingWork;
+pub use waiting_work::priority_density;
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -6,6 +6,7 @@
 
 mod support;
 
+use bh_workload::admission::Backlog;
 use bh_workload::dispatch::Dispatcher;
 use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::Timing;
@@ -146,6 +147,23 @@
     });
 }
 
+/// Guards against a scan of the fleet for each waiting job, since calls wait while the leader takes a snapshot of the waiting work.
+#[test]
+fn snapshots_of_the_waiting_work_grow_with_the_fleet() {
+    let busy_site = |workers: usize| {
+        let mut site = site_with_gangs(workers);
+        for _ in 0..workers / usize::try_from(MEMBERS).unwrap() {
+            site.submit(1, "other", vec![step(1, 8)]);
+        }
+        site
+    };
+    assert_growth(MAX_GROWTH, busy_site, |site| {
+        let started = Instant::now();
+        Backlog::new(site.wall_ms(), &site.workload, &site.planner);
+        started.elapsed()
+    });
+}
+
 /// Guards against a scan of the fleet for each VM of a wave, ten times a second and more for as long as the wave lasts.
 #[test]
 fn waves_of_upkeep_grow_with_the_fleet() {
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -8,7 +8,9 @@
 )]
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod admitting;
 pub mod live_worker;
+pub mod modelled_leader;
 pub mod stalled_steps;
 
 use bh_protocol::Incarnation;
