--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -28,8 +28,8 @@
 /// Forwards `call` to the leader and returns its answer, within `limit_ms`.
 ///
 /// A call that may have been recorded is repeated until its outcome is known. `Unavailable` is returned only if it was certainly not
-/// recorded, since the caller is then told that nothing will run. The same holds for `Busy`, which is final: the leader has decided. A call that changes nothing is never recorded, so its caller may retry at
-/// once.
+/// recorded, since the caller is then told that nothing will run. The same holds for `Busy`, which is final: the leader has decided. A call
+/// that changes nothing is never recorded, so its caller may retry at once.
 pub async fn forward(mesh: &Rc<Mesh>, call: &Call, limit_ms: u64) -> Answer {
     let Ok(body) = serde_json::to_vec(call) else {
         return Answer::Refused(Refusal::BadJob("the call cannot be written".to_owned()));
--- a/crates/bh-control/tests/busy_leader.rs
+++ b/crates/bh-control/tests/busy_leader.rs
@@ -110,8 +110,8 @@
     .unwrap();
 }
 
-/// A leader is lost after an entry has sent it a call, and the next one refuses the same call because of load. The first leader may have recorded the call.
-/// Guards against telling the caller that its job was not run. A read has no such effect, so its caller may retry.
+/// A leader is lost after an entry has sent it a call, and the next one refuses the same call because of load. The first leader may have
+/// recorded the call. Guards against telling the caller that its job was not run. A read has no such effect, so its caller may retry.
 #[test]
 fn a_call_that_a_lost_leader_may_have_recorded_is_not_called_refused() {
     let addresses = ports::free(2);
--- a/crates/bh-workload/tests/admission.rs
+++ b/crates/bh-workload/tests/admission.rs
@@ -32,8 +32,9 @@
     assert_eq!(levels.max(), Some(ShedLevel::Nothing));
 }
 
-/// Load pattern: 0.8 of what the leader can carry for 5 s, two, three or five times that for 10 to 11 s, and 0.8 again. Guards against urgent work and ends
-/// that are lost among other calls, a shedding order other than the written one, and a leader that goes on refusing jobs when the load is over.
+/// Load pattern: 0.8 of what the leader can carry for 5 s, two, three or five times that for 10 to 11 s, and 0.8 again. Guards against urgent
+/// work and ends that are lost among other calls, a shedding order other than the written one, and a leader that goes on refusing jobs when
+/// the load is over.
 #[rstest]
 fn an_overloaded_leader_serves_urgent_work_and_ends(
     #[values(200, 300, 500)] percent: u64,
@@ -75,8 +76,8 @@
     assert_eq!(last_level, Some(ShedLevel::Nothing));
 }
 
-/// Load pattern: five times what the leader can carry. Guards against telling a caller that its job was not run although an earlier submission of it was
-/// accepted.
+/// Load pattern: five times what the leader can carry. Guards against telling a caller that its job was not run although an earlier
+/// submission of it was accepted.
 #[test]
 fn no_accepted_job_is_refused_when_it_is_sent_again() {
     let mut leader = ModelledLeader::new();
@@ -104,7 +105,8 @@
     }
 }
 
-/// Guards against levels that rise at other lags than those derived from the objectives, or that fall at once, so that the load comes back at once.
+/// Guards against levels that rise at other lags than those derived from the objectives, or that fall at once, so that the load comes back at
+/// once.
 #[test]
 fn levels_rise_with_the_lag_and_fall_one_by_one() {
     let mut shedder = LoadShedder::new();
@@ -154,7 +156,8 @@
     assert_eq!(sheds(2), [false, false, false, true, true]);
 }
 
-/// A leader's process is suspended for 3 s while a call is on its way. Guards against a leader that sheds load after that although it is not behind.
+/// A leader's process is suspended for 3 s while a call is on its way. Guards against a leader that sheds load after that although it is not
+/// behind.
 #[test]
 fn a_suspended_leader_is_not_behind() {
     let mut lag = LeaderLag::new(LOOP_MS);
@@ -174,7 +177,8 @@
     assert_eq!(lag.note_iteration(8_000), 0);
 }
 
-/// Every iteration of the loop takes 600 ms, during which no call is handled. Guards against taking such a leader for one that is suspended again and again.
+/// Every iteration of the loop takes 600 ms, during which no call is handled. Guards against taking such a leader for one that is suspended
+/// again and again.
 #[test]
 fn iterations_that_all_take_long_are_a_lag() {
     let mut lag = LeaderLag::new(LOOP_MS);
@@ -184,7 +188,8 @@
     assert_eq!(lag.note_iteration(2_800), 550);
 }
 
-/// A call waits for its record while the loop runs in time. Guards against a leader that does not notice that its disk or its followers are behind.
+/// A call waits for its record while the loop runs in time. Guards against a leader that does not notice that its disk or its followers are
+/// behind.
 #[test]
 fn the_age_of_the_oldest_call_is_a_lag() {
     let mut lag = LeaderLag::new(LOOP_MS);
--- a/crates/bh-workload/tests/admission_limits.rs
+++ b/crates/bh-workload/tests/admission_limits.rs
@@ -82,8 +82,8 @@
     assert_eq!(admitted.count(), 3);
 }
 
-/// Load pattern: one customer has 10 waiting jobs of lower priority, and its limit is 1. Guards against refusing the work that the customer's guarantee covers,
-/// and against refusing it as hopeless.
+/// Load pattern: one customer has 10 waiting jobs of lower priority, and its limit is 1. Guards against refusing the work that the customer's
+/// guarantee covers, and against refusing it as hopeless.
 #[test]
 fn guaranteed_work_is_not_refused() {
     let policy = limit(1).with_hopeless_refused();
@@ -103,8 +103,8 @@
     assert_eq!(reason, Some(RefusalReason::TooManyWaiting));
 }
 
-/// Load pattern: waiting jobs that take 5 s each. A job has an objective of 16 s and is worth something for 48 s, so that after its run of 5 s it may wait for
-/// 43 s, and for 86 s by an estimate that is twice too high. Guards against refusing work that could be served.
+/// Load pattern: waiting jobs that take 5 s each. A job has an objective of 16 s and is worth something for 48 s, so that after its run of 5
+/// s it may wait for 43 s, and for 86 s by an estimate that is twice too high. Guards against refusing work that could be served.
 #[rstest]
 #[case(0, None)]
 #[case(10, None)]
@@ -131,8 +131,8 @@
     assert_eq!(admitting.reason(1, "other", whole_site()), None);
 }
 
-/// Load pattern: 60 waiting jobs, which take 300 s. Guards against refusing jobs that do not start now or do not end, and jobs of a pool whose VMs are
-/// switched on when there is work.
+/// Load pattern: 60 waiting jobs, which take 300 s. Guards against refusing jobs that do not start now or do not end, and jobs of a pool
+/// whose VMs are switched on when there is work.
 #[test]
 fn repeated_jobs_services_and_standby_pools_are_not_hopeless() {
     let mut admitting = Admitting::new(hopeless(), 60);
@@ -160,8 +160,8 @@
     assert_eq!(admitting.reason(1, "other", whole_site()), None);
 }
 
-/// A caller sends a job again while its first submission is being recorded, or after its record got no answer. Guards against telling it that the job was not
-/// run. Also, once the first submission is known to have failed, the job is judged like any other.
+/// A caller sends a job again while its first submission is being recorded, or after its record got no answer. Guards against telling it that
+/// the job was not run. Also, once the first submission is known to have failed, the job is judged like any other.
 #[test]
 fn a_job_that_may_be_recorded_is_not_refused() {
     let mut admitting = Admitting::new(limit(1), 1);
@@ -181,8 +181,8 @@
     assert!(admitting.check(&place, &job).is_some());
 }
 
-/// The leader changes after a job was accepted; the next leader is at the same limit. Guards against refusing the resend of a job that only the record knows,
-/// also when the job has ended.
+/// The leader changes after a job was accepted; the next leader is at the same limit. Guards against refusing the resend of a job that only
+/// the record knows, also when the job has ended.
 #[test]
 fn the_next_leader_knows_accepted_jobs() {
     let mut admitting = Admitting::new(limit(1), 1);
@@ -213,8 +213,8 @@
     assert_eq!(admitting.check(&without_key, &spec(step(1, 1))), None);
 }
 
-/// Load pattern: 4 waiting jobs, which take 20 s, one job that runs, and three refused submissions. Guards against reports that leave a queue or a refusal out, and against
-/// retries before the work ahead is done.
+/// Load pattern: 4 waiting jobs, which take 20 s, one job that runs, and three refused submissions. Guards against reports that leave a queue
+/// or a refusal out, and against retries before the work ahead is done.
 #[test]
 fn the_report_has_the_load_of_each_queue() {
     let mut admitting = Admitting::new(limit(4), 0);
