Shedding: all calls are served as before within two seconds

Cause: the level fell by one every 500 ms, so reads of queue lengths came back up to 2.4 s after an overload; the stated bound is two seconds, and the test allowed reads half a second more. Change: it falls every 250 ms; the test holds reads to the stated bound too.

--- a/crates/bh-workload/src/admission/load_shedder.rs
+++ b/crates/bh-workload/src/admission/load_shedder.rs
@@ -2,9 +2,9 @@
 
 use super::ShedLevel;
 
-/// Minimum time between two falls of the level, in milliseconds. A refused caller retries after a second or more, so the
-/// load that one level sheds comes back before the next one is given up.
-const FALL_INTERVAL_MS: u64 = 500;
+/// Minimum time between two falls of the level, in milliseconds. Callers are to be served as before within two seconds after an overload: one
+/// second of backlog and four levels.
+const FALL_INTERVAL_MS: u64 = 250;
 /// Time for which the lag must be below that of the level in force before the level falls, in milliseconds: several iterations of the leader's
 /// loop, so that one in time among late ones does not lower the level.
 const CALM_MS: u64 = 250;
--- a/crates/bh-workload/tests/admission.rs
+++ b/crates/bh-workload/tests/admission.rs
@@ -14,10 +14,8 @@
 use support::modelled_leader::LOOP_MS;
 use support::modelled_leader::ModelledLeader;
 
-/// Time after an overload in which submissions are served as before, in milliseconds.
+/// Time after an overload in which all calls are served as before, in milliseconds.
 const MAX_RECOVERY_MS: u64 = 2_000;
-/// Time between falls of the shedding level, in milliseconds.
-const FALL_INTERVAL_MS: u64 = 500;
 
 /// Load pattern: 0.8 of what the leader can carry, for 20 s. Guards against a leader that refuses work that it could serve.
 #[test]
@@ -59,19 +57,13 @@
     assert!(reads.refused > 0 && lowest.refused > 0);
     // Twice the load can be served without the submissions of the lowest priority, so that no others need to be refused.
     assert_eq!(normal.refused > 0, percent > 200, "{normal:?}");
-    for outcomes in [lowest, normal] {
+    for outcomes in [lowest, normal, reads] {
         let last_ms = outcomes.last_refused_ms();
         assert!(
             last_ms <= ended_ms + MAX_RECOVERY_MS,
             "{last_ms} {ended_ms}"
         );
     }
-    // Reads come back one level later.
-    let last_ms = reads.last_refused_ms();
-    assert!(
-        last_ms <= ended_ms + MAX_RECOVERY_MS + FALL_INTERVAL_MS,
-        "{last_ms} {ended_ms}"
-    );
     let last_level = leader.levels.last().map(|(_, level)| *level);
     assert_eq!(last_level, Some(ShedLevel::Nothing));
 }
@@ -129,7 +121,7 @@
     // The lag called for the highest level until 10,005.
     assert_eq!(
         fell_ms,
-        [(10_255, 3), (10_755, 2), (11_255, 1), (11_755, 0)]
+        [(10_255, 3), (10_505, 2), (10_755, 1), (11_005, 0)]
     );
 }
 
