Operators: the load by customer and by queue

The leader serves it at /v1/customers and /v1/load; another core names the leader. beechctl core customers and core load print it. Gauges by customer and counters of stopped runs and refused submissions name 16 label values and add up the rest under `other`. The customer is in the log lines of jobs accepted, refused and over, and of runs stopped to make room. Figures of other parts are optional fields, printed as `-`.

Result: the tests of bh-workload, bh-control and beechctl pass, and load_reports and serve of beechhollow. The new tests use new interfaces and were not run before the change. No test covers the customer in the line `stopped to make room`.

--- a/crates/beechctl/src/commands/all.rs
+++ b/crates/beechctl/src/commands/all.rs
@@ -1,9 +1,11 @@
 //! The command tree, and the dispatch to the command that was given.
 
 use super::completion;
+use super::core_customers;
 use super::core_evacuate;
 use super::core_explain;
 use super::core_late;
+use super::core_load;
 use super::core_status;
 use super::job_cancel;
 use super::job_list;
@@ -101,6 +103,8 @@
                 .about("Calls a core of a deployment; give its metrics address as --entry")
                 .subcommand_required(true)
                 .subcommand(core_status::command())
+                .subcommand(core_customers::command())
+                .subcommand(core_load::command())
                 .subcommand(core_explain::command())
                 .subcommand(core_late::command())
                 .subcommand(core_evacuate::start_command())
@@ -137,6 +141,8 @@
         ["target", "list"] => target_list::run(client, output, leaf(matches)).await,
         ["status"] => status::run(client, output).await,
         ["core", "status"] => core_status::run(client, output).await,
+        ["core", "customers"] => core_customers::run(client, output).await,
+        ["core", "load"] => core_load::run(client, output).await,
         ["core", "explain"] => core_explain::run(client, output, leaf(matches)).await,
         ["core", "late"] => core_late::run(output, leaf(matches)),
         ["core", "evacuate"] => core_evacuate::start(client, output, leaf(matches)).await,
--- a/crates/beechctl/src/commands/mod.rs
+++ b/crates/beechctl/src/commands/mod.rs
@@ -3,14 +3,17 @@
 mod all;
 mod arguments;
 mod completion;
+mod core_customers;
 mod core_evacuate;
 mod core_explain;
 mod core_late;
+mod core_load;
 mod core_status;
 mod job_cancel;
 mod job_list;
 mod job_status;
 mod job_submit;
+mod optional_figure;
 mod report_burn;
 mod report_fragmentation;
 mod request;
--- a/crates/beechctl/tests/cli.rs
+++ b/crates/beechctl/tests/cli.rs
@@ -33,6 +33,8 @@
 #[case(&["target", "list"])]
 #[case(&["status"])]
 #[case(&["core", "status"])]
+#[case(&["core", "customers"])]
+#[case(&["core", "load"])]
 #[case(&["core", "explain"])]
 #[case(&["core", "late"])]
 #[case(&["core", "evacuate"])]
@@ -126,4 +128,5 @@
     let output = beechctl(&["completion", "bash"]);
     let script = text(&output.stdout);
     assert!(script.contains("in-force") && script.contains("fragmentation"));
+    assert!(script.contains("core,customers)") && script.contains("core,load)"));
 }
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -5,6 +5,7 @@
 use super::detection::Detection;
 use super::heartbeats::handle_heartbeat;
 use super::records::propose;
+use super::submission::Submission;
 use crate::calls::Answer;
 use crate::calls::Call;
 use crate::calls::RETRY_AFTER_MS;
@@ -32,6 +33,16 @@
     if core.leadership.borrow().is_none() || !core.group.is_leader() {
         return Answer::NotLeader;
     }
+    let submission = Submission::of_call(&core.group.machine.read(), &call);
+    let answer = decide_call(core, call).await;
+    if let Some(submission) = submission {
+        submission.log(core, &answer);
+    }
+    answer
+}
+
+/// Decides `call` as the leader.
+async fn decide_call(core: &Rc<CoreNode>, call: Call) -> Answer {
     match call {
         Call::Submit {
             place,
--- a/crates/bh-control/src/core/job_ends.rs
+++ b/crates/bh-control/src/core/job_ends.rs
@@ -32,7 +32,8 @@
         }
         log::info!(
             job = id.to_string(), queue = &*queue.name, priority = queue.priority, outcome:? = job.outcome, took_ms,
-            objective_ms = objective_ms.unwrap_or(0), slack_factor = queue.slack_factor, target_ms = queue.target_latency_ms;
+            objective_ms = objective_ms.unwrap_or(0), slack_factor = queue.slack_factor, target_ms = queue.target_latency_ms,
+            customer = job.customer.as_deref().unwrap_or("-");
             "job over"
         );
     }
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -3,6 +3,7 @@
 use super::core_node::CoreNode;
 use super::evacuations;
 use super::evacuations::Evacuation;
+use super::load_reports;
 use super::surveys;
 use crate::observe::Metrics;
 use crate::observe::OperatorHooks;
@@ -23,6 +24,8 @@
 use std::sync::Arc;
 
 const STATUS_PATH: &str = "/v1/status";
+const CUSTOMERS_PATH: &str = "/v1/customers";
+const LOAD_PATH: &str = "/v1/load";
 const JOB_PATH: &str = "/v1/jobs/";
 const EVACUATION_PATH: &str = "/v1/evacuations/";
 
@@ -96,6 +99,7 @@
         metrics.gauge("calls_in_progress", size(gauged.in_progress.get()));
         metrics.gauge("log_lines_dropped", log_lines_dropped());
         set_fleet_gauges(&gauged, metrics);
+        load_reports::set_gauges(&gauged, metrics);
     };
     OperatorHooks::new(refresh).with_answer(move |request| answer_call(asked.clone(), request))
 }
@@ -147,14 +151,29 @@
     if request.method() != Method::GET {
         return None;
     }
-    if path == STATUS_PATH {
-        return Some(answer::json(&report(&core)));
-    }
-    let name = path.strip_prefix(JOB_PATH)?;
-    Some(match job(&core, name) {
+    Some(match path {
+        STATUS_PATH => answer::json(&report(&core)),
+        CUSTOMERS_PATH => json_or_failure(load_reports::customers(&core)),
+        LOAD_PATH => json_or_failure(load_reports::load(&core)),
+        _ => json_or_failure(job(&core, path.strip_prefix(JOB_PATH)?)),
+    })
+}
+
+fn json_or_failure(report: Result<impl Serialize, Failure>) -> Response<Bytes> {
+    match report {
         Ok(report) => answer::json(&report),
         Err(failure) => answer::failed(&failure),
-    })
+    }
+}
+
+/// The failure of a question that only the leader answers. It names the leader if this core knows it.
+pub(super) fn not_leading(core: &CoreNode) -> Failure {
+    let leader = core.mesh.leader().map(|peer| peer.address.to_string());
+    let label = match leader {
+        Some(leader) => format!("this core does not lead; {leader} does"),
+        None => "this core does not lead, and it knows of no leader".to_owned(),
+    };
+    Failure::new(Code::NoQuorum, label)
 }
 
 /// The current state of this core.
@@ -196,12 +215,7 @@
     let id = JobId::parse(name).ok_or_else(unknown)?;
     let held = core.leadership.borrow();
     let Some(leadership) = held.as_ref() else {
-        let leader = core.mesh.leader().map(|peer| peer.address.to_string());
-        let label = match leader {
-            Some(leader) => format!("this core does not lead; {leader} does"),
-            None => "this core does not lead, and it knows of no leader".to_owned(),
-        };
-        return Err(Failure::new(Code::NoQuorum, label));
+        return Err(not_leading(core));
     };
     let times = (core.clock.now_ms(), core.wall_ms());
     let workload = core.group.machine.read();
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -3,9 +3,12 @@
 use super::advice;
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
+use super::load_reports::CUSTOMER_LABEL;
 use super::plan_gap::plan_gap_ms;
 use super::records::propose;
 use super::run_ends::failures;
+use bh_protocol::Incarnation;
+use bh_workload::job::RunId;
 use bh_workload::plan::Plan;
 use bh_workload::state::Command;
 use bh_workload::state::Reply;
@@ -58,8 +61,8 @@
     for (step, workers) in reserved {
         log::info!(step = step.to_string(), workers; "room is made");
     }
+    log_evictions(core, &evictions);
     for (worker, run) in &evictions {
-        log::info!(run = run.to_string(), worker = worker.to_string(); "stopped to make room for guaranteed work");
         leadership.dispatcher.request_stop(worker, *run);
     }
     if !evictions.is_empty() {
@@ -95,6 +98,18 @@
     });
 }
 
+/// Logs each run that is stopped to make room, and counts it for its customer.
+fn log_evictions(core: &CoreNode, evictions: &[(Incarnation, RunId)]) {
+    let workload = core.group.machine.read();
+    for (worker, run) in evictions {
+        let job = workload.job(run.task.step.job);
+        let customer = job.and_then(|job| job.customer.as_deref());
+        let label = (CUSTOMER_LABEL, customer);
+        core.metrics.count_with("customer_runs_stopped", label, 1);
+        log::info!(run = run.to_string(), worker = worker.to_string(), customer = customer.unwrap_or("-"); "stopped to make room for guaranteed work");
+    }
+}
+
 /// Stops runs that would be cut short: they cannot end before their worker leaves.
 fn stop_runs_cut_short(
     core: &CoreNode,
--- a/crates/bh-control/src/observe/metrics.rs
+++ b/crates/bh-control/src/observe/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and latency histograms of a process, served as text.
 
+use super::label_values::LabelValues;
 use hdrhistogram::Histogram;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -12,15 +13,16 @@
 /// Percentiles that are reported.
 const PERCENTILES: [f64; 3] = [50.0, 90.0, 99.0];
 
-/// Name of a gauge, and name and value of its label.
-type LabelledName = (&'static str, &'static str, &'static str);
+/// Name of a metric, and name of its label.
+type LabelledName = (&'static str, &'static str);
 
 /// Counters, gauges and histograms by name.
 #[derive(Default)]
 pub struct Metrics {
     counters: RefCell<BTreeMap<&'static str, u64>>,
     gauges: RefCell<BTreeMap<&'static str, u64>>,
-    labelled: RefCell<BTreeMap<LabelledName, u64>>,
+    labelled_counters: RefCell<BTreeMap<LabelledName, LabelValues>>,
+    labelled_gauges: RefCell<BTreeMap<LabelledName, LabelValues>>,
     times_ms: RefCell<BTreeMap<&'static str, Histogram<u64>>>,
 }
 
@@ -47,9 +49,40 @@
         (label, label_value): (&'static str, &'static str),
         value: u64,
     ) {
-        self.labelled
-            .borrow_mut()
-            .insert((name, label, label_value), value);
+        let mut gauges = self.labelled_gauges.borrow_mut();
+        let gauge = gauges.entry((name, label)).or_default();
+        gauge.set(label_value, value);
+    }
+
+    /// Replaces all values of a gauge that has a label. The first 16 label values are named; the other values, and those without a label
+    /// value, are added up under `other`. Without any values the gauge is removed.
+    pub fn replace_gauge<'a>(
+        &self,
+        name: &'static str,
+        label: &'static str,
+        values: impl IntoIterator<Item = (Option<&'a str>, u64)>,
+    ) {
+        let mut gauges = self.labelled_gauges.borrow_mut();
+        gauges.remove(&(name, label));
+        for (label_value, value) in values {
+            let gauge = gauges.entry((name, label));
+            let gauge = gauge.or_insert_with(LabelValues::bounded);
+            gauge.add(label_value, value);
+        }
+    }
+
+    /// Adds to a counter that has a label. The 16 label values that are counted first are named; later ones, and counts without a label
+    /// value, are added up under `other`.
+    pub fn count_with(
+        &self,
+        name: &'static str,
+        (label, label_value): (&'static str, Option<&str>),
+        by: u64,
+    ) {
+        let mut counters = self.labelled_counters.borrow_mut();
+        let counter = counters.entry((name, label));
+        let counter = counter.or_insert_with(LabelValues::bounded);
+        counter.add(label_value, by);
     }
 
     /// Records a duration in a histogram.
@@ -75,11 +108,18 @@
         for (name, value) in self.counters.borrow().iter() {
             let _ = writeln!(text, "{name}_total {value}");
         }
+        for ((name, label), values) in self.labelled_counters.borrow().iter() {
+            for (label_value, value) in values.iter().map(escape) {
+                let _ = writeln!(text, "{name}_total{{{label}=\"{label_value}\"}} {value}");
+            }
+        }
         for (name, value) in self.gauges.borrow().iter() {
             let _ = writeln!(text, "{name} {value}");
         }
-        for ((name, label, label_value), value) in self.labelled.borrow().iter() {
-            let _ = writeln!(text, "{name}{{{label}=\"{label_value}\"}} {value}");
+        for ((name, label), values) in self.labelled_gauges.borrow().iter() {
+            for (label_value, value) in values.iter().map(escape) {
+                let _ = writeln!(text, "{name}{{{label}=\"{label_value}\"}} {value}");
+            }
         }
         for (name, histogram) in self.times_ms.borrow().iter() {
             for percentile in PERCENTILES {
@@ -92,3 +132,10 @@
         text
     }
 }
+
+/// Escapes a label value as the text format of the metrics requires. The names of customers are not restricted.
+fn escape((label_value, value): (&str, u64)) -> (String, u64) {
+    let escaped = label_value.replace('\\', "\\\\");
+    let escaped = escaped.replace('"', "\\\"").replace('\n', "\\n");
+    (escaped, value)
+}
--- a/crates/bh-control/src/observe/mod.rs
+++ b/crates/bh-control/src/observe/mod.rs
@@ -1,6 +1,7 @@
 //! Logs and metrics.
 
 mod bounded_stdout;
+mod label_values;
 pub mod logging;
 mod metrics;
 mod serve_metrics;
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -10,6 +10,7 @@
 use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::StepSpec;
+use bh_workload::plan::FleetLoad;
 use bh_workload::state::Command;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
@@ -90,6 +91,16 @@
     });
 }
 
+/// Guards against scans of the fleet for each job in the report of the load, which the leader computes whenever its metrics are read.
+#[test]
+fn the_report_of_the_load_grows_with_the_fleet() {
+    assert_growth(MAX_GROWTH, site_with_gangs, |site| {
+        let started = Instant::now();
+        FleetLoad::new(&site.workload, site.wall_ms());
+        started.elapsed()
+    });
+}
+
 /// Guards against scans of the fleet for each gang that breaks, which every replica would make.
 #[test]
 fn recording_the_ends_of_gangs_grows_with_the_fleet() {
