Planner: the speed of each worker, with the policy that ranks workers

Cause: workers were ranked by the speed of their data centre only. Where slow workers are spread over all data centres, that says nothing, and work with tight deadlines started on them. Run times relative to declared times that are too short also left workers out as slow.

Change: with Policy::ranks_workers, plan/worker_speeds.rs learns the run time of each worker relative to learnt run times, shrunk towards its data centre. Progress from 20 % on counts once for each run, also for runs that an earlier leader started. Learnt run times are those of a usual worker, and the check for overdue runs multiplies them by the worker's factor. Without the policy, ranks and learnt times are as before.

--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -41,6 +41,8 @@
 mod urgent_headroom;
 mod wait_explainer;
 mod wait_reason;
+mod worker_learning;
+mod worker_speeds;
 
 pub use decided::Plan;
 pub use decided::ReleaseReason;
--- a/crates/bh-workload/src/plan/overdue.rs
+++ b/crates/bh-workload/src/plan/overdue.rs
@@ -1,6 +1,7 @@
 //! Finds runs that make no progress or are much slower than expected.
 
 use super::Runtimes;
+use super::Speeds;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::RunState;
 use crate::dispatch::StartPhase;
@@ -49,7 +50,7 @@
     now_ms: u64,
     workload: &Workload,
     dispatcher: &Dispatcher,
-    runtimes: &Runtimes,
+    (runtimes, speeds): (&Runtimes, &Speeds),
 ) -> Vec<OverdueRun> {
     let mut overdue = Vec::new();
     let mut gang_places = GangPlaces::new();
@@ -61,6 +62,12 @@
         if target.is_silent() {
             continue;
         }
+        // Learnt run times are those of a usual worker if workers are ranked by their speeds.
+        let worker_percent = if speeds.ranks_workers() {
+            speeds.runtime_percent(&worker.info.id, &worker.info.data_centre, now_ms)
+        } else {
+            100
+        };
         for (run, run_state) in &target.runs {
             if run_state.stop_requested || !workload.should_run(*run) {
                 continue;
@@ -74,7 +81,9 @@
             if spec.long_running {
                 continue;
             }
-            let slowdown = slowdown_percent(&mut gang_places, workload, dispatcher, *run, spec);
+            let slowdown = slowdown_percent(&mut gang_places, workload, dispatcher, *run, spec)
+                * worker_percent
+                / 100;
             let expected_ms =
                 runtimes.expected_ms(&job.queue.name, run.task.step, spec) * slowdown / 100;
             // A run counts as slow only relative to a learnt run time, because declared ones are off by factors. Gangs are exempt because
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -18,6 +18,7 @@
 use super::reservation::Reservation;
 use super::stall_tracker::StallTracker;
 use super::urgent_headroom::UrgentHeadroom;
+use super::worker_learning::ObservedProgress;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::StartPhase;
 use crate::job::JobId;
@@ -51,6 +52,8 @@
     pub(super) policy: Policy,
     pub(super) runtimes: Runtimes,
     pub(super) speeds: Speeds,
+    /// Runs whose progress has been used to learn the speeds of their workers; only with [`Policy::ranks_workers`].
+    pub(super) observed_progress: BTreeMap<RunId, ObservedProgress>,
     headroom: UrgentHeadroom,
     pub(super) reservations: BTreeMap<StepId, Reservation>,
     /// Workers on which a task failed or was overdue. The next attempts of the task prefer other workers.
@@ -74,6 +77,9 @@
     /// Sets the optional decisions in use.
     pub fn with_policy(mut self, policy: Policy) -> Self {
         self.policy = policy;
+        if policy.ranks_workers {
+            self.speeds = Speeds::default().with_ranked_workers();
+        }
         self
     }
 
@@ -146,6 +152,10 @@
             return;
         }
         let took_ms = now_ms.saturating_sub(at_ms);
+        if self.policy.ranks_workers {
+            self.learn_ranked((now_ms, took_ms), end.run, (job, spec), (workload, worker));
+            return;
+        }
         let expected_ms = self.runtimes.expected_ms(&job.queue.name, step, spec);
         let single_worker = (!spec.gang).then_some(&end.worker);
         self.speeds.record(
@@ -164,7 +174,10 @@
         workload: &Workload,
         dispatcher: &Dispatcher,
     ) -> Vec<OverdueRun> {
-        let mut overdue = overdue(now_ms, workload, dispatcher, &self.runtimes);
+        if self.policy.ranks_workers {
+            self.learn_progress(now_ms, workload, dispatcher);
+        }
+        let mut overdue = overdue(now_ms, workload, dispatcher, (&self.runtimes, &self.speeds));
         overdue.retain(|overdue_run| {
             overdue_run.why == OverdueReason::Still
                 || self.restarted_slow.insert(overdue_run.run.task)
@@ -215,6 +228,7 @@
             policy: _,
             runtimes,
             speeds,
+            observed_progress: _,
             headroom,
             reservations,
             failed_on,
@@ -250,6 +264,7 @@
                 ..Plan::default()
             };
         }
+        speeds.update(now_ms);
         let mut pass = Pass::new(
             (now_ms, wall_ms),
             workload,
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -73,7 +73,7 @@
     pub held_for_gangs: Resources,
     /// Number of recorded runs, by step.
     pub runs: BTreeMap<StepId, u64>,
-    /// Run time here relative to the fastest data centre, in percent.
+    /// Run time here relative to a usual worker of the fastest data centre, in percent.
     pub runtime_percent: u64,
     /// Speed, in percent of the full speed, at which tasks that use only otherwise idle processor time run here.
     pub fill_percent: u64,
@@ -203,7 +203,11 @@
             urgent_only: false,
             has_recent_start: recent.any,
             cold: view.is_some_and(|target| now_ms < target.cold_until_ms),
-            runtime_percent: speeds.data_centre_percent(&worker.info.data_centre),
+            runtime_percent: speeds.runtime_percent(
+                &worker.info.id,
+                &worker.info.data_centre,
+                now_ms,
+            ),
             usable: unusable.is_none(),
             unusable,
             set_aside,
--- a/crates/bh-workload/src/plan/speeds.rs
+++ b/crates/bh-workload/src/plan/speeds.rs
@@ -1,5 +1,7 @@
 //! Learns which data centres and workers are slow.
 
+use super::worker_speeds::WorkerSpeeds;
+use super::worker_speeds::rounded_percent;
 use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -54,23 +56,61 @@
 pub struct Speeds {
     data_centres: BTreeMap<Arc<str>, RelativeRuntime>,
     workers: BTreeMap<Incarnation, RelativeRuntime>,
+    /// Speeds of workers, if workers are ranked by them.
+    ranked: Option<WorkerSpeeds>,
 }
 
 impl Speeds {
-    /// Records a run that ended at `now_ms` and took `took_ms` instead of `expected_ms`. `worker` is `None` for a member of a gang, because
+    /// Ranks each worker by its own speed. Only runs whose expected time was learnt are to be recorded then.
+    pub fn with_ranked_workers(mut self) -> Self {
+        self.ranked = Some(WorkerSpeeds::default());
+        self
+    }
+
+    /// Returns whether each worker is ranked by its own speed.
+    pub fn ranks_workers(&self) -> bool {
+        self.ranked.is_some()
+    }
+
+    /// Brings the speeds of ranked workers up to date at the start of a pass.
+    pub fn update(&mut self, now_ms: u64) {
+        if let Some(ranked) = &mut self.ranked {
+            ranked.update(now_ms);
+        }
+    }
+
+    /// Records for the rank of a worker a run that ended or whose pace is known, with its actual and its expected time in milliseconds.
+    pub fn record_rank(
+        &mut self,
+        data_centre: &Arc<str>,
+        worker: &Incarnation,
+        now_ms: u64,
+        times: (u64, u64),
+    ) {
+        if let Some(ranked) = &mut self.ranked {
+            ranked.record(now_ms, worker, data_centre, log_ratio(times));
+        }
+    }
+
+    /// Returns the run time on a worker relative to the fastest data centre, in percent. It is that of its data centre if workers are not
+    /// ranked or too little is known.
+    pub fn runtime_percent(&self, worker: &Incarnation, data_centre: &str, now_ms: u64) -> u64 {
+        let ranked = self.ranked.as_ref();
+        ranked
+            .and_then(|ranked| ranked.runtime_percent(worker, data_centre, now_ms))
+            .unwrap_or_else(|| self.data_centre_percent(data_centre))
+    }
+
+    /// Records a run that ended at `now_ms`, with its actual and its expected time in milliseconds. `worker` is `None` for a member of a gang, because
     /// members wait for the slowest of them.
     pub fn record(
         &mut self,
         data_centre: &Arc<str>,
         worker: Option<&Incarnation>,
         now_ms: u64,
-        (took_ms, expected_ms): (u64, u64),
+        times: (u64, u64),
     ) {
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "times here are far below 2^53 ms"
-        )]
-        let value = (took_ms.max(1) as f64 / expected_ms.max(1) as f64).ln();
+        let value = log_ratio(times);
         self.data_centres
             .entry(data_centre.clone())
             .or_default()
@@ -103,19 +143,21 @@
 
     /// Returns whether runs on this worker take much longer than expected, as far as is known at `now_ms`.
     pub fn is_slow(&self, worker: &Incarnation, now_ms: u64) -> bool {
+        if let Some(ranked) = &self.ranked {
+            return ranked.is_unusable(worker, now_ms);
+        }
         self.workers
             .get(worker)
             .is_some_and(|runtime| runtime.is_slow() && !runtime.is_expired(now_ms))
     }
 }
 
-/// Converts a factor to percent, in steps of ten so that small random differences have no effect.
-fn rounded_percent(factor: f64) -> u64 {
+/// Returns the logarithm of the ratio of an actual to an expected time, both in milliseconds.
+fn log_ratio((took_ms, expected_ms): (u64, u64)) -> f64 {
     #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "clamped to a range that fits"
+        clippy::cast_precision_loss,
+        reason = "times here are far below 2^53 ms"
     )]
-    let tens = (factor * 10.0).clamp(0.0, 1e6).round() as u64;
-    tens * 10
+    let ratio = took_ms.max(1) as f64 / expected_ms.max(1) as f64;
+    ratio.ln()
 }
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod live_worker;
 pub mod stalled_steps;
+pub mod uneven_fleet;
 
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
