Planner: gangs on fast workers, and no late start beside one free in time

Cause: a gang is as slow as its slowest member, and racks were compared by their worst worker even if the gang would not use it. Work that had little time left started on slow workers although a fast one became free in time.

Change: with Policy::ranks_workers, gangs go where they end soonest, and racks are compared by the slowest worker that the gang would use. A unit that is on time on fast workers only is placed there; if they are full, it waits while the runs there are expected to end in time, and otherwise starts on a slow worker. Guaranteed work does not wait. Making room prefers workers on which the unit is on time. Expected ends of runs, also those for which room is held, allow for the speed of the worker.

Timing tests in large_fleets.rs take turns: one beside another slowed it down. Their limits are unchanged. A new one compares a plan with ranks with one without, for as many units as workers.

Result: 20 tests in uneven_workers.rs pass. Urgent gangs beside a pool that is half full are all in time, with and without a preferred rack. Without the limits of the run time, the three tests on waiting fail; without the exception for guaranteed work, its test does. The whole test suite of the crate passes.

--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -180,6 +180,8 @@
                 relaxed: false,
                 last_chance: spec.gang && on_time && late_soon,
                 on_time,
+                by_worker: false,
+                max_runtime_percent: u64::MAX,
                 tight_deadline: queue.slack_factor < TIGHT_SLACK_FACTOR,
                 value_density: value * size_factor / (rank * rank),
             });
--- a/crates/bh-workload/src/plan/hold_for_gang.rs
+++ b/crates/bh-workload/src/plan/hold_for_gang.rs
@@ -1,5 +1,6 @@
 //! Holds capacity for gangs that do not fit yet.
 
+use super::Room;
 use super::Unit;
 use super::pass::Pass;
 use super::place;
@@ -15,6 +16,18 @@
     /// that prefers one rack, the capacity is held in the rack that has enough of it soonest. Nothing is held on workers in `avoid`, where
     /// the gang would not start.
     pub fn hold_for_gang(&mut self, unit: &Unit, avoid: &BTreeSet<Incarnation>) {
+        let earliest = self.earliest_for_gang(unit, avoid);
+        for at in earliest.map(|(_, rooms)| rooms).unwrap_or_default() {
+            self.rooms[at].held_for_gangs.add(&unit.needs);
+        }
+    }
+
+    /// Returns when a gang is expected to fit, on the leader's clock in milliseconds, and the position of the worker of each task.
+    pub(super) fn earliest_for_gang(
+        &mut self,
+        unit: &Unit,
+        avoid: &BTreeSet<Incarnation>,
+    ) -> Option<(u64, Vec<usize>)> {
         let large_racks = if place::prefers_one_rack(unit) {
             place::large_enough_racks(unit, &self.rooms)
         } else {
@@ -36,13 +49,10 @@
                 .or_default()
                 .extend(self.future_places(unit, at, &ends));
         }
-        let earliest = racks
+        racks
             .into_values()
             .filter_map(|places| earliest_places(places, unit.count()))
-            .min_by_key(|(free_ms, _)| *free_ms);
-        for at in earliest.map(|(_, rooms)| rooms).unwrap_or_default() {
-            self.rooms[at].held_for_gangs.add(&unit.needs);
-        }
+            .min_by_key(|(free_ms, _)| *free_ms)
     }
 
     /// Returns when each slot for a task of `unit` on a worker is expected to be free, on the leader's clock in milliseconds, with the
@@ -72,22 +82,29 @@
     }
 
     /// Returns when each run on the worker at `at` is expected to end, in order, with its resources. The result is cached for the pass.
-    fn cached_ends(&mut self, at: usize) -> Rc<[(u64, Resources)]> {
+    pub(super) fn cached_ends(&mut self, at: usize) -> Rc<[(u64, Resources)]> {
         if let Some(ends) = self.run_ends.get(&at) {
             return ends.clone();
         }
-        let ends: Rc<[(u64, Resources)]> = self.expected_ends(&self.rooms[at].worker).into();
+        let ends: Rc<[(u64, Resources)]> = self.expected_ends(&self.rooms[at]).into();
         self.run_ends.insert(at, ends.clone());
         ends
     }
 
     /// Computes the expected ends. Services are left out because they run until they are cancelled.
-    fn expected_ends(&self, worker: &Incarnation) -> Vec<(u64, Resources)> {
+    fn expected_ends(&self, room: &Room) -> Vec<(u64, Resources)> {
+        let worker = &room.worker;
         let (Some(recorded), Some(target)) =
             (self.workload.worker(worker), self.dispatcher.view(worker))
         else {
             return Vec::new();
         };
+        // Learnt run times are those of a usual worker if workers are ranked by their speeds.
+        let runtime_percent = if self.by_worker {
+            room.runtime_percent
+        } else {
+            100
+        };
         let mut ends: Vec<(u64, Resources)> = recorded
             .runs
             .iter()
@@ -100,7 +117,9 @@
                 }
                 let expected_ms = self
                     .runtimes
-                    .expected_ms(&job.queue.name, run.task.step, spec);
+                    .expected_ms(&job.queue.name, run.task.step, spec)
+                    * runtime_percent
+                    / 100;
                 Some(((since_ms + expected_ms).max(self.now_ms), *needs))
             })
             .collect();
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -19,6 +19,7 @@
 mod failed_searches;
 mod guaranteed;
 mod hold_for_gang;
+mod in_time;
 mod last_pass;
 mod leaving;
 mod overdue;
--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -8,6 +8,7 @@
 use super::Speeds;
 use super::Unit;
 use super::failed_searches::FailedSearches;
+use super::in_time::FutureCapacity;
 use super::place;
 use super::place::PlacementFailure;
 use super::preemption_candidates::PreemptionCandidates;
@@ -32,6 +33,8 @@
     pub(super) workload: &'a Workload,
     pub(super) dispatcher: &'a Dispatcher,
     pub(super) runtimes: &'a Runtimes,
+    /// Whether workers are ranked by their own speeds.
+    pub(super) by_worker: bool,
     /// Jobs that are covered by a customer's guarantee.
     pub(super) guaranteed: &'a BTreeSet<JobId>,
     /// Workers and their free capacity, ordered by worker. The pass updates them as it places work.
@@ -42,6 +45,11 @@
     pub(super) run_ends: BTreeMap<usize, Rc<[(u64, Resources)]>>,
     /// Placements that failed for lack of free capacity, by whether the unit may use the urgent headroom.
     pub(super) failed_placements: FailedSearches<bool>,
+    /// Placements on workers up to a speed that failed, by whether the unit may use the urgent headroom, and by the limit of the run time in
+    /// percent.
+    pub(super) failed_limited: FailedSearches<(bool, u64)>,
+    /// Capacity that becomes free soon, computed on first use.
+    pub(super) future: FutureCapacity,
     /// Preemptions that failed because stopping every run that may be stopped for the unit would not free enough, by whether the unit is
     /// guaranteed, whether it belongs to a service, and its priority.
     pub(super) failed_preemptions: FailedSearches<(bool, bool, u32)>,
@@ -65,11 +73,14 @@
             workload,
             dispatcher,
             runtimes,
+            by_worker: speeds.ranks_workers(),
             guaranteed,
             rooms,
             preemption_candidates: None,
             run_ends: BTreeMap::new(),
             failed_placements: FailedSearches::new(),
+            failed_limited: FailedSearches::new(),
+            future: FutureCapacity::default(),
             failed_preemptions: FailedSearches::new(),
             plan: Plan::default(),
         }
--- a/crates/bh-workload/src/plan/place.rs
+++ b/crates/bh-workload/src/plan/place.rs
@@ -77,18 +77,7 @@
         return Err(PlacementFailure::NoRoom);
     }
     if prefers_one_rack(unit) {
-        let racks = by_rack(unit, &candidates, rooms);
-        let best_rack = racks
-            .into_iter()
-            .filter(|candidates| places(candidates) >= unit.count())
-            .min_by_key(|candidates| {
-                (
-                    needs_last_resort(candidates, unit.count()),
-                    worst_rank(candidates),
-                    free_accelerators(candidates),
-                )
-            });
-        if let Some(candidates) = best_rack {
+        if let Some(candidates) = best_rack(unit, &candidates, rooms) {
             return Ok(fill(candidates, unit.count()));
         }
         if waits_for_rack(unit, rooms, wall_ms) && !must_spread_now(unit, rooms, wall_ms) {
@@ -98,6 +87,40 @@
     Ok(fill(candidates, unit.count()))
 }
 
+/// Finds workers that are fast enough for the whole gang, in one rack if the gang prefers that. It is not spread over several racks, where it
+/// would be slower than on a slow worker.
+pub fn place_limited_gang(
+    unit: &Unit,
+    rooms: &[Room],
+    avoid: &BTreeSet<Incarnation>,
+) -> Option<Placement> {
+    let mut candidates = candidates(unit, rooms, avoid);
+    if prefers_one_rack(unit) {
+        candidates = best_rack(unit, &candidates, rooms)?;
+    }
+    (places(&candidates) >= unit.count()).then(|| fill(candidates, unit.count()))
+}
+
+/// Returns the candidates of the best rack that has enough places for the whole unit.
+fn best_rack(unit: &Unit, candidates: &[Candidate], rooms: &[Room]) -> Option<Vec<Candidate>> {
+    by_rack(unit, candidates, rooms)
+        .into_iter()
+        .filter(|candidates| places(candidates) >= unit.count())
+        .min_by_key(|candidates| {
+            let rank = if unit.by_worker {
+                worst_used_rank(candidates, unit.count())
+            } else {
+                let ranks = candidates.iter().map(|candidate| candidate.rank);
+                ranks.max().unwrap_or(0)
+            };
+            (
+                needs_last_resort(candidates, unit.count()),
+                rank,
+                free_accelerators(candidates),
+            )
+        })
+}
+
 /// Returns whether the unit must start now, spread over several racks, to be on time, and whether the pool is idle enough for the extra
 /// capacity that this takes.
 fn must_spread_now(unit: &Unit, rooms: &[Room], wall_ms: u64) -> bool {
@@ -194,7 +217,7 @@
     rooms.iter().enumerate().filter_map(candidate).collect()
 }
 
-/// Returns the preference for a worker; lower is better. Units with tight deadlines go where runs are fastest. Others have time to spare
+/// Returns the preference for a worker; lower is better. Units with tight deadlines, and gangs if workers are ranked by their speeds, go where runs are fastest. Others have time to spare
 /// and go where runs are slowest, which leaves the fast workers free.
 fn rank(unit: &Unit, room: &Room) -> u64 {
     const SLOWEST_PERCENT: u64 = 1_000;
@@ -204,19 +227,23 @@
     } else if unit.spec.fills_idle {
         // Next to a service that is near its latency objective, the tasks would be slowed down too.
         SLOWEST_PERCENT.saturating_sub(room.fill_percent)
-    } else if unit.tight_deadline {
+    } else if unit.prefers_fast_workers() {
         room.runtime_percent
     } else {
         SLOWEST_PERCENT.saturating_sub(room.runtime_percent)
     }
 }
 
-fn worst_rank(candidates: &[Candidate]) -> u64 {
-    candidates
-        .iter()
-        .map(|candidate| candidate.rank)
-        .max()
-        .unwrap_or(0)
+/// Returns the worst rank among the candidates that [`fill`] takes for `count` tasks.
+fn worst_used_rank(candidates: &[Candidate], count: u64) -> u64 {
+    let mut candidates = candidates.to_vec();
+    candidates.sort_unstable_by_key(Candidate::precedence);
+    let mut placed = 0;
+    let used = candidates.iter().take_while(|candidate| {
+        placed += candidate.places;
+        placed < count + candidate.places
+    });
+    used.map(|candidate| candidate.rank).max().unwrap_or(0)
 }
 
 /// Groups the candidates on racks that the unit prefers by rack, in the order of the racks' names.
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -11,6 +11,8 @@
 use super::Unit;
 use super::collect;
 use super::guaranteed_jobs;
+use super::in_time::InTime;
+use super::in_time::limit_units;
 use super::last_pass::LastPass;
 use super::leaving;
 use super::overdue::overdue;
@@ -272,6 +274,9 @@
             (runtimes, speeds),
             &guaranteed,
         );
+        if pass.by_worker {
+            limit_units(&mut units, &pass.rooms, wall_ms);
+        }
         pass.drop_stale_reservations(reservations, &waiting);
         pass.apply_reservations(reservations, &units);
         headroom.assume_arrivals(dispatcher.elected_ms(), workload, &pass.rooms);
@@ -281,7 +286,14 @@
         let mut held_gangs = 0;
         let mut held_for = BTreeSet::new();
         let max_held_gangs = Room::count_racks(&pass.rooms).max(MIN_HELD_GANGS);
-        for unit in &units {
+        for limited in &units {
+            let unlimited;
+            let unit = if limited.is_limited() {
+                unlimited = limited.without_limit();
+                &unlimited
+            } else {
+                limited
+            };
             if let Some(reservation) = reservations.get(&unit.step) {
                 if let Some(placement) = pass.reserved_placement(reservation, unit) {
                     pass.start_reserved(unit, &placement);
@@ -292,14 +304,26 @@
             pass.ask_adviser(unit);
             let avoid = avoided_workers(failed_on, unit, &pass.rooms);
             let stalled_long = stall_tracker.is_stalled_long(now_ms, unit.step);
+            let is_limited = limited.is_limited() && !stalled_long;
             if unit.spec.gang {
+                if is_limited {
+                    match pass.start_gang_in_time(limited, &avoid, held_gangs < max_held_gangs) {
+                        InTime::Started => continue,
+                        InTime::Waits => {
+                            held_gangs += 1;
+                            held_for.insert(unit.step);
+                            continue;
+                        }
+                        InTime::NoRoom => {}
+                    }
+                }
                 let placement = pass.place_gang(unit, &avoid);
                 let relaxed_placement = || pass.place_relaxed(unit, &avoid);
                 if let Some(placement) =
                     placement.or_else(|| stalled_long.then(relaxed_placement).flatten())
                 {
                     pass.start(unit, &placement);
-                } else if pass.try_preempt(reservations, unit) {
+                } else if pass.try_preempt(reservations, limited) {
                     continue;
                 } else if held_gangs < max_held_gangs {
                     held_gangs += 1;
@@ -308,6 +332,16 @@
                 }
                 continue;
             }
+            let rest;
+            let unit = if is_limited {
+                let Some(tasks) = pass.start_tasks_in_time(limited, &avoid) else {
+                    continue;
+                };
+                rest = tasks;
+                &rest
+            } else {
+                unit
+            };
             let mut placement = pass.place_tasks(unit, &avoid);
             if placement.is_empty() && stalled_long {
                 // A service needs all its tasks. For any other step, one task is enough for the job to make progress, and the other tasks
--- a/crates/bh-workload/src/plan/preempt.rs
+++ b/crates/bh-workload/src/plan/preempt.rs
@@ -110,7 +110,21 @@
         let candidates: Vec<&PreemptionCandidate> = all.iter().filter(&mut may_stop).collect();
         let waits =
             place::prefers_one_rack(unit) && place::waits_for_rack(unit, &self.rooms, self.wall_ms);
-        preemption::plan_preemption(unit, &self.rooms, &candidates, self.workload, waits)
+        let plan = |unit: &Unit| {
+            preemption::plan_preemption(unit, &self.rooms, &candidates, self.workload, waits)
+        };
+        // The unit goes where it is on time, if it can. Spread over several racks, it would not be.
+        let fits_a_rack = || {
+            !place::prefers_one_rack(unit)
+                || !place::large_enough_racks(unit, &self.rooms).is_empty()
+        };
+        if unit.is_limited()
+            && fits_a_rack()
+            && let Ok(preemption) = plan(unit)
+        {
+            return Ok(preemption);
+        }
+        plan(&unit.without_limit())
     }
 
     fn stop(&mut self, runs: &BTreeSet<RunId>) {
--- a/crates/bh-workload/src/plan/preemption.rs
+++ b/crates/bh-workload/src/plan/preemption.rs
@@ -132,6 +132,8 @@
 #[derive(Clone, Debug)]
 struct Offer {
     room: usize,
+    /// Preference for the worker among those of the same cost; lower is better.
+    rank: u64,
     runtime_percent: u64,
     places: u64,
     loss: u64,
@@ -173,6 +175,11 @@
     }
     (places > 0).then_some(Offer {
         room: index,
+        rank: if unit.by_worker && unit.prefers_fast_workers() {
+            room.runtime_percent
+        } else {
+            0
+        },
         runtime_percent: room.runtime_percent,
         places,
         loss,
@@ -184,6 +191,7 @@
     offers.sort_by_key(|offer| {
         (
             offer.loss * offer.runtime_percent / offer.places,
+            offer.rank,
             offer.room,
         )
     });
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -278,9 +278,10 @@
         self.usable || self.set_aside
     }
 
-    /// Returns whether the worker may run tasks of the unit now, without regard to its free capacity.
+    /// Returns whether the worker may run tasks of the unit now, and is fast enough for it, without regard to its free capacity.
     pub fn accepts(&self, unit: &Unit) -> bool {
-        (self.usable || self.set_aside && unit.relaxed) && self.is_eligible(unit)
+        let is_fast_enough = self.runtime_percent <= unit.max_runtime_percent || unit.relaxed;
+        (self.usable || self.set_aside && unit.relaxed) && is_fast_enough && self.is_eligible(unit)
     }
 
     /// Returns whether the worker may run tasks of the unit while it is usable: its pool and labels match, and the adviser permits it.
--- a/crates/bh-workload/src/plan/unit.rs
+++ b/crates/bh-workload/src/plan/unit.rs
@@ -46,6 +46,10 @@
     pub expected_spread_ms: u64,
     /// Whether the completion objective leaves little time beyond the run time itself.
     pub tight_deadline: bool,
+    /// Whether workers are ranked by their own speeds, and not only by those of their data centres.
+    pub by_worker: bool,
+    /// Largest [`super::Room::runtime_percent`] with which the unit is on time if it starts now; the maximum if that excludes no worker.
+    pub max_runtime_percent: u64,
     /// Whether this is a gang that is on time if it starts now, but probably late if it keeps waiting.
     pub last_chance: bool,
     /// Whether the job is expected to meet its completion objective if the unit starts now.
@@ -62,6 +66,24 @@
         self.priority == 0 || self.last_chance || self.relaxed
     }
 
+    /// Returns whether the unit goes where runs are fastest. A gang is as slow as its slowest member.
+    pub fn prefers_fast_workers(&self) -> bool {
+        self.tight_deadline || self.by_worker && self.spec.gang
+    }
+
+    /// Returns whether the unit would be late on some workers.
+    pub fn is_limited(&self) -> bool {
+        self.max_runtime_percent < u64::MAX
+    }
+
+    /// Returns a unit that may run on workers of any speed.
+    pub fn without_limit(&self) -> Unit {
+        Unit {
+            max_runtime_percent: u64::MAX,
+            ..self.clone()
+        }
+    }
+
     /// Returns whether a worker has crashed under one of the tasks, which may be the cause.
     pub fn is_suspect(&self) -> bool {
         self.crashes > 0
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -10,16 +10,22 @@
 use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::StepSpec;
+use bh_workload::plan::Planner;
+use bh_workload::plan::Policy;
 use bh_workload::state::Command;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
 use bh_workload::state::WaveSpec;
 use bh_workload::state::Workload;
 use bh_workload::upkeep::WaveScheduler;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 use support::Site;
 use support::step;
+use support::uneven_fleet::UnevenFleet;
 
 const RACK: usize = 12;
 /// Sizes that are compared, in workers.
@@ -56,6 +62,13 @@
     (0..9).map(|_| pass()).min().unwrap()
 }
 
+/// Tests that measure time take turns: one beside another slows it down.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn take_turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Checks that the time of `pass` on what `build` returns for a number of workers grows at most by `max_growth` in a fleet that is [`GROWTH`]
 /// times as large.
 fn assert_growth(
@@ -63,6 +76,7 @@
     build: impl Fn(usize) -> Site,
     pass: impl Fn(&mut Site) -> Duration,
 ) {
+    let _turn = take_turn();
     let time = |workers| {
         let site = build(workers);
         fastest(|| pass(&mut site.clone()))
@@ -129,6 +143,52 @@
     });
 }
 
+/// Guards against a scan of all runs for each unit where workers are ranked by their speeds. A quarter of the workers is slow and the others
+/// are full, so that each of as many units as there are workers has to decide whether it waits for a fast worker. The plan is compared with
+/// one of a planner that does not rank workers.
+#[test]
+fn ranked_workers_cost_no_scan_for_each_unit() {
+    /// Cost that is accepted for the ranks, relative to a plan without them. A scan of the runs for each unit takes far more, since there
+    /// are six times as many runs as workers.
+    const MAX_FACTOR: u32 = 4;
+    let _turn = take_turn();
+    let workers = SMALL * 2;
+    let mut fleet = UnevenFleet::new(workers, Policy::new().with_ranked_workers());
+    let tasks = |count, declared_ms| StepSpec {
+        declared_ms,
+        ..step(count, 1)
+    };
+    for _ in 0..workers {
+        fleet.submit(2, (2_000, 0), tasks(8, 2_000));
+    }
+    fleet.play(5_500);
+    for _ in 0..workers {
+        fleet.submit(1, (20_000, 0), tasks(6, 20_000));
+    }
+    fleet.play(100);
+    for _ in 0..workers {
+        fleet.submit(2, (2_000, 0), tasks(1, 2_000));
+    }
+    fleet.site.advance(3_500);
+    let mut plain = fleet.site.clone();
+    plain.planner = Planner::new();
+    let time = |site: &Site| {
+        fastest(|| {
+            let mut site = site.clone();
+            let started = Instant::now();
+            let plan = site.plan();
+            let time = started.elapsed();
+            assert!(!plan.starts.is_empty());
+            time
+        })
+    };
+    let (ranked, plain) = (time(&fleet.site), time(&plain));
+    assert!(
+        ranked < plain * MAX_FACTOR,
+        "{ranked:?} with ranks, {plain:?} without"
+    );
+}
+
 /// Guards against a comparison of each new worker with all others: a data centre that comes back registers all its workers at once.
 #[test]
 fn registering_workers_grows_with_the_fleet() {
--- a/crates/bh-workload/tests/support/uneven_fleet.rs
+++ b/crates/bh-workload/tests/support/uneven_fleet.rs
@@ -52,16 +52,20 @@
     policy: Policy,
     /// Runs that were stopped.
     pub stopped: usize,
+    /// Runs that were done.
+    pub done: usize,
 }
 
 impl UnevenFleet {
-    /// `workers` workers in racks of 8, of which every fourth is slow. Queue 0 has tight deadlines: 1.5 times the run time and 250 ms.
+    /// `workers` workers in racks of 8, of which every fourth is slow. Queues 0 and 1 have tight deadlines: 1.5 times the run time and 250 ms.
     pub fn new(workers: usize, policy: Policy) -> Self {
         let mut site = Site::new(workers, 8);
         let mut rules = rules(2);
-        let queue = Arc::make_mut(&mut rules.queues[0]);
-        queue.slack_factor = 1.5;
-        queue.target_latency_ms = 250;
+        for queue in &mut rules.queues[..2] {
+            let queue = Arc::make_mut(queue);
+            queue.slack_factor = 1.5;
+            queue.target_latency_ms = 250;
+        }
         site.workload.apply(Command::SetRules(Box::new(rules)));
         site.take_events();
         site.planner = Planner::new().with_policy(policy);
@@ -74,6 +78,7 @@
             running: BTreeMap::new(),
             policy,
             stopped: 0,
+            done: 0,
         };
         // No capacity is kept for urgent work any more by then.
         fleet.site.advance(60_000);
@@ -169,15 +174,17 @@
     }
 
     fn report_of(&self, worker: &Incarnation) -> Report {
-        let own = self.running.iter().filter(|(_, (at, _))| at == worker);
-        let running = own.map(|(run, (_, since_ms))| {
+        let recorded = self.site.workload.worker(worker);
+        let own = recorded.into_iter().flat_map(|worker| worker.runs.keys());
+        let running = own.filter_map(|run| {
+            let (_, since_ms) = self.running.get(run)?;
             let ran_ms = self.site.now_ms - since_ms;
-            Running {
+            Some(Running {
                 run: *run,
                 checkpoint: None,
                 percent: (ran_ms * 100 / self.time_of(*run)).clamp(1, 99),
                 load: 0,
-            }
+            })
         });
         Report {
             running: running.collect(),
@@ -188,13 +195,15 @@
     /// Time that a run takes: on the slowest worker of its members if it belongs to a gang.
     fn time_of(&self, run: RunId) -> u64 {
         let job = &self.jobs[&run.task.step.job];
-        let spec = self.site.workload.step_spec(run.task.step);
-        let is_gang = spec.is_some_and(|spec| spec.gang);
-        let mut members = self
-            .running
-            .iter()
-            .filter(|(other, _)| **other == run || is_gang && other.task.step == run.task.step);
-        let is_slow = members.any(|(_, (worker, _))| self.slow.contains(worker));
+        let workload = &self.site.workload;
+        let spec = workload.step_spec(run.task.step);
+        let is_slow = if spec.is_some_and(|spec| spec.gang) {
+            let mut members = workload.runs_of(run.task.step);
+            members.any(|(_, worker)| self.slow.contains(&worker.info.id))
+        } else {
+            let own = self.running.get(&run);
+            own.is_some_and(|(worker, _)| self.slow.contains(worker))
+        };
         let number = run.task.step.job.0 * 7 + u64::from(run.task.index) * 13;
         let is_long = job.long_share > 0 && number.is_multiple_of(job.long_share);
         // Runs of a kind differ by up to 12 % either way.
@@ -221,6 +230,7 @@
         for run in done {
             let (worker, _) = self.running[&run].clone();
             self.end(run, EndKind::Done);
+            self.done += 1;
             let id = run.task.step.job;
             let has_ended = self
                 .site
