Planner: restarts of slow runs by the tail of their kind

Cause: runs were restarted at fixed factors of the learnt time, 200 % and 160 %. A run that takes 3.5 times as long as others that hardly vary was never restarted, and the speed of the worker was not allowed for in what is usual there.

Change: with Policy::ranks_workers, a run is restarted beyond the mean plus two standard deviations of its kind's logarithms, from 32 runs on, if its remaining time exceeds the longest stop plus a usual run. The fixed factors hold while more runs of a kind are beyond its tail than 5 % of those that ended: the short runs of a kind end first. The speeds are also updated at each check for overdue runs; before, those of data centres lagged behind those of their workers when nothing waited.

Result: three new tests, which fail without the policy.

--- a/crates/bh-workload/src/plan/overdue.rs
+++ b/crates/bh-workload/src/plan/overdue.rs
@@ -2,6 +2,8 @@
 
 use super::Runtimes;
 use super::Speeds;
+use super::slow_limits::SlowLimits;
+use super::tail_check::TailCheck;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::RunState;
 use crate::dispatch::StartPhase;
@@ -17,12 +19,6 @@
 const STALL_TIMEOUT_MS: u64 = 2_600;
 /// Share of the expected run time that is added to the stall timeout, in percent, because progress is reported in whole percents.
 const STALL_TIMEOUT_PERCENT: u64 = 5;
-/// A run is checked for slowness after this share of its expected run time, in percent.
-const SLOW_AFTER_PERCENT: u64 = 200;
-/// A slow run is restarted if its remaining time, at its pace so far, exceeds this share of the expected run time, in percent. Below that
-/// it ends sooner where it is.
-const SLOW_LEFT_PERCENT: u64 = 160;
-
 /// Why a run is overdue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OverdueReason {
@@ -54,6 +50,7 @@
 ) -> Vec<OverdueRun> {
     let mut overdue = Vec::new();
     let mut gang_places = GangPlaces::new();
+    let mut tail_check = TailCheck::default();
     for worker in workload.workers() {
         let Some(target) = dispatcher.view(&worker.info.id) else {
             continue;
@@ -93,21 +90,37 @@
                 .then(|| runtimes.learnt_ms(&job.queue.name, run.task.step, spec))
                 .flatten()
                 .map(|learnt_ms| learnt_ms * slowdown / 100);
-            let why = if has_stalled(target.reported_ms, run_state, expected_ms) {
-                OverdueReason::Still
-            } else if learnt_ms.is_some_and(|learnt_ms| is_slow(now_ms, run_state, learnt_ms)) {
-                OverdueReason::Slow
-            } else {
-                continue;
-            };
-            overdue.push(OverdueRun {
+            let late = |why| OverdueRun {
                 worker: worker.info.id.clone(),
                 run: *run,
                 why,
                 gang: spec.gang,
-            });
+            };
+            if has_stalled(target.reported_ms, run_state, expected_ms) {
+                overdue.push(late(OverdueReason::Still));
+                continue;
+            }
+            let Some(learnt_ms) = learnt_ms else {
+                continue;
+            };
+            let fixed = SlowLimits::fixed(learnt_ms);
+            let queue = &job.queue.name;
+            let tail_ms = speeds
+                .ranks_workers()
+                .then(|| runtimes.tail_ms(queue, run.task.step, spec));
+            if let Some(tail_ms) = tail_ms.flatten() {
+                let usual_ms = learnt_ms * 100 / slowdown.max(1);
+                let tail =
+                    SlowLimits::by_tail(tail_ms * slowdown / 100, usual_ms, dispatcher.timing());
+                let kind = (queue.clone(), spec.image.clone());
+                let late = late(OverdueReason::Slow);
+                tail_check.add(now_ms, kind, (late, run_state), (tail, fixed));
+            } else if fixed.is_slow(now_ms, run_state) {
+                overdue.push(late(OverdueReason::Slow));
+            }
         }
     }
+    overdue.extend(tail_check.into_slow(runtimes));
     overdue
 }
 
@@ -164,21 +177,3 @@
     run_state.percent < 100
         && stalled_ms > STALL_TIMEOUT_MS + expected_ms * STALL_TIMEOUT_PERCENT / 100
 }
-
-fn is_slow(now_ms: u64, run_state: &RunState, learnt_ms: u64) -> bool {
-    let StartPhase::Confirmed { at_ms } = run_state.start else {
-        return false;
-    };
-    let ran_ms = now_ms.saturating_sub(at_ms);
-    // The start time of a run is unknown if a previous leader ordered it or if its start order had no answer.
-    if run_state.was_unconfirmed {
-        return false;
-    }
-    if run_state.percent == 0 || ran_ms < learnt_ms * SLOW_AFTER_PERCENT / 100 {
-        return false;
-    }
-    // The pace is computed at the time of the report that brought the last progress.
-    let reported_ms = run_state.progress_ms.saturating_sub(at_ms);
-    let left_ms = reported_ms * (100 - run_state.percent.min(100)) / run_state.percent;
-    left_ms > learnt_ms * SLOW_LEFT_PERCENT / 100
-}
--- a/crates/bh-workload/src/plan/runtimes.rs
+++ b/crates/bh-workload/src/plan/runtimes.rs
@@ -2,6 +2,7 @@
 
 use crate::job::StepId;
 use crate::job::StepSpec;
+use bh_protocol::number::floor_to_u64;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -9,11 +10,16 @@
 const MIN_TRUSTED_RUNS: f64 = 4.0;
 /// Expected run time of a task without a declared or learnt time, in milliseconds.
 const DEFAULT_RUNTIME_MS: u64 = 5_000;
+/// Minimum number of runs of a kind before its tail is known. The short runs of a kind end first, and where a few percent of the runs are long,
+/// fewer runs often show none of these.
+const MIN_TAIL_RUNS: f64 = 32.0;
+/// Number of standard deviations above the mean logarithm where the tail of a kind begins. About one run in fifty is longer.
+const TAIL_DEVIATIONS: f64 = 2.0;
 /// Maximum number of steps that are remembered. The first in the order of their identifiers are forgotten first.
 const MAX_STEPS: usize = 2_048;
 
 /// Kind of task: queue and image.
-type Kind = (Arc<str>, Option<Arc<str>>);
+pub(super) type Kind = (Arc<str>, Option<Arc<str>>);
 
 /// Mean and variance of logarithms. Run times vary by factors, not by amounts.
 #[derive(Clone, Copy, Debug, Default)]
@@ -95,28 +101,55 @@
         if let Some((sum_ms, count)) = self.steps.get(&step) {
             return Some((sum_ms / count).max(1));
         }
+        let (mean_ms, _) = self.trusted_kind(queue, spec, MIN_TRUSTED_RUNS)?;
+        Some(whole_ms(mean_ms))
+    }
+
+    /// Returns the number of runs of a kind that have ended.
+    pub(super) fn count(&self, kind: &Kind) -> u64 {
+        let count = self.kinds.get(kind).map_or(0.0, |stats| stats.time.count);
+        floor_to_u64(count)
+    }
+
+    /// Returns the time that few tasks of `queue` exceed, in milliseconds, or `None` if too little is known: the learnt run time times what the
+    /// runs of the kind vary.
+    pub fn tail_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> Option<u64> {
+        let (_, variance) = self.trusted_kind(queue, spec, MIN_TAIL_RUNS)?;
+        let learnt_ms = self.learnt_ms(queue, step, spec)?;
+        let factor = (TAIL_DEVIATIONS * variance.sqrt()).exp();
+        Some(whole_ms(as_f64(learnt_ms) * factor))
+    }
+
+    /// Returns the mean run time of the kind of a task, in milliseconds, and the variance of its logarithm, if at least `min_runs` of the
+    /// kind are known.
+    fn trusted_kind(&self, queue: &Arc<str>, spec: &StepSpec, min_runs: f64) -> Option<(f64, f64)> {
         let stats = self
             .kinds
             .get(&(queue.clone(), spec.image.clone()))
-            .filter(|stats| stats.time.count >= MIN_TRUSTED_RUNS)?;
+            .filter(|stats| stats.time.count >= min_runs)?;
         let by_ratio = spec.declared_ms > 0
-            && stats.ratio.count >= MIN_TRUSTED_RUNS
+            && stats.ratio.count >= min_runs
             && stats.ratio.variance() < stats.time.variance();
-        let learnt_ms = if by_ratio {
-            as_f64(spec.declared_ms) * stats.ratio.mean.exp()
+        Some(if by_ratio {
+            let mean_ms = as_f64(spec.declared_ms) * stats.ratio.mean.exp();
+            (mean_ms, stats.ratio.variance())
         } else {
-            stats.time.mean.exp()
-        };
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped to a range that fits"
-        )]
-        let whole = learnt_ms.clamp(1.0, 1e12) as u64;
-        Some(whole)
+            (stats.time.mean.exp(), stats.time.variance())
+        })
     }
 }
 
+/// Rounds a time in milliseconds down, to at least one.
+fn whole_ms(ms: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a range that fits"
+    )]
+    let whole = ms.clamp(1.0, 1e12) as u64;
+    whole
+}
+
 fn as_f64(ms: u64) -> f64 {
     #[expect(
         clippy::cast_precision_loss,
--- a/crates/bh-workload/src/plan/worker_learning.rs
+++ b/crates/bh-workload/src/plan/worker_learning.rs
@@ -93,6 +93,8 @@
                 }
             }
         }
+        // Passes without waiting units do not update the speeds. Runs that end meanwhile are compared with up-to-date data centres too.
+        self.speeds.update(now_ms);
     }
 
     /// Counts the pace of a run if it is known. Returns what is to be remembered of the run.
--- a/crates/bh-workload/tests/uneven_workers.rs
+++ b/crates/bh-workload/tests/uneven_workers.rs
@@ -400,3 +400,53 @@
     assert!(workers_of(&fleet, id).is_superset(&recovered));
     assert_eq!(in_time_percent(&fleet, 2, (300, 1_000)), 100);
 }
+
+/// Learns the run time of tight tasks, of which every second takes `longer_percent` as long as the others.
+fn learn_tight(longer_percent: u64) -> UnevenFleet {
+    let mut fleet = UnevenFleet::new(WORKERS, ranked());
+    learn(&mut fleet);
+    // As many as fit on fast workers, so that each worker runs both kinds of tasks.
+    for number in 0..240 {
+        let percent = if number % 2 == 0 { 100 } else { longer_percent };
+        fleet.submit(1, (2_000 * percent / 100, 0), small_tasks(1));
+    }
+    fleet.play(15_000);
+    assert_eq!(fleet.stopped, 0);
+    fleet
+}
+
+/// Guards against waiting for the end of a run that is far beyond the tail of its kind: the runs of the kind hardly vary, and it takes 3.5
+/// times as long. The remaining time is longer than a restart soon after the usual time.
+#[test]
+fn a_run_beyond_the_tail_is_restarted() {
+    let mut fleet = learn_tight(100);
+    fleet.submit(1, (7_000, 0), small_tasks(1));
+    fleet.play(3_500);
+    assert_eq!(fleet.stopped, 1);
+    // It takes as long elsewhere, and is not restarted again.
+    fleet.play(9_000);
+    assert_eq!(fleet.stopped, 1);
+}
+
+/// Guards against restarting runs that are long, but not unusual for their kind, of which half of the tasks take three times as long as the
+/// others. The short ones end first, and their tail says nothing about the others.
+#[test]
+fn a_run_within_the_tail_is_not_restarted() {
+    let mut fleet = learn_tight(300);
+    fleet.submit(1, (9_000, 0), small_tasks(1));
+    fleet.play(13_000);
+    assert_eq!(fleet.stopped, 0);
+}
+
+/// Guards against restarting what runs on a slow worker in the time that is usual there.
+#[test]
+fn a_usual_run_on_a_slow_worker_is_not_restarted() {
+    let mut fleet = UnevenFleet::new(WORKERS, ranked());
+    learn(&mut fleet);
+    // Runs on a slow worker vary like others: here by half of the usual time.
+    let id = fleet.submit(2, (2_900, 0), small_tasks(1));
+    fleet.play(100);
+    assert!(workers_of(&fleet, id).is_subset(&fleet.slow));
+    fleet.play(8_000);
+    assert_eq!((fleet.stopped, fleet.jobs[&id].workers.len()), (0, 1));
+}
