--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -12,6 +12,8 @@
 use super::backfill;
 use super::collect;
 use super::guaranteed_jobs;
+use super::in_time::InTime;
+use super::in_time::limit_units;
 use super::last_pass::LastPass;
 use super::leaving;
 use super::overdue::overdue;
@@ -20,6 +22,7 @@
 use super::shares::Shares;
 use super::stall_tracker::StallTracker;
 use super::urgent_headroom::UrgentHeadroom;
+use super::worker_learning::ObservedProgress;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::StartPhase;
 use crate::job::JobId;
@@ -53,6 +56,8 @@
     pub(super) policy: Policy,
     pub(super) runtimes: Runtimes,
     pub(super) speeds: Speeds,
+    /// Runs whose progress has been used to learn the speeds of their workers; only with [`Policy::ranks_workers`].
+    pub(super) observed_progress: BTreeMap<RunId, ObservedProgress>,
     headroom: UrgentHeadroom,
     pub(super) reservations: BTreeMap<StepId, Reservation>,
     /// Workers on which a task failed or was overdue. The next attempts of the task prefer other workers.
@@ -76,6 +81,9 @@
     /// Sets the optional decisions in use.
     pub fn with_policy(mut self, policy: Policy) -> Self {
         self.policy = policy;
+        if policy.ranks_workers {
+            self.speeds = Speeds::default().with_ranked_workers();
+        }
         self
     }
 
@@ -148,6 +156,10 @@
             return;
         }
         let took_ms = now_ms.saturating_sub(at_ms);
+        if self.policy.ranks_workers {
+            self.learn_ranked((now_ms, took_ms), end.run, (job, spec), (workload, worker));
+            return;
+        }
         let expected_ms = self.runtimes.expected_ms(&job.queue.name, step, spec);
         let single_worker = (!spec.gang).then_some(&end.worker);
         self.speeds.record(
@@ -166,7 +178,10 @@
         workload: &Workload,
         dispatcher: &Dispatcher,
     ) -> Vec<OverdueRun> {
-        let mut overdue = overdue(now_ms, workload, dispatcher, &self.runtimes);
+        if self.policy.ranks_workers {
+            self.learn_progress(now_ms, workload, dispatcher);
+        }
+        let mut overdue = overdue(now_ms, workload, dispatcher, (&self.runtimes, &self.speeds));
         overdue.retain(|overdue_run| {
             overdue_run.why == OverdueReason::Still
                 || self.restarted_slow.insert(overdue_run.run.task)
@@ -217,6 +232,7 @@
             policy,
             runtimes,
             speeds,
+            observed_progress: _,
             headroom,
             reservations,
             failed_on,
@@ -259,6 +275,7 @@
         if shares.discount_units(workload, &mut units) {
             collect::sort(&mut units);
         }
+        speeds.update(now_ms);
         let mut pass = Pass::new(
             (now_ms, wall_ms),
             workload,
@@ -267,6 +284,9 @@
             &guaranteed,
         )
         .with_shares(shares);
+        if pass.by_worker {
+            limit_units(&mut units, &pass.rooms, wall_ms);
+        }
         pass.drop_stale_reservations(reservations, &waiting);
         pass.apply_reservations(reservations, &units);
         headroom.assume_arrivals(dispatcher.elected_ms(), workload, &pass.rooms);
@@ -276,7 +296,14 @@
         let mut held_gangs = 0;
         let mut held_for = BTreeSet::new();
         let max_held_gangs = Room::count_racks(&pass.rooms).max(MIN_HELD_GANGS);
-        for unit in &units {
+        for limited in &units {
+            let unlimited;
+            let unit = if limited.is_limited() {
+                unlimited = limited.without_limit();
+                &unlimited
+            } else {
+                limited
+            };
             if let Some(reservation) = reservations.get(&unit.step) {
                 if let Some(placement) = pass.reserved_placement(reservation, unit) {
                     pass.start_reserved(unit, &placement);
@@ -287,14 +314,26 @@
             pass.ask_adviser(unit);
             let avoid = avoided_workers(failed_on, unit, &pass.rooms);
             let stalled_long = stall_tracker.is_stalled_long(now_ms, unit.step);
+            let is_limited = limited.is_limited() && !stalled_long;
             if unit.spec.gang {
+                if is_limited {
+                    match pass.start_gang_in_time(limited, &avoid, held_gangs < max_held_gangs) {
+                        InTime::Started => continue,
+                        InTime::Waits => {
+                            held_gangs += 1;
+                            held_for.insert(unit.step);
+                            continue;
+                        }
+                        InTime::NoRoom => {}
+                    }
+                }
                 let placement = pass.place_gang(unit, &avoid);
                 let relaxed_placement = || pass.place_relaxed(unit, &avoid);
                 if let Some(placement) =
                     placement.or_else(|| stalled_long.then(relaxed_placement).flatten())
                 {
                     pass.start(unit, &placement);
-                } else if pass.try_preempt(reservations, unit) {
+                } else if pass.try_preempt(reservations, limited) {
                     continue;
                 } else if held_gangs < max_held_gangs {
                     held_gangs += 1;
@@ -303,6 +342,16 @@
                 }
                 continue;
             }
+            let rest;
+            let unit = if is_limited {
+                let Some(tasks) = pass.start_tasks_in_time(limited, &avoid) else {
+                    continue;
+                };
+                rest = tasks;
+                &rest
+            } else {
+                unit
+            };
             let mut placement = pass.place_tasks(unit, &avoid);
             if placement.is_empty() && stalled_long {
                 // A service needs all its tasks. For any other step, one task is enough for the job to make progress, and the other tasks
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -75,7 +75,7 @@
     pub held_until_ms: Option<u64>,
     /// Number of recorded runs, by step.
     pub runs: BTreeMap<StepId, u64>,
-    /// Run time here relative to the fastest data centre, in percent.
+    /// Run time here relative to a usual worker of the fastest data centre, in percent.
     pub runtime_percent: u64,
     /// Speed, in percent of the full speed, at which tasks that use only otherwise idle processor time run here.
     pub fill_percent: u64,
@@ -208,7 +208,11 @@
             urgent_only: false,
             has_recent_start: recent.any,
             cold: view.is_some_and(|target| now_ms < target.cold_until_ms),
-            runtime_percent: speeds.data_centre_percent(&worker.info.data_centre),
+            runtime_percent: speeds.runtime_percent(
+                &worker.info.id,
+                &worker.info.data_centre,
+                now_ms,
+            ),
             usable: unusable.is_none(),
             unusable,
             now_ms,
@@ -280,9 +284,10 @@
         self.usable || self.set_aside
     }
 
-    /// Returns whether the worker may run tasks of the unit now, without regard to its free capacity.
+    /// Returns whether the worker may run tasks of the unit now, and is fast enough for it, without regard to its free capacity.
     pub fn accepts(&self, unit: &Unit) -> bool {
-        (self.usable || self.set_aside && unit.relaxed) && self.is_eligible(unit)
+        let is_fast_enough = self.runtime_percent <= unit.max_runtime_percent || unit.relaxed;
+        (self.usable || self.set_aside && unit.relaxed) && is_fast_enough && self.is_eligible(unit)
     }
 
     /// Returns whether the worker may run tasks of the unit while it is usable: its pool and labels match, and the adviser permits it.
--- a/crates/bh-workload/tests/backfill.rs
+++ b/crates/bh-workload/tests/backfill.rs
@@ -17,6 +17,8 @@
 const SHORT_MS: u64 = 1_000;
 /// Run time of the tasks that fill the site at first, in milliseconds.
 const LONG_MS: u64 = 20_000;
+/// Number of runs from which the planner learns how long nearly all of a kind take.
+const LEARNT_RUNS: u32 = 32;
 /// Time between two plans, in milliseconds.
 const TURN_MS: u64 = 200;
 
@@ -34,8 +36,8 @@
     site.planner = site.planner.clone().with_policy(policy);
     site.advance(60_000);
     for (priority, run_ms) in [(2, SHORT_MS), (1, LONG_MS)] {
-        let job = site.submit(priority, "other", vec![small_tasks(8, run_ms)]);
-        run_to_the_end(&mut site, job, 8, run_ms);
+        let job = site.submit(priority, "other", vec![small_tasks(LEARNT_RUNS, run_ms)]);
+        run_to_the_end(&mut site, job, LEARNT_RUNS, run_ms);
     }
     site
 }
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod live_worker;
 pub mod modelled_leader;
 pub mod stalled_steps;
+pub mod uneven_fleet;
 
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
