Record: how often runs of a task were stopped to make room

Change: `Task::displacements` counts the ends `Stopped` of runs whose job goes on, for a gang once per attempt on every member. Stops for other reasons (overdue runs, leaving workers, upkeep, withdrawn starts, jobs that have ended) are told apart: the leader that ordered them lists them in the optional field `not_displaced` of `Command::Ends`. A stop whose order came from an earlier leader counts, since that leader's reason is not known; otherwise a change of leader would void a limit on the count.

--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -207,7 +207,9 @@
     for late in overdue {
         core.metrics.count("runs_overdue", 1);
         log::info!(run = late.run.to_string(), worker = late.worker.to_string(), why:? = late.why; "run begun anew elsewhere");
-        leadership.dispatcher.request_stop(&late.worker, late.run);
+        leadership
+            .dispatcher
+            .request_restart(&late.worker, late.run);
         // A worker on which a run makes no progress would do the same to the next run, so the worker gets no new work for a while.
         if late.why == OverdueReason::Still && !late.gang {
             leadership.dispatcher.set_aside(now_ms, &late.worker);
--- a/crates/bh-control/src/core/planning.rs
+++ b/crates/bh-control/src/core/planning.rs
@@ -109,7 +109,7 @@
     for (worker, run) in cut_short {
         core.metrics.count("runs_cut_short", 1);
         log::info!(run = run.to_string(), worker = worker.to_string(); "stopped since its worker leaves before it can end");
-        leadership.dispatcher.request_stop(&worker, run);
+        leadership.dispatcher.request_restart(&worker, run);
     }
 }
 
--- a/crates/bh-control/src/core/upkeep.rs
+++ b/crates/bh-control/src/core/upkeep.rs
@@ -39,7 +39,7 @@
             }
             UpkeepAction::Stop(worker, run) => {
                 log::info!(run = run.to_string(), worker = worker.to_string(); "stopped for the upkeep of its VM");
-                leadership.dispatcher.request_stop(&worker, run);
+                leadership.dispatcher.request_restart(&worker, run);
             }
             UpkeepAction::Order(order) => {
                 monoio::spawn(send(core.clone(), address, order));
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -150,6 +150,7 @@
     if !report.more {
         ends.extend(ends_of_missing_runs(order, target, worker, report));
     }
+    let not_displaced = not_displaced(target, &ends);
     target.runs.retain(|run, _| {
         worker.runs.contains_key(run) || report.running.iter().any(|r| r.run == *run)
     });
@@ -165,9 +166,22 @@
         now_ms: 0,
         crash: None,
         late_failures,
+        not_displaced,
     })
 }
 
+/// Runs among `ends` that were stopped for another reason than to make room for other work.
+pub(super) fn not_displaced(target: &Target, ends: &[End]) -> Vec<RunId> {
+    let stopped = ends.iter().filter(|end| end.kind == EndKind::Stopped);
+    stopped
+        .map(|end| end.run)
+        .filter(|run| {
+            let run_state = target.runs.get(run);
+            run_state.is_some_and(|run_state| !run_state.may_be_displaced())
+        })
+        .collect()
+}
+
 /// Reported failures of runs that are recorded as lost. They count like any other failure: otherwise a gang that always fails would be
 /// started once too often. A failure does not count if the lease has expired since, because the run then counts as lost with it, for the
 /// worker too. Before its first grant a leader does not know whether the lease has expired, and counts the failure.
--- a/crates/bh-workload/src/dispatch/departure.rs
+++ b/crates/bh-workload/src/dispatch/departure.rs
@@ -67,5 +67,6 @@
             suspects,
         }),
         late_failures: Vec::new(),
+        not_displaced: Vec::new(),
     }
 }
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -292,7 +292,17 @@
         attempts
     }
 
-    /// Requests the end of a run that should go on according to the record.
+    /// Requests the end of a run that should go on according to the record, for another reason than to make room for other work: it is
+    /// overdue, or its worker leaves or gets upkeep. A stop that was requested before keeps its reason.
+    pub fn request_restart(&mut self, worker: &Incarnation, run: RunId) {
+        let target = self.target_mut(worker);
+        if let Some(run_state) = target.runs.get_mut(&run) {
+            run_state.request_restart();
+        }
+    }
+
+    /// Requests the end of a run that should go on according to the record, to make room for other work. The end counts as a displacement of
+    /// its task.
     pub fn request_stop(&mut self, worker: &Incarnation, run: RunId) {
         let target = self.target_mut(worker);
         if let Some(run_state) = target.runs.get_mut(&run) {
--- a/crates/bh-workload/src/dispatch/restart.rs
+++ b/crates/bh-workload/src/dispatch/restart.rs
@@ -5,6 +5,7 @@
 use super::RunState;
 use super::StopPhase;
 use super::Target;
+use super::answers::not_displaced;
 use super::crash::suspects;
 use super::departure::gone_command;
 use super::departure::is_leaving;
@@ -86,7 +87,14 @@
         })
         .collect();
     if !ends.is_empty() {
-        return Some(Command::ends(ends));
+        return Some(Command::Ends {
+            not_displaced: not_displaced(target, &ends),
+            ends,
+            // The caller fills in the time.
+            now_ms: 0,
+            crash: None,
+            late_failures: Vec::new(),
+        });
     }
     let running: BTreeSet<RunId> = running.collect();
     let has_ended = |(run, run_state): (&RunId, &RunState)| {
--- a/crates/bh-workload/src/dispatch/run_state.rs
+++ b/crates/bh-workload/src/dispatch/run_state.rs
@@ -59,6 +59,8 @@
     pub start_refused_ms: Option<u64>,
     /// Whether the leader wants the run to end although it should go on according to the record.
     pub stop_requested: bool,
+    /// Whether `stop_requested` has another reason than to make room for other work, so that the end does not count as a displacement.
+    pub restart_requested: bool,
     /// Whether its end is being recorded.
     pub recording_end: bool,
     /// When the leader first knew of the run, on its clock in milliseconds.
@@ -88,6 +90,7 @@
             was_repeated: false,
             start_refused_ms: None,
             stop_requested: false,
+            restart_requested: false,
             recording_end: false,
             since_ms: now_ms,
             percent: 0,
@@ -111,6 +114,22 @@
             && (self.last_reported_ms.is_none() || self.may_have_started())
     }
 
+    /// Requests the end of the run for another reason than to make room for other work.
+    pub(super) fn request_restart(&mut self) {
+        self.restart_requested |= !self.stop_requested;
+        self.stop_requested = true;
+    }
+
+    /// Whether a stop of the run makes room for other work, as far as this leader knows. The reason of a stop that an earlier leader ordered
+    /// is not known.
+    pub fn may_be_displaced(&self) -> bool {
+        if self.stop_requested {
+            !self.restart_requested
+        } else {
+            self.stop == StopPhase::None
+        }
+    }
+
     /// Whether only a report can tell if it has started: its last start order was refused, and an earlier one may have been carried out.
     pub fn awaits_report(&self) -> bool {
         self.start_refused_ms.is_some() && matches!(self.start, StartPhase::Unsure { .. })
--- a/crates/bh-workload/src/dispatch/worker_reconciler.rs
+++ b/crates/bh-workload/src/dispatch/worker_reconciler.rs
@@ -364,7 +364,7 @@
             self.record_not_started(target, run);
         } else if !target.is_silent() {
             if let Some(run_state) = target.runs.get_mut(&run) {
-                run_state.stop_requested = true;
+                run_state.request_restart();
             }
             self.send_stop(target, run, true);
         }
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -41,6 +41,7 @@
                 now_ms,
                 crash,
                 late_failures,
+                not_displaced,
             } => {
                 // Whether the end of the run was recorded only as lost, and the worker may still report a failure.
                 let may_still_report = |run: &RunId| {
@@ -52,7 +53,7 @@
                 // A failure that is proposed a second time is not counted again: the first one removed the run from `unheard`.
                 let late_failures: Vec<RunId> =
                     late_failures.into_iter().filter(may_still_report).collect();
-                self.end_runs(ends, now_ms, crash);
+                self.end_runs(ends, &not_displaced, now_ms, crash);
                 for run in late_failures {
                     self.count_late_failure(run, now_ms);
                 }
@@ -284,6 +285,7 @@
                 kind: EndKind::Lost,
                 checkpoint: None,
             };
+            self.count_displacement(&end, false);
             self.end_run(end, 0);
         }
         if let Some(worker) = self.workers.remove(id) {
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -51,6 +51,10 @@
         /// Gang runs that were recorded as lost and are now reported as failed. A core of an older version does not count these failures.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         late_failures: Vec<RunId>,
+        /// Runs among `ends` that were stopped, but not to make room for other work: they were overdue, their worker leaves or gets upkeep,
+        /// or they were no longer wanted. A core of an older version does not know this field and counts no displacements.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        not_displaced: Vec<RunId>,
     },
     /// An operator orders a wave of upkeep.
     StartWave {
@@ -96,6 +100,7 @@
             now_ms: 0,
             crash: None,
             late_failures: Vec::new(),
+            not_displaced: Vec::new(),
         }
     }
 
--- a/crates/bh-workload/src/state/crashes.rs
+++ b/crates/bh-workload/src/state/crashes.rs
@@ -8,6 +8,7 @@
 use super::Task;
 use super::TaskState;
 use super::Workload;
+use crate::job::RunId;
 use crate::job::TaskId;
 
 /// Crashes under one task after which its job is given up, no matter what ran beside it. Users accept three. A lower number would also give
@@ -62,8 +63,15 @@
     ///
     /// Without the count, a task that crashes every worker that starts it would take down one worker after the other with all their runs,
     /// and its caller would wait forever.
-    pub(super) fn end_runs(&mut self, ends: Vec<End>, now_ms: u64, crash: Option<Crash>) {
+    pub(super) fn end_runs(
+        &mut self,
+        ends: Vec<End>,
+        not_displaced: &[RunId],
+        now_ms: u64,
+        crash: Option<Crash>,
+    ) {
         for end in ends {
+            self.count_displacement(&end, !not_displaced.contains(&end.run));
             self.end_run(end, now_ms);
         }
         let Some(Crash { worker, suspects }) = crash else {
--- a/crates/bh-workload/src/state/mod.rs
+++ b/crates/bh-workload/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod command;
 mod crashes;
+mod displacements;
 mod end;
 mod give_up;
 mod job;
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -42,6 +42,10 @@
     /// Number of workers that crashed after a run of the task had been ordered there, where it is unknown whether the run had started.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub possible_crashes: u32,
+    /// Number of runs that were stopped to make room for other work although the job went on. For a gang, the attempts that were stopped, the
+    /// same number for every member.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub displacements: u32,
     /// Its last checkpoint.
     pub checkpoint: Option<Arc<str>>,
 }
@@ -62,6 +66,10 @@
     /// The last attempt of the gang whose failure was reported after it had been recorded as lost.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub late_failed_attempt: u32,
+    /// The last attempt of the gang of which a member ended for a cause of its own. It counts as displaced at most once, and not at all if
+    /// that cause was another one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub ended_attempt: u32,
     /// Members of the gang's last attempt that ended because another member had ended, while the runs of further members are still open.
     /// Kept for later leaders, to which these ends are not reported again. Members on workers that may start a run again after a restart
     /// are left out.
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -291,6 +291,7 @@
             suspects,
         }),
         late_failures: Vec::new(),
+        not_displaced: Vec::new(),
     };
     site.crash(&worker);
     site.workload.apply(repeated);
