Planner: a limit on displacements, and stops chosen by all that they lose

Cause: the loss of a stop was the run time alone. A new leader took all runs for equally young, a job that the stop made late cost nothing, and the same task was stopped again and again. A gang was counted in full on each of its workers, so members of many gangs were stopped where one gang would do.

Change, only with `policy.max_displacements`: a stop costs the work since the last checkpoint by progress, and the value lost by lateness, times 1 + earlier displacements; a task at the limit is stopped only for guaranteed work that finds capacity in no other way; the search counts a gang once and stops nothing that need not be stopped; on the unused part of a guarantee in use, what checkpoints or ends soonest starts first. Without the setting, the code that chooses is the one before.

--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -2,6 +2,7 @@
 
 use super::Placement;
 use super::Plan;
+use super::Policy;
 use super::ReleaseReason;
 use super::Room;
 use super::Runtimes;
@@ -32,6 +33,8 @@
     pub(super) workload: &'a Workload,
     pub(super) dispatcher: &'a Dispatcher,
     pub(super) runtimes: &'a Runtimes,
+    /// The optional decisions in use.
+    pub(super) policy: Policy,
     /// Jobs that are covered by a customer's guarantee.
     pub(super) guaranteed: &'a BTreeSet<JobId>,
     /// Workers and their free capacity, ordered by worker. The pass updates them as it places work.
@@ -65,6 +68,7 @@
             workload,
             dispatcher,
             runtimes,
+            policy: Policy::new(),
             guaranteed,
             rooms,
             preemption_candidates: None,
@@ -75,6 +79,12 @@
         }
     }
 
+    /// Sets the optional decisions in use.
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Drops reservations that are no longer needed, have timed out or include an unusable worker.
     pub fn drop_stale_reservations(
         &mut self,
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -15,6 +15,7 @@
 use super::leaving;
 use super::overdue::overdue;
 use super::pass::Pass;
+use super::reclaimable::order_by_exposure;
 use super::reservation::Reservation;
 use super::stall_tracker::StallTracker;
 use super::urgent_headroom::UrgentHeadroom;
@@ -212,7 +213,7 @@
         dispatcher: &Dispatcher,
     ) -> Plan {
         let Self {
-            policy: _,
+            policy,
             runtimes,
             speeds,
             headroom,
@@ -256,13 +257,17 @@
             dispatcher,
             (runtimes, speeds),
             &guaranteed,
-        );
+        )
+        .with_policy(*policy);
         pass.drop_stale_reservations(reservations, &waiting);
         pass.apply_reservations(reservations, &units);
         headroom.assume_arrivals(dispatcher.elected_ms(), workload, &pass.rooms);
         headroom.record_arrivals(now_ms, &units);
         let stop_ms = dispatcher.timing().stop_timeout_ms;
         headroom.mark_rooms((now_ms, stop_ms), &mut pass.rooms);
+        if policy.max_displacements.is_some() {
+            order_by_exposure(&mut units, &pass.rooms, workload, &guaranteed, wall_ms);
+        }
         let mut held_gangs = 0;
         let mut held_for = BTreeSet::new();
         let max_held_gangs = Room::count_racks(&pass.rooms).max(MIN_HELD_GANGS);
--- a/crates/bh-workload/src/plan/policy.rs
+++ b/crates/bh-workload/src/plan/policy.rs
@@ -6,7 +6,8 @@
     /// Shares what no guarantee covers fairly between the customers, if the largest guarantee is at least this many times the smallest one.
     /// `None` if capacity is not shared by customer.
     pub sharing_min_ratio: Option<f64>,
-    /// Number of times that runs of one task may be stopped to make room for other work; `None` for no limit.
+    /// Number of times that runs of one task may be stopped to make room for other work; `None` for no limit. With a limit, stops are priced by
+    /// all that they lose.
     pub max_displacements: Option<u32>,
     /// Whether workers are ranked by the run times learnt for each of them, and not only for their data centre.
     pub ranks_workers: bool,
--- a/crates/bh-workload/src/plan/preempt.rs
+++ b/crates/bh-workload/src/plan/preempt.rs
@@ -11,6 +11,9 @@
 use super::preemption::PreemptionFailure;
 use super::preemption_candidates::PreemptionCandidates;
 use super::reservation::Reservation;
+use super::shared_stops::plan_shared_stops;
+use super::stop_costs::StopCosts;
+use crate::dispatch::RunState;
 use crate::job::RunId;
 use crate::job::StepId;
 use crate::state::Worker;
@@ -61,7 +64,7 @@
             Some(candidates) => candidates,
             None => PreemptionCandidates::new(self.collect_candidates()),
         };
-        let made = self.make_room(unit, &all.runs);
+        let made = self.make_room_within_limits(unit, &all.runs);
         self.preemption_candidates = Some(all);
         let preemption_plan = match made {
             Ok(preemption_plan) => preemption_plan,
@@ -94,23 +97,46 @@
         })
     }
 
-    /// Chooses the workers for `unit`, given the available capacity and the runs in `all` that yield to the unit.
+    /// Chooses the workers for `unit`. Tasks that were displaced as often as the policy allows are left alone, unless a guarantee covers the
+    /// unit and there is no other way.
+    fn make_room_within_limits(
+        &self,
+        unit: &Unit,
+        all: &[PreemptionCandidate],
+    ) -> Result<Preemption, PreemptionFailure> {
+        let may_exceed = unit.guaranteed && self.policy.max_displacements.is_some();
+        let waits =
+            place::prefers_one_rack(unit) && place::waits_for_rack(unit, &self.rooms, self.wall_ms);
+        // A guaranteed gang is not spread over several racks where one rack could be freed beyond the limit.
+        let made = self.make_room(unit, all, (waits || may_exceed, false));
+        if made.is_err() && may_exceed {
+            return self.make_room(unit, all, (waits, true));
+        }
+        made
+    }
+
+    /// Chooses the workers for `unit`, given the available capacity and the runs in `all` that yield to the unit. `waits` tells whether the
+    /// unit waits for a rack rather than being spread, `exceeds_limit` whether tasks at the limit of displacements may be stopped.
     fn make_room(
         &self,
         unit: &Unit,
         all: &[PreemptionCandidate],
+        (waits, exceeds_limit): (bool, bool),
     ) -> Result<Preemption, PreemptionFailure> {
         let mut budget =
             DisruptionBudget::new(self.workload, self.dispatcher, &self.plan.evictions);
         let mut may_stop = |candidate: &&PreemptionCandidate| {
             candidate.stopping
                 || candidate.yields_to(unit)
+                    && (exceeds_limit || !candidate.at_limit)
                     && (!candidate.has_disruption_limit || budget.allow_stop(candidate.run))
         };
         let candidates: Vec<&PreemptionCandidate> = all.iter().filter(&mut may_stop).collect();
-        let waits =
-            place::prefers_one_rack(unit) && place::waits_for_rack(unit, &self.rooms, self.wall_ms);
-        preemption::plan_preemption(unit, &self.rooms, &candidates, self.workload, waits)
+        if self.policy.max_displacements.is_some() {
+            plan_shared_stops(unit, &self.rooms, &candidates, self.workload, waits)
+        } else {
+            preemption::plan_preemption(unit, &self.rooms, &candidates, self.workload, waits)
+        }
     }
 
     fn stop(&mut self, runs: &BTreeSet<RunId>) {
@@ -135,41 +161,57 @@
             let room = Room::position(&self.rooms, &worker.info.id)?;
             Some((worker, room))
         });
+        let times = (self.now_ms, self.wall_ms);
+        let mut costs = (self.policy.max_displacements)
+            .map(|_| StopCosts::new(times, self.workload, self.dispatcher, self.runtimes));
         workers
-            .flat_map(|(worker, room)| self.candidates_on(worker, room))
+            .flat_map(|(worker, room)| self.candidates_on(worker, room, costs.as_mut()))
             .collect()
     }
 
-    fn candidates_on(&self, worker: &Worker, room: usize) -> Vec<PreemptionCandidate> {
+    /// Collects the recorded runs on a worker. `costs` is set if the policy limits displacements.
+    fn candidates_on(
+        &self,
+        worker: &Worker,
+        room: usize,
+        mut costs: Option<&mut StopCosts>,
+    ) -> Vec<PreemptionCandidate> {
         let target = self.dispatcher.view(&worker.info.id);
         let runs = worker.runs.iter().map(|(run, needs)| {
             let run_state = target.and_then(|target| target.runs.get(run));
             let stopping = !self.workload.should_run(*run)
                 || run_state.is_some_and(|run_state| run_state.stop_requested);
-            let ran_ms = run_state.map_or(0, |run_state| {
-                self.now_ms.saturating_sub(run_state.since_ms)
-            });
             let priority = self.priority_of(*run);
             let spec = self.workload.step_spec(run.task.step);
+            let loss = match costs.as_mut() {
+                _ if stopping => 0,
+                Some(costs) => costs.cost(*run, run_state),
+                None => self.loss(*run, run_state, priority),
+            };
             PreemptionCandidate {
                 run: *run,
                 room,
                 needs: *needs,
-                loss: if stopping {
-                    0
-                } else {
-                    self.loss(*run, ran_ms, priority)
-                },
+                loss,
                 stopping,
                 guaranteed: self.guaranteed.contains(&run.task.step.job),
                 is_service: spec.is_some_and(|spec| spec.long_running),
                 has_disruption_limit: spec.is_some_and(|spec| spec.most_unavailable.is_some()),
                 priority,
+                at_limit: self.is_at_limit(*run),
             }
         });
         runs.collect()
     }
 
+    /// Whether the task of a run was displaced as often as the policy allows.
+    fn is_at_limit(&self, run: RunId) -> bool {
+        self.policy.max_displacements.is_some_and(|most| {
+            let task = self.workload.task(run.task);
+            task.is_some_and(|task| task.displacements >= most)
+        })
+    }
+
     fn priority_of(&self, run: RunId) -> u32 {
         self.workload
             .job(run.task.step.job)
@@ -177,7 +219,10 @@
     }
 
     /// Returns the work that is lost when a run is stopped, together with its gang.
-    fn loss(&self, run: RunId, ran_ms: u64, priority: u32) -> u64 {
+    fn loss(&self, run: RunId, run_state: Option<&RunState>, priority: u32) -> u64 {
+        let ran_ms = run_state.map_or(0, |run_state| {
+            self.now_ms.saturating_sub(run_state.since_ms)
+        });
         let Some(spec) = self.workload.step_spec(run.task.step) else {
             return 0;
         };
@@ -194,7 +239,7 @@
 
 /// Returns how much capacity is worth to a queue of this priority, as a multiple of the lowest value. It falls with the square of the rank,
 /// which is how users value the kinds of work relative to their capacity.
-fn room_value(priority: u32) -> u64 {
+pub(super) fn room_value(priority: u32) -> u64 {
     const HIGHEST: u64 = 9;
     let rank = u64::from(priority).saturating_add(1);
     (HIGHEST / (rank * rank)).max(1)
--- a/crates/bh-workload/src/plan/preemption.rs
+++ b/crates/bh-workload/src/plan/preemption.rs
@@ -33,6 +33,8 @@
     pub has_disruption_limit: bool,
     /// Priority of its queue.
     pub priority: u32,
+    /// Whether its task was displaced as often as the policy allows.
+    pub at_limit: bool,
 }
 
 impl PreemptionCandidate {
@@ -235,7 +237,7 @@
 }
 
 /// Returns the run and the other members of its gang. Stopping one member ends all of them and frees the resources of all.
-fn with_gang(run: RunId, workload: &Workload) -> Vec<RunId> {
+pub(super) fn with_gang(run: RunId, workload: &Workload) -> Vec<RunId> {
     let gang = workload
         .step_spec(run.task.step)
         .is_some_and(|spec| spec.gang);
--- a/crates/bh-workload/tests/large_fleets.rs
+++ b/crates/bh-workload/tests/large_fleets.rs
@@ -10,6 +10,8 @@
 use bh_workload::dispatch::OrderBody;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::StepSpec;
+use bh_workload::plan::Planner;
+use bh_workload::plan::Policy;
 use bh_workload::state::Command;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
@@ -169,3 +171,39 @@
         started.elapsed()
     });
 }
+
+/// Guards against a search for runs to stop whose time grows with the square of the fleet: under a limit on displacements, the costs of the
+/// stops share what they depend on, and each gang is looked up once.
+#[test]
+fn preemption_under_a_limit_grows_with_the_fleet() {
+    let full_site = |workers| {
+        let mut site = Site::new(workers, RACK);
+        let limited = Policy::new().with_max_displacements(3);
+        site.planner = Planner::new().with_policy(limited);
+        site.advance(60_000);
+        for _ in 0..workers / usize::try_from(MEMBERS).unwrap() {
+            let gang = StepSpec {
+                gang: true,
+                ..step(MEMBERS, 8)
+            };
+            site.submit(2, "other", vec![gang]);
+        }
+        site.plan_and_start();
+        site.send_starts();
+        site.report();
+        site.advance(50);
+        let urgent = StepSpec {
+            gang: true,
+            ..step(MEMBERS, 4)
+        };
+        site.submit(0, "other", vec![urgent]);
+        site
+    };
+    assert_growth(MAX_GROWTH, full_site, |site| {
+        let started = Instant::now();
+        let plan = site.plan();
+        let took = started.elapsed();
+        assert!(!plan.evictions.is_empty());
+        took
+    });
+}
