--- a/crates/bh-workload/src/plan/preempt.rs
+++ b/crates/bh-workload/src/plan/preempt.rs
@@ -199,6 +199,7 @@
                 has_disruption_limit: spec.is_some_and(|spec| spec.most_unavailable.is_some()),
                 priority,
                 at_limit: self.is_at_limit(*run),
+                gang: spec.is_some_and(|spec| spec.gang),
             }
         });
         runs.collect()
--- a/crates/bh-workload/src/plan/preemption.rs
+++ b/crates/bh-workload/src/plan/preemption.rs
@@ -35,6 +35,8 @@
     pub priority: u32,
     /// Whether its task was displaced as often as the policy allows.
     pub at_limit: bool,
+    /// Whether it is a member of a gang.
+    pub gang: bool,
 }
 
 impl PreemptionCandidate {
--- a/crates/bh-workload/src/plan/shared_stops.rs
+++ b/crates/bh-workload/src/plan/shared_stops.rs
@@ -20,7 +20,7 @@
     workload: &Workload,
     waits: bool,
 ) -> Result<Preemption, PreemptionFailure> {
-    let search = StopSearch::new(unit, rooms, candidates, workload);
+    let search = StopSearch::new(unit, rooms, candidates);
     let accepting: Vec<usize> = (0..rooms.len())
         .filter(|at| rooms[*at].accepts(unit))
         .collect();
--- a/crates/bh-workload/src/plan/stop_group.rs
+++ b/crates/bh-workload/src/plan/stop_group.rs
@@ -7,7 +7,6 @@
 use crate::job::Resources;
 use crate::job::RunId;
 use crate::job::StepId;
-use crate::state::Workload;
 use std::collections::BTreeMap;
 
 /// Runs on one worker that end together: a single run, or the members of a gang there.
@@ -28,32 +27,31 @@
 }
 
 impl StopGroup {
-    /// Collects the groups of the workers that accept the unit, by position among the rooms, those that lose the least first.
+    /// Collects the groups of the workers that accept the unit, for each room, those that lose the least first. Adds the rooms of each gang to
+    /// `gang_rooms`.
     pub fn collect(
         unit: &Unit,
         rooms: &[Room],
         candidates: &[&PreemptionCandidate],
-        workload: &Workload,
-    ) -> BTreeMap<usize, Vec<StopGroup>> {
-        let mut groups: BTreeMap<usize, Vec<StopGroup>> = BTreeMap::new();
-        let mut known: BTreeMap<(usize, StepId), usize> = BTreeMap::new();
+        gang_rooms: &mut BTreeMap<StepId, Vec<usize>>,
+    ) -> Vec<Vec<StopGroup>> {
+        let accepts: Vec<bool> = rooms.iter().map(|room| room.accepts(unit)).collect();
+        let mut groups: Vec<Vec<StopGroup>> = vec![Vec::new(); rooms.len()];
         for candidate in candidates {
-            if !rooms[candidate.room].accepts(unit) {
+            let room = candidate.room;
+            if !accepts[room] {
                 continue;
             }
-            let step = candidate.run.task.step;
-            let is_gang = workload.step_spec(step).is_some_and(|spec| spec.gang);
-            let of_room = groups.entry(candidate.room).or_default();
             // Members that are being stopped already are freed in any case.
-            let gang = (is_gang && !candidate.stopping).then_some(step);
-            if let Some(step) = gang {
-                if let Some(at) = known.get(&(candidate.room, step)) {
-                    of_room[*at].needs.add(&candidate.needs);
-                    continue;
-                }
-                known.insert((candidate.room, step), of_room.len());
+            let step = candidate.run.task.step;
+            let gang = (candidate.gang && !candidate.stopping).then_some(step);
+            let mut of_room = groups[room].iter_mut();
+            // A worker has few groups.
+            if let Some(known) = of_room.find(|group| gang.is_some() && group.gang == gang) {
+                known.needs.add(&candidate.needs);
+                continue;
             }
-            of_room.push(StopGroup {
+            groups[room].push(StopGroup {
                 run: candidate.run,
                 gang,
                 needs: candidate.needs,
@@ -61,10 +59,13 @@
                 stopping: candidate.stopping,
                 places: (0, 0),
             });
+            if let Some(step) = gang {
+                gang_rooms.entry(step).or_default().push(room);
+            }
         }
-        count_places(unit, rooms, &mut groups);
-        for of_room in groups.values_mut() {
-            of_room.sort_by_cached_key(StopGroup::precedence);
+        count_places(unit, rooms, &mut groups, gang_rooms);
+        for of_room in &mut groups {
+            of_room.sort_unstable_by_key(StopGroup::precedence);
         }
         groups
     }
@@ -84,29 +85,35 @@
         let (here, everywhere) = self.places;
         let here = here.max(1);
         let used = everywhere.min(left).max(here);
-        u64::try_from(u128::from(self.loss) * u128::from(here) / u128::from(used))
-            .unwrap_or(u64::MAX)
+        self.loss.saturating_mul(here) / used
     }
 }
 
 /// Counts the places that stopping each group would make. A unit that prefers one rack uses only those in the same rack.
-fn count_places(unit: &Unit, rooms: &[Room], groups: &mut BTreeMap<usize, Vec<StopGroup>>) {
+fn count_places(
+    unit: &Unit,
+    rooms: &[Room],
+    groups: &mut [Vec<StopGroup>],
+    gang_rooms: &BTreeMap<StepId, Vec<usize>>,
+) {
+    for group in groups.iter_mut().flatten() {
+        let here = unit.needs.count_in(&group.needs, unit.count());
+        group.places = (here, here);
+    }
     let one_rack = place::prefers_one_rack(unit);
-    let key = |room: usize, gang| (gang, one_rack.then_some(rooms[room].rack_number));
-    let mut by_gang: BTreeMap<(StepId, Option<usize>), u64> = BTreeMap::new();
-    for (room, of_room) in groups.iter_mut() {
-        for group in of_room {
-            let here = unit.needs.count_in(&group.needs, unit.count());
-            group.places = (here, here);
-            if let Some(gang) = group.gang {
-                *by_gang.entry(key(*room, gang)).or_default() += here;
+    let rack = |room: usize| one_rack.then_some(rooms[room].rack_number);
+    let mut by_rack: BTreeMap<Option<usize>, u64> = BTreeMap::new();
+    for (gang, of_gang) in gang_rooms {
+        by_rack.clear();
+        let is_member = |group: &&mut StopGroup| group.gang == Some(*gang);
+        for room in of_gang {
+            if let Some(group) = groups[*room].iter_mut().find(is_member) {
+                *by_rack.entry(rack(*room)).or_default() += group.places.0;
             }
         }
-    }
-    for (room, of_room) in groups {
-        for group in of_room {
-            if let Some(gang) = group.gang {
-                group.places.1 = by_gang.get(&key(*room, gang)).copied().unwrap_or(0);
+        for room in of_gang {
+            if let Some(group) = groups[*room].iter_mut().find(is_member) {
+                group.places.1 = by_rack.get(&rack(*room)).copied().unwrap_or(0);
             }
         }
     }
--- a/crates/bh-workload/src/plan/stop_search.rs
+++ b/crates/bh-workload/src/plan/stop_search.rs
@@ -47,25 +47,15 @@
 pub(super) struct StopSearch<'a> {
     unit: &'a Unit,
     rooms: &'a [Room],
-    groups: BTreeMap<usize, Vec<StopGroup>>,
-    gang_rooms: BTreeMap<StepId, BTreeSet<usize>>,
+    groups: Vec<Vec<StopGroup>>,
+    gang_rooms: BTreeMap<StepId, Vec<usize>>,
 }
 
 impl<'a> StopSearch<'a> {
     /// Prepares a search among `candidates`, the runs that may be stopped for the unit.
-    pub fn new(
-        unit: &'a Unit,
-        rooms: &'a [Room],
-        candidates: &[&PreemptionCandidate],
-        workload: &Workload,
-    ) -> Self {
-        let groups = StopGroup::collect(unit, rooms, candidates, workload);
-        let mut gang_rooms: BTreeMap<StepId, BTreeSet<usize>> = BTreeMap::new();
-        for (room, of_room) in &groups {
-            for gang in of_room.iter().filter_map(|group| group.gang) {
-                gang_rooms.entry(gang).or_default().insert(*room);
-            }
-        }
+    pub fn new(unit: &'a Unit, rooms: &'a [Room], candidates: &[&PreemptionCandidate]) -> Self {
+        let mut gang_rooms = BTreeMap::new();
+        let groups = StopGroup::collect(unit, rooms, candidates, &mut gang_rooms);
         Self {
             unit,
             rooms,
@@ -74,14 +64,10 @@
         }
     }
 
-    fn groups_of(&self, room: usize) -> &[StopGroup] {
-        self.groups.get(&room).map_or(&[], Vec::as_slice)
-    }
-
     /// Returns how many tasks of the unit a worker could take if everything that may be stopped there were.
     pub fn most_places(&self, room: usize) -> u64 {
         let mut freed = Resources::default();
-        for group in self.groups_of(room) {
+        for group in &self.groups[room] {
             freed.add(&group.needs);
         }
         self.places(room, &freed)
@@ -145,19 +131,17 @@
     fn offer(&self, room: usize, choice: &Choice, left: u64) -> Option<Offer> {
         let none = Chosen::default();
         let chosen = choice.rooms.get(&room).unwrap_or(&none);
-        let groups = self.groups_of(room);
+        let groups = &self.groups[room];
         let is_freed = |at: usize, group: &StopGroup| {
             group.stopping
                 || chosen.stopped.contains(&at)
                 || group.gang.is_some_and(|gang| choice.gangs.contains(&gang))
         };
         let mut freed = Resources::default();
-        let (mut stops, mut remaining) = (Vec::new(), Vec::new());
+        let mut stops = Vec::new();
         for (at, group) in groups.iter().enumerate() {
             if is_freed(at, group) {
                 freed.add(&group.needs);
-            } else {
-                remaining.push(at);
             }
         }
         let gained = |freed: &Resources| self.places(room, freed).saturating_sub(chosen.places);
@@ -170,8 +154,11 @@
                 stops,
             });
         }
-        for at in remaining {
-            freed.add(&groups[at].needs);
+        for (at, group) in groups.iter().enumerate() {
+            if is_freed(at, group) {
+                continue;
+            }
+            freed.add(&group.needs);
             stops.push(at);
             if gained(&freed) > 0 {
                 break;
@@ -194,7 +181,7 @@
     /// Takes an offer. Returns the workers whose next offer may have become better.
     fn take(&self, room: usize, offer: Offer, choice: &mut Choice) -> BTreeSet<usize> {
         let mut changed = BTreeSet::from([room]);
-        let groups = self.groups_of(room);
+        let groups = &self.groups[room];
         let percent = self.rooms[room].runtime_percent;
         choice.loss = choice
             .loss
--- a/crates/bh-workload/tests/displacement_load.rs
+++ b/crates/bh-workload/tests/displacement_load.rs
@@ -131,8 +131,8 @@
     }
 }
 
-/// Measures urgent gangs that no guarantee covers in very busy times, where almost all of the pool is claimed: little can be saved there. The
-/// limit holds, and the gangs do not start later.
+/// Guards against a limit that delays urgent gangs that no guarantee covers in very busy times: their mean wait does not grow. The discarded
+/// work does not fall there; it is printed.
 #[test]
 fn urgent_gangs_start_as_soon_in_very_busy_times() {
     let stream = stream("other", VERY_BUSY_GAP_MS);
