--- a/crates/bh-workload/src/plan/pass.rs
+++ b/crates/bh-workload/src/plan/pass.rs
@@ -2,6 +2,7 @@
 
 use super::Placement;
 use super::Plan;
+use super::Policy;
 use super::ReleaseReason;
 use super::Room;
 use super::Runtimes;
@@ -36,6 +37,8 @@
     pub(super) runtimes: &'a Runtimes,
     /// Whether workers are ranked by their own speeds.
     pub(super) by_worker: bool,
+    /// The optional decisions in use.
+    pub(super) policy: Policy,
     /// Jobs that are covered by a customer's guarantee.
     pub(super) guaranteed: &'a BTreeSet<JobId>,
     /// Shares of the customers in the capacity.
@@ -78,6 +81,7 @@
             dispatcher,
             runtimes,
             by_worker: speeds.ranks_workers(),
+            policy: Policy::new(),
             guaranteed,
             shares: Shares::default(),
             rooms,
@@ -97,6 +101,12 @@
         self
     }
 
+    /// Sets the optional decisions in use.
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Drops reservations that are no longer needed, have timed out or include an unusable worker.
     pub fn drop_stale_reservations(
         &mut self,
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -18,6 +18,7 @@
 use super::leaving;
 use super::overdue::overdue;
 use super::pass::Pass;
+use super::reclaimable::order_by_exposure;
 use super::reservation::Reservation;
 use super::shares::Shares;
 use super::stall_tracker::StallTracker;
@@ -283,7 +284,8 @@
             (runtimes, speeds),
             &guaranteed,
         )
-        .with_shares(shares);
+        .with_shares(shares)
+        .with_policy(*policy);
         if pass.by_worker {
             limit_units(&mut units, &pass.rooms, wall_ms);
         }
@@ -293,6 +295,9 @@
         headroom.record_arrivals(now_ms, &units);
         let stop_ms = dispatcher.timing().stop_timeout_ms;
         headroom.mark_rooms((now_ms, stop_ms), &mut pass.rooms);
+        if policy.max_displacements.is_some() {
+            order_by_exposure(&mut units, &pass.rooms, workload, &guaranteed, wall_ms);
+        }
         let mut held_gangs = 0;
         let mut held_for = BTreeSet::new();
         let max_held_gangs = Room::count_racks(&pass.rooms).max(MIN_HELD_GANGS);
--- a/crates/bh-workload/src/state/mod.rs
+++ b/crates/bh-workload/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod crashes;
 mod customer_usage;
+mod displacements;
 mod end;
 mod give_up;
 mod job;
