Node: a resend right after the answer gets that answer

Cause: the end of a non-idempotent request is recorded after the caller has its answer. A resend through another entry records its own begin, which can reach the leader before that end; it was answered BH401 with the rest of the first deadline (up to 4 s) as Retry-After. The known red test what_reached_no_worker_runs_on_another_entrys resends so: the entry that owns the unreachable worker begins, another entry ran the request.

Change: a begin that finds another attempt without an outcome releases the target's slot and checks again six times within 1.6 s, at most until the deadline. If the other attempt withdrew its begin, the request goes to the router again. Nothing is reported as not run meanwhile.

--- a/crates/beechhollow/tests/requests.rs
+++ b/crates/beechhollow/tests/requests.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use bh_protocol::rendezvous;
 use bh_testkit::Cluster;
 use bh_testkit::Faults;
 use bh_testkit::history::ObservedRequest;
 use bh_testkit::history::check_requests;
 use rstest::rstest;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -136,6 +138,44 @@
     }
 }
 
+/// The caller of a non-idempotent request has the answer and resends at once through another entry, while the end of the request is still on
+/// its way to the leader. Guards against telling the caller for seconds that the request is in progress (BH401): the resend gets the same
+/// answer.
+#[test]
+fn a_resend_before_the_end_is_recorded_gets_the_answer() {
+    const KEY: &str = "k0";
+    /// Long compared with a resend, and short compared with the time after which a silent link is closed.
+    const LINK_DELAY: Duration = Duration::from_millis(60);
+    let mut cluster = Cluster::new(BINARY, entries())
+        .with_config_lines("target_lease_ms: 1500\n")
+        .with_links();
+    cluster.start_all();
+    apply_first_settings(&cluster);
+    let workers = start_workers(&cluster, 4);
+    wait_for_known_slots(&cluster, 4);
+    wait_for_leaders(&cluster);
+    let data_centres: [Arc<str>; 2] = [Arc::from("a"), Arc::from("b")];
+    let home = rendezvous::choose(&format!("lumen/{KEY}"), data_centres.iter()).unwrap();
+    let leader = cluster.leader_seen_by("a1", &format!("jobs/{home}"));
+    let leader = leader.unwrap();
+    let targets = bh_testkit::http_raw::get(cluster.http("a1"), "/v1/targets?data_centre=a").json();
+    let rows = targets.as_array().into_iter().flatten();
+    let mut owners = rows.filter_map(|row| row["owner"].as_str());
+    let runner = owners.find(|owner| *owner != leader).unwrap();
+    cluster.link(runner, &leader).set_delay(LINK_DELAY);
+    let first = request_with_retries(&cluster, runner, "book", Some(KEY), "b");
+    let again = request_with_retries(&cluster, &leader, "book", Some(KEY), "b");
+    let logs = cluster.logs();
+    assert_eq!(first.code(), Some(0), "{first:?}\n{logs}");
+    let seen = (again.code(), again.text());
+    assert_eq!(seen, (Some(0), first.text()), "{again:?}\n{logs}");
+    let runs = workers.iter().filter_map(|worker| {
+        let stats = worker.stats();
+        stats.runs_by_key.get(KEY).copied()
+    });
+    assert_eq!(runs.sum::<u64>(), 1);
+}
+
 /// Callers send non-idempotent requests through all entries and resend each through others, while the leader and then
 /// another entry are killed and one worker answers late. No key runs twice, no request that ran is reported as not run,
 /// and all complete answers to a key are the same.
--- a/crates/bh-node/src/requests/execute.rs
+++ b/crates/bh-node/src/requests/execute.rs
@@ -30,6 +30,8 @@
     request: ShortRequest,
     id: u64,
     deadline_ms: u64,
+    /// The request as the router got it.
+    pending: PendingRequest,
     recorded: Option<RecordedAttempt>,
 }
 
@@ -66,6 +68,7 @@
         request,
         id,
         deadline_ms,
+        pending: pending.clone(),
         recorded: None,
     };
     let mut decision = execution
@@ -156,9 +159,19 @@
     }
 
     async fn send(&mut self, target: &Arc<str>, address: &str, timeout_ms: u64) -> StepOutcome {
-        if let Some(answer) = self.record_begin_if_needed().await {
-            self.report_attempt(target, AttemptOutcome::Unused, 0);
-            return StepOutcome::Answer(answer);
+        if !self.request.idempotent && self.recorded.is_none() {
+            match ledger::begin(&self.node, &self.request, self.left_ms()).await {
+                BeginOutcome::Granted(recorded) => self.recorded = Some(recorded),
+                BeginOutcome::Answer(answer) => {
+                    self.report_attempt(target, AttemptOutcome::Unused, 0);
+                    return StepOutcome::Answer(answer);
+                }
+                BeginOutcome::InProgress(failure) => {
+                    // The target's slot is released before the wait.
+                    self.report_attempt(target, AttemptOutcome::Unused, 0);
+                    return self.wait_for_other_attempt(failure).await;
+                }
+            }
         }
         let left_ms = self.left_ms();
         if left_ms == 0 {
@@ -193,17 +206,24 @@
         StepOutcome::Answer(self.answer_for(outcome, response, target))
     }
 
-    /// Records in the ledger that a non-idempotent request is about to be sent; returns the final answer if it must not be sent.
-    async fn record_begin_if_needed(&mut self) -> Option<FinalAnswer> {
-        if self.request.idempotent || self.recorded.is_some() {
-            return None;
-        }
-        match ledger::begin(&self.node, &self.request, self.left_ms()).await {
+    /// Waits until the outcome of another attempt at the same request is recorded. If that attempt withdrew its begin, the request goes to
+    /// the router again, with a begin of its own.
+    async fn wait_for_other_attempt(&mut self, failure: Failure) -> StepOutcome {
+        let (node, request) = (&self.node, &self.request);
+        let outcome =
+            ledger::begin_after_other_attempt(node, request, self.deadline_ms, failure).await;
+        match outcome {
             BeginOutcome::Granted(recorded) => {
                 self.recorded = Some(recorded);
-                None
+                let receiver = self.register_for_decision();
+                let now_ms = self.node.clock.now_ms();
+                let pending = self.pending.clone();
+                let decisions = self.node.router.borrow_mut().arrive(now_ms, pending);
+                self.node.deliver_decisions(decisions);
+                StepOutcome::AwaitDecision(receiver)
             }
-            BeginOutcome::Answer(answer) => Some(answer),
+            BeginOutcome::Answer(answer) => StepOutcome::Answer(answer),
+            BeginOutcome::InProgress(failure) => StepOutcome::Answer(FinalAnswer::Failed(failure)),
         }
     }
 
--- a/crates/bh-node/src/requests/ledger.rs
+++ b/crates/bh-node/src/requests/ledger.rs
@@ -22,6 +22,10 @@
 const END_TIMEOUT_MS: u64 = 3_000;
 /// Time between attempts to record an end, in milliseconds.
 const RETRY_INTERVAL_MS: u64 = 200;
+/// Times between checks whether the outcome of a request is recorded, in milliseconds. An end is recorded after the caller has its answer,
+/// so the caller's resend through another entry may find only the begin. The sum is longer than one attempt to record an end takes (1.5 s)
+/// whose call to the leader was lost.
+const OUTCOME_CHECKS_MS: [u64; 6] = [25, 50, 100, 200, 400, 800];
 /// Attempts to record an end before giving up; a resend is then answered that the outcome is unknown.
 const END_ATTEMPTS: usize = 20;
 
@@ -37,6 +41,8 @@
 pub(super) enum BeginOutcome {
     /// The request may be sent.
     Granted(RecordedAttempt),
+    /// Another attempt began the request, and its outcome is not recorded. This is the answer unless the outcome is recorded soon.
+    InProgress(Failure),
     /// The request must not be sent; this is its final answer.
     Answer(FinalAnswer),
 }
@@ -74,9 +80,9 @@
     match propose(node, &recorded, command, left_ms.min(BEGIN_TIMEOUT_MS)).await {
         Ok(LedgerAnswer::Granted) => BeginOutcome::Granted(recorded),
         Ok(LedgerAnswer::Ended(stored)) => BeginOutcome::Answer(FinalAnswer::from_stored(stored)),
-        Ok(LedgerAnswer::Begun { expires_wall_ms }) => BeginOutcome::Answer(FinalAnswer::Failed(
-            in_progress(node, request, expires_wall_ms),
-        )),
+        Ok(LedgerAnswer::Begun { expires_wall_ms }) => {
+            BeginOutcome::InProgress(in_progress(node, request, expires_wall_ms))
+        }
         Ok(LedgerAnswer::KeyReused) => BeginOutcome::Answer(FinalAnswer::Failed(Failure::new(
             Code::KeyReused,
             format!("key `{}`", request.key),
@@ -96,6 +102,30 @@
     }
 }
 
+/// Waits for a short time until the outcome of another attempt at the request is recorded, or its begin is withdrawn. `failure` is the
+/// answer if neither happens.
+pub(super) async fn begin_after_other_attempt(
+    node: &Rc<Node>,
+    request: &ShortRequest,
+    deadline_ms: u64,
+    mut failure: Failure,
+) -> BeginOutcome {
+    let left_ms = || deadline_ms.saturating_sub(node.clock.now_ms());
+    for wait_ms in OUTCOME_CHECKS_MS {
+        if failure.code != Code::StillRunning || left_ms() <= wait_ms {
+            break;
+        }
+        sleep_ms(wait_ms).await;
+        match begin(node, request, left_ms()).await {
+            BeginOutcome::InProgress(latest) => failure = latest,
+            // This attempt was not recorded, but the other one may have run. The caller must not be told that nothing ran.
+            BeginOutcome::Answer(answer) if answer.has_not_run() => break,
+            outcome => return outcome,
+        }
+    }
+    BeginOutcome::InProgress(failure)
+}
+
 /// Returns a number that no other attempt has, in this process or any other. It must also differ after a restart of the
 /// entry: the ledger would take the resend of a request that was sent before the restart for a repeated proposal, and
 /// grant it again.
