Node: a resend waits at most 0.4 s for the outcome

Cause: a resend of a request whose entry was lost waits for the outcome in vain, and 1.6 s held callers up after each loss.

Change: four checks within 375 ms. This is still several times the interval at which a call to the leader is repeated.

--- a/crates/bh-node/src/requests/ledger.rs
+++ b/crates/bh-node/src/requests/ledger.rs
@@ -23,9 +23,9 @@
 /// Time between attempts to record an end, in milliseconds.
 const RETRY_INTERVAL_MS: u64 = 200;
 /// Times between checks whether the outcome of a request is recorded, in milliseconds. An end is recorded after the caller has its answer,
-/// so the caller's resend through another entry may find only the begin. The sum is longer than one attempt to record an end takes (1.5 s)
-/// whose call to the leader was lost.
-const OUTCOME_CHECKS_MS: [u64; 6] = [25, 50, 100, 200, 400, 800];
+/// so the caller's resend through another entry may find only the begin. The sum is several times the interval at which a call to a leader
+/// is repeated (30 ms). It is short because a resend waits in vain if the entry that began the request was lost.
+const OUTCOME_CHECKS_MS: [u64; 4] = [25, 50, 100, 200];
 /// Attempts to record an end before giving up; a resend is then answered that the outcome is unknown.
 const END_ATTEMPTS: usize = 20;
 
