--- a/crates/bh-workload/src/plan/fleet_load.rs
+++ b/crates/bh-workload/src/plan/fleet_load.rs
@@ -45,6 +45,7 @@
                 ..LoadCounts::default()
             };
             sums.add(Some(job), &counts);
+            sums.add_displacements(job);
         }
         // Added up by job first: there are many more runs than jobs, and each addition to the sums searches several maps.
         let mut runs: BTreeMap<JobId, LoadCounts> = BTreeMap::new();
@@ -96,6 +97,15 @@
         }
     }
 
+    /// Adds the displacements of the tasks of an active job to its customer.
+    fn add_displacements(&mut self, job: &Job) {
+        let tasks = job.steps.iter().flat_map(|step| &step.tasks);
+        let displaced: u64 = tasks.map(|task| u64::from(task.displacements)).sum();
+        if let Some(load) = self.customers.get_mut(&job.customer) {
+            *load.displaced_runs.get_or_insert(0) += displaced;
+        }
+    }
+
     fn into_load(self) -> FleetLoad {
         let mut customers: Vec<CustomerLoad> = self.customers.into_values().collect();
         // The sort is stable, so customers with equal figures stay ordered by name.
