Record: runs of a forgotten job are charged when its name is submitted again

A job may be forgotten while a run of it is still recorded, and its caller may submit it again. The run is now charged when the job is accepted. The new test failed before.

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -160,6 +160,7 @@
         self.jobs
             .insert(id, Job::new(spec, queue, customer, now_ms));
         self.active.insert(id);
+        self.charge_open_runs(id);
         self.events.plan = true;
         Reply::Done
     }
--- a/crates/bh-workload/src/state/usage.rs
+++ b/crates/bh-workload/src/state/usage.rs
@@ -2,6 +2,7 @@
 
 use super::CustomerUsage;
 use super::Workload;
+use crate::job::JobId;
 use crate::job::Resources;
 use serde::Deserialize;
 use serde::Serialize;
@@ -69,6 +70,21 @@
         }
     }
 
+    /// Charges the runs that are still recorded of an earlier job with the name of the new job `id`. [`Workload::rebuild_usage`] charges them
+    /// too, and all replicas must hold the same.
+    pub(super) fn charge_open_runs(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        for (run, worker) in self.open_runs.of_job(id) {
+            let worker = self.workers.get(worker);
+            if let Some(needs) = worker.and_then(|worker| worker.runs.get(&run)) {
+                let customer = job.customer.as_ref();
+                self.usage.start(customer, needs, self.latest_ms);
+            }
+        }
+    }
+
     /// Removes jobs that ended before `before_ms`, in milliseconds since 1970. The usage of their runs that are still open ends, since the
     /// customer of a run is known only from its job.
     pub(super) fn forget(&mut self, before_ms: u64) {
--- a/crates/bh-workload/tests/fair_sharing.rs
+++ b/crates/bh-workload/tests/fair_sharing.rs
@@ -352,6 +352,33 @@
     assert!(value.get("usage").is_none());
 }
 
+/// A job is forgotten while one of its runs is still recorded, and its caller submits it again. Guards against a replica that was restored
+/// from a snapshot and charges that run, while the others do not.
+#[test]
+fn replicas_agree_on_a_run_whose_job_is_submitted_again() {
+    let (mut site, jobs) = site_with_usage();
+    let old_run = run_of(&site, jobs[0], 0);
+    site.cancel(2, "other", jobs[0]);
+    let before_ms = site.wall_ms() + 1;
+    site.workload.apply(Command::Forget { before_ms });
+    assert_eq!(in_use(&site.workload, "other"), 8);
+    let accepted = site.workload.apply(Command::Accept {
+        place: place(2, "other", jobs[0]),
+        spec: JobSpec {
+            text: Arc::from("text"),
+            steps: vec![step(1, 8)],
+            schedule: None,
+        },
+        now_ms: site.wall_ms(),
+    });
+    assert_eq!(accepted, Reply::Done);
+    let replica = restored(&snapshot(&site.workload));
+    assert_eq!(replica.usage(), site.workload.usage());
+    assert_eq!(in_use(&replica, "other"), 16);
+    site.end(old_run, EndKind::Stopped);
+    assert_eq!(in_use(&site.workload, "other"), 8);
+}
+
 /// Least ratio of guarantees at which the sites here share capacity.
 const MIN_RATIO: f64 = 4.0;
 /// Run time of the tasks here, in milliseconds.
