Backfill: one ended run does not bound the time of the others

The tail of a step was half as long again as the mean of its ended runs, however few. The first run of a step to end is the shortest one: with slow workers in the pool, the others took longer and delayed the gang. Now the step's own runs count from the fourth on, and those of its kind before that. The new test failed before.

--- a/crates/bh-workload/src/plan/runtimes.rs
+++ b/crates/bh-workload/src/plan/runtimes.rs
@@ -14,7 +14,7 @@
 
 /// Number of standard deviations of the logarithm by which the tail of a kind lies above its mean. About one run in forty takes longer.
 const TAIL_DEVIATIONS: f64 = 2.0;
-/// Tail of a step of which runs have ended, relative to their mean, in percent. Tasks of a step are alike, but data centres and workers differ
+/// Tail of a step of which at least [`MIN_TRUSTED_RUNS`] runs have ended, relative to their mean, in percent. Tasks of a step are alike, but data centres and workers differ
 /// by up to half.
 const STEP_TAIL_PERCENT: u64 = 150;
 
@@ -107,7 +107,10 @@
 
     /// Returns the time within which nearly all tasks like those of `step` end, in milliseconds, or `None` if too little is known.
     pub fn tail_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> Option<u64> {
-        if let Some((sum_ms, count)) = self.steps.get(&step) {
+        let ended = self.steps.get(&step);
+        // The first runs of a step to end are the shortest ones, so few of them say little about the others.
+        let trusted = ended.filter(|(_, count)| as_f64(*count) >= MIN_TRUSTED_RUNS);
+        if let Some((sum_ms, count)) = trusted {
             return Some((sum_ms / count).max(1) * STEP_TAIL_PERCENT / 100);
         }
         let (scale_ms, stats) = self.predictor(queue, spec)?;
--- a/crates/bh-workload/tests/backfill.rs
+++ b/crates/bh-workload/tests/backfill.rs
@@ -4,11 +4,14 @@
 
 use bh_workload::job::JobId;
 use bh_workload::job::RunId;
+use bh_workload::job::StepId;
 use bh_workload::job::StepSpec;
 use bh_workload::plan::Policy;
+use bh_workload::plan::Runtimes;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
 use rstest::rstest;
+use std::sync::Arc;
 use support::Site;
 use support::run_of;
 use support::step;
@@ -180,3 +183,27 @@
         .filter(|start| start.run.task.step.job == gang);
     assert_eq!(own.count(), 3);
 }
+
+/// A quarter of the workers are 2.2 times slower, so the first task of a step to end has run on a fast one. Guards against letting the other
+/// tasks use held capacity on the strength of that one run: those on slow workers would delay the gang.
+#[test]
+fn one_ended_run_does_not_bound_the_others() {
+    let queue = Arc::from("q2");
+    let spec = small_tasks(40, SHORT_MS);
+    let step = StepId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+    };
+    let mut runtimes = Runtimes::default();
+    for _ in 0..3 {
+        runtimes.record(&queue, step, &spec, SHORT_MS);
+        assert_eq!(runtimes.tail_ms(&queue, step, &spec), None);
+    }
+    runtimes.record(&queue, step, &spec, 2 * SHORT_MS);
+    let tail_ms = runtimes.tail_ms(&queue, step, &spec);
+    assert!(
+        tail_ms.is_some_and(|ms| ms >= 3 * SHORT_MS / 2),
+        "{tail_ms:?}"
+    );
+}
