Admission: a forgotten job does not count as waiting

The count by customer is kept, so that no submission looks at all admitted jobs. Submissions have their own file.

--- a/crates/bh-control/src/core/admit.rs
+++ b/crates/bh-control/src/core/admit.rs
@@ -61,10 +61,16 @@
     };
     let answer = change(core, command).await;
     // A submission without a known outcome may still be recorded, so a resend of it must not be refused.
-    if !matches!(answer, Answer::Done | Answer::Unknown) {
+    if answer != Answer::Unknown {
         note(core, |leadership, workload| {
-            if Some(leadership.term) == noted {
-                leadership.admission.note_not_recorded(&place, workload);
+            if Some(leadership.term) != noted {
+                return;
+            }
+            let admission = &mut leadership.admission;
+            if answer == Answer::Done {
+                admission.note_recorded(&place, workload);
+            } else {
+                admission.note_not_recorded(&place, workload);
             }
         });
     }
--- a/crates/bh-workload/src/admission/controller.rs
+++ b/crates/bh-workload/src/admission/controller.rs
@@ -10,7 +10,9 @@
 use super::RefusalReason;
 use super::RefusedSubmission;
 use super::ShedLevel;
+use super::admitted_jobs::AdmittedJobs;
 use super::retry_after_ms;
+use super::submission::Submission;
 use crate::job::JobId;
 use crate::job::JobSpec;
 use crate::plan::Planner;
@@ -18,7 +20,6 @@
 use crate::state::Job;
 use crate::state::Place;
 use crate::state::Workload;
-use std::collections::BTreeMap;
 use std::num::NonZeroU32;
 use std::sync::Arc;
 
@@ -42,26 +43,14 @@
     shedder: LoadShedder,
     backlog: Backlog,
     next_snapshot_ms: u64,
-    /// Submissions that were admitted but are not in the snapshot of the waiting work.
-    admitted: BTreeMap<JobId, AdmittedJob>,
+    admitted: AdmittedJobs,
     refusals: RefusalCounts,
 }
 
-/// An admitted job that may be recorded already, or may still be recorded.
-#[derive(Clone, Debug)]
-struct AdmittedJob {
-    customer: Option<Arc<str>>,
-    /// Number of submissions of the job that are not known to have failed.
-    submissions: u32,
-}
-
-/// A valid submission of a job that is not recorded.
-struct Submission<'a> {
-    id: JobId,
-    queue: &'a Arc<Queue>,
-    customer: Option<&'a Arc<str>>,
-    spec: &'a JobSpec,
-    wall_ms: u64,
+/// Returns the job that a submission at `place` names.
+fn job_at(place: &Place, workload: &Workload) -> Option<JobId> {
+    let found = workload.find(place).ok()?;
+    JobId::parse(found.rest)
 }
 
 impl AdmissionController {
@@ -74,7 +63,7 @@
             shedder: LoadShedder::new(),
             backlog: Backlog::default(),
             next_snapshot_ms: 0,
-            admitted: BTreeMap::new(),
+            admitted: AdmittedJobs::new(),
             refusals: RefusalCounts::new(),
         }
     }
@@ -132,7 +121,7 @@
     ) {
         self.next_snapshot_ms = now_ms + (took_ms * SNAPSHOT_GAP_FACTOR).max(MIN_SNAPSHOT_GAP_MS);
         self.backlog = backlog;
-        self.admitted.retain(|id, _| workload.job(*id).is_none());
+        self.admitted.remove_recorded(workload);
     }
 
     /// Returns why the submission of `spec` at `place` is refused, or `None` if it is to be recorded.
@@ -151,7 +140,7 @@
         }
         let found = workload.find(place).ok()?;
         let id = JobId::parse(found.rest)?;
-        if workload.job(id).is_some() || self.admitted.contains_key(&id) {
+        if workload.job(id).is_some() || self.admitted.contains(id) {
             return None;
         }
         let submission = Submission {
@@ -218,11 +207,7 @@
         let (Some(limit), Some(customer)) = (self.policy.max_waiting_jobs, customer) else {
             return false;
         };
-        let admitted = self
-            .admitted
-            .values()
-            .filter(|job| job.customer.as_ref() == Some(customer));
-        let admitted = u64::try_from(admitted.count()).unwrap_or(u64::MAX);
+        let admitted = self.admitted.of_customer(customer);
         self.backlog.waiting_jobs(customer) + admitted >= u64::from(NonZeroU32::get(limit))
     }
 
@@ -251,24 +236,22 @@
         };
         let id = JobId::parse(found.rest).filter(|id| workload.job(*id).is_none());
         if let Some(id) = id {
-            let job = self.admitted.entry(id).or_insert_with(|| AdmittedJob {
-                customer: found.customer.map(|customer| customer.name.clone()),
-                submissions: 0,
-            });
-            job.submissions += 1;
+            let customer = found.customer.map(|customer| customer.name.clone());
+            self.admitted.add(id, customer);
         }
     }
 
-    /// Takes note that the submission of a job was certainly not recorded.
+    /// Takes note that the submission at `place` was recorded.
+    pub fn note_recorded(&mut self, place: &Place, workload: &Workload) {
+        if let Some(id) = job_at(place, workload) {
+            self.admitted.note_recorded(id);
+        }
+    }
+
+    /// Takes note that the submission at `place` was certainly not recorded.
     pub fn note_not_recorded(&mut self, place: &Place, workload: &Workload) {
-        if let Ok(found) = workload.find(place)
-            && let Some(id) = JobId::parse(found.rest)
-            && let Some(job) = self.admitted.get_mut(&id)
-        {
-            job.submissions -= 1;
-            if job.submissions == 0 {
-                self.admitted.remove(&id);
-            }
+        if let Some(id) = job_at(place, workload) {
+            self.admitted.note_not_recorded(id);
         }
     }
 
--- a/crates/bh-workload/src/admission/mod.rs
+++ b/crates/bh-workload/src/admission/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The order of shedding is that of [`ShedLevel`]; `docs/design/admission.md` has it as a table.
 
+mod admitted_jobs;
 mod backlog;
 mod controller;
 mod leader_lag;
@@ -16,6 +17,7 @@
 mod refused_submission;
 mod retry_time;
 mod shed_level;
+mod submission;
 
 pub use backlog::Backlog;
 pub use controller::AdmissionController;
--- a/crates/bh-workload/tests/admission_limits.rs
+++ b/crates/bh-workload/tests/admission_limits.rs
@@ -256,3 +256,24 @@
     assert!(text.contains(r#""level":"nothing""#) && text.contains(r#""too_many_waiting":3"#));
     assert_eq!(serde_json::from_str(&text).ok(), Some(report));
 }
+
+/// A job is recorded, ends and is forgotten before the next submission, as in a quiet night. Guards against counting it as waiting for as long
+/// as the leader leads, so that a customer reaches its limit without any waiting job.
+#[test]
+fn a_forgotten_job_does_not_count_as_waiting() {
+    let mut admitting = Admitting::new(limit(1), 0);
+    let place = place(1, "other", JobId(FIRST_ID + 1));
+    let workload = &mut admitting.site.workload;
+    admitting.controller.note_admitted(&place, workload);
+    let accepted = workload.apply(Command::Accept {
+        place: place.clone(),
+        spec: spec(step(1, 1)),
+        now_ms: 1,
+    });
+    assert_eq!(accepted, Reply::Done);
+    admitting.controller.note_recorded(&place, workload);
+    workload.apply(Command::Cancel { place, now_ms: 2 });
+    workload.apply(Command::Forget { before_ms: 3 });
+    admitting.take_snapshot();
+    assert_eq!(admitting.reason(1, "other", step(1, 1)), None);
+}
