--- a/crates/bh-workload/src/admission/backlog.rs
+++ b/crates/bh-workload/src/admission/backlog.rs
@@ -1,13 +1,13 @@
 //! Snapshot of the waiting work that submissions are judged by.
 
 use super::PoolBacklog;
+use crate::job::JobId;
 use crate::plan::Planner;
 use crate::plan::WaitingWork;
 use crate::plan::guaranteed_jobs;
 use crate::plan::peak_accelerators;
 use crate::plan::priority_density;
 use crate::rules::Queue;
-use crate::rules::Rules;
 use crate::state::Job;
 use crate::state::JobState;
 use crate::state::Workload;
@@ -24,8 +24,9 @@
     jobs: BTreeMap<Arc<str>, (u64, u64)>,
     /// Number of jobs of which no task has started, by customer.
     waiting_by_customer: BTreeMap<Arc<str>, u64>,
-    /// Guaranteed accelerators that no accepted job takes, by customer.
-    free_guarantees: BTreeMap<Arc<str>, u64>,
+    /// Accepted jobs that guarantees cover, with the accelerators that each of them takes, by customer. Jobs without accelerators are left
+    /// out, so that a guarantee of n accelerators covers at most n of these.
+    covered_jobs: BTreeMap<Arc<str>, Vec<(JobId, u64)>>,
 }
 
 impl Backlog {
@@ -34,7 +35,7 @@
         let waiting = planner.waiting_work(wall_ms, workload);
         let mut backlog = Self {
             pools: pools(workload, &waiting),
-            free_guarantees: free_guarantees(workload),
+            covered_jobs: covered_jobs(workload),
             waiting,
             ..Self::default()
         };
@@ -75,10 +76,25 @@
         count.copied().unwrap_or(0)
     }
 
-    /// Returns whether the customer's guarantee would cover `job` in a queue of `priority`.
-    pub fn is_covered(&self, customer: Option<&Arc<str>>, priority: u32, job: &Job) -> bool {
-        let free = customer.and_then(|customer| self.free_guarantees.get(customer));
-        priority == 0 && free.is_some_and(|free| peak_accelerators(job) <= *free)
+    /// Returns whether the guarantee of the job's customer would cover `job` in a queue of `priority`. Jobs that have ended since the snapshot
+    /// do not take any of the guarantee.
+    pub fn is_covered(&self, priority: u32, job: &Job, workload: &Workload) -> bool {
+        let (Some(customer), Some(rules)) = (&job.customer, &workload.rules) else {
+            return false;
+        };
+        if priority != 0 {
+            return false;
+        }
+        let covered = self.covered_jobs.get(customer);
+        let is_active = |id: JobId| workload.job(id).is_some_and(|job| job.outcome.is_none());
+        let taken: u64 = covered
+            .into_iter()
+            .flatten()
+            .filter(|(id, _)| is_active(*id))
+            .map(|(_, accelerators)| accelerators)
+            .sum();
+        let free = rules.guaranteed(customer).saturating_sub(taken);
+        peak_accelerators(job) <= free
     }
 }
 
@@ -106,21 +122,19 @@
         .collect()
 }
 
-/// Returns the guaranteed accelerators of each customer that no accepted job takes.
-fn free_guarantees(workload: &Workload) -> BTreeMap<Arc<str>, u64> {
-    let rules: Option<&Rules> = workload.rules.as_deref();
-    let customers = rules.into_iter().flat_map(|rules| &rules.customers);
-    let mut free: BTreeMap<Arc<str>, u64> = customers
-        .map(|customer| (customer.name.clone(), customer.guaranteed_accelerators))
-        .collect();
+/// Returns the accepted jobs that guarantees cover, with the accelerators that each of them takes, by customer.
+fn covered_jobs(workload: &Workload) -> BTreeMap<Arc<str>, Vec<(JobId, u64)>> {
+    let mut covered: BTreeMap<Arc<str>, Vec<(JobId, u64)>> = BTreeMap::new();
     for id in guaranteed_jobs(workload) {
         let job = workload.job(id);
         let Some((job, customer)) = job.and_then(|job| Some((job, job.customer.as_ref()?))) else {
             continue;
         };
-        if let Some(free) = free.get_mut(customer) {
-            *free = free.saturating_sub(peak_accelerators(job));
+        let accelerators = peak_accelerators(job);
+        if accelerators > 0 {
+            let jobs = covered.entry(customer.clone()).or_default();
+            jobs.push((id, accelerators));
         }
     }
-    free
+    covered
 }
--- a/crates/bh-workload/src/admission/controller.rs
+++ b/crates/bh-workload/src/admission/controller.rs
@@ -192,7 +192,7 @@
             customer.cloned(),
             submission.wall_ms,
         );
-        if self.backlog.is_covered(customer, priority, &job) {
+        if self.backlog.is_covered(priority, &job, workload) {
             return None;
         }
         if self.exceeds_limit(customer) {
--- a/crates/bh-workload/tests/admission_limits.rs
+++ b/crates/bh-workload/tests/admission_limits.rs
@@ -277,3 +277,17 @@
     admitting.take_snapshot();
     assert_eq!(admitting.reason(1, "other", step(1, 1)), None);
 }
+
+/// A guaranteed job ends after the last snapshot, and the customer, which is at its limit, submits the next one. Guards against refusing work
+/// that the guarantee covers because an outdated snapshot still counts the job that has ended.
+#[test]
+fn a_guarantee_that_became_free_since_the_snapshot_covers_work() {
+    let mut admitting = Admitting::new(limit(1), 0);
+    admitting.site.submit(1, "guaranteed", vec![step(1, 1)]);
+    let guaranteed = admitting.site.submit(0, "guaranteed", vec![step(16, 1)]);
+    admitting.take_snapshot();
+    let reason = admitting.reason(0, "guaranteed", step(16, 1));
+    assert_eq!(reason, Some(RefusalReason::TooManyWaiting));
+    admitting.site.cancel(0, "guaranteed", guaranteed);
+    assert_eq!(admitting.reason(0, "guaranteed", step(16, 1)), None);
+}
