Admission: the expected wait follows shares and leaves out work that cannot start

Where capacity is shared, a customer below its share was refused as hopeless behind the burst of another one, although the planner would have put its work first; and since it did not wait, the other one never counted as above its share. The order of the waiting work is now that of the shares. Work that needs a label or an adviser, and work that the pool is too small for, counted as ahead also if it could never start, so that one caller's mistake made the work of others hopeless on an idle pool. Sums of work no longer overflow. The new tests failed before.

--- a/crates/bh-workload/src/admission/backlog.rs
+++ b/crates/bh-workload/src/admission/backlog.rs
@@ -3,6 +3,7 @@
 use super::PoolBacklog;
 use crate::job::JobId;
 use crate::plan::Planner;
+use crate::plan::WaitingStep;
 use crate::plan::WaitingWork;
 use crate::plan::guaranteed_jobs;
 use crate::plan::peak_accelerators;
@@ -105,17 +106,25 @@
         let mut pools = rules.into_iter().flat_map(|rules| &rules.pools);
         pools.any(|pool| &*pool.name == name && pool.standby)
     };
-    let mut accelerators: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+    // The accelerators of all workers of a pool, and those of its largest worker.
+    let mut accelerators: BTreeMap<&Arc<str>, (u64, u64)> = BTreeMap::new();
     for worker in workload.workers() {
         if !worker.draining && !workload.is_evacuated(&worker.info) {
-            let sum = accelerators.entry(&worker.info.pool).or_default();
-            *sum += worker.info.capacity.accelerators;
+            let own = worker.info.capacity.accelerators;
+            let (sum, largest) = accelerators.entry(&worker.info.pool).or_default();
+            *sum = sum.saturating_add(own);
+            *largest = own.max(*largest);
         }
     }
     accelerators
         .into_iter()
-        .map(|(name, sum)| {
-            let own = waiting.steps.iter().filter(|step| step.pool == *name);
+        .map(|(name, (sum, largest))| {
+            // A step that the pool is too small for delays no other.
+            let fits = |step: &WaitingStep| {
+                step.task_accelerators <= largest && step.at_once_accelerators <= sum
+            };
+            let own = waiting.steps.iter();
+            let own = own.filter(|step| step.pool == *name && fits(step));
             let known = if is_standby(name) { 0 } else { sum };
             (name.clone(), PoolBacklog::new(known, own))
         })
--- a/crates/bh-workload/src/admission/pool_backlog.rs
+++ b/crates/bh-workload/src/admission/pool_backlog.rs
@@ -18,9 +18,9 @@
             .map(|step| (step.value_density, step.accelerator_ms))
             .collect();
         work.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut sum = 0;
+        let mut sum = 0_u64;
         for (_, up_to) in &mut work {
-            sum += *up_to;
+            sum = up_to.saturating_add(sum);
             *up_to = sum;
         }
         Self { work, accelerators }
--- a/crates/bh-workload/src/plan/shares.rs
+++ b/crates/bh-workload/src/plan/shares.rs
@@ -103,12 +103,42 @@
     pub fn new(policy: &Policy, workload: &Workload, units: &[Unit]) -> Self {
         match &workload.rules {
             Some(rules) if is_in_force(policy, rules) => Self {
-                by_customer: shares(rules, workload, units),
+                by_customer: shares(rules, workload, units, false),
             },
             _ => Self::default(),
         }
     }
 
+    /// Computes the shares by which submissions are compared with the waiting `units`. They are those of a pass in which another customer
+    /// waits: a job that is submitted waits once it is accepted.
+    pub fn of_submissions(policy: &Policy, workload: &Workload, units: &[Unit]) -> Self {
+        match &workload.rules {
+            Some(rules) if is_in_force(policy, rules) => Self {
+                by_customer: shares(rules, workload, units, true),
+            },
+            _ => Self::default(),
+        }
+    }
+
+    /// Returns the value density of a submission of `customer` beside the discounted ones of the waiting work.
+    ///
+    /// If the customer neither waits nor uses anything, the others are entitled to less once it waits. How much less their work is worth then
+    /// is not known, but it is divided by at most [`MAX_DIVISOR_PERCENT`], so the value of the submission is multiplied by that.
+    pub fn discounted(&self, customer: Option<&Arc<str>>, value_density: f64) -> f64 {
+        if self.by_customer.is_empty() {
+            return value_density;
+        }
+        let name = customer.cloned().unwrap_or_default();
+        let competing =
+            |share: &&CustomerShare| share.waits || share.in_use != Resources::default();
+        match self.by_customer.get(&name).filter(competing) {
+            Some(share) => {
+                value_density * to_f64(NO_DIVISOR_PERCENT) / to_f64(share.divisor_percent)
+            }
+            None => value_density * to_f64(MAX_DIVISOR_PERCENT) / to_f64(NO_DIVISOR_PERCENT),
+        }
+    }
+
     /// Returns the number by which the value of the work of a job, and the loss when it is stopped, are divided, in
     /// percent.
     fn divisor_percent(&self, workload: &Workload, job: JobId) -> u64 {
@@ -141,8 +171,14 @@
     }
 }
 
-/// Returns the shares of the customers in `rules` and of others that wait or have usage, while `units` wait.
-fn shares(rules: &Rules, workload: &Workload, units: &[Unit]) -> BTreeMap<Arc<str>, CustomerShare> {
+/// Returns the shares of the customers in `rules` and of others that wait or have usage, while `units` wait. With `others_wait`, each customer
+/// is compared as if another one waited.
+fn shares(
+    rules: &Rules,
+    workload: &Workload,
+    units: &[Unit],
+    others_wait: bool,
+) -> BTreeMap<Arc<str>, CustomerShare> {
     let waiting: BTreeSet<Arc<str>> = units
         .iter()
         .filter_map(|unit| customer_of(workload, unit.step.job))
@@ -178,7 +214,7 @@
         let entitled_share = to_f64(weight) / to_f64(all_weights.max(1));
         let ratio = share_in_use.max(mean_share) / entitled_share;
         // A customer alone may use everything.
-        let another_waits = waiting.iter().any(|name| *name != customer);
+        let another_waits = others_wait || waiting.iter().any(|name| *name != customer);
         let divisor_percent = if another_waits {
             floor_to_u64(ratio * 100.0).clamp(NO_DIVISOR_PERCENT, MAX_DIVISOR_PERCENT)
         } else {
@@ -216,8 +252,9 @@
         let times = (wall_ms, dispatcher.timing().remote_percent);
         let units = collect::collect(workload, &self.runtimes, &guaranteed_jobs(workload), times);
         let in_force = is_in_force(&self.policy, rules);
-        let mut shares: Vec<CustomerShare> =
-            shares(rules, workload, &units).into_values().collect();
+        let mut shares: Vec<CustomerShare> = shares(rules, workload, &units, false)
+            .into_values()
+            .collect();
         for share in shares.iter_mut().filter(|_| !in_force) {
             share.divisor_percent = NO_DIVISOR_PERCENT;
         }
--- a/crates/bh-workload/src/plan/waiting_work.rs
+++ b/crates/bh-workload/src/plan/waiting_work.rs
@@ -1,8 +1,10 @@
 //! The waiting work in the order of its precedence, and forecasts for jobs that are not accepted yet.
 
 use super::Planner;
+use super::Unit;
 use super::collect;
 use super::guaranteed_jobs;
+use super::shares::Shares;
 use crate::job::JobId;
 use crate::rules::Queue;
 use crate::state::Job;
@@ -17,6 +19,10 @@
     pub pool: Arc<str>,
     /// Value of the job relative to its work; infinite if a guarantee covers it. Steps with a larger value come first.
     pub value_density: f64,
+    /// Accelerators of one task.
+    pub task_accelerators: u64,
+    /// Accelerators that must be free at the same time: those of all the tasks of a gang, and else of one task.
+    pub at_once_accelerators: u64,
     /// Accelerators of all the tasks times their expected run time, in accelerator-milliseconds.
     pub accelerator_ms: u64,
 }
@@ -24,8 +30,11 @@
 /// The work that waits for placement.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingWork {
-    /// The steps. Services are not among them: they occupy capacity but do not end, so nothing waits for their end.
+    /// The steps. Services are not among them: they occupy capacity but do not end, so nothing waits for their end. Nor are steps that only
+    /// some workers may run, because of a label or an adviser: if none of these is there, nothing waits for such a step either.
     pub steps: Vec<WaitingStep>,
+    /// Shares by which the value density of the steps is discounted.
+    shares: Shares,
     mean_work: BTreeMap<Arc<str>, f64>,
 }
 
@@ -47,10 +56,14 @@
         const NO_SLOWDOWN_PERCENT: u64 = 100;
         let guaranteed = guaranteed_jobs(workload);
         let times = (wall_ms, NO_SLOWDOWN_PERCENT);
-        let units = collect::collect(workload, &self.runtimes, &guaranteed, times);
+        let mut units = collect::collect(workload, &self.runtimes, &guaranteed, times);
+        let shares = Shares::of_submissions(&self.policy, workload, &units);
+        shares.discount_units(workload, &mut units);
+        let is_restricted =
+            |unit: &Unit| unit.spec.required_label.is_some() || unit.advised.is_some();
         let steps = units
             .iter()
-            .filter(|unit| !unit.spec.long_running)
+            .filter(|unit| !unit.spec.long_running && !is_restricted(unit))
             .map(|unit| WaitingStep {
                 pool: unit.pool.clone(),
                 value_density: if unit.guaranteed {
@@ -58,10 +71,20 @@
                 } else {
                     unit.value_density
                 },
-                accelerator_ms: unit.count() * unit.needs.accelerators * unit.expected_ms,
+                task_accelerators: unit.needs.accelerators,
+                at_once_accelerators: if unit.spec.gang {
+                    unit.count().saturating_mul(unit.needs.accelerators)
+                } else {
+                    unit.needs.accelerators
+                },
+                accelerator_ms: unit
+                    .count()
+                    .saturating_mul(unit.needs.accelerators)
+                    .saturating_mul(unit.expected_ms),
             });
         WaitingWork {
             steps: steps.collect(),
+            shares,
             mean_work: collect::mean_work(workload, &self.runtimes),
         }
     }
@@ -80,7 +103,10 @@
         JobForecast {
             run_ms: collect::critical_path_ms(id, job, runtimes),
             worth_ms: collect::objective_ms(id, job, queue, runtimes) * collect::MAX_LATE_FACTOR,
-            value_density: size_factor / collect::squared_rank(queue.priority),
+            value_density: waiting.shares.discounted(
+                job.customer.as_ref(),
+                size_factor / collect::squared_rank(queue.priority),
+            ),
         }
     }
 }
--- a/crates/bh-workload/tests/admission_limits.rs
+++ b/crates/bh-workload/tests/admission_limits.rs
@@ -14,6 +14,8 @@
 use bh_workload::job::JobSpec;
 use bh_workload::job::Schedule;
 use bh_workload::job::StepSpec;
+use bh_workload::plan::Planner;
+use bh_workload::plan::Policy;
 use bh_workload::state::Command;
 use bh_workload::state::Place;
 use bh_workload::state::Reply;
@@ -291,3 +293,44 @@
     admitting.site.cancel(0, "guaranteed", guaranteed);
     assert_eq!(admitting.reason(0, "guaranteed", step(16, 1)), None);
 }
+
+/// Load pattern: one customer uses all capacity and has 60 more jobs waiting, and capacity is shared. Guards against refusing the work of
+/// another customer, which would pass those jobs because it is below its share. If it were refused, it would never wait, and the customer
+/// with the burst would never count as above its share.
+#[test]
+fn work_that_sharing_puts_first_is_not_hopeless() {
+    let mut admitting = Admitting::new(hopeless(), 0);
+    let policy = Policy::new().with_fair_sharing(2.0);
+    admitting.site.planner = Planner::new().with_policy(policy);
+    admitting.site.advance(60_000);
+    for _ in 0..61 {
+        admitting.site.submit(1, "other", vec![whole_site()]);
+    }
+    admitting.site.plan_and_start();
+    assert_eq!(admitting.site.open_runs().len(), 32);
+    let refused = Some(RefusalReason::Hopeless);
+    admitting.take_snapshot();
+    assert_eq!(admitting.reason(1, "other", whole_site()), refused);
+    assert_eq!(admitting.reason(1, "guaranteed", whole_site()), None);
+    // The same holds for its next job, while the first one waits.
+    admitting.site.submit(1, "guaranteed", vec![whole_site()]);
+    admitting.take_snapshot();
+    assert_eq!(admitting.reason(1, "other", whole_site()), refused);
+    assert_eq!(admitting.reason(1, "guaranteed", whole_site()), None);
+}
+
+/// Load pattern: 60 waiting jobs that cannot start on the workers that are there, which are idle. Guards against one caller's mistake that
+/// makes the work of all others hopeless.
+#[rstest]
+#[case::missing_label(StepSpec { required_label: Some(Arc::from("missing")), ..whole_site() })]
+#[case::gang_wider_than_the_pool(StepSpec { gang: true, ..step(33, 1) })]
+#[case::task_larger_than_a_worker(step(4, 9))]
+fn work_that_cannot_start_makes_nothing_hopeless(#[case] stuck: StepSpec) {
+    let mut admitting = Admitting::new(hopeless(), 0);
+    for _ in 0..60 {
+        admitting.site.submit(1, "other", vec![stuck.clone()]);
+    }
+    admitting.take_snapshot();
+    assert_eq!(admitting.reason(1, "other", stuck), None);
+    assert_eq!(admitting.reason(1, "other", whole_site()), None);
+}
