Backfill: not on cold workers

Whether a task ends before a gang starts was judged by run times learnt on warm workers. A worker that has just started is slower by an unknown factor, so a task that was let in there delayed the gang. Capacity that is held on cold workers is no longer used. The new test failed before.

--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -319,8 +319,11 @@
         self.held_until_ms = Some(until_ms);
     }
 
-    /// Returns whether the unit ends here before a gang starts for which capacity is held.
+    /// Returns whether the unit ends here before a gang starts for which capacity is held. How long it takes on a cold worker is not known.
     fn can_backfill(&self, unit: &Unit) -> bool {
+        if self.cold {
+            return false;
+        }
         let (Some(until_ms), Some(backfill_ms)) = (self.held_until_ms, unit.backfill_ms) else {
             return false;
         };
--- a/crates/bh-workload/tests/backfill.rs
+++ b/crates/bh-workload/tests/backfill.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bh_protocol::Incarnation;
 use bh_workload::job::JobId;
 use bh_workload::job::RunId;
 use bh_workload::job::StepId;
@@ -109,6 +110,25 @@
     assert_eq!(site.plan().starts.len(), started);
 }
 
+/// All workers have just started and are slow for a while. Guards against letting tasks use held capacity there by run times that were learnt
+/// on warm workers: they would delay the gang.
+#[test]
+fn held_capacity_of_cold_workers_is_not_used() {
+    let (mut site, _) = with_waiting_gang(Policy::new().with_backfill());
+    // The last start on each worker is long enough ago for another one on a cold worker.
+    site.report();
+    site.advance(LONG_MS / 4);
+    site.report();
+    site.submit(2, "other", vec![small_tasks(40, SHORT_MS)]);
+    assert!(!site.plan().starts.is_empty());
+    let workers = site.workload.workers();
+    let ids: Vec<Incarnation> = workers.map(|worker| worker.info.id.clone()).collect();
+    for id in ids {
+        site.dispatcher.note_cold(site.now_ms, &id, LONG_MS);
+    }
+    assert!(site.plan().starts.is_empty());
+}
+
 /// Guards against a gang that starves behind a stream of small tasks: it starts when the runs end that were there when it arrived.
 #[test]
 fn a_stream_of_small_tasks_does_not_delay_the_gang() {
