--- a/crates/bh-workload/src/plan/runtimes.rs
+++ b/crates/bh-workload/src/plan/runtimes.rs
@@ -114,10 +114,14 @@
     /// Returns the time that few tasks of `queue` exceed, in milliseconds, or `None` if too little is known: the learnt run time times what the
     /// runs of the kind vary.
     pub fn tail_ms(&self, queue: &Arc<str>, step: StepId, spec: &StepSpec) -> Option<u64> {
-        let (_, variance) = self.trusted_kind(queue, spec, MIN_TAIL_RUNS)?;
-        let learnt_ms = self.learnt_ms(queue, step, spec)?;
-        let factor = (TAIL_DEVIATIONS * variance.sqrt()).exp();
-        Some(whole_ms(as_f64(learnt_ms) * factor))
+        let (mean_ms, variance) = self.trusted_kind(queue, spec, MIN_TAIL_RUNS)?;
+        // The first runs of a step to end are the shortest ones, so few of them say little about the others.
+        let own = self.steps.get(&step);
+        let own = own.filter(|(_, count)| as_f64(*count) >= MIN_TRUSTED_RUNS);
+        let usual_ms = own.map_or(mean_ms, |(sum_ms, count)| as_f64(sum_ms / count));
+        Some(whole_ms(
+            usual_ms * (TAIL_DEVIATIONS * variance.sqrt()).exp(),
+        ))
     }
 
     /// Returns the mean run time of the kind of a task, in milliseconds, and the variance of its logarithm, if at least `min_runs` of the
--- a/crates/bh-workload/tests/backfill.rs
+++ b/crates/bh-workload/tests/backfill.rs
@@ -2,13 +2,17 @@
 
 mod support;
 
+use bh_protocol::Incarnation;
 use bh_workload::job::JobId;
 use bh_workload::job::RunId;
+use bh_workload::job::StepId;
 use bh_workload::job::StepSpec;
 use bh_workload::plan::Policy;
+use bh_workload::plan::Runtimes;
 use bh_workload::state::End;
 use bh_workload::state::EndKind;
 use rstest::rstest;
+use std::sync::Arc;
 use support::Site;
 use support::run_of;
 use support::step;
@@ -108,6 +112,25 @@
     assert_eq!(site.plan().starts.len(), started);
 }
 
+/// All workers have just started and are slow for a while. Guards against letting tasks use held capacity there by run times that were learnt
+/// on warm workers: they would delay the gang.
+#[test]
+fn held_capacity_of_cold_workers_is_not_used() {
+    let (mut site, _) = with_waiting_gang(Policy::new().with_backfill());
+    // The last start on each worker is long enough ago for another one on a cold worker.
+    site.report();
+    site.advance(LONG_MS / 4);
+    site.report();
+    site.submit(2, "other", vec![small_tasks(40, SHORT_MS)]);
+    assert!(!site.plan().starts.is_empty());
+    let workers = site.workload.workers();
+    let ids: Vec<Incarnation> = workers.map(|worker| worker.info.id.clone()).collect();
+    for id in ids {
+        site.dispatcher.note_cold(site.now_ms, &id, LONG_MS);
+    }
+    assert!(site.plan().starts.is_empty());
+}
+
 /// Guards against a gang that starves behind a stream of small tasks: it starts when the runs end that were there when it arrived.
 #[test]
 fn a_stream_of_small_tasks_does_not_delay_the_gang() {
@@ -182,3 +205,28 @@
         .filter(|start| start.run.task.step.job == gang);
     assert_eq!(own.count(), 3);
 }
+
+/// A quarter of the workers are 2.2 times slower, so the first task of a step to end has run on a fast one. Guards against letting the other
+/// tasks use held capacity on the strength of that one run: those on slow workers would delay the gang.
+#[test]
+fn one_ended_run_does_not_bound_the_others() {
+    let queue = Arc::from("q2");
+    let spec = small_tasks(40, SHORT_MS);
+    let step = StepId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+    };
+    let other = StepId {
+        job: JobId(2),
+        ..step
+    };
+    let mut runtimes = Runtimes::default();
+    for _ in 1..LEARNT_RUNS {
+        runtimes.record(&queue, other, &spec, 2 * SHORT_MS);
+        assert_eq!(runtimes.tail_ms(&queue, step, &spec), None);
+    }
+    runtimes.record(&queue, step, &spec, SHORT_MS);
+    let tail_ms = runtimes.tail_ms(&queue, step, &spec);
+    assert!(tail_ms.is_some_and(|ms| ms >= 2 * SHORT_MS), "{tail_ms:?}");
+}
