--- a/crates/beechctl/src/commands/core_load.rs
+++ b/crates/beechctl/src/commands/core_load.rs
@@ -35,7 +35,7 @@
         "refused",
     ];
     let rows: Vec<Vec<String>> = report.queues.iter().map(row).collect();
-    let level = count(report.shedding_level.map(u64::from));
+    let level = count(report.shedding_level);
     format!(
         "core {} leads in term {}; load shedding level {level}\n\n{}",
         report.core,
