--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -25,6 +25,7 @@
 mod hold_for_gang;
 mod in_time;
 mod last_pass;
+mod learning;
 mod leaving;
 mod load_counts;
 mod overdue;
