--- a/crates/bh-control/src/config/policy_config.rs
+++ b/crates/bh-control/src/config/policy_config.rs
@@ -23,6 +23,9 @@
     /// Whether small tasks may use capacity that is held for a gang if they end before the gang can start.
     #[serde(default)]
     pub backfills: bool,
+    /// Number of workers from which on capacity is shared, displacements are limited and held capacity is used.
+    #[serde(default)]
+    pub min_workers: usize,
     /// Number of waiting jobs of one customer from which on further ones are refused.
     #[serde(default)]
     pub max_waiting_jobs: Option<NonZeroU32>,
@@ -42,6 +45,7 @@
             max_displacements: self.max_displacements,
             ranks_workers: self.ranks_workers,
             backfills: self.backfills,
+            min_workers: self.min_workers,
         }
     }
 
--- a/crates/bh-control/tests/config_problems.rs
+++ b/crates/bh-control/tests/config_problems.rs
@@ -97,13 +97,14 @@
     let config = LocalConfig::parse(CORE.as_bytes()).unwrap();
     assert_eq!(config.planner_policy(), Policy::new());
     let file = format!(
-        "{CORE}policy:\n  sharing_min_ratio: 4\n  max_displacements: 3\n  backfills: true\n"
+        "{CORE}policy:\n  sharing_min_ratio: 4\n  max_displacements: 3\n  backfills: true\n  min_workers: 100\n"
     );
     let config = LocalConfig::parse(file.as_bytes()).unwrap();
     let expected = Policy::new()
         .with_fair_sharing(4.0)
         .with_max_displacements(3)
-        .with_backfill();
+        .with_backfill()
+        .with_min_workers(100);
     assert_eq!(config.planner_policy(), expected);
 }
 
--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -155,6 +155,7 @@
             last_pass,
             stall_tracker,
         } = self;
+        let policy = &policy.in_fleet_of(workload.worker_count());
         let guaranteed = guaranteed_jobs(workload);
         let mut units = collect::collect(
             workload,
--- a/crates/bh-workload/src/plan/policy.rs
+++ b/crates/bh-workload/src/plan/policy.rs
@@ -13,6 +13,9 @@
     pub ranks_workers: bool,
     /// Whether small tasks may use capacity that is held for a gang if they end before the gang can start.
     pub backfills: bool,
+    /// Number of workers from which on capacity is shared, displacements are limited and held capacity is used. A small fleet has few racks,
+    /// so that work that must start soon has hardly any other place than the one that such a decision rules out.
+    pub min_workers: usize,
 }
 
 impl Policy {
@@ -39,6 +42,23 @@
         self
     }
 
+    /// Makes sharing, the limit on displacements and the use of held capacity depend on a number of workers.
+    pub fn with_min_workers(mut self, min_workers: usize) -> Self {
+        self.min_workers = min_workers;
+        self
+    }
+
+    /// The decisions that are in use in a fleet of `workers` workers.
+    pub fn in_fleet_of(self, workers: usize) -> Self {
+        if workers >= self.min_workers {
+            return self;
+        }
+        Self {
+            ranks_workers: self.ranks_workers,
+            ..Self::default()
+        }
+    }
+
     /// Lets small tasks use capacity that is held for a gang if they end before the gang can start.
     pub fn with_backfill(mut self) -> Self {
         self.backfills = true;
--- a/crates/bh-workload/src/plan/shares.rs
+++ b/crates/bh-workload/src/plan/shares.rs
@@ -251,7 +251,7 @@
         };
         let times = (wall_ms, dispatcher.timing().remote_percent);
         let units = collect::collect(workload, &self.runtimes, &guaranteed_jobs(workload), times);
-        let in_force = is_in_force(&self.policy, rules);
+        let in_force = is_in_force(&self.policy.in_fleet_of(workload.worker_count()), rules);
         let mut shares: Vec<CustomerShare> = shares(rules, workload, &units, false)
             .into_values()
             .collect();
--- a/crates/bh-workload/src/plan/waiting_work.rs
+++ b/crates/bh-workload/src/plan/waiting_work.rs
@@ -57,7 +57,11 @@
         let guaranteed = guaranteed_jobs(workload);
         let times = (wall_ms, NO_SLOWDOWN_PERCENT);
         let mut units = collect::collect(workload, &self.runtimes, &guaranteed, times);
-        let shares = Shares::of_submissions(&self.policy, workload, &units);
+        let shares = Shares::of_submissions(
+            &self.policy.in_fleet_of(workload.worker_count()),
+            workload,
+            &units,
+        );
         shares.discount_units(workload, &mut units);
         let is_restricted =
             |unit: &Unit| unit.spec.required_label.is_some() || unit.advised.is_some();
--- a/crates/bh-workload/tests/backfill.rs
+++ b/crates/bh-workload/tests/backfill.rs
@@ -230,3 +230,17 @@
     let tail_ms = runtimes.tail_ms(&queue, step, &spec);
     assert!(tail_ms.is_some_and(|ms| ms >= 2 * SHORT_MS), "{tail_ms:?}");
 }
+
+/// Guards against decisions that take effect in fleets that are too small for them: a site of four workers is planned as without them.
+#[rstest]
+#[case::fewer_workers(5, 0)]
+#[case::enough_workers(4, 28)]
+fn a_small_fleet_is_planned_as_without_the_policy(
+    #[case] min_workers: usize,
+    #[case] started: usize,
+) {
+    let policy = Policy::new().with_backfill().with_min_workers(min_workers);
+    let (mut site, _) = with_waiting_gang(policy);
+    site.submit(2, "other", vec![small_tasks(40, SHORT_MS)]);
+    assert_eq!(site.plan().starts.len(), started);
+}
