Dispatcher: a silent probe of a worker that ended is given up after 150 ms

Cause: since the last report of a worker that ended is awaited, its tasks start again only when its probe in flight has an outcome, which takes the whole time of the probe where the connection falls silent. Change: once nothing has listened for the longest transit of a report (150 ms), the worker is probed again, and is gone when nothing listens.

--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -495,7 +495,7 @@
             Answer::Lost => target.note_no_answer(now_ms, order),
             Answer::NotListening => {
                 target.note_no_answer(now_ms, order);
-                target.not_listening = true;
+                target.note_not_listening(now_ms);
             }
             Answer::CarrierLost => target.note_lost_carrier(),
             Answer::OtherIncarnation => {
--- a/crates/bh-workload/src/dispatch/target.rs
+++ b/crates/bh-workload/src/dispatch/target.rs
@@ -54,6 +54,8 @@
     pub silent_since_ms: Option<u64>,
     /// Whether nothing listened at its address for an order that had no answer.
     pub not_listening: bool,
+    /// Since when nothing has listened at its address, on the leader's clock in milliseconds.
+    pub not_listening_since_ms: Option<u64>,
     /// Whether the first unanswered order failed before its timeout, because the connection broke: that happens when a process ends.
     pub connection_broke: bool,
     /// Whether a core that carried an order to it was lost, and the worker has not been heard since.
@@ -126,6 +128,7 @@
     pub fn note_answer(&mut self, now_ms: u64, clock_ms: Option<u64>) {
         self.silent_since_ms = None;
         self.not_listening = false;
+        self.not_listening_since_ms = None;
         self.carrier_lost = false;
         self.required_probes = 0;
         self.expired_runs.clear();
@@ -182,6 +185,21 @@
         self.announced_end && (self.not_listening && !awaits_report || is_idle())
     }
 
+    /// Notes that nothing listens at its address.
+    pub fn note_not_listening(&mut self, now_ms: u64) {
+        self.not_listening = true;
+        self.not_listening_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Whether it announced its end and has not been listening for so long that a report from before its end would have arrived. Its probe in
+    /// flight is given up then: the connection may be silent for the whole time of the probe, and its tasks would start again that much later.
+    pub fn is_last_report_overdue(&self, now_ms: u64) -> bool {
+        /// Longest transit of a report, in milliseconds: what a carrier adds to the answer of a worker.
+        const REPORT_TRANSIT_MS: u64 = 150;
+        let since_ms = self.not_listening_since_ms;
+        self.announced_end && since_ms.is_some_and(|ms| now_ms >= ms + REPORT_TRANSIT_MS)
+    }
+
     /// Notes that the core that carried an order was lost.
     pub fn note_lost_carrier(&mut self) {
         self.carrier_lost = true;
--- a/crates/bh-workload/src/dispatch/worker_reconciler.rs
+++ b/crates/bh-workload/src/dispatch/worker_reconciler.rs
@@ -424,6 +424,11 @@
     /// Probes the worker, with one probe in flight at a time. A probe renews the lease, reports ends as they happen and acknowledges recorded
     /// ends. A worker without runs is probed only if [`Target::must_be_probed`] asks for it or another incarnation of it is recorded.
     fn probe(&mut self, target: &mut Target) {
+        if target.is_last_report_overdue(self.now_ms) {
+            target.probe_in_flight = false;
+            // The next probe is not held back by the worker, so it is not given up.
+            target.not_listening_since_ms = None;
+        }
         if target.probe_in_flight
             || target.recording_to.is_some()
             || self.now_ms < target.next_probe_ms
--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -329,3 +329,28 @@
     let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
     assert_eq!(commands, [None, Some(gone)]);
 }
+
+/// Guards against waiting for the whole time of a probe whose connection fell silent when its worker ended: once a report would have arrived, the
+/// worker is probed again, and is gone when nothing listens there.
+#[test]
+fn a_silent_probe_of_a_worker_that_ended_is_given_up() {
+    let (mut site, worker, run) = site_with_leaving_worker(step(1, 8), 2_000);
+    site.order_to(&worker, |body| matches!(body, OrderBody::Probe { .. }));
+    assert_eq!(announce_end(&mut site, &worker), None);
+    site.dispatcher.request_stop(&worker, run);
+    let stop = site.order_to(&worker, |body| matches!(body, OrderBody::Stop { .. }));
+    let answer = Answer::NotListening;
+    let refused = site
+        .dispatcher
+        .note_answer(site.now_ms, &stop, &answer, &site.workload);
+    assert_eq!(refused, None);
+    site.now_ms += 150;
+    let probe = site.order_to(&worker, |body| matches!(body, OrderBody::Probe { .. }));
+    let gone = site
+        .dispatcher
+        .note_answer(site.now_ms, &probe, &answer, &site.workload);
+    assert_eq!(
+        gone,
+        Some(Command::Workers(vec![WorkerChange::Gone(worker)]))
+    );
+}
