--- a/crates/bh-workload/src/plan/policy.rs
+++ b/crates/bh-workload/src/plan/policy.rs
@@ -13,8 +13,8 @@
     pub ranks_workers: bool,
     /// Whether small tasks may use capacity that is held for a gang if they end before the gang can start.
     pub backfills: bool,
-    /// Number of workers from which on capacity is shared, displacements are limited and held capacity is used. A small fleet has few racks,
-    /// so that work that must start soon has hardly any other place than the one that such a decision rules out.
+    /// Number of workers from which on capacity is shared, displacements are limited and held capacity is used. Smaller fleets are planned as
+    /// without these decisions.
     pub min_workers: usize,
 }
 
