Review case 2: an accepted job is forgotten, and a done task runs again

The script has a second task now, which ends done before the job is forgotten, and a late copy of the submission at the end in both plays.

--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -29,7 +29,11 @@
 /// A port that is free on all hosts up to 30 of the net.
 fn free_port(net: (u8, u8)) -> u16 {
     loop {
-        let port = TcpListener::bind((ip(net, 1), 0)).unwrap().local_addr().unwrap().port();
+        let port = TcpListener::bind((ip(net, 1), 0))
+            .unwrap()
+            .local_addr()
+            .unwrap()
+            .port();
         if (1..=30).all(|host| TcpListener::bind((ip(net, host), port)).is_ok()) {
             return port;
         }
@@ -44,14 +48,25 @@
         let net = (100 + (id % 100) as u8, 1 + (id / 100 % 200) as u8);
         let folder = std::env::temp_dir().join(format!("review-{id}"));
         fs::create_dir_all(&folder).expect("folder");
-        let (peer, control, metrics, callers, ready) =
-            (free_port(net), free_port(net), free_port(net), free_port(net), free_port(net));
-        let seeds: Vec<String> = (1..=cores.min(3)).map(|core| format!("{}:{control}", ip(net, core))).collect();
+        let (peer, control, metrics, callers, ready) = (
+            free_port(net),
+            free_port(net),
+            free_port(net),
+            free_port(net),
+            free_port(net),
+        );
+        let seeds: Vec<String> = (1..=cores.min(3))
+            .map(|core| format!("{}:{control}", ip(net, core)))
+            .collect();
         let seeds = seeds.join(",");
         let mut cluster = Cluster {
             folder: folder.clone(),
-            controls: (1..=cores).map(|core| SocketAddr::new(ip(net, core), control)).collect(),
-            callers: (1..=entries).map(|entry| SocketAddr::new(ip(net, 10 + entry), callers)).collect(),
+            controls: (1..=cores)
+                .map(|core| SocketAddr::new(ip(net, core), control))
+                .collect(),
+            callers: (1..=entries)
+                .map(|entry| SocketAddr::new(ip(net, 10 + entry), callers))
+                .collect(),
             net,
             worker_port: free_port(net),
             configs: Vec::new(),
@@ -62,13 +77,15 @@
             let data = folder.join(format!("core-{core}.data"));
             let text = format!(
                 "name: 'core-{core}'\nrole: core\ncontrol_address: '{own}:{control}'\ndata_folder: '{}'\nmay_form: true\ndata_centre: 'zone-{core}'\ndata_centres: 'zone-1,zone-2,zone-3'\nip: '{own}'\npeer_port: {peer}\nmetrics_address: '{own}:{metrics}'\nseeds: '{seeds}'\ndescriptors: 4096\ntolerated_losses: 1\ngrace_s: 6\n{BOUNDS}policy:\n  min_workers: 100\n  backfills: true\n  sharing_min_ratio: 4\n  max_displacements: 3\n",
-                data.display());
+                data.display()
+            );
             cluster.add(&format!("core-{core}"), &text);
         }
         for entry in 1..=entries {
             let own = ip(net, 10 + entry);
             let text = format!(
-                "name: 'entry-{entry}'\nrole: entry\ncallers_address: '{own}:{callers}'\nreadiness_address: '{own}:{ready}'\ndata_centre: 'zone-{entry}'\nip: '{own}'\npeer_port: {peer}\nmetrics_address: '{own}:{metrics}'\ndescriptors: 4100\nseeds: '{seeds}'\ntolerated_losses: 1\ngrace_s: 6\n{BOUNDS}");
+                "name: 'entry-{entry}'\nrole: entry\ncallers_address: '{own}:{callers}'\nreadiness_address: '{own}:{ready}'\ndata_centre: 'zone-{entry}'\nip: '{own}'\npeer_port: {peer}\nmetrics_address: '{own}:{metrics}'\ndescriptors: 4100\nseeds: '{seeds}'\ntolerated_losses: 1\ngrace_s: 6\n{BOUNDS}"
+            );
             cluster.add(&format!("entry-{entry}"), &text);
         }
         for process in 0..cluster.configs.len() {
@@ -85,7 +102,11 @@
     }
 
     pub fn start(&mut self, process: usize) {
-        let log = File::options().create(true).append(true).open(self.configs[process].with_extension("log")).expect("log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.configs[process].with_extension("log"))
+            .expect("log");
         let child = Command::new("target/release/beechhollow")
             .args(["serve", "--config"])
             .arg(&self.configs[process])
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -17,7 +17,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -40,8 +43,15 @@
         let (key, value) = line.split_once(':')?;
         headers.push((key.to_owned(), value.trim().to_owned()));
     }
-    let mut message = Message { first: first.trim_end().to_owned(), headers, body: String::new() };
-    let length = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut message = Message {
+        first: first.trim_end().to_owned(),
+        headers,
+        body: String::new(),
+    };
+    let length = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     message.body = String::from_utf8(body).ok()?;
@@ -59,8 +69,13 @@
     let mut stream = TcpStream::connect_timeout(&address, within).ok()?;
     stream.set_read_timeout(Some(within)).ok()?;
     stream.set_write_timeout(Some(within)).ok()?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Type: application/json\r\n");
-    if !headers.iter().any(|(key, _)| key.eq_ignore_ascii_case("host")) {
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Type: application/json\r\n"
+    );
+    if !headers
+        .iter()
+        .any(|(key, _)| key.eq_ignore_ascii_case("host"))
+    {
         text += &format!("Host: {address}\r\n");
     }
     for (key, value) in headers {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -19,7 +19,9 @@
     let record = record::Record::new(path);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.line(format!("case {case}, trouble {trouble}"));
-    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| scenes::play(case, trouble, &record)));
+    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        scenes::play(case, trouble, &record)
+    }));
     match verdict {
         Ok(Ok(true)) => {
             record.line("verdict: the rule was broken");
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -14,11 +14,19 @@
 
 impl Record {
     pub fn new(path: &str) -> Self {
-        Self { file: Arc::new(Mutex::new(File::create(path).expect("record"))), since: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(File::create(path).expect("record"))),
+            since: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{:8.3} {}", self.since.elapsed().as_secs_f64(), text.as_ref());
+        let _ = writeln!(
+            file,
+            "{:8.3} {}",
+            self.since.elapsed().as_secs_f64(),
+            text.as_ref()
+        );
     }
 }
--- a/review/standin/src/scenes.rs
+++ b/review/standin/src/scenes.rs
@@ -51,8 +51,15 @@
 impl Scene<'_> {
     fn begin(record: &Record) -> Scene<'_> {
         let cluster = Cluster::begin(3, 2);
-        record.line(format!("3 cores with control at {:?}, 2 entries at {:?}", cluster.controls, cluster.callers));
-        Scene { cluster, record, starts: Arc::default() }
+        record.line(format!(
+            "3 cores with control at {:?}, 2 entries at {:?}",
+            cluster.controls, cluster.callers
+        ));
+        Scene {
+            cluster,
+            record,
+            starts: Arc::default(),
+        }
     }
 
     /// Sends an order of the operator to one core after the other until it is acknowledged.
@@ -60,14 +67,25 @@
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             for control in &self.cluster.controls {
-                let answer = http::call(*control, (method, path), &[], body, Duration::from_millis(1_000));
+                let answer = http::call(
+                    *control,
+                    (method, path),
+                    &[],
+                    body,
+                    Duration::from_millis(1_000),
+                );
                 let status = answer.map(|(status, _)| status);
                 if status.is_some_and(|status| status != 503) {
-                    self.record.line(format!("operator: {method} {path} {} -> {status:?}", shown(body)));
+                    self.record.line(format!(
+                        "operator: {method} {path} {} -> {status:?}",
+                        shown(body)
+                    ));
                 }
                 match status {
                     Some(200..300) => return Ok(()),
-                    Some(400 | 409 | 412 | 413 | 422) => return Err(format!("{method} {path} refused")),
+                    Some(400 | 409 | 412 | 413 | 422) => {
+                        return Err(format!("{method} {path} refused"));
+                    }
                     _ => {}
                 }
             }
@@ -78,13 +96,28 @@
 
     /// One call of a client; status and body.
     fn call(&self, entry: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
-        let headers = [("Host", HOST), ("Authorization", KEY), ("Deadline-Ms", "3000")];
+        let headers = [
+            ("Host", HOST),
+            ("Authorization", KEY),
+            ("Deadline-Ms", "3000"),
+        ];
         let path = format!("{PREFIX}{id}");
-        let answer = http::call(self.cluster.callers[entry], (method, &path), &headers, body, Duration::from_millis(3_000));
+        let answer = http::call(
+            self.cluster.callers[entry],
+            (method, &path),
+            &headers,
+            body,
+            Duration::from_millis(3_000),
+        );
         let answer = answer.map(|(status, message)| (status, message.body));
         match &answer {
-            Some((status, body)) => self.record.line(format!("client: {method} {path} at entry {entry} -> {status} {}", shown(body))),
-            None => self.record.line(format!("client: {method} {path} at entry {entry} -> no answer")),
+            Some((status, body)) => self.record.line(format!(
+                "client: {method} {path} at entry {entry} -> {status} {}",
+                shown(body)
+            )),
+            None => self.record.line(format!(
+                "client: {method} {path} at entry {entry} -> no answer"
+            )),
         }
         answer
     }
@@ -106,11 +139,19 @@
             service: SERVICE.to_owned(),
             zone: format!("zone-{number}"),
             rack: format!("r-{number}"),
-            address: SocketAddr::new(cluster::ip(self.cluster.net, 20 + number), self.cluster.worker_port),
+            address: SocketAddr::new(
+                cluster::ip(self.cluster.net, 20 + number),
+                self.cluster.worker_port,
+            ),
             controls: self.cluster.controls.clone(),
             cpu: 32_000,
         };
-        Worker::begin(settings, behaviour.clone(), self.starts.clone(), self.record.clone())
+        Worker::begin(
+            settings,
+            behaviour.clone(),
+            self.starts.clone(),
+            self.record.clone(),
+        )
     }
 
     /// Waits for the start number `count` (from 1) of any task of job `id`.
@@ -118,7 +159,10 @@
         let until = Instant::now() + Duration::from_secs(within_s);
         while Instant::now() < until {
             let starts = self.starts.lock().unwrap();
-            let of_job: Vec<&Start> = starts.iter().filter(|start| start.task.starts_with(id)).collect();
+            let of_job: Vec<&Start> = starts
+                .iter()
+                .filter(|start| start.task.starts_with(id))
+                .collect();
             if let Some(start) = of_job.get(count - 1) {
                 return Ok((*start).clone());
             }
@@ -129,23 +173,37 @@
     }
 }
 
-/// A task fails twice. While its third run works, the operator lowers `maxAttempts` to two, and the run's worker leaves as planned. The job
-/// may be given up then, but its state must be there to be read for `status_s` (120 s).
+/// One of two tasks ends well, the other one fails twice. While its third run works, the operator lowers `maxAttempts` to two, and the run's
+/// worker leaves as planned. The job may be given up then, but its state must be there to be read for `status_s` (120 s).
 fn forgotten(trouble: bool, record: &Record) -> Verdict {
     let scene = Scene::begin(record);
     scene.order("PUT", "/-/config", &configuration(1, 4))?;
-    let behaviour: Behaviour = Arc::new(|_, attempt| if attempt <= 2 { (300, "failed") } else { (14_000, "done") });
-    let workers: Vec<Arc<Worker>> = (1..=3).map(|number| scene.worker(number, &format!("i-{number}"), &behaviour)).collect();
+    // The first of the two tasks ends well; the second fails twice and then works for longer.
+    let behaviour: Behaviour = Arc::new(|task, attempt| {
+        if task.ends_with(".0") {
+            (4_000, "done")
+        } else if attempt <= 2 {
+            (1_000, "failed")
+        } else {
+            (7_500, "done")
+        }
+    });
+    let workers: Vec<Arc<Worker>> = (1..=3)
+        .map(|number| scene.worker(number, &format!("i-{number}"), &behaviour))
+        .collect();
     pause(2_500);
     let id = "5c0e7a21d94b36f8";
-    let body = "{\"spec\":\"text\",\"steps\":[{\"count\":1,\"cpu\":1000,\"requestMemoryMb\":256,\"gpu\":1,\"estimatedMs\":10000}]}";
+    let body = "{\"spec\":\"text\",\"steps\":[{\"count\":2,\"cpu\":1000,\"requestMemoryMb\":256,\"gpu\":1,\"estimatedMs\":10000}]}";
     scene.submit(id, body)?;
     let accepted = Instant::now();
-    let third = scene.await_start(id, 3, 30)?;
+    let third = scene.await_start(&format!("{id}.0.0.1"), 3, 30)?;
     pause(1_500);
     if trouble {
         scene.order("PUT", "/-/config", &configuration(2, 2))?;
-        let worker = workers.iter().find(|worker| worker.settings.id == third.worker).ok_or("no worker")?;
+        let worker = workers
+            .iter()
+            .find(|worker| worker.settings.id == third.worker)
+            .ok_or("no worker")?;
         if worker.runs(&third.task) != Some(3) {
             return Err("the third run is not at work".to_owned());
         }
@@ -165,15 +223,21 @@
         }
         pause(700);
     }
-    if gone > 0 {
-        // A late copy of the submission: "a request with the same ID arrives again [...] It remains one job".
-        let before = scene.starts.lock().unwrap().len();
-        scene.call(0, "POST", id, body);
-        pause(3_000);
-        let after = scene.starts.lock().unwrap().len();
-        record.line(format!("starts of the job after a late copy of its submission: {}", after - before));
-    }
-    record.line(format!("answers 410 for an accepted job that nobody cancelled: {gone}"));
+    // A late copy of the submission: "a request with the same ID arrives again [...] It remains one job".
+    let before = scene.starts.lock().unwrap().len();
+    scene.call(0, "POST", id, body);
+    pause(3_000);
+    let starts = scene.starts.lock().unwrap();
+    let later = &starts[before..];
+    let done_again = later.iter().filter(|start| start.task.ends_with(".0"));
+    record.line(format!(
+        "starts of the job after a late copy of its submission: {}, of them of the task that had ended done: {}",
+        later.len(),
+        done_again.count()
+    ));
+    record.line(format!(
+        "answers 410 for an accepted job that nobody cancelled: {gone}"
+    ));
     Ok(gone > 0)
 }
 
@@ -182,7 +246,9 @@
     let scene = Scene::begin(record);
     scene.order("PUT", "/-/config", &configuration(1, 4))?;
     let behaviour: Behaviour = Arc::new(|_, _| (10_000_000, "done"));
-    let mut workers: Vec<Arc<Worker>> = (1..=3).map(|number| scene.worker(number, &format!("i-{number}-0"), &behaviour)).collect();
+    let mut workers: Vec<Arc<Worker>> = (1..=3)
+        .map(|number| scene.worker(number, &format!("i-{number}-0"), &behaviour))
+        .collect();
     pause(2_500);
     let id = "5c0e7a21d94b36f8";
     let body = "{\"spec\":\"text\",\"steps\":[{\"count\":1,\"cpu\":1000,\"requestMemoryMb\":256,\"gpu\":1,\"longRunning\":true}]}";
@@ -199,7 +265,10 @@
             broken |= state.contains("failed") || state.contains("completed");
         }
         if trouble && round <= 3 {
-            let at = workers.iter().position(|worker| worker.settings.id == start.worker).ok_or("no worker")?;
+            let at = workers
+                .iter()
+                .position(|worker| worker.settings.id == start.worker)
+                .ok_or("no worker")?;
             workers[at].crash();
             pause(1_500);
             let number = u8::try_from(at + 1).unwrap();
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -71,7 +71,12 @@
 }
 
 impl Worker {
-    pub fn begin(settings: Settings, behaviour: Behaviour, starts: Arc<Mutex<Vec<Start>>>, record: Record) -> Arc<Worker> {
+    pub fn begin(
+        settings: Settings,
+        behaviour: Behaviour,
+        starts: Arc<Mutex<Vec<Start>>>,
+        record: Record,
+    ) -> Arc<Worker> {
         let mut listener = None;
         for _ in 0..100 {
             match TcpListener::bind(settings.address) {
@@ -83,11 +88,17 @@
             }
         }
         let listener = listener.expect("worker address");
-        record.line(format!("worker {} begins at {}", settings.id, settings.address));
+        record.line(format!(
+            "worker {} begins at {}",
+            settings.id, settings.address
+        ));
         let worker = Arc::new(Worker {
             settings,
             behaviour,
-            state: Mutex::new(State { next_end: 1, ..State::default() }),
+            state: Mutex::new(State {
+                next_end: 1,
+                ..State::default()
+            }),
             changed: Condvar::new(),
             born: Instant::now(),
             gone: AtomicBool::new(false),
@@ -126,7 +137,9 @@
     }
 
     fn converse(&self, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read(&mut reader) {
             if self.gone.load(Ordering::SeqCst) {
@@ -136,7 +149,10 @@
             if self.gone.load(Ordering::SeqCst) {
                 return;
             }
-            let text = format!("HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let text = format!(
+                "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             if writer.write_all(text.as_bytes()).is_err() {
                 return;
             }
@@ -144,23 +160,37 @@
     }
 
     fn refuse(&self, reason: &str) -> (u16, String) {
-        (409, format!("{{\"clockMs\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
+        (
+            409,
+            format!(
+                "{{\"clockMs\":{},\"reason\":\"{reason}\"}}",
+                self.clock_ms()
+            ),
+        )
     }
 
     fn answer(&self, request: &http::Message) -> (u16, String) {
-        if request.header("expected-instance").is_some_and(|id| id != self.settings.id) {
+        if request
+            .header("expected-instance")
+            .is_some_and(|id| id != self.settings.id)
+        {
             return (421, format!("{{\"clockMs\":{}}}", self.clock_ms()));
         }
         let path = request.first.split(' ').nth(1).unwrap_or("").to_owned();
         if path == "/health" {
             return (200, String::new());
         }
-        let Some(body) = json::parse(&request.body) else { return (400, "{}".to_owned()) };
+        let Some(body) = json::parse(&request.body) else {
+            return (400, "{}".to_owned());
+        };
         let token = body.number("fencingToken").unwrap_or(0);
         let (task, attempt) = (body.text("task"), body.number("attempt").unwrap_or(0));
         let mut state = self.state.lock().unwrap();
         if token < state.token {
-            self.record.line(format!("{} refuses {path} {task}#{attempt}: fence {token} < {}", self.settings.id, state.token));
+            self.record.line(format!(
+                "{} refuses {path} {task}#{attempt}: fence {token} < {}",
+                self.settings.id, state.token
+            ));
             return self.refuse("fence");
         }
         state.token = token;
@@ -172,59 +202,125 @@
                     return self.refuse("late");
                 }
                 state.deadline_ms = state.deadline_ms.max(deadline.min(now + 10_000));
-                if state.running.get(&task).is_some_and(|run| run.attempt == attempt) {
+                if state
+                    .running
+                    .get(&task)
+                    .is_some_and(|run| run.attempt == attempt)
+                {
                     return (200, format!("{{\"clockMs\":{now}}}"));
                 }
-                if state.over.get(&task).is_some_and(|over| attempt <= *over) || state.running.contains_key(&task) {
+                if state.over.get(&task).is_some_and(|over| attempt <= *over)
+                    || state.running.contains_key(&task)
+                {
                     return self.refuse("old");
                 }
                 let (for_ms, how) = (self.behaviour)(&task, attempt);
-                self.record.line(format!("{} starts {task}#{attempt} spec={} checkpoint={:?}", self.settings.id, body.text("spec"), body.text("checkpoint")));
-                self.starts.lock().unwrap().push(Start { worker: self.settings.id.clone(), task: task.clone() });
-                state.running.insert(task, Run { attempt, since: Instant::now(), for_ms, how });
+                self.record.line(format!(
+                    "{} starts {task}#{attempt} spec={} checkpoint={:?}",
+                    self.settings.id,
+                    body.text("spec"),
+                    body.text("checkpoint")
+                ));
+                self.starts.lock().unwrap().push(Start {
+                    worker: self.settings.id.clone(),
+                    task: task.clone(),
+                });
+                state.running.insert(
+                    task,
+                    Run {
+                        attempt,
+                        since: Instant::now(),
+                        for_ms,
+                        how,
+                    },
+                );
                 (200, format!("{{\"clockMs\":{now}}}"))
             }
             "/-/run-stop" => {
                 let over = state.over.entry(task.clone()).or_default();
                 *over = (*over).max(attempt);
-                if state.running.get(&task).is_some_and(|run| run.attempt == attempt) {
+                if state
+                    .running
+                    .get(&task)
+                    .is_some_and(|run| run.attempt == attempt)
+                {
                     self.end(&mut state, &task, "stopped");
                 }
                 (200, format!("{{\"clockMs\":{}}}", self.clock_ms()))
             }
             "/-/hold" => {
                 if deadline > 0 {
-                    state.deadline_ms = state.deadline_ms.max(deadline.min(self.clock_ms() + 10_000));
+                    state.deadline_ms = state
+                        .deadline_ms
+                        .max(deadline.min(self.clock_ms() + 10_000));
                 }
                 let cursor = body.number("ackCursor").unwrap_or(0);
                 if cursor > 0 && state.finished.first().is_some_and(|end| end.0 <= cursor) {
-                    self.record.line(format!("{} forgets ends up to {cursor}", self.settings.id));
+                    self.record
+                        .line(format!("{} forgets ends up to {cursor}", self.settings.id));
                 }
                 state.finished.retain(|end| end.0 > cursor);
-                let until = Instant::now() + Duration::from_millis(body.number("waitMs").unwrap_or(0).min(2_000));
-                while state.finished.is_empty() && Instant::now() < until && !self.gone.load(Ordering::SeqCst) {
-                    state = self.changed.wait_timeout(state, Duration::from_millis(20)).unwrap().0;
+                let until = Instant::now()
+                    + Duration::from_millis(body.number("waitMs").unwrap_or(0).min(2_000));
+                while state.finished.is_empty()
+                    && Instant::now() < until
+                    && !self.gone.load(Ordering::SeqCst)
+                {
+                    state = self
+                        .changed
+                        .wait_timeout(state, Duration::from_millis(20))
+                        .unwrap()
+                        .0;
                 }
-                let running: Vec<String> = state.running.iter().map(|(task, run)| {
-                    let percent = (run.since.elapsed().as_millis() as u64 * 100 / run.for_ms.max(1)).min(99);
-                    format!("[\"{task}\",{},\"\",{percent},0]", run.attempt)
-                }).collect();
-                let finished: Vec<String> = state.finished.iter().take(500)
-                    .map(|(number, task, attempt, how)| format!("[{number},\"{task}\",{attempt},\"{how}\",\"\"]")).collect();
-                (200, format!("{{\"clockMs\":{},\"running\":[{}],\"finished\":[{}]}}", self.clock_ms(), running.join(","), finished.join(",")))
+                let running: Vec<String> = state
+                    .running
+                    .iter()
+                    .map(|(task, run)| {
+                        let percent = (run.since.elapsed().as_millis() as u64 * 100
+                            / run.for_ms.max(1))
+                        .min(99);
+                        format!("[\"{task}\",{},\"\",{percent},0]", run.attempt)
+                    })
+                    .collect();
+                let finished: Vec<String> = state
+                    .finished
+                    .iter()
+                    .take(500)
+                    .map(|(number, task, attempt, how)| {
+                        format!("[{number},\"{task}\",{attempt},\"{how}\",\"\"]")
+                    })
+                    .collect();
+                (
+                    200,
+                    format!(
+                        "{{\"clockMs\":{},\"running\":[{}],\"finished\":[{}]}}",
+                        self.clock_ms(),
+                        running.join(","),
+                        finished.join(",")
+                    ),
+                )
             }
             _ => (200, format!("{{\"clockMs\":{}}}", self.clock_ms())),
         }
     }
 
     fn end(&self, state: &mut State, task: &str, how: &str) {
-        let Some(run) = state.running.remove(task) else { return };
+        let Some(run) = state.running.remove(task) else {
+            return;
+        };
         let number = state.next_end;
         state.next_end += 1;
         let over = state.over.entry(task.to_owned()).or_default();
         *over = (*over).max(run.attempt);
-        state.finished.push((number, task.to_owned(), run.attempt, how.to_owned()));
-        self.record.line(format!("{} ends {task}#{} {how} after {} ms", self.settings.id, run.attempt, run.since.elapsed().as_millis()));
+        state
+            .finished
+            .push((number, task.to_owned(), run.attempt, how.to_owned()));
+        self.record.line(format!(
+            "{} ends {task}#{} {how} after {} ms",
+            self.settings.id,
+            run.attempt,
+            run.since.elapsed().as_millis()
+        ));
         self.changed.notify_all();
     }
 
@@ -234,10 +330,19 @@
             std::thread::sleep(Duration::from_millis(10));
             let mut state = self.state.lock().unwrap();
             let lapsed = self.clock_ms() >= state.deadline_ms;
-            let over: Vec<(String, &'static str)> = state.running.iter().filter_map(|(task, run)| {
-                if run.since.elapsed().as_millis() as u64 >= run.for_ms { Some((task.clone(), run.how)) }
-                else if lapsed { Some((task.clone(), "lapsed")) } else { None }
-            }).collect();
+            let over: Vec<(String, &'static str)> = state
+                .running
+                .iter()
+                .filter_map(|(task, run)| {
+                    if run.since.elapsed().as_millis() as u64 >= run.for_ms {
+                        Some((task.clone(), run.how))
+                    } else if lapsed {
+                        Some((task.clone(), "lapsed"))
+                    } else {
+                        None
+                    }
+                })
+                .collect();
             for (task, how) in over {
                 self.end(&mut state, &task, how);
             }
@@ -249,11 +354,29 @@
         let body = {
             let mut state = self.state.lock().unwrap();
             state.sequence += 1;
-            let (name, rest) = if state.draining { ("draining", ",\"remainingMs\":2000") } else { ("ready", "") };
-            format!("{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\"state\":\"{name}\"{rest},\"coldRemainingMs\":0,\"capacity\":{{\"cpu\":{},\"requestMemoryMb\":131072,\"gpu\":8}},\"labels\":[\"a\",\"{}\"],\"clockMs\":{},\"sequence\":{}}}",
-                s.service, s.address, s.zone, s.cpu, s.rack, self.clock_ms(), state.sequence)
+            let (name, rest) = if state.draining {
+                ("draining", ",\"remainingMs\":2000")
+            } else {
+                ("ready", "")
+            };
+            format!(
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\"state\":\"{name}\"{rest},\"coldRemainingMs\":0,\"capacity\":{{\"cpu\":{},\"requestMemoryMb\":131072,\"gpu\":8}},\"labels\":[\"a\",\"{}\"],\"clockMs\":{},\"sequence\":{}}}",
+                s.service,
+                s.address,
+                s.zone,
+                s.cpu,
+                s.rack,
+                self.clock_ms(),
+                state.sequence
+            )
         };
-        http::call(control, ("PUT", &format!("/-/instances/{}", s.id)), &[], &body, Duration::from_millis(1_000))
+        http::call(
+            control,
+            ("PUT", &format!("/-/instances/{}", s.id)),
+            &[],
+            &body,
+            Duration::from_millis(1_000),
+        )
     }
 
     /// Sends a heartbeat to one core after the other until one acknowledges it. Returns whether one did.
@@ -262,7 +385,10 @@
             if self.gone.load(Ordering::SeqCst) {
                 return false;
             }
-            if self.beat_once(*control).is_some_and(|(status, _)| (200..300).contains(&status)) {
+            if self
+                .beat_once(*control)
+                .is_some_and(|(status, _)| (200..300).contains(&status))
+            {
                 return true;
             }
         }
@@ -282,13 +408,23 @@
         while !self.announce() {
             std::thread::sleep(Duration::from_millis(200));
         }
-        self.record.line(format!("{} is draining, acknowledged", self.settings.id));
+        self.record
+            .line(format!("{} is draining, acknowledged", self.settings.id));
         std::thread::sleep(Duration::from_millis(serve_ms));
         let path = format!("/-/instances/{}", self.settings.id);
         for control in &self.settings.controls {
-            let answer = http::call(*control, ("DELETE", &path), &[], "", Duration::from_millis(1_000));
+            let answer = http::call(
+                *control,
+                ("DELETE", &path),
+                &[],
+                "",
+                Duration::from_millis(1_000),
+            );
             if let Some((status, _)) = answer {
-                self.record.line(format!("{} sent DELETE, answered {status}", self.settings.id));
+                self.record.line(format!(
+                    "{} sent DELETE, answered {status}",
+                    self.settings.id
+                ));
                 if (200..300).contains(&status) {
                     break;
                 }
@@ -301,15 +437,28 @@
     pub fn crash(&self) {
         self.gone.store(true, Ordering::SeqCst);
         let state = self.state.lock().unwrap();
-        let lost: Vec<String> = state.running.iter().map(|(task, run)| format!("{task}#{}", run.attempt)).collect();
-        self.record.line(format!("{} ends; lost with it: [{}]", self.settings.id, lost.join(", ")));
+        let lost: Vec<String> = state
+            .running
+            .iter()
+            .map(|(task, run)| format!("{task}#{}", run.attempt))
+            .collect();
+        self.record.line(format!(
+            "{} ends; lost with it: [{}]",
+            self.settings.id,
+            lost.join(", ")
+        ));
         for connection in &state.connections {
             let _ = connection.shutdown(Shutdown::Both);
         }
     }
 
     pub fn runs(&self, task: &str) -> Option<u64> {
-        self.state.lock().unwrap().running.get(task).map(|run| run.attempt)
+        self.state
+            .lock()
+            .unwrap()
+            .running
+            .get(task)
+            .map(|run| run.attempt)
     }
 }
 
