--- a/review/standin/src/scenes.rs
+++ b/review/standin/src/scenes.rs
@@ -5,6 +5,7 @@
 use crate::http;
 use crate::record::Record;
 use crate::worker::Behaviour;
+use crate::worker::LASTS_MS;
 use crate::worker::Settings;
 use crate::worker::Start;
 use crate::worker::Worker;
@@ -12,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -241,22 +243,25 @@
     Ok(gone > 0)
 }
 
-/// A task that lasts loses its worker three times to a crash. It must be started again "however it ends".
+/// One of three tasks that last loses its worker three times to a crash. It must be started again "however it ends", and the other two, which
+/// are at work on sound workers, must not be stopped.
 fn lasting(trouble: bool, record: &Record) -> Verdict {
     let scene = Scene::begin(record);
     scene.order("PUT", "/-/config", &configuration(1, 4))?;
-    let behaviour: Behaviour = Arc::new(|_, _| (10_000_000, "done"));
-    let mut workers: Vec<Arc<Worker>> = (1..=3)
+    let behaviour: Behaviour = Arc::new(|_, _| (LASTS_MS, "done"));
+    let mut workers: Vec<Arc<Worker>> = (1..=5)
         .map(|number| scene.worker(number, &format!("i-{number}-0"), &behaviour))
         .collect();
+    let mut all = workers.clone();
     pause(2_500);
     let id = "5c0e7a21d94b36f8";
-    let body = "{\"spec\":\"text\",\"steps\":[{\"count\":1,\"cpu\":1000,\"requestMemoryMb\":256,\"gpu\":1,\"longRunning\":true}]}";
+    let body = "{\"spec\":\"text\",\"steps\":[{\"count\":3,\"cpu\":1000,\"requestMemoryMb\":256,\"gpu\":1,\"longRunning\":true,\"antiAffinity\":1,\"missTolerance\":1}]}";
     scene.submit(id, body)?;
+    let first = format!("{id}.0.0.0");
     let mut broken = false;
     for round in 1..=4 {
-        let Ok(start) = scene.await_start(id, if trouble { round } else { 1 }, 20) else {
-            record.line("no further start of the task that lasts");
+        let Ok(start) = scene.await_start(&first, if trouble { round } else { 1 }, 20) else {
+            record.line(format!("no further start of {first} in 20 s"));
             broken = true;
             break;
         };
@@ -273,6 +278,7 @@
             pause(1_500);
             let number = u8::try_from(at + 1).unwrap();
             workers[at] = scene.worker(number, &format!("i-{number}-{round}"), &behaviour);
+            all.push(workers[at].clone());
         }
     }
     pause(6_000);
@@ -281,5 +287,18 @@
             broken |= state.contains("failed") || state.contains("completed");
         }
     }
+    let stopped: usize = all
+        .iter()
+        .map(|worker| worker.stopped_at_work.load(Ordering::SeqCst))
+        .sum();
+    let running = (0..3)
+        .filter(|index| {
+            let task = format!("{id}.0.0.{index}");
+            workers.iter().any(|worker| worker.runs(&task).is_some())
+        })
+        .count();
+    record.line(format!(
+        "tasks of the job that run at the end: {running} of 3; stopped at work by the system: {stopped}"
+    ));
     Ok(broken)
 }
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -15,10 +15,16 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+/// Run time of a task that lasts.
+pub const LASTS_MS: u64 = 1_000_000_000;
+/// Startup of a task that lasts, after which it is at work.
+const AT_WORK_MS: u64 = 1_000;
+
 /// How long a run of (task, attempt) works, in milliseconds, and how it then ends.
 pub type Behaviour = Arc<dyn Fn(&str, u64) -> (u64, &'static str) + Send + Sync>;
 
@@ -66,6 +72,8 @@
     changed: Condvar,
     born: Instant,
     gone: AtomicBool,
+    /// Tasks that last that a stop has ended here while they were at work.
+    pub stopped_at_work: AtomicUsize,
     record: Record,
     pub starts: Arc<Mutex<Vec<Start>>>,
 }
@@ -102,6 +110,7 @@
             changed: Condvar::new(),
             born: Instant::now(),
             gone: AtomicBool::new(false),
+            stopped_at_work: AtomicUsize::new(0),
             record,
             starts,
         });
@@ -244,6 +253,10 @@
                     .get(&task)
                     .is_some_and(|run| run.attempt == attempt)
                 {
+                    let worked_ms = state.running[&task].since.elapsed().as_millis() as u64;
+                    if state.running[&task].for_ms == LASTS_MS && worked_ms >= AT_WORK_MS {
+                        self.stopped_at_work.fetch_add(1, Ordering::SeqCst);
+                    }
                     self.end(&mut state, &task, "stopped");
                 }
                 (200, format!("{{\"clockMs\":{}}}", self.clock_ms()))
@@ -276,9 +289,11 @@
                     .running
                     .iter()
                     .map(|(task, run)| {
-                        let percent = (run.since.elapsed().as_millis() as u64 * 100
-                            / run.for_ms.max(1))
-                        .min(99);
+                        let worked_ms = run.since.elapsed().as_millis() as u64;
+                        let percent = match run.for_ms {
+                            LASTS_MS if worked_ms >= AT_WORK_MS => 100,
+                            for_ms => (worked_ms * 100 / for_ms.max(1)).min(99),
+                        };
                         format!("[\"{task}\",{},\"\",{percent},0]", run.attempt)
                     })
                     .collect();
