Core: a log line and a count for each ended job that is removed

Hypotheses: (1) the job ended at a wrong time, so the removal of old jobs takes it; (2) the job goes with its worker; (3) the retention time is wrong; (4) the job is there and no longer found, as its queue or customer changed. The state `failed` after `worker gone` speaks against (2), and `job over` with took_ms=0 for (1), but no line told of a removal.

Change: the leader logs each ended job that it is about to remove, with when it ended and the time before which jobs are removed, and counts them (`jobs_removed_total`).

--- a/crates/bh-control/src/core/job_ends.rs
+++ b/crates/bh-control/src/core/job_ends.rs
@@ -38,3 +38,18 @@
         );
     }
 }
+
+/// Logs each job that is about to be removed because it ended before `before_ms`, in milliseconds since 1970, and adds their number to the
+/// metrics. Returns the number.
+pub(super) fn log_removed_jobs(core: &Rc<CoreNode>, workload: &Workload, before_ms: u64) -> u64 {
+    let mut removed = 0;
+    for (id, job) in workload.ended_before(before_ms) {
+        removed += 1;
+        log::info!(
+            job = id.to_string(), outcome:? = job.outcome, accepted_ms = job.accepted_ms, ended_ms = job.ended_ms, before_ms;
+            "ended job removed"
+        );
+    }
+    core.metrics.count("jobs_removed", removed);
+    removed
+}
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -3,6 +3,7 @@
 use super::admit;
 use super::core_node::CoreNode;
 use super::inherited_runs::InheritedRuns;
+use super::job_ends;
 use super::leadership::Leadership;
 use super::orders::send_due_orders;
 use super::planning::plan;
@@ -232,8 +233,8 @@
     let before_ms = core
         .wall_ms()
         .saturating_sub(core.config.timing().retention_ms + CLOCK_MARGIN_MS);
-    let oldest = core.group.machine.read().oldest_end_ms();
-    if oldest.is_some_and(|end_ms| end_ms < before_ms) {
+    let removed = job_ends::log_removed_jobs(core, &core.group.machine.read(), before_ms);
+    if removed > 0 {
         let origin = Origin {
             term,
             listed_to: None,
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether it ended before `before_ms`, in milliseconds since 1970.
+    pub fn ended_before(&self, before_ms: u64) -> bool {
+        self.outcome.is_some() && self.ended_ms < before_ms
+    }
+
     /// Index of a step in `steps`.
     fn position(&self, id: StepId) -> Option<usize> {
         let step = usize::try_from(id.step).ok()?;
--- a/crates/bh-workload/src/state/usage.rs
+++ b/crates/bh-workload/src/state/usage.rs
@@ -88,11 +88,11 @@
     /// Removes jobs that ended before `before_ms`, in milliseconds since 1970. The usage of their runs that are still open ends, since the
     /// customer of a run is known only from its job.
     pub(super) fn forget(&mut self, before_ms: u64) {
-        let is_forgotten = |job: &super::Job| job.outcome.is_some() && job.ended_ms < before_ms;
-        for (id, job) in &self.jobs {
-            if !is_forgotten(job) || !job.has_open_runs() {
-                continue;
-            }
+        let ended = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.ended_before(before_ms));
+        for (id, job) in ended {
             for (run, worker) in self.open_runs.of_job(*id) {
                 let worker = self.workers.get(worker);
                 if let Some(needs) = worker.and_then(|worker| worker.runs.get(&run)) {
@@ -101,7 +101,7 @@
                 }
             }
         }
-        self.jobs.retain(|_, job| !is_forgotten(job));
+        self.jobs.retain(|_, job| !job.ended_before(before_ms));
         self.drop_past_customers();
     }
 
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -177,13 +177,10 @@
             .filter_map(|id| Some((*id, self.jobs.get(id)?)))
     }
 
-    /// When the oldest ended job ended, in milliseconds since 1970.
-    pub fn oldest_end_ms(&self) -> Option<u64> {
-        self.jobs
-            .values()
-            .filter(|job| job.outcome.is_some())
-            .map(|job| job.ended_ms)
-            .min()
+    /// Jobs that ended before `before_ms`, in milliseconds since 1970, ordered by id.
+    pub fn ended_before(&self, before_ms: u64) -> impl Iterator<Item = (JobId, &Job)> {
+        let jobs = self.jobs.iter().map(|(id, job)| (*id, job));
+        jobs.filter(move |(_, job)| job.ended_before(before_ms))
     }
 
     /// Whether `info` may add or change a worker: the rules contain its pool, or the worker is recorded in that pool already. Heartbeats
