Record: what a command ends, ends at the record's time

A late copy of its submission was accepted as a new job, and a task that had ended `done` was started again.

Cause: ends were applied with a time that the caller of the function passed on, and `Workload::remove_worker` had none: `Workers` has no time, so it passed 0. Such a job ended at the time 0, and the next removal of old jobs took it (`ended job removed ... ended_ms=0 before_ms=`).

Ruled out: that the job goes with its worker (it was there, as failed, for 10 s), and a wrong retention time (before_ms is 180 s back).

Change: no function of the record that ends something takes a time. The record has one time, the latest of a command, which never goes back, and everything ends at it. So an end without a time of its own can't be written any more. The same holds for - the crash of a worker with a run that was recorded after the list of its runs was made (it went the same way, with 0), - the order of upkeep that ends a worker (the same command), - an end that is recorded by a leader whose clock is far behind that of the next: it ended before what was recorded earlier.

The own interface keeps ended jobs and requests by their number, without times: it can't happen there.

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -33,15 +33,15 @@
                 spec,
                 now_ms,
             } => self.accept(&place, spec, now_ms),
-            Command::Cancel { place, now_ms } => self.cancel(&place, now_ms),
+            Command::Cancel { place, .. } => self.cancel(&place),
             Command::Workers(changes) => self.change_workers(changes),
             Command::Starts(starts) => self.start(starts),
             Command::Ends {
                 ends,
-                now_ms,
                 crash,
                 late_failures,
                 not_displaced,
+                ..
             } => {
                 // Whether the end of the run was recorded only as lost, and the worker may still report a failure.
                 let may_still_report = |run: &RunId| {
@@ -53,9 +53,9 @@
                 // A failure that is proposed a second time is not counted again: the first one removed the run from `unheard`.
                 let late_failures: Vec<RunId> =
                     late_failures.into_iter().filter(may_still_report).collect();
-                self.end_runs(ends, &not_displaced, now_ms, crash);
+                self.end_runs(ends, &not_displaced, crash);
                 for run in late_failures {
-                    self.count_late_failure(run, now_ms);
+                    self.count_late_failure(run);
                 }
                 Reply::Done
             }
@@ -137,7 +137,7 @@
             }
         }
         for (id, reason) in exhausted {
-            self.give_up(id, reason, self.latest_ms);
+            self.give_up(id, reason);
         }
     }
 
@@ -166,18 +166,18 @@
         Reply::Done
     }
 
-    fn cancel(&mut self, place: &Place, now_ms: u64) -> Reply {
+    fn cancel(&mut self, place: &Place) -> Reply {
         match self.find_job(place) {
             Ok((id, _)) => {
-                self.end_job(id, Outcome::Cancelled, now_ms);
+                self.end_job(id, Outcome::Cancelled);
                 Reply::Done
             }
             Err(refusal) => Reply::Refused(refusal),
         }
     }
 
-    /// Ends a job; only the first outcome counts. Its runs stay recorded until each of them has ended.
-    pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome, now_ms: u64) {
+    /// Ends a job at the record's time; only the first outcome counts. Its runs stay recorded until each of them has ended.
+    pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -185,7 +185,7 @@
             return;
         }
         job.outcome = Some(outcome);
-        job.ended_ms = now_ms;
+        job.ended_ms = self.latest_ms;
         self.active.remove(&id);
         self.events.ended_jobs.insert(id);
         for (_, worker) in self.open_runs.of_job(id) {
@@ -287,7 +287,7 @@
                 checkpoint: None,
             };
             self.count_displacement(&end, false);
-            self.end_run(end, 0);
+            self.end_run(end);
         }
         if let Some(worker) = self.workers.remove(id) {
             self.worker_index.remove(&worker.info);
--- a/crates/bh-workload/src/state/crashes.rs
+++ b/crates/bh-workload/src/state/crashes.rs
@@ -67,12 +67,11 @@
         &mut self,
         ends: Vec<End>,
         not_displaced: &[RunId],
-        now_ms: u64,
         crash: Option<Crash>,
     ) {
         for end in ends {
             self.count_displacement(&end, !not_displaced.contains(&end.run));
-            self.end_run(end, now_ms);
+            self.end_run(end);
         }
         let Some(Crash { worker, suspects }) = crash else {
             return;
@@ -89,7 +88,7 @@
         for Suspect { run, evidence } in suspects {
             let task = self.task(run.task);
             if task.is_some_and(|task| task.is_given_up(evidence)) {
-                self.give_up(run.task.step.job, GiveUp::Crashes { run }, now_ms);
+                self.give_up(run.task.step.job, GiveUp::Crashes { run });
             }
         }
     }
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -12,7 +12,7 @@
 
 impl Workload {
     /// Ends a run.
-    pub(super) fn end_run(&mut self, end: End, now_ms: u64) {
+    pub(super) fn end_run(&mut self, end: End) {
         let taken = self.workers.get_mut(&end.worker).and_then(|worker| {
             worker.unheard.remove(&end.run);
             worker.runs.remove(&end.run)
@@ -63,9 +63,9 @@
         let has_other_open_runs = spec.gang && step.open_runs > 0;
         if (failed_too_often || is_exhausted) && !spec.long_running {
             let step = end.run.task.step;
-            self.give_up(id, GiveUp::Failures { step }, now_ms);
+            self.give_up(id, GiveUp::Failures { step });
         } else if job.outcome.is_none() && job.is_done() {
-            self.end_job(id, Outcome::Completed, now_ms);
+            self.end_job(id, Outcome::Completed);
         } else if has_other_open_runs {
             self.mark_holders(end.run.task.step);
         } else if end.kind == EndKind::Done {
@@ -77,7 +77,7 @@
     }
 
     /// Counts the failure of a gang member that was recorded as lost. A gang attempt counts at most once.
-    pub(super) fn count_late_failure(&mut self, run: RunId, now_ms: u64) {
+    pub(super) fn count_late_failure(&mut self, run: RunId) {
         let id = run.task.step.job;
         let Some(most) = self.jobs.get(&id).map(|job| self.max_attempts(job)) else {
             return;
@@ -97,18 +97,18 @@
         step.failures += 1;
         if step.failures >= most {
             let step = run.task.step;
-            self.give_up(id, GiveUp::Failures { step }, now_ms);
+            self.give_up(id, GiveUp::Failures { step });
         }
     }
 
     /// Ends a job as failed, unless it has ended before.
-    pub(super) fn give_up(&mut self, id: JobId, reason: GiveUp, now_ms: u64) {
+    pub(super) fn give_up(&mut self, id: JobId, reason: GiveUp) {
         if let Some(job) = self.jobs.get_mut(&id)
             && job.outcome.is_none()
         {
             job.given_up = Some(reason);
         }
-        self.end_job(id, Outcome::Failed, now_ms);
+        self.end_job(id, Outcome::Failed);
     }
 
     /// Marks the workers that hold runs of a step as changed.
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -52,7 +52,7 @@
     /// Why it was given up, if it was.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub given_up: Option<GiveUp>,
-    /// When it ended, in milliseconds since 1970; 0 while it has not ended.
+    /// When it ended, in milliseconds since 1970 by the record's own time; 0 while it has not ended.
     pub ended_ms: u64,
     /// Whether a task has ever started.
     pub started: bool,
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -44,7 +44,8 @@
     /// Number of workers that were ever recorded.
     #[serde(default)]
     pub(super) arrivals: u64,
-    /// Latest time at which a leader recorded something, in milliseconds since 1970.
+    /// The record's time: the latest time of a command, in milliseconds since 1970. It never goes back. Whatever a command ends, with or
+    /// without a time of its own, ends at this time.
     #[serde(default)]
     pub latest_ms: u64,
     /// Upkeep waves by number.
--- a/crates/bh-workload/tests/fewer_attempts.rs
+++ b/crates/bh-workload/tests/fewer_attempts.rs
@@ -3,27 +3,18 @@
 
 use bh_workload::job::JobId;
 use bh_workload::job::StepSpec;
-use bh_workload::rules::Queue;
 use bh_workload::rules::Rules;
 use bh_workload::state::Command;
 use bh_workload::state::EndKind;
 use bh_workload::state::Outcome;
 use rstest::rstest;
-use std::sync::Arc;
 use support::Site;
-use support::rules;
+use support::rules_with_attempts;
 use support::step;
 
 /// Returns rules that allow a single failure.
 fn strict_rules() -> Rules {
-    let mut strict = rules(2);
-    for queue in &mut strict.queues {
-        *queue = Arc::new(Queue {
-            max_attempts: 1,
-            ..Queue::clone(queue)
-        });
-    }
-    strict
+    rules_with_attempts(2, 1)
 }
 
 /// Creates a site with a task or a gang that has failed once of two allowed failures.
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -100,6 +100,18 @@
     }
 }
 
+/// The rules of [`rules`], with `max_attempts` allowed failures in each queue.
+pub fn rules_with_attempts(version: u64, max_attempts: u32) -> Rules {
+    let mut changed = rules(version);
+    for queue in &mut changed.queues {
+        *queue = Arc::new(Queue {
+            max_attempts,
+            ..Queue::clone(queue)
+        });
+    }
+    changed
+}
+
 /// Parses a worker incarnation, `ID` or `ID@STARTED_MS`.
 pub fn worker_id(text: &str) -> Incarnation {
     Incarnation::parse(text).unwrap()
