Leader: the record's time is current when a command without a time is recorded

Cause: `SetRules`, `Workers`, `Starts`, `Upkeep`, `EndEvacuation` and `Forget` have no time, and the record's time stands still while nothing with a time is recorded (a quiet night, services only, a job that waits for a worker that isn't there). What they end or start then has a time long past: - rules that allow fewer failures end a waiting job (`give_up_exhausted_jobs`), or a worker leaves with its last run: if nothing was recorded for the retention time, the next removal of old jobs forgets the job; - a run that starts after a quiet time is charged to its customer from the last recorded time on, and one that is lost with its worker only up to then: fair sharing weighs usage that wasn't there; - after a restart of all cores, the time without a leader is counted from the last recorded time (`leaderless_ms`).

Upkeep and the end of an evacuation end nothing that has a time; waves, evacuations and acceptances keep the times of their own commands.

Change: if the record's time is more than 500 ms behind, the leader proposes the time first, as `Ends` without ends: cores of the older version know no other command that changes nothing but the time. Both proposals go to the same log in this order. Readers see the record's time: `recorded_ms` in /v1/status, the gauge `record_age_ms`.

--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -49,6 +49,9 @@
     pub applied: u64,
     /// Time since it last heard from the leader, in milliseconds.
     pub heard_ms_ago: Option<u64>,
+    /// Latest time of a recorded change, in milliseconds since 1970; 0 if the core is of an older version.
+    #[serde(default)]
+    pub recorded_ms: u64,
     /// Version of the rules in force.
     pub rules_version: u64,
     /// Number of jobs that have not ended.
@@ -76,6 +79,8 @@
         let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
         metrics.gauge("leads", u64::from(report.leads));
         metrics.gauge("term", report.term);
+        let record_age_ms = gauged.wall_ms().saturating_sub(report.recorded_ms);
+        metrics.gauge("record_age_ms", record_age_ms);
         metrics.gauge("votes", u64::from(report.is_voter));
         metrics.gauge("voters", size(report.voters.len()));
         metrics.gauge("applied_index", report.applied);
@@ -197,6 +202,7 @@
         heard_ms_ago: status
             .last_leader_contact_ms
             .map(|at_ms| core.clock.now_ms().saturating_sub(at_ms)),
+        recorded_ms: workload.latest_ms,
         rules_version: workload.rules.as_ref().map_or(0, |rules| rules.version),
         active_jobs: workload.active_jobs().count(),
         workers: workload.worker_count(),
--- a/crates/bh-control/src/core/records.rs
+++ b/crates/bh-control/src/core/records.rs
@@ -69,8 +69,13 @@
 ///
 /// Those of [`bh_group::Group::propose`].
 pub(super) async fn propose(core: &Rc<CoreNode>, command: Command) -> Result<Reply, Failure> {
-    let command = command.at(core.wall_ms());
+    let now_ms = core.wall_ms();
+    let command = command.at(now_ms);
     let bytes = encode(&command)?;
+    let time_update = core.group.machine.read().time_update(&command, now_ms);
+    if let Some(time_update) = time_update {
+        core.group.propose_unanswered(encode(&time_update)?);
+    }
     let began_ms = core.clock.now_ms();
     let reply = core.group.propose(bytes, RECORD_TIMEOUT_MS).await?;
     let took_ms = core.clock.now_ms().saturating_sub(began_ms);
--- a/crates/bh-group/src/handle.rs
+++ b/crates/bh-group/src/handle.rs
@@ -110,6 +110,13 @@
         self.answer(sent.is_ok(), answer, timeout_ms).await
     }
 
+    /// Replicates `command` without waiting for the answer. Only the leader can do this. If a later proposal to this replica is recorded in
+    /// the same term, the command is recorded before it.
+    pub fn propose_unanswered(&self, command: Vec<u8>) {
+        let (reply, _) = oneshot::channel();
+        let _ = self.inbox.send(Input::Propose { command, reply });
+    }
+
     /// Waits until the local state holds everything that was committed before this call. Only the leader can do this.
     ///
     /// # Errors
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// A command that only advances the record's time to `now_ms`, in milliseconds since 1970.
+    pub fn time(now_ms: u64) -> Self {
+        // Cores of an older version know no command that is only a time.
+        Command::ends(Vec::new()).at(now_ms)
+    }
+
     /// When the leader created the command, in milliseconds since 1970, if the command has a time.
     pub fn time_ms(&self) -> Option<u64> {
         match self {
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -1,5 +1,6 @@
 //! The replicated record: rules, jobs, workers and runs.
 
+use super::Command;
 use super::Job;
 use super::JobState;
 use super::OpenRuns;
@@ -31,6 +32,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// How far the record's time may be behind when a command without a time of its own is recorded, in milliseconds.
+const MAX_TIME_LAG_MS: u64 = 500;
+
 /// The replicated record. Every replica applies the same commands in the same order and so holds the same record.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Workload {
@@ -111,6 +115,13 @@
         Ok(())
     }
 
+    /// The command to propose before `command` at `now_ms`, in milliseconds since 1970, if any. A command without a time of its own is
+    /// applied at the record's time, which stands still while nothing with a time is recorded: it has to be advanced first.
+    pub fn time_update(&self, command: &Command, now_ms: u64) -> Option<Command> {
+        let is_outdated = now_ms > self.latest_ms + MAX_TIME_LAG_MS;
+        (command.time_ms().is_none() && is_outdated).then(|| Command::time(now_ms))
+    }
+
     /// Finds the queue of a call and checks the key of the caller.
     ///
     /// # Errors
