Lasting gangs: no limit of failures, also for those that are reported late

What callers see: a gang of tasks that last (`longRunning`, `gangScheduled`) is given up as failed after `maxAttempts` failures that a silent worker reports late; or it waits for the lease of a silent worker, up to 10 s, since one more failure there might be the last one allowed.

Cause: two of four comparisons with the limit left out that services have none: `count_late_failure` and the planner's `is_uncertain`.

Change: one function, `Workload::failure_limit`, gives the limit of a step, none for a service; all four use it.

Tests: a_lasting_gang_is_not_given_up_for_failures_reported_late (failed before: outcome Failed after the second; still so with only the planner mended), a_lasting_gang_restarts_though_a_failure_may_be_unreported (failed before).

--- a/crates/bh-workload/src/plan/planner.rs
+++ b/crates/bh-workload/src/plan/planner.rs
@@ -376,11 +376,15 @@
         return false;
     };
     let job = workload.job(step.job);
-    let Some((job, progress)) = job.and_then(|job| Some((job, job.step(step)?))) else {
+    let known = job.and_then(|job| Some((job, job.step_spec(step)?, job.step(step)?)));
+    let Some((job, spec, progress)) = known else {
+        return false;
+    };
+    let Some(limit) = workload.failure_limit(job, spec) else {
         return false;
     };
     let counted = [progress.failed_attempt, progress.late_failed_attempt];
     let uncertain = attempts.iter().filter(|attempt| !counted.contains(attempt));
     let uncertain = u32::try_from(uncertain.count()).unwrap_or(u32::MAX);
-    progress.failures.saturating_add(uncertain) >= workload.max_attempts(job)
+    progress.failures.saturating_add(uncertain) >= limit
 }
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -119,10 +119,10 @@
     fn give_up_exhausted_jobs(&mut self) {
         let mut exhausted = Vec::new();
         for (id, job) in self.active_jobs() {
-            let limit = self.max_attempts(job);
             let steps = job.spec.steps.iter().cycle().zip(&job.steps).zip(0u32..);
             for ((spec, step), position) in steps {
-                if spec.long_running || !step.has_exhausted_attempts(limit, spec.gang) {
+                let limit = self.failure_limit(job, spec);
+                if !limit.is_some_and(|limit| step.has_exhausted_attempts(limit, spec.gang)) {
                     continue;
                 }
                 let count = u32::try_from(job.spec.steps.len())
--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -23,7 +23,7 @@
         }
         self.events.mark_worker(&end.worker);
         let id = end.run.task.step.job;
-        let max_attempts = self.jobs.get(&id).map(|job| self.max_attempts(job));
+        let failure_limit = self.failure_limit_of(end.run.task.step);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -52,16 +52,16 @@
         } else {
             end_task_run(step, &end, was_open, spec.long_running)
         }
-        .is_some_and(|failures| max_attempts.is_some_and(|most| failures >= most));
+        .is_some_and(|failures| failure_limit.is_some_and(|limit| failures >= limit));
         step.update_done();
         if step.open_runs == 0 {
             step.broken.clear();
         }
         // The rules may allow fewer failures now than when the run started.
         let is_exhausted =
-            max_attempts.is_some_and(|most| step.has_exhausted_attempts(most, spec.gang));
+            failure_limit.is_some_and(|limit| step.has_exhausted_attempts(limit, spec.gang));
         let has_other_open_runs = spec.gang && step.open_runs > 0;
-        if (failed_too_often || is_exhausted) && !spec.long_running {
+        if failed_too_often || is_exhausted {
             let step = end.run.task.step;
             self.give_up(id, GiveUp::Failures { step });
         } else if job.outcome.is_none() && job.is_done() {
@@ -76,12 +76,16 @@
         }
     }
 
+    /// The limit of [`Workload::failure_limit`] for a step of a known job.
+    fn failure_limit_of(&self, step: StepId) -> Option<u32> {
+        let job = self.jobs.get(&step.job)?;
+        self.failure_limit(job, job.step_spec(step)?)
+    }
+
     /// Counts the failure of a gang member that was recorded as lost. A gang attempt counts at most once.
     pub(super) fn count_late_failure(&mut self, run: RunId) {
         let id = run.task.step.job;
-        let Some(most) = self.jobs.get(&id).map(|job| self.max_attempts(job)) else {
-            return;
-        };
+        let limit = self.failure_limit_of(run.task.step);
         let step = self
             .jobs
             .get_mut(&id)
@@ -95,7 +99,7 @@
         }
         step.late_failed_attempt = run.attempt;
         step.failures += 1;
-        if step.failures >= most {
+        if limit.is_some_and(|limit| step.failures >= limit) {
             let step = run.task.step;
             self.give_up(id, GiveUp::Failures { step });
         }
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -307,6 +307,12 @@
         self.queue_of(job).max_attempts.max(1)
     }
 
+    /// Number of failures of a task or gang of a step after which its job is given up; `None` for a service, which restarts however often it
+    /// fails.
+    pub fn failure_limit(&self, job: &Job, spec: &StepSpec) -> Option<u32> {
+        (!spec.long_running).then(|| self.max_attempts(job))
+    }
+
     /// The queue of a job as it is now, or as it was when the job was accepted if it has been removed.
     pub fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Arc<Queue> {
         self.rules
--- a/crates/bh-workload/tests/broken_gangs.rs
+++ b/crates/bh-workload/tests/broken_gangs.rs
@@ -34,12 +34,14 @@
 
 /// Creates a site where a gang of three members runs on three of six workers.
 fn running_gang() -> (Site, JobId, Vec<(Incarnation, RunId)>) {
+    running_gang_of(step(3, 8))
+}
+
+/// Creates a site where a gang of three members, each with `spec`, runs on three of six workers.
+fn running_gang_of(spec: StepSpec) -> (Site, JobId, Vec<(Incarnation, RunId)>) {
     let mut site = Site::new(6, 3);
     site.advance(60_000);
-    let spec = StepSpec {
-        gang: true,
-        ..step(3, 8)
-    };
+    let spec = StepSpec { gang: true, ..spec };
     let job = site.submit(1, "other", vec![spec]);
     site.plan_and_start();
     site.send_starts();
@@ -354,3 +356,45 @@
     let outcome = site.workload.job(job).and_then(|job| job.outcome);
     assert_eq!(outcome, Some(Outcome::Failed));
 }
+
+/// Creates a site like [`running_gang`] whose gang lasts: it restarts however its runs end, and its failures have no limit.
+fn lasting_gang() -> (Site, JobId, Vec<(Incarnation, RunId)>) {
+    running_gang_of(StepSpec {
+        long_running: true,
+        ..step(3, 8)
+    })
+}
+
+/// Guards against a lasting gang that is given up because failures of it were reported late.
+#[test]
+fn a_lasting_gang_is_not_given_up_for_failures_reported_late() {
+    let (mut site, job, mut runs) = lasting_gang();
+    for failures in 1..=3 {
+        let answers = [NoAnswer, BROKEN, BROKEN];
+        assert!(gang_restarts(&mut site, &runs, &answers));
+        site.send_starts();
+        answer_probes(&mut site, &runs[..1], &[FAILED]);
+        let job = site.workload.job(job).unwrap();
+        assert_eq!((job.steps[0].failures, job.outcome), (failures, None));
+        runs = site.open_runs();
+        site.advance(SET_ASIDE_MS);
+        answer_probes(&mut site, &runs, &[Running; 3]);
+    }
+}
+
+/// Guards against a lasting gang that waits for the lease of a silent worker, because a failure there might be one too many.
+#[test]
+fn a_lasting_gang_restarts_though_a_failure_may_be_unreported() {
+    let (mut site, _, mut runs) = lasting_gang();
+    for _ in 0..2 {
+        answer_probes(&mut site, &runs, &[FAILED, BROKEN, BROKEN]);
+        site.advance(SET_ASIDE_MS);
+        site.plan_and_start();
+        site.send_starts();
+        site.advance(100);
+        runs = site.open_runs();
+        assert_eq!(runs.len(), 3);
+    }
+    let answers = [BROKEN, BROKEN, NoAnswer];
+    assert!(gang_restarts(&mut site, &runs, &answers));
+}
