Jobs of a removed queue keep the limits that were last in force

Cause: `queue_of` falls back to the queue as it was at the acceptance.

Change: new rules replace the queues that active jobs keep, so the fallback is the last definition. Priority, service and objective follow the same way.

Tests: a_job_keeps_a_raised_limit_when_its_queue_is_removed, a_job_keeps_a_lowered_limit_when_its_queue_is_removed; both failed before.

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -18,8 +18,10 @@
 use crate::job::JobSpec;
 use crate::job::RunId;
 use crate::job::StepId;
+use crate::rules::Queue;
 use crate::rules::Rules;
 use bh_protocol::Incarnation;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 impl Workload {
@@ -108,12 +110,30 @@
         if in_force.is_none_or(|version| rules.version > version) {
             self.rules = Some(Arc::new(rules));
             self.events.plan = true;
+            self.update_queues();
             self.give_up_exhausted_jobs();
             self.drop_past_customers();
         }
         Reply::Done
     }
 
+    /// Replaces the queues of active jobs by those of the new rules. If a queue is removed later, its jobs keep the limits that were last in
+    /// force, and not those of the time at which they were accepted.
+    fn update_queues(&mut self) {
+        let Some(rules) = self.rules.clone() else {
+            return;
+        };
+        let queues = rules.queues.iter().map(|queue| (&*queue.name, queue));
+        let queues: BTreeMap<&str, &Arc<Queue>> = queues.collect();
+        for id in &self.active {
+            if let Some(job) = self.jobs.get_mut(id)
+                && let Some(queue) = queues.get(&*job.queue.name)
+            {
+                job.queue = Arc::clone(queue);
+            }
+        }
+    }
+
     /// Gives up the jobs of which a waiting task or gang has failed as often as the current rules allow. It may not start again, so the job
     /// would wait forever. A task or gang with a run in progress is not affected.
     fn give_up_exhausted_jobs(&mut self) {
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -40,8 +40,8 @@
 pub struct Job {
     /// What was asked for.
     pub spec: Arc<JobSpec>,
-    /// Queue through which it was submitted, as it was then. The queue may be removed from the rules later, but an accepted job must still
-    /// be carried out.
+    /// Queue through which it was submitted, as the last rules that had it defined it. The queue may be removed from the rules, but an
+    /// accepted job must still be carried out.
     pub queue: Arc<Queue>,
     /// Customer to whom it belongs, if the caller was identified.
     pub customer: Option<Arc<str>>,
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -313,7 +313,7 @@
         (!spec.long_running).then(|| self.max_attempts(job))
     }
 
-    /// The queue of a job as it is now, or as it was when the job was accepted if it has been removed.
+    /// The queue of a job as it is now, or as it last was if it has been removed.
     pub fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Arc<Queue> {
         self.rules
             .as_ref()
--- a/crates/bh-workload/tests/fewer_attempts.rs
+++ b/crates/bh-workload/tests/fewer_attempts.rs
@@ -7,8 +7,10 @@
 use bh_workload::state::Command;
 use bh_workload::state::EndKind;
 use bh_workload::state::Outcome;
+use bh_workload::state::Reply;
 use rstest::rstest;
 use support::Site;
+use support::rules;
 use support::rules_with_attempts;
 use support::step;
 
@@ -58,3 +60,47 @@
     site.end(run, end);
     assert_eq!(outcome(&site, job), Some(expected));
 }
+
+/// Sets rules without queues, as an operator does who has removed them.
+fn remove_queues(site: &mut Site, version: u64) {
+    let without_queues = Rules {
+        queues: Vec::new(),
+        ..rules(version)
+    };
+    let command = Command::SetRules(Box::new(without_queues));
+    assert_eq!(site.workload.apply(command), Reply::Done);
+    site.take_events();
+}
+
+/// Sets rules that allow `max_attempts` failures.
+fn set_attempts(site: &mut Site, version: u64, max_attempts: u32) {
+    let command = Command::SetRules(Box::new(rules_with_attempts(version, max_attempts)));
+    assert_eq!(site.workload.apply(command), Reply::Done);
+    site.take_events();
+}
+
+/// Guards against a job that is given up by an outdated limit after its queue was removed: more failures had been allowed since.
+#[test]
+fn a_job_keeps_a_raised_limit_when_its_queue_is_removed() {
+    let (mut site, job) = failed_once(false);
+    set_attempts(&mut site, 2, 4);
+    site.plan_and_start();
+    let run = site.open_runs()[0].1;
+    site.end(run, EndKind::Failed);
+    remove_queues(&mut site, 3);
+    assert_eq!(outcome(&site, job), None);
+    assert_eq!(site.plan().starts.len(), 1);
+}
+
+/// Guards against a task that fails more often than last allowed, because its queue was removed after the limit was lowered.
+#[test]
+fn a_job_keeps_a_lowered_limit_when_its_queue_is_removed() {
+    let mut site = Site::new(2, 2);
+    let job = site.submit(0, "other", vec![step(1, 1)]);
+    site.plan_and_start();
+    set_attempts(&mut site, 2, 1);
+    remove_queues(&mut site, 3);
+    let run = site.open_runs()[0].1;
+    site.end(run, EndKind::Failed);
+    assert_eq!(outcome(&site, job), Some(Outcome::Failed));
+}
