--- a/crates/bh-workload/src/dispatch/worker_reconciler.rs
+++ b/crates/bh-workload/src/dispatch/worker_reconciler.rs
@@ -93,8 +93,8 @@
                 self.withdraw(target, run);
             } else if wanted
                 && !run_state.stop_requested
-                && takes_no_starts
                 && !run_state.is_confirmed()
+                && (takes_no_starts || self.workload.has_no_attempt_left(run))
             {
                 self.withdraw_if_not_running(target, run);
             } else if wanted && !run_state.stop_requested && run_state.awaits_report() {
@@ -321,8 +321,8 @@
         excess_runs
     }
 
-    /// Withdraws a run that is known not to run, on a worker that takes no new runs: the worker is leaving, or its data centre is being
-    /// evacuated. If a start order of this or an earlier leader had no answer, the next report tells whether it was carried out. Withdrawing
+    /// Withdraws a run that is known not to run and may not start any more: the worker is leaving, its data centre is being evacuated, or the
+    /// rules allow fewer failures now. If a start order of this or an earlier leader had no answer, the next report tells whether it was carried out. Withdrawing
     /// the run before that could stop work in progress, and with it the rest of a gang on other workers.
     fn withdraw_if_not_running(&mut self, target: &mut Target, run: RunId) {
         let Some(run_state) = target.runs.get(&run) else {
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -313,6 +313,25 @@
         (!spec.long_running).then(|| self.max_attempts(job))
     }
 
+    /// Whether the task or gang of `run` has failed as often as the current rules allow, so that it may not start.
+    pub fn has_no_attempt_left(&self, run: RunId) -> bool {
+        let step = run.task.step;
+        let (Some(job), Some(spec), Some(task)) = (
+            self.job(step.job),
+            self.step_spec(step),
+            self.task(run.task),
+        ) else {
+            return false;
+        };
+        let failures = if spec.gang {
+            job.step(step).map_or(0, |step| step.failures)
+        } else {
+            task.failures
+        };
+        let limit = self.failure_limit(job, spec);
+        limit.is_some_and(|limit| failures >= limit)
+    }
+
     /// The queue of a job as it is now, or as it last was if it has been removed.
     pub fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Arc<Queue> {
         self.rules
--- a/crates/bh-workload/tests/fewer_attempts.rs
+++ b/crates/bh-workload/tests/fewer_attempts.rs
@@ -1,6 +1,9 @@
 //! Tests of a change of rules to fewer allowed failures.
 mod support;
 
+use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Order;
+use bh_workload::dispatch::OrderBody;
 use bh_workload::job::JobId;
 use bh_workload::job::StepSpec;
 use bh_workload::rules::Rules;
@@ -104,3 +107,72 @@
     site.end(run, EndKind::Failed);
     assert_eq!(outcome(&site, job), Some(Outcome::Failed));
 }
+
+/// Returns the runs that the orders due now start.
+fn started(site: &mut Site) -> Vec<Order> {
+    let orders = site.orders().into_iter();
+    let is_start = |order: &Order| matches!(order.body, OrderBody::Start { .. });
+    orders.filter(is_start).collect()
+}
+
+/// Guards against a start after the last allowed failure: the limit was lowered between the record of the start and its order.
+#[rstest]
+fn a_recorded_start_is_not_sent_without_allowed_failures_left(#[values(false, true)] gang: bool) {
+    let (mut site, job) = failed_once(gang);
+    site.plan_and_start();
+    set_attempts(&mut site, 2, 1);
+    assert_eq!(started(&mut site), Vec::new());
+    assert_eq!(outcome(&site, job), Some(Outcome::Failed));
+}
+
+/// Guards against a start after the last allowed failure: the answer to the start order was lost, and the limit was lowered before the order was
+/// repeated.
+#[test]
+fn a_start_without_an_answer_is_not_repeated_without_allowed_failures_left() {
+    let (mut site, job) = failed_once(false);
+    site.plan_and_start();
+    let order = started(&mut site).remove(0);
+    let (worker, run) = site.open_runs().remove(0);
+    let now_ms = site.now_ms;
+    site.dispatcher
+        .note_answer(now_ms, &order, &Answer::Lost, &site.workload);
+    set_attempts(&mut site, 2, 1);
+    for _ in 0..20 {
+        site.advance(200);
+        for order in site.orders() {
+            let is_start = matches!(order.body, OrderBody::Start { .. });
+            assert!(!is_start, "{order:?}");
+            let answer = site.probe_answer(&worker, &[run]);
+            let command = site
+                .dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+            if let Some(command) = command {
+                let now_ms = site.wall_ms();
+                site.workload.apply(command.at(now_ms));
+            }
+        }
+        site.take_events();
+    }
+    assert_eq!(outcome(&site, job), Some(Outcome::Failed));
+}
+
+/// Guards against a run at work that is stopped because the limit was lowered: it may still end well.
+#[test]
+fn a_run_at_work_goes_on_without_allowed_failures_left() {
+    let (mut site, job) = failed_once(false);
+    site.plan_and_start();
+    site.send_starts();
+    let (worker, _) = site.open_runs().remove(0);
+    set_attempts(&mut site, 2, 1);
+    for _ in 0..20 {
+        site.advance(200);
+        for order in site.orders() {
+            let is_probe = matches!(order.body, OrderBody::Probe { .. });
+            assert!(is_probe, "{order:?}");
+            let answer = site.probe_answer(&worker, &[]);
+            site.dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+        }
+    }
+    assert_eq!(outcome(&site, job), None);
+}
