Fuzz of orders: limits change while runs are at work, and workers leave with their runs

New rules come with other limits or without queues, workers announce that they leave and end a while later, and the leader removes old jobs each second. Checked: an accepted job is known for the retention time from its end on, nothing starts after the failures that were allowed when its order was sent, no job fails below the lowest limit.

--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -27,7 +27,9 @@
 use bh_workload::plan::Planner;
 use bh_workload::state::Command;
 use bh_workload::state::EndKind;
+use bh_workload::state::Job;
 use bh_workload::state::Outcome;
+use bh_workload::state::Reply;
 use bh_workload::state::TaskState;
 use bh_workload::state::WorkerChange;
 use bh_workload::state::WorkerInfo;
@@ -40,6 +42,7 @@
 use support::FAR;
 use support::Site;
 use support::place;
+use support::rules_with_attempts;
 use support::step;
 use support::worker_id;
 use support::worker_info;
@@ -47,6 +50,10 @@
 const WORKERS: usize = 4;
 const NEAR: &str = "dc";
 const STEP_MS: u64 = 50;
+/// Failures that the first rules allow.
+const INITIAL_LIMIT: u32 = 2;
+/// Time for which ended jobs are kept, in milliseconds.
+const RETENTION_MS: u64 = 20_000;
 /// Faults start within this time, in milliseconds.
 const FAULT_WINDOW_MS: u64 = 25_000;
 /// Time by which every job must have ended, in milliseconds: after the last fault there is time for the longest lease and several attempts.
@@ -80,6 +87,10 @@
     SlowBreaks,
     /// An operator evacuates one data centre, or both, and ends the evacuation; each order is sent once more than needed.
     Evacuate { which: Evacuated, duration_ms: u64 },
+    /// New rules allow this many failures. If they have no queues, the failures allowed before still are.
+    SetLimit { limit: u32, has_queues: bool },
+    /// The worker announces that it leaves, and ends a while later with its runs; another one takes its place.
+    Leave { worker: usize, after_ms: u64 },
 }
 
 /// Which data centres an operator evacuates.
@@ -156,6 +167,15 @@
     prop_oneof![2 => carried_fault(), 1 => evacuate]
 }
 
+/// The faults of [`carried_fault`], new rules with other limits, and workers that leave.
+fn limiting_fault() -> impl Strategy<Value = (u64, Fault)> {
+    let set_limit = (0..FAULT_WINDOW_MS, 1u32..6, prop::bool::weighted(0.8))
+        .prop_map(|(at_ms, limit, has_queues)| (at_ms, Fault::SetLimit { limit, has_queues }));
+    let leave = (0..FAULT_WINDOW_MS, 0..WORKERS, 0u64..4_000)
+        .prop_map(|(at_ms, worker, after_ms)| (at_ms, Fault::Leave { worker, after_ms }));
+    prop_oneof![1 => carried_fault(), 1 => set_limit, 1 => leave]
+}
+
 /// An order that is in transit or delayed.
 struct DelayedOrder {
     at_ms: u64,
@@ -206,6 +226,12 @@
     restart_reports: usize,
     /// When each evacuated data centre's evacuation started, on the site's clock in milliseconds.
     evacuated_ms: BTreeMap<&'static str, u64>,
+    /// Limits of failures, the newest last: when each came into force on the site's clock in milliseconds, and the limit.
+    limits: Vec<(u64, u32)>,
+    /// Workers that leave: when each ends on the site's clock in milliseconds, and the worker.
+    leaving: Vec<(u64, Incarnation)>,
+    /// Jobs that have ended, as they were then: when the end was seen on the site's clock in milliseconds, and the job.
+    ended: BTreeMap<JobId, (u64, Job)>,
 }
 
 /// A gang whose members have all started.
@@ -317,8 +343,7 @@
             Command::Ends { ends, .. } => ends.iter().map(|end| end.worker.clone()).collect(),
             _ => BTreeSet::new(),
         };
-        let command = command.at(self.site.wall_ms());
-        self.site.workload.apply(command);
+        self.apply(command);
         for worker in workers {
             let listed_to = self.site.dispatcher.recording_to(&worker);
             self.site
@@ -327,6 +352,99 @@
         }
     }
 
+    /// Applies a command as the leader proposes it now.
+    fn apply(&mut self, command: Command) -> Reply {
+        let now_ms = self.site.wall_ms();
+        let command = command.at(now_ms);
+        if let Some(time_update) = self.site.workload.time_update(&command, now_ms) {
+            self.site.workload.apply(time_update);
+        }
+        self.site.workload.apply(command)
+    }
+
+    /// Returns the limit of failures that was in force at `at_ms` on the site's clock.
+    fn limit_at(&self, at_ms: u64) -> u32 {
+        let before = self.limits.iter().rfind(|(since_ms, _)| *since_ms <= at_ms);
+        before.map_or(INITIAL_LIMIT, |(_, limit)| *limit)
+    }
+
+    /// Returns the lowest limit of failures that was ever in force.
+    fn lowest_limit(&self) -> u32 {
+        let limits = self.limits.iter().map(|(_, limit)| *limit);
+        limits.min().unwrap_or(INITIAL_LIMIT).min(INITIAL_LIMIT)
+    }
+
+    fn set_limit(&mut self, limit: u32, has_queues: bool) {
+        let version = 2 + u64::try_from(self.limits.len()).unwrap();
+        let limit = if has_queues {
+            limit
+        } else {
+            self.limit_at(self.site.now_ms)
+        };
+        let mut rules = rules_with_attempts(version, limit);
+        if !has_queues {
+            rules.queues.clear();
+        }
+        self.apply(Command::SetRules(Box::new(rules)));
+        self.limits.push((self.site.now_ms, limit));
+    }
+
+    /// Ends the workers whose time to leave has come.
+    fn end_leaving_workers(&mut self) {
+        let now_ms = self.site.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.leaving)
+            .into_iter()
+            .partition(|(at_ms, _)| *at_ms <= now_ms);
+        self.leaving = later;
+        for (_, worker) in due {
+            let index = self.workers.iter().position(|own| own.id == worker);
+            let Some(index) = index.filter(|index| !self.down.contains_key(index)) else {
+                continue;
+            };
+            let removal =
+                self.site
+                    .dispatcher
+                    .note_announced_end(now_ms, &worker, &self.site.workload);
+            if let Some(removal) = removal {
+                self.record(removal);
+            }
+            self.workers[index].runs.clear();
+            self.restart_worker(index);
+        }
+    }
+
+    /// Notes the jobs that have ended, and removes old ones as the leader does. A job that ended must be known for the retention time.
+    fn remove_old_jobs(&mut self) {
+        const CLEANUP_INTERVAL_MS: u64 = 1_000;
+        /// Time that the end of a job may be dated back.
+        const MAX_LAG_MS: u64 = 600;
+        let has_limits = |(_, fault): &(u64, Fault)| matches!(fault, Fault::SetLimit { .. });
+        if !self.faults.iter().any(has_limits) {
+            return;
+        }
+        let now_ms = self.site.now_ms;
+        for id in &self.jobs {
+            let job = self.site.workload.job(*id);
+            if let Some(job) = job.filter(|job| job.outcome.is_some()) {
+                self.ended.entry(*id).or_insert((now_ms, job.clone()));
+            }
+        }
+        if now_ms.is_multiple_of(CLEANUP_INTERVAL_MS) {
+            let before_ms = self.site.wall_ms().saturating_sub(RETENTION_MS);
+            self.apply(Command::Forget { before_ms });
+        }
+        for id in &self.jobs {
+            let ended = self.ended.get(id);
+            let may_be_removed =
+                ended.is_some_and(|(ended_ms, _)| now_ms + MAX_LAG_MS >= ended_ms + RETENTION_MS);
+            assert!(
+                may_be_removed || self.site.workload.job(*id).is_some(),
+                "job {id} is forgotten at {now_ms} ms; its end was seen at {:?}",
+                ended.map(|(ended_ms, _)| ended_ms)
+            );
+        }
+    }
+
     /// A worker executes an order; checks what starts there.
     fn execute(&mut self, order: &Order) -> Answer {
         let now_ms = self.site.now_ms;
@@ -437,7 +555,11 @@
             "{run} starts before the steps it waits for"
         );
         let failures = task.failures.max(job.step(run.task.step).unwrap().failures);
-        assert!(failures < 2, "{run} starts after {failures} failed runs");
+        let limit = self.limit_at(sent_ms);
+        assert!(
+            failures < limit,
+            "{run} starts after {failures} failed runs, of which {limit} are allowed"
+        );
         if let Some(at_ms) = self.cancelled_ms.get(&run.task.step.job) {
             // A delayed order may still arrive.
             assert!(
@@ -702,15 +824,23 @@
                 Fault::Cancel { job } => {
                     if let Some(id) = self.jobs.get(job).copied() {
                         let place = place(1, "other", id);
-                        let now_ms = self.site.wall_ms();
-                        self.site.workload.apply(Command::Cancel { place, now_ms });
-                        self.cancelled_ms.insert(id, self.site.now_ms);
+                        let reply = self.apply(Command::Cancel { place, now_ms: 0 });
+                        if reply == Reply::Done {
+                            self.cancelled_ms.insert(id, self.site.now_ms);
+                        }
                     }
                 }
                 Fault::Drain { worker } => {
                     let id = self.workers[worker].id.clone();
                     let change = WorkerChange::Draining(id);
-                    self.site.workload.apply(Command::Workers(vec![change]));
+                    self.apply(Command::Workers(vec![change]));
+                }
+                Fault::SetLimit { limit, has_queues } => self.set_limit(limit, has_queues),
+                Fault::Leave { worker, after_ms } => {
+                    let id = self.workers[worker].id.clone();
+                    let change = WorkerChange::Draining(id.clone());
+                    self.apply(Command::Workers(vec![change]));
+                    self.leaving.push((self.site.now_ms + after_ms, id));
                 }
                 Fault::Disconnect { .. }
                 | Fault::LostAnswers { .. }
@@ -855,6 +985,7 @@
         self.resize();
         self.evacuate();
         self.restart_crashed_workers();
+        self.end_leaving_workers();
         for worker in &mut self.workers {
             worker.advance(now_ms);
         }
@@ -893,8 +1024,9 @@
             self.site.dispatcher.request_stop(worker, *run);
         }
         if !plan.starts.is_empty() {
-            self.site.workload.apply(Command::Starts(plan.starts));
+            self.apply(Command::Starts(plan.starts));
         }
+        self.remove_old_jobs();
     }
 }
 
@@ -1013,6 +1145,9 @@
         down: BTreeMap::new(),
         breaking: Vec::new(),
         evacuated_ms: BTreeMap::new(),
+        limits: Vec::new(),
+        leaving: Vec::new(),
+        ended: BTreeMap::new(),
         acknowledged_done: BTreeSet::new(),
         misdelivered_runs: BTreeSet::new(),
         reuses_ids,
@@ -1044,7 +1179,8 @@
     }
     let mut sound_given_up = 0;
     for id in &simulation.jobs {
-        let job = simulation.site.workload.job(*id).unwrap();
+        let ended = simulation.ended.get(id).map(|(_, job)| job);
+        let job = simulation.site.workload.job(*id).or(ended).unwrap();
         let outcome = job.outcome;
         assert!(
             outcome.is_some(),
@@ -1053,9 +1189,10 @@
             simulation.views()
         );
         if outcome == Some(Outcome::Failed) {
+            let limit = simulation.lowest_limit();
             let of_tasks = job.steps.iter().flat_map(|step| &step.tasks);
-            let tasks_failed = of_tasks.into_iter().any(|task| task.failures >= 2);
-            let gang_failed = job.steps.iter().any(|step| step.failures >= 2);
+            let tasks_failed = of_tasks.into_iter().any(|task| task.failures >= limit);
+            let gang_failed = job.steps.iter().any(|step| step.failures >= limit);
             let crashed =
                 |task: &TaskId| simulation.crashes_by_task.get(task).copied().unwrap_or(0);
             let of_job = simulation
@@ -1199,6 +1336,21 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_209), ..ProptestConfig::default() })]
+
+    /// Guards against jobs that are forgotten too early, given up without cause, or started after their last allowed failure, when the limit
+    /// of failures changes while runs are at work and workers leave with their runs, among all other faults.
+    #[test]
+    fn fuzz_changing_limits_forget_no_job(
+        seed in any::<u64>(),
+        failing_percent in 0u64..60,
+        faults in proptest::collection::vec(limiting_fault(), 2..16),
+    ) {
+        run_case(seed, failing_percent, &faults, ProtocolFault::None);
+    }
+}
+
 /// Guards against a fuzz test that never reaches a restarted worker.
 #[test]
 fn most_cases_reach_a_restarted_worker() {
