--- a/crates/bh-consensus/src/config.rs
+++ b/crates/bh-consensus/src/config.rs
@@ -56,6 +56,8 @@
 pub(crate) const MAX_BATCH_ENTRIES: usize = 512;
 /// Bytes of commands in one message above which no further entry is added.
 pub(crate) const MAX_BATCH_BYTES: usize = 512 << 10;
+/// Bytes of commands before a snapshot that are kept in memory for followers that are a little behind.
+pub(crate) const MAX_KEPT_BYTES: u64 = 2 << 20;
 /// Heartbeat intervals without a message from an observer after which the leader forgets it.
 pub(crate) const OBSERVER_TIMEOUT_HEARTBEATS: u64 = 50;
 /// Heartbeat intervals between two announcements of an observer.
--- a/crates/bh-consensus/src/follower.rs
+++ b/crates/bh-consensus/src/follower.rs
@@ -1,5 +1,6 @@
 //! How a follower handles entries and snapshots from its leader.
 
+use crate::config::MAX_KEPT_BYTES;
 use crate::output::Output;
 use crate::replica::Replica;
 use crate::role::Role;
@@ -124,8 +125,11 @@
             return;
         };
         let voters = self.log.voters_at(index).to_vec();
-        // Keeps the newest quarter of the entries, so that a follower that is a little behind needs no snapshot.
-        let keep_after = index - (index - self.log.first_index().min(index)) / 4;
+        // Keeps the newest quarter of the entries, so that a follower that is a little behind needs no snapshot. Large ones are not worth
+        // their memory.
+        let newest_quarter = index - (index - self.log.first_index().min(index)) / 4;
+        let small = self.log.index_before_bytes(index, MAX_KEPT_BYTES);
+        let keep_after = newest_quarter.max(small);
         self.log.compact(index, term, voters, state, keep_after);
         self.save_snapshot();
     }
--- a/crates/bh-consensus/src/log.rs
+++ b/crates/bh-consensus/src/log.rs
@@ -14,6 +14,11 @@
     entries: VecDeque<LogEntry>,
 }
 
+/// Size of an entry's command, in bytes.
+fn entry_bytes(entry: &LogEntry) -> u64 {
+    u64::try_from(entry.command.len()).unwrap_or(u64::MAX)
+}
+
 impl Log {
     pub fn last_index(&self) -> u64 {
         self.entries
@@ -60,6 +65,27 @@
         self.entries.push_back(entry);
     }
 
+    /// Size of the commands of the entries after `index`, in bytes.
+    pub fn bytes_after(&self, index: u64) -> u64 {
+        let entries = self.entries.iter().rev();
+        let later = entries.take_while(|entry| entry.index > index);
+        later.map(entry_bytes).sum()
+    }
+
+    /// The highest index after which the entries up to `index` take more than `max_bytes`; 0 if all in memory take less.
+    pub fn index_before_bytes(&self, index: u64, max_bytes: u64) -> u64 {
+        let mut bytes = 0;
+        let entries = self.entries.iter().rev();
+        let earlier = entries.skip_while(|entry| entry.index > index);
+        for entry in earlier {
+            bytes += entry_bytes(entry);
+            if bytes > max_bytes {
+                return entry.index;
+            }
+        }
+        0
+    }
+
     /// Drops the entries from `index` on.
     pub fn truncate_from(&mut self, index: u64) {
         while self
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -138,6 +138,11 @@
         self.log.snapshot_index
     }
 
+    /// Size of the commands in the log after `index`, in bytes.
+    pub fn bytes_after(&self, index: u64) -> u64 {
+        self.log.bytes_after(index)
+    }
+
     /// Whether this replica, at some time since its start, has known of every entry that was committed at that time. The log alone doesn't
     /// show which of its entries are committed: the replica learns that from a leader that has committed an entry of its own term.
     pub fn has_caught_up(&self) -> bool {
--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -1,6 +1,8 @@
 //! Config file of a process: its identity, the addresses it listens on, and the seeds it learns the other cores from.
 
 use super::PolicyConfig;
+use super::StorageLimits;
+use super::storage_limits::MIN_DISK_MB;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::number::floor_to_u64;
@@ -77,6 +79,9 @@
     /// Data folder of a core.
     #[serde(default)]
     pub data_folder: Option<PathBuf>,
+    /// Size of the disk that holds the data folder, in megabytes.
+    #[serde(default)]
+    pub disk_mb: Option<f64>,
     /// Grace period: time from the stop signal until the process is killed, in seconds.
     #[serde(default)]
     pub grace_s: Option<f64>,
@@ -203,6 +208,12 @@
             Role::Core if config.data_folder.is_none() => Some("data_folder"),
             _ => None,
         };
+        let too_small = |disk_mb: f64| floor_to_u64(disk_mb) < MIN_DISK_MB;
+        if config.disk_mb.is_some_and(too_small) {
+            return Err(bad(format!(
+                "a core needs `disk_mb` of {MIN_DISK_MB} at least"
+            )));
+        }
         match missing {
             Some(key) => Err(bad(format!("`{key}` is missing for this role"))),
             None if config.seeds.is_empty() => Err(bad("`seeds` names no core".to_owned())),
@@ -261,6 +272,11 @@
         self.grace_s.map_or(DEFAULT_GRACE_MS, seconds_to_ms)
     }
 
+    /// Limits of what a core stores.
+    pub fn storage_limits(&self) -> StorageLimits {
+        StorageLimits::new(self.disk_mb.map(floor_to_u64))
+    }
+
     /// The optional decisions of the planner that are in use.
     pub fn planner_policy(&self) -> Policy {
         self.policy.planner()
--- a/crates/bh-control/src/core/driver.rs
+++ b/crates/bh-control/src/core/driver.rs
@@ -82,7 +82,10 @@
     let storage = Some(folder.journal(GROUP)?);
     let hooks = hooks(deferred);
     let (driver, group) = Driver::new(consensus, machine, storage, clock.clone(), hooks)?;
-    Ok((driver.with_snapshot_entries(SNAPSHOT_ENTRIES), group))
+    let driver = driver
+        .with_snapshot_entries(SNAPSHOT_ENTRIES)
+        .with_max_log_bytes(config.storage_limits().log_bytes);
+    Ok((driver, group))
 }
 
 fn hooks(deferred: &DeferredCore) -> Hooks {
--- a/crates/bh-control/tests/config_problems.rs
+++ b/crates/bh-control/tests/config_problems.rs
@@ -150,3 +150,14 @@
         off.with_hopeless_refused()
     );
 }
+
+/// Guards against a core that starts on a disk too small for its journal and fills it.
+#[test]
+fn a_disk_that_is_too_small_is_refused() {
+    let core = CORE.replace("bounds:\n  stop_timeout_ms: 900\n", "");
+    for (disk_mb, is_enough) in [("16", true), ("15.9", false), ("0", false), ("", true)] {
+        let file = format!("{core}disk_mb: {disk_mb}\n");
+        let found = problems(file.as_bytes());
+        assert_eq!(found.is_empty(), is_enough, "{disk_mb}: {found:?}");
+    }
+}
--- a/crates/bh-group/src/driver.rs
+++ b/crates/bh-group/src/driver.rs
@@ -63,6 +63,7 @@
     clock: Clock,
     tick_ms: u64,
     snapshot_entries: u64,
+    max_log_bytes: u64,
     group_sync: bool,
     inbox: unbounded::Rx<Input>,
     status: Rc<RefCell<GroupStatus>>,
@@ -123,6 +124,7 @@
             clock,
             tick_ms,
             snapshot_entries: u64::MAX,
+            max_log_bytes: u64::MAX,
             group_sync: true,
             inbox,
             status,
@@ -144,6 +146,13 @@
         self
     }
 
+    /// Sets the number of bytes that the log may take beyond the last snapshot and what is not applied yet. More make the driver take a
+    /// snapshot, however few entries they are.
+    pub fn with_max_log_bytes(mut self, max_log_bytes: u64) -> Self {
+        self.max_log_bytes = max_log_bytes;
+        self
+    }
+
     /// Sets whether one disk sync serves all inputs that wait, or each input gets its own.
     pub fn with_group_sync(mut self, group_sync: bool) -> Self {
         self.group_sync = group_sync;
@@ -327,7 +336,10 @@
     }
 
     async fn snapshot_if_due(&mut self) -> Result<(), Failure> {
-        if self.applied < self.replica.snapshot_index() + self.snapshot_entries {
+        let entries = self.applied.saturating_sub(self.replica.snapshot_index());
+        if entries == 0
+            || entries < self.snapshot_entries && self.superseded_bytes() < self.max_log_bytes
+        {
             return Ok(());
         }
         let state = self.machine.snapshot()?;
@@ -338,6 +350,16 @@
         self.release(outputs).await
     }
 
+    /// Number of bytes that a snapshot would free: those of the log beyond the last snapshot without what is not applied yet.
+    fn superseded_bytes(&self) -> u64 {
+        let unapplied = self.replica.bytes_after(self.applied);
+        let log = match &self.journal {
+            Some(journal) => journal.length_after_snapshot(),
+            None => self.replica.bytes_after(self.replica.snapshot_index()),
+        };
+        log.saturating_sub(unapplied)
+    }
+
     fn publish_status(&self) {
         let now_ms = self.clock.now_ms();
         let mut status = self.status.borrow_mut();
--- a/crates/bh-storage/src/journal.rs
+++ b/crates/bh-storage/src/journal.rs
@@ -29,6 +29,8 @@
     buffer: Vec<u8>,
     /// Length in bytes of the part of the file that holds complete, synced records.
     length: u64,
+    /// Length in bytes of the record with the last snapshot, and of the records before it.
+    snapshot_length: u64,
     write: WriteFn,
 }
 
@@ -67,7 +69,12 @@
         }
         sync_parent(&path).map_err(|error| disk_failed(&path, &error))?;
         let mut recovered = RecoveredState::default();
+        let (mut length, mut snapshot_length) = (0, 0);
         for record in records {
+            length += record::encoded_length(&record);
+            if record.snapshot.is_some() {
+                snapshot_length = length;
+            }
             recovered.add(record);
         }
         Ok((
@@ -76,12 +83,23 @@
                 path,
                 file,
                 buffer: Vec::new(),
+                snapshot_length,
                 write: |file, bytes| file.write_all(bytes),
             },
             recovered,
         ))
     }
 
+    /// Length of the file in bytes, as far as it is synced.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// Length in bytes of what was synced after the last snapshot was written.
+    pub fn length_after_snapshot(&self) -> u64 {
+        self.length.saturating_sub(self.snapshot_length)
+    }
+
     /// Appends the term and the vote to the buffer. They are on the disk only after [`Journal::sync`].
     pub fn append_vote(&mut self, vote: Vote) {
         let record = Record {
@@ -171,6 +189,7 @@
         // The new file holds everything that was in the buffer.
         self.buffer.clear();
         self.length = u64::try_from(bytes.len()).unwrap_or(0);
+        self.snapshot_length = self.length;
         Ok(())
     }
 }
--- a/crates/bh-storage/src/record.rs
+++ b/crates/bh-storage/src/record.rs
@@ -75,6 +75,11 @@
     buffer.extend_from_slice(&content);
 }
 
+/// Length of the encoded `record` with its header, in bytes.
+pub fn encoded_length(record: &Record) -> u64 {
+    u64::try_from(HEADER_BYTES + record.encoded_len()).unwrap_or(u64::MAX)
+}
+
 /// Decodes the records of `bytes` up to the first one that cannot be read, and says why it cannot be read.
 ///
 /// A crash in the middle of a write leaves an incomplete or garbled last record. It was never acknowledged, so it may be dropped. A damaged
