--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -226,6 +226,7 @@
             .progress
             .entry(from)
             .or_insert_with(|| Progress::new(name, body.durable, next, now_ms));
+        progress.heard_ms = now_ms;
         // A voter's announcement doesn't say which leader it follows. If it counted as contact, a deposed leader could believe that it
         // still has a quorum.
         if !is_voter {
@@ -260,7 +261,9 @@
             self.send_snapshot(now_ms, id);
             return;
         };
-        let entries = if progress.may_send_entries(now_ms, retry_ms) {
+        let in_flight = (progress.in_flight_after(), prev_index);
+        let bytes_in_flight = self.log.bytes_between(in_flight.0, in_flight.1);
+        let entries = if progress.may_send_entries(now_ms, retry_ms, bytes_in_flight) {
             self.log
                 .batch(progress.next, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
         } else {
@@ -293,10 +296,7 @@
         let Some(progress) = leadership.progress.get_mut(&id) else {
             return;
         };
-        if progress
-            .snapshot_sent_ms
-            .is_some_and(|sent_ms| now_ms < sent_ms + retry_ms)
-        {
+        if !progress.may_send_snapshot(now_ms, retry_ms) {
             return;
         }
         progress.snapshot_sent_ms = Some(now_ms);
@@ -326,6 +326,7 @@
             return;
         };
         progress.last_contact_ms = now_ms;
+        progress.heard_ms = now_ms;
         progress.supported_ms = progress.supported_ms.max(sent_ms.unwrap_or(0));
         progress.round = progress.round.max(body.round);
         let restarts_probe = !body.granted && progress.is_current(body.round);
--- a/crates/bh-consensus/src/log.rs
+++ b/crates/bh-consensus/src/log.rs
@@ -72,6 +72,14 @@
         later.map(entry_bytes).sum()
     }
 
+    /// Size of the commands of the entries in memory with indices `after < index <= to`, in bytes.
+    pub fn bytes_between(&self, after: u64, to: u64) -> u64 {
+        let start = self.position(after + 1).unwrap_or(0);
+        let entries = self.entries.iter().skip(start);
+        let entries = entries.take_while(|entry| entry.index <= to);
+        entries.map(entry_bytes).sum()
+    }
+
     /// The highest index after which the entries up to `index` take more than `max_bytes`; 0 if all in memory take less.
     pub fn index_before_bytes(&self, index: u64, max_bytes: u64) -> u64 {
         let mut bytes = 0;
--- a/crates/bh-consensus/src/progress.rs
+++ b/crates/bh-consensus/src/progress.rs
@@ -4,6 +4,10 @@
 
 /// Limit of entries in flight to one replica: two batches, so that the leader prepares one while the replica answers the other.
 const MAX_ENTRIES_IN_FLIGHT: u64 = 1_024;
+/// Bytes of commands in flight to one replica from which on no more are sent, unless it answers.
+const MAX_BYTES_IN_FLIGHT: u64 = 2 << 20;
+/// Times as long as otherwise until a snapshot is sent again to a replica that has sent nothing since.
+const SILENT_SNAPSHOT_FACTOR: u64 = 8;
 
 /// The leader's view of one other replica, which is a follower or an observer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +29,8 @@
     pub round: u64,
     /// When a snapshot was last sent, so that it is not sent again at once.
     pub snapshot_sent_ms: Option<u64>,
+    /// When the replica last answered or announced itself, also as a voter.
+    pub heard_ms: u64,
     /// Entries after this index and before `next` are in flight: this leader sent them and has no acknowledgement yet.
     in_flight_after: u64,
     /// First round sent since the last probe started. Rejections of earlier rounds answer messages from before the probe.
@@ -55,21 +61,43 @@
             supported_ms: now_ms,
             round: 0,
             snapshot_sent_ms: None,
+            heard_ms: now_ms,
             in_flight_after: next - 1,
             probe_round: 0,
             mode: SendMode::Pipelined,
         }
     }
 
-    /// Whether the leader may send entries now rather than only a heartbeat. It may not while too many entries are in flight, nor for
-    /// `retry_ms` after a probe that has no answer yet.
+    /// Index after which entries are in flight.
+    pub fn in_flight_after(&self) -> u64 {
+        self.in_flight_after
+    }
+
+    /// Whether a snapshot may be sent now. It is sent again after `retry_ms` if the replica has been heard since, which shows that the snapshot
+    /// was lost, and much later if it has not: it may still be receiving a large one.
+    pub fn may_send_snapshot(&self, now_ms: u64, retry_ms: u64) -> bool {
+        self.snapshot_sent_ms.is_none_or(|sent_ms| {
+            let wait_ms = if self.heard_ms > sent_ms {
+                retry_ms
+            } else {
+                retry_ms * SILENT_SNAPSHOT_FACTOR
+            };
+            now_ms >= sent_ms + wait_ms
+        })
+    }
+
+    /// Whether the leader may send entries now rather than only a heartbeat. It may not while too many entries or bytes are in flight, nor
+    /// for `retry_ms` after a probe that has no answer yet.
     ///
     /// A replica that was away rejects every message that doesn't fit its log. If the leader answered each rejection with another batch, a
     /// small VM would spend more time on the batches than there is between two of them: they would pile up in the leader's memory
     /// (a hundred megabytes in six seconds were seen) and the replica would never catch up.
-    pub fn may_send_entries(&self, now_ms: u64, retry_ms: u64) -> bool {
+    pub fn may_send_entries(&self, now_ms: u64, retry_ms: u64, bytes_in_flight: u64) -> bool {
         match self.mode {
-            SendMode::Pipelined => self.next - 1 < self.in_flight_after + MAX_ENTRIES_IN_FLIGHT,
+            SendMode::Pipelined => {
+                self.next - 1 < self.in_flight_after + MAX_ENTRIES_IN_FLIGHT
+                    && bytes_in_flight < MAX_BYTES_IN_FLIGHT
+            }
             SendMode::ProbeDue => true,
             SendMode::ProbeSent(at_ms) => now_ms >= at_ms + retry_ms,
         }
--- a/crates/bh-consensus/tests/lagging.rs
+++ b/crates/bh-consensus/tests/lagging.rs
@@ -8,6 +8,8 @@
 
 /// Rounds without a limit on deliveries; in each, time advances by one tick and all messages are delivered.
 const ROUNDS: usize = 200;
+/// Rounds in an election timeout.
+const ELECTION_ROUNDS: usize = 10;
 /// Commands proposed while the follower is partitioned: several batches.
 const MISSED_COMMANDS: usize = 3_000;
 /// Turns after the partition has healed. In each, one command is proposed, time advances by a quarter of a heartbeat, and only
@@ -51,3 +53,57 @@
         "{sent} entries sent where {lacked} were lacking"
     );
 }
+
+/// Size of a large command, in bytes.
+const LARGE_BYTES: usize = 400 << 10;
+/// Limit of the bytes in flight to a follower that answers nothing: two of the largest messages, and the command that takes each above its limit.
+const MAX_IN_FLIGHT_BYTES: usize = 4 << 20;
+
+/// Guards against a leader whose memory fills up with large commands for a follower that answers nothing while its link is open.
+#[test]
+fn a_silent_follower_is_sent_few_large_commands() {
+    let mut group = Group::new(3, InjectedBugs::default());
+    group.run_rounds(ROUNDS);
+    let leader = group.leader().unwrap();
+    let silent = (leader + 1) % 3;
+    group.set_suspended(silent, true);
+    for _ in 0..200 {
+        group.propose_large(leader, LARGE_BYTES);
+        group.run_rounds(1);
+        let bytes = group.bytes_in_flight_to(silent);
+        assert!(bytes <= MAX_IN_FLIGHT_BYTES, "{bytes} bytes in flight");
+    }
+    group.set_suspended(silent, false);
+    group.run_rounds(ROUNDS);
+    group.check_end();
+    assert_eq!(group.problems, Vec::<String>::new());
+}
+
+/// Guards against a leader that sends a large snapshot again and again to a follower that is still receiving it. A silent link is closed before
+/// the end of the test.
+#[test]
+fn a_silent_follower_is_sent_few_large_snapshots() {
+    const COMMANDS: usize = 5_000;
+    /// Size of the snapshot in bytes: the state machine of the simulation has eight for each command.
+    const SNAPSHOT_BYTES: usize = 8 * COMMANDS;
+    let mut group = Group::new(3, InjectedBugs::default());
+    group.run_rounds(ROUNDS);
+    let leader = group.leader().unwrap();
+    let silent = (leader + 1) % 3;
+    group.set_partitioned(silent, true);
+    for _ in 0..COMMANDS {
+        group.propose(leader);
+    }
+    group.run_rounds(ROUNDS);
+    group.snapshot(leader);
+    group.set_partitioned(silent, false);
+    group.set_suspended(silent, true);
+    group.run_rounds(15 * ELECTION_ROUNDS);
+    let bytes = group.bytes_in_flight_to(silent);
+    assert!(bytes >= SNAPSHOT_BYTES, "no snapshot is sent");
+    assert!(bytes <= 2 * SNAPSHOT_BYTES, "{bytes} bytes in flight");
+    group.set_suspended(silent, false);
+    group.run_rounds(ROUNDS);
+    group.check_end();
+    assert_eq!(group.problems, Vec::<String>::new());
+}
--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use bh_consensus::VoterPolicy;
 use bh_protocol::wire::LogEntry;
 use bh_protocol::wire::Member;
+use bh_protocol::wire::RaftBody;
 use bh_protocol::wire::RaftMessage;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -356,6 +357,34 @@
         self.step(index, Event::Flush);
     }
 
+    /// Proposes a new command of `bytes` bytes on a VM.
+    pub fn propose_large(&mut self, index: usize, bytes: usize) {
+        let number = self.next_command;
+        self.next_command += 1;
+        let mut command = number.to_le_bytes().to_vec();
+        command.resize(bytes, 0);
+        let request_id = number;
+        self.step(
+            index,
+            Event::Propose {
+                request_id,
+                command,
+            },
+        );
+        self.step(index, Event::Flush);
+    }
+
+    /// Size of the commands and snapshots in messages that are in flight to a VM, in bytes.
+    pub fn bytes_in_flight_to(&self, index: usize) -> usize {
+        let messages = self.network.iter().filter(|(_, to, _)| *to == index);
+        let bodies = messages.filter_map(|(_, _, message)| message.body.as_ref());
+        let size = |body: &RaftBody| {
+            let commands = body.entries.iter().map(|entry| entry.command.len());
+            body.snapshot.len() + commands.sum::<usize>()
+        };
+        bodies.map(size).sum()
+    }
+
     /// Delivers the message at a position in the network, modulo its length. `keep_copy` leaves a copy there.
     pub fn deliver(&mut self, position: usize, keep_copy: bool) {
         if self.network.is_empty() {
@@ -542,11 +571,8 @@
 
     /// Applies an entry, and checks that all replicas apply the same entry at each index.
     fn apply(&mut self, index: usize, entry: &LogEntry) {
-        let command = entry
-            .command
-            .as_slice()
-            .try_into()
-            .map_or(0, u64::from_le_bytes);
+        let number = entry.command.first_chunk();
+        let command = number.map_or(0, |number| u64::from_le_bytes(*number));
         let seen = *self
             .first_applied
             .entry(entry.index)
--- a/crates/bh-control/src/mesh/dial.rs
+++ b/crates/bh-control/src/mesh/dial.rs
@@ -66,7 +66,7 @@
     let OpenedLink { reader, writer, .. } = opened;
     monoio::select! {
         () = read(mesh, peer, reader) => "the core closed it or fell silent",
-        () = link::write_frames(writer, receiver, |_| peer.channel.note_sent()) => "writing failed",
+        () = link::write_frames(writer, receiver, |bytes| peer.channel.note_sent(bytes)) => "writing failed",
         why = send_heartbeats(mesh, peer) => why,
     }
 }
--- a/crates/bh-net/src/link/channel.rs
+++ b/crates/bh-net/src/link/channel.rs
@@ -1,6 +1,7 @@
 //! The calling end of a link: frames that wait to be sent, and calls without an answer yet.
 
 use super::CallError;
+use super::key::MAC_BYTES;
 use crate::runtime::within_ms;
 use bh_protocol::wire::Frame;
 use bh_protocol::wire::Payload;
@@ -9,6 +10,7 @@
 use bh_protocol::wire::RpcRequest;
 use local_sync::mpsc::unbounded;
 use local_sync::oneshot;
+use prost::Message as _;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -17,10 +19,14 @@
 /// queued.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
+/// Size of the queued frames, in bytes, from which replication messages are dropped. One that is larger is queued if no other frame is.
+const MAX_QUEUED_BYTES: usize = 8 << 20;
+
 /// The calling end of a link. It stays when the connection breaks, and can be opened again with the next connection.
 pub struct Channel {
     queue: RefCell<Option<unbounded::Tx<Frame>>>,
     queued_frames: Cell<usize>,
+    queued_bytes: Cell<usize>,
     pending_calls: RefCell<BTreeMap<u64, oneshot::Sender<RpcReply>>>,
     next_call_id: Cell<u64>,
 }
@@ -37,6 +43,7 @@
         Self {
             queue: RefCell::new(None),
             queued_frames: Cell::new(0),
+            queued_bytes: Cell::new(0),
             pending_calls: RefCell::new(BTreeMap::new()),
             next_call_id: Cell::new(1),
         }
@@ -47,6 +54,7 @@
         let (sender, receiver) = unbounded::channel();
         *self.queue.borrow_mut() = Some(sender);
         self.queued_frames.set(0);
+        self.queued_bytes.set(0);
         receiver
     }
 
@@ -66,10 +74,13 @@
         self.pending_calls.borrow().is_empty()
     }
 
-    /// Records that a queued frame was sent.
-    pub fn note_sent(&self) {
+    /// Records that a queued frame was sent, which took `bytes` on the wire.
+    pub fn note_sent(&self, bytes: usize) {
         self.queued_frames
             .set(self.queued_frames.get().saturating_sub(1));
+        let content_bytes = bytes.saturating_sub(MAC_BYTES);
+        self.queued_bytes
+            .set(self.queued_bytes.get().saturating_sub(content_bytes));
     }
 
     /// Passes an answer to the call that waits for it.
@@ -86,17 +97,20 @@
         let Some(queue) = queue.as_ref() else {
             return false;
         };
+        let frame = Frame {
+            payload: Some(payload),
+        };
         self.queued_frames.set(self.queued_frames.get() + 1);
-        queue
-            .send(Frame {
-                payload: Some(payload),
-            })
-            .is_ok()
+        self.queued_bytes
+            .set(self.queued_bytes.get() + frame.encoded_len());
+        queue.send(frame).is_ok()
     }
 
     /// Queues a replication message, if the link is open and its queue is not full.
     pub fn send_raft(&self, message: RaftMessage) {
-        if self.queued_frames.get() < MAX_QUEUED_FRAMES {
+        let queued_bytes = self.queued_bytes.get();
+        let fits = queued_bytes == 0 || queued_bytes + message.encoded_len() <= MAX_QUEUED_BYTES;
+        if fits && self.queued_frames.get() < MAX_QUEUED_FRAMES {
             self.send(Payload::Raft(message));
         }
     }
--- a/crates/bh-node/src/peers/dial.rs
+++ b/crates/bh-node/src/peers/dial.rs
@@ -69,7 +69,7 @@
 
 fn count_sent(node: &Rc<Node>, peer: &Rc<Peer>, bytes: usize) {
     node.count_link_bytes(bytes);
-    peer.channel.note_sent();
+    peer.channel.note_sent(bytes);
 }
 
 async fn read(
