--- a/crates/bh-storage/src/journal.rs
+++ b/crates/bh-storage/src/journal.rs
@@ -1,27 +1,31 @@
 //! An append-only file of records, which a snapshot replaces as a whole.
 
+use crate::operation::BeforeOperation;
+use crate::operation::Operation;
 use crate::record;
 use crate::record::Record;
 use crate::record::RecordError;
 use crate::record::Snapshot;
 use crate::record::Vote;
 use crate::recovered_state::RecoveredState;
+use crate::reserve::Reserve;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::wire::LogEntry;
 use rustix::io::Errno;
+use std::fmt;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io::ErrorKind;
 use std::io::Write as _;
 use std::path::Path;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// Function that writes bytes at the end of a file.
 pub type WriteFn = fn(&mut File, &[u8]) -> std::io::Result<()>;
 
 /// The journal of one replication group.
-#[derive(Debug)]
 pub struct Journal {
     path: PathBuf,
     file: File,
@@ -31,7 +35,18 @@
     length: u64,
     /// Length in bytes of the record with the last snapshot, and of the records before it.
     snapshot_length: u64,
+    reserve: Option<Reserve>,
     write: WriteFn,
+    before: BeforeOperation,
+}
+
+impl fmt::Debug for Journal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Journal")
+            .field("path", &self.path)
+            .field("length", &self.length)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Journal {
@@ -44,6 +59,8 @@
     /// [`Code::DamagedLog`] if a record before the last one is damaged, [`Code::DiskFailed`] if the file cannot be used.
     pub fn open(path: impl Into<PathBuf>) -> Result<(Journal, RecoveredState), Failure> {
         let path = path.into();
+        // A crash may have left an incomplete file, which takes disk space.
+        let _ = std::fs::remove_file(path.with_extension("new"));
         let bytes = match std::fs::read(&path) {
             Ok(bytes) => bytes,
             Err(error) if error.kind() == std::io::ErrorKind::NotFound => Vec::new(),
@@ -84,7 +101,9 @@
                 file,
                 buffer: Vec::new(),
                 snapshot_length,
+                reserve: None,
                 write: |file, bytes| file.write_all(bytes),
+                before: Arc::new(|_| Ok(())),
             },
             recovered,
         ))
@@ -124,7 +143,51 @@
         self
     }
 
-    /// Writes and syncs everything that was appended.
+    /// Sets `bytes` of disk space aside in a file of the journal's folder. They are given up when the disk is full, so that small records can
+    /// still be written.
+    pub fn with_reserve(mut self, bytes: usize) -> Self {
+        self.reserve = Some(Reserve::new(self.path.with_extension("reserve"), bytes));
+        self
+    }
+
+    /// Whether the disk has had no room for the reserve since it was given up.
+    pub fn is_low_on_space(&self) -> bool {
+        self.reserve
+            .as_ref()
+            .is_some_and(|reserve| !reserve.is_held())
+    }
+
+    /// Sets the reserve aside again if it was given up and the disk has room for it.
+    pub fn restore_reserve(&mut self) {
+        if let Some(reserve) = &mut self.reserve {
+            reserve.hold(&*self.before);
+        }
+    }
+
+    fn release_reserve(&mut self) -> bool {
+        self.reserve.as_mut().is_some_and(Reserve::release)
+    }
+
+    /// Sets what is called before each operation on the disk, for tests of failing disks.
+    pub fn with_before(mut self, before: BeforeOperation) -> Self {
+        self.before = before;
+        self
+    }
+
+    /// Writes the buffer at the end of the file.
+    fn write_buffer(&mut self) -> std::io::Result<()> {
+        (self.before)(Operation::Write)?;
+        (self.write)(&mut self.file, &self.buffer)
+    }
+
+    /// Cuts off what a failed write has left at the end of the file.
+    fn cut_incomplete_write(&self) -> Result<(), Failure> {
+        (self.before)(Operation::SetLength)
+            .and_then(|()| self.file.set_len(self.length))
+            .map_err(|error| disk_failed(&self.path, &error))
+    }
+
+    /// Writes and syncs everything that was appended. On a full disk the reserve is given up first.
     ///
     /// A full disk may take only part of a record. The file is then truncated to its length before the call, and the records stay in the
     /// buffer, so that the next call retries them. After a failed sync the content of the disk is unknown, so there is no retry.
@@ -136,21 +199,23 @@
         if self.buffer.is_empty() {
             return Ok(());
         }
-        if let Err(error) = (self.write)(&mut self.file, &self.buffer) {
-            self.file
-                .set_len(self.length)
-                .map_err(|error| disk_failed(&self.path, &error))?;
-            return Err(write_failed(&self.path, &error));
+        while let Err(error) = self.write_buffer() {
+            self.cut_incomplete_write()?;
+            let failure = write_failed(&self.path, &error);
+            if failure.code != Code::DiskFull || !self.release_reserve() {
+                return Err(failure);
+            }
         }
-        self.file
-            .sync_data()
+        (self.before)(Operation::Sync)
+            .and_then(|()| self.file.sync_data())
             .map_err(|error| disk_failed(&self.path, &error))?;
         self.length += u64::try_from(self.buffer.len()).unwrap_or(0);
         self.buffer.clear();
         Ok(())
     }
 
-    /// Replaces the whole journal by a snapshot, the vote and the entries after the snapshot, and syncs.
+    /// Replaces the whole journal by a snapshot, the vote and the entries after the snapshot, and syncs. On a full disk the reserve is given up
+    /// first.
     ///
     /// Writes a temporary file and renames it, so that a crash leaves either the old or the new journal.
     ///
@@ -172,19 +237,21 @@
         let mut bytes = Vec::new();
         record::encode(&record, &mut bytes);
         let temporary = self.path.with_extension("new");
-        let written = File::create(&temporary).and_then(|mut file| {
-            (self.write)(&mut file, &bytes)?;
-            Ok(file)
-        });
-        let file = match written {
-            Ok(file) => file,
-            Err(error) => {
-                // The incomplete file takes disk space that the old journal may need, and a retry writes it from the start.
-                let _ = std::fs::remove_file(&temporary);
-                return Err(write_failed(&self.path, &error));
+        let file = loop {
+            match self.write_temporary(&temporary, &bytes) {
+                Ok(file) => break file,
+                Err(error) => {
+                    // The incomplete file takes disk space that the old journal may need, and a retry writes it from the start.
+                    let _ = std::fs::remove_file(&temporary);
+                    let failure = write_failed(&self.path, &error);
+                    if failure.code != Code::DiskFull || !self.release_reserve() {
+                        return Err(failure);
+                    }
+                }
             }
         };
-        self.file = rename_over(&file, &temporary, &self.path)
+        self.file = self
+            .rename_over(&file, &temporary)
             .map_err(|error| disk_failed(&self.path, &error))?;
         // The new file holds everything that was in the buffer.
         self.buffer.clear();
@@ -192,13 +259,25 @@
         self.snapshot_length = self.length;
         Ok(())
     }
-}
 
-fn rename_over(file: &File, temporary: &Path, path: &Path) -> std::io::Result<File> {
-    file.sync_all()?;
-    std::fs::rename(temporary, path)?;
-    sync_parent(path)?;
-    OpenOptions::new().append(true).open(path)
+    fn write_temporary(&self, temporary: &Path, bytes: &[u8]) -> std::io::Result<File> {
+        (self.before)(Operation::Create)?;
+        let mut file = File::create(temporary)?;
+        (self.before)(Operation::Write)?;
+        (self.write)(&mut file, bytes)?;
+        Ok(file)
+    }
+
+    /// Syncs the temporary file and renames it to the journal. Returns the journal, opened to append.
+    fn rename_over(&self, file: &File, temporary: &Path) -> std::io::Result<File> {
+        (self.before)(Operation::Sync)?;
+        file.sync_all()?;
+        (self.before)(Operation::Rename)?;
+        std::fs::rename(temporary, &self.path)?;
+        (self.before)(Operation::Sync)?;
+        sync_parent(&self.path)?;
+        OpenOptions::new().append(true).open(&self.path)
+    }
 }
 
 fn file_length(file: &File, path: &Path) -> Result<u64, Failure> {
