Full disks: the lead goes to a member with room, and changes without room are refused

Change: - Members tell the leader when their reserve is given up. A leader without it steps down and asks a voter that has room to stand for election at once (`Transfer`); members without room stand for election last. Old members ignore the message and elect as before. - While half of the voters or more lack room, or the record is larger than a core is to hold (3/32 of the disk), the leader refuses new jobs and rules at once (503 with Retry-After, `NoRoom`); what is recorded already is acknowledged again.

--- a/crates/beechctl/src/commands/core_status.rs
+++ b/crates/beechctl/src/commands/core_status.rs
@@ -29,6 +29,20 @@
     format!("{data_centre} for {for_ms} ms, {runs} runs left")
 }
 
+fn disk_text(report: &CoreReport) -> String {
+    let mut text = format!(
+        "journal of {} bytes, last snapshot {}",
+        report.journal_bytes, report.snapshot_bytes
+    );
+    if report.low_on_space {
+        text.push_str(", little space left");
+    }
+    if let Some(shortage) = &report.shortage {
+        text.push_str(&format!(", new jobs and rules are refused: {shortage}"));
+    }
+    text
+}
+
 fn text(report: &CoreReport) -> String {
     let role = match (report.leads, report.is_voter) {
         (true, _) => "leads",
@@ -47,6 +61,7 @@
         ("term", report.term.to_string()),
         ("voters", report.voters.join(",")),
         ("applied", report.applied.to_string()),
+        ("disk", disk_text(report)),
         ("rules", report.rules_version.to_string()),
         ("jobs", report.active_jobs.to_string()),
         ("workers", report.workers.to_string()),
--- a/crates/beechhollow/tests/support/processes.rs
+++ b/crates/beechhollow/tests/support/processes.rs
@@ -9,6 +9,7 @@
 use bh_testkit::ports;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -42,6 +43,11 @@
         Self { child, folder }
     }
 
+    /// The folder with the configuration file and the data folder.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         let sent = Command::new("kill")
--- a/crates/bh-consensus/src/election.rs
+++ b/crates/bh-consensus/src/election.rs
@@ -17,11 +17,20 @@
             granted: BTreeSet::from([self.config.id]),
         };
         self.outputs.push(Output::RoleChanged);
-        self.request_votes(RaftKind::PreVote, self.term + 1);
+        self.request_votes(RaftKind::PreVote, self.term + 1, false);
         self.count_pre_votes(now_ms);
     }
 
-    fn start_election(&mut self, now_ms: u64) {
+    /// Stands for election at once, as the last leader asks.
+    pub(crate) fn receive_transfer(&mut self, now_ms: u64, from: u64) {
+        if self.leader == Some(from) && self.is_voter() {
+            self.leader = None;
+            self.outputs.push(Output::RoleChanged);
+            self.start_election(now_ms, true);
+        }
+    }
+
+    fn start_election(&mut self, now_ms: u64, transferred: bool) {
         self.restart_election_timer(now_ms);
         self.term += 1;
         self.voted_for = self.config.id;
@@ -29,13 +38,14 @@
         self.role = Role::Candidate {
             granted: BTreeSet::from([self.config.id]),
         };
-        self.request_votes(RaftKind::Vote, self.term);
+        self.request_votes(RaftKind::Vote, self.term, transferred);
         self.count_votes(now_ms);
     }
 
-    fn request_votes(&mut self, kind: RaftKind, term: u64) {
+    fn request_votes(&mut self, kind: RaftKind, term: u64, transferred: bool) {
         let body = RaftBody {
             term,
+            transferred,
             index: self.log.last_index(),
             index_term: self.log.last_term(),
             ..self.body(kind)
@@ -83,7 +93,7 @@
             return;
         };
         if self.voters.is_majority(|id| granted.contains(&id)) {
-            self.start_election(now_ms);
+            self.start_election(now_ms, false);
         }
     }
 
--- a/crates/bh-consensus/src/event.rs
+++ b/crates/bh-consensus/src/event.rs
@@ -23,6 +23,8 @@
     },
     /// A batch of proposals and reads is complete: send it to the others. Without this event the batch waits for the next heartbeat.
     Flush,
+    /// The disk has little space left, or has enough again.
+    LowOnSpace(bool),
     /// A snapshot of the state machine as of `index`; the replica may drop the log up to there.
     Compact {
         /// Last index that the snapshot covers.
--- a/crates/bh-consensus/src/follower.rs
+++ b/crates/bh-consensus/src/follower.rs
@@ -20,6 +20,7 @@
             let reply = RaftBody {
                 index: hint,
                 round: body.round,
+                low_on_space: self.low_on_space,
                 ..self.body(RaftKind::AppendReply)
             };
             self.send(from, reply);
@@ -32,6 +33,7 @@
             index: matched,
             granted: true,
             round: body.round,
+            low_on_space: self.low_on_space,
             ..self.body(RaftKind::AppendReply)
         };
         self.send(from, reply);
@@ -102,6 +104,7 @@
             index: self.commit,
             granted: true,
             round: body.round,
+            low_on_space: self.low_on_space,
             ..self.body(RaftKind::AppendReply)
         };
         self.send(from, reply);
--- a/crates/bh-consensus/src/leader.rs
+++ b/crates/bh-consensus/src/leader.rs
@@ -172,6 +172,12 @@
             self.become_follower(now_ms, term, None);
             return;
         }
+        if self.low_on_space
+            && let Some(successor) = self.successor(now_ms)
+        {
+            self.transfer(now_ms, successor);
+            return;
+        }
         self.remove_silent_observers(now_ms);
         self.change_membership(now_ms);
         let heartbeat_ms = self.config.heartbeat_ms;
@@ -186,6 +192,42 @@
         }
     }
 
+    /// Whether a majority of the voters has disk space for large entries, as far as this leader knows.
+    pub fn has_space(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return !self.low_on_space;
+        };
+        self.voters.is_majority(|id| {
+            if id == self.config.id {
+                return !self.low_on_space;
+            }
+            let progress = leadership.progress.get(&id);
+            progress.is_none_or(|progress| !progress.low_on_space)
+        })
+    }
+
+    /// A voter that has disk space and all that is committed, and answered lately.
+    fn successor(&self, now_ms: u64) -> Option<u64> {
+        let Role::Leader(leadership) = &self.role else {
+            return None;
+        };
+        let since_ms = now_ms.saturating_sub(self.config.election_timeout_ms);
+        let voters = leadership.progress.iter().filter(|(id, p)| {
+            self.voters.contains(**id) && !p.low_on_space && p.last_contact_ms >= since_ms
+        });
+        let caught_up = voters.filter(|(_, p)| p.matched >= self.commit && p.matched > 0);
+        caught_up.max_by_key(|(_, p)| p.matched).map(|(id, _)| *id)
+    }
+
+    /// Steps down and asks `successor` to stand for election. This replica leads no more from then on: the others may elect a leader that it does
+    /// not hear of, although they heard from it lately.
+    fn transfer(&mut self, now_ms: u64, successor: u64) {
+        let term = self.term;
+        self.become_follower(now_ms, term, None);
+        let body = self.body(RaftKind::Transfer);
+        self.send(successor, body);
+    }
+
     /// Whether a majority answered within the shortest election timeout. Without this check an isolated leader would go on accepting proposals
     /// that it can never commit, while the others have elected a new leader.
     fn has_active_quorum(&self, now_ms: u64) -> bool {
@@ -327,6 +369,7 @@
         };
         progress.last_contact_ms = now_ms;
         progress.heard_ms = now_ms;
+        progress.low_on_space = body.low_on_space;
         progress.supported_ms = progress.supported_ms.max(sent_ms.unwrap_or(0));
         progress.round = progress.round.max(body.round);
         let restarts_probe = !body.granted && progress.is_current(body.round);
--- a/crates/bh-consensus/src/progress.rs
+++ b/crates/bh-consensus/src/progress.rs
@@ -25,6 +25,8 @@
     /// Latest time, in milliseconds, at which the replica certainly knew of no later leader: when the leader sent the latest message that it
     /// answered. The time at which the leader reads the answer doesn't show that, since the answer may have waited in a buffer.
     pub supported_ms: u64,
+    /// Whether the replica's disk has little space left, as it last said.
+    pub low_on_space: bool,
     /// Highest heartbeat round that the replica has answered.
     pub round: u64,
     /// When a snapshot was last sent, so that it is not sent again at once.
@@ -59,6 +61,7 @@
             next,
             last_contact_ms: now_ms,
             supported_ms: now_ms,
+            low_on_space: false,
             round: 0,
             snapshot_sent_ms: None,
             heard_ms: now_ms,
--- a/crates/bh-consensus/src/replica.rs
+++ b/crates/bh-consensus/src/replica.rs
@@ -40,6 +40,8 @@
     pub(crate) last_leader_contact_ms: Option<u64>,
     pub(crate) caught_up: bool,
     pub(crate) election_deadline_ms: u64,
+    /// Whether the disk has little space left.
+    pub(crate) low_on_space: bool,
     pub(crate) outputs: Vec<Output>,
     rng_state: u64,
     next_announce_ms: u64,
@@ -73,6 +75,7 @@
             last_leader_contact_ms: None,
             caught_up: false,
             election_deadline_ms: 0,
+            low_on_space: false,
             outputs: Vec::new(),
             rng_state,
             next_announce_ms: now_ms,
@@ -108,6 +111,7 @@
             } => self.propose(request_id, command),
             Event::Read { request_id } => self.read(request_id),
             Event::Flush => self.flush(now_ms),
+            Event::LowOnSpace(low_on_space) => self.low_on_space = low_on_space,
             Event::Compact { index, state } => self.compact(index, state),
         }
         std::mem::take(&mut self.outputs)
@@ -260,6 +264,7 @@
             RaftKind::Append => self.receive_append(now_ms, message.from, body),
             RaftKind::AppendReply => self.receive_append_reply(now_ms, message.from, &body),
             RaftKind::Snapshot => self.receive_snapshot(now_ms, message.from, body),
+            RaftKind::Transfer => self.receive_transfer(now_ms, message.from),
             RaftKind::Observe => {}
         }
     }
@@ -271,8 +276,8 @@
             let hypothetical =
                 kind == RaftKind::PreVote || (kind == RaftKind::PreVoteReply && body.granted);
             // A voter that hears from a live leader ignores elections, so that a VM that returns from a partition with a higher term can't
-            // depose the leader.
-            if kind == RaftKind::Vote && self.has_live_leader(now_ms) {
+            // depose the leader. If the leader asked for the election, it has stepped down before.
+            if kind == RaftKind::Vote && !body.transferred && self.has_live_leader(now_ms) {
                 return false;
             }
             if !hypothetical {
@@ -390,8 +395,14 @@
 
     fn set_election_deadline(&mut self, now_ms: u64, min_wait_ms: u64) {
         let jitter_ms = self.next_random() % min_wait_ms.max(1);
-        self.election_deadline_ms =
-            now_ms + min_wait_ms + self.config.election_delay_ms + jitter_ms;
+        // A replica that can hardly store anything is to lead only when no other can.
+        let space_delay_ms = if self.low_on_space {
+            2 * self.config.election_timeout_ms
+        } else {
+            0
+        };
+        let delay_ms = self.config.election_delay_ms + space_delay_ms;
+        self.election_deadline_ms = now_ms + min_wait_ms + delay_ms + jitter_ms;
     }
 
     /// Xorshift generator for the random part of the election timeouts; nothing depends on its quality.
--- a/crates/bh-consensus/tests/fuzz.rs
+++ b/crates/bh-consensus/tests/fuzz.rs
@@ -34,6 +34,8 @@
     Partition(usize),
     Heal(usize),
     Snapshot(usize),
+    LowOnSpace(usize),
+    EnoughSpace(usize),
 }
 
 fn step(vms: usize) -> impl Strategy<Value = Step> {
@@ -50,6 +52,8 @@
         1 => (0..vms).prop_map(Step::Partition),
         3 => (0..vms).prop_map(Step::Heal),
         2 => (0..vms).prop_map(Step::Snapshot),
+        1 => (0..vms).prop_map(Step::LowOnSpace),
+        2 => (0..vms).prop_map(Step::EnoughSpace),
     ]
 }
 
@@ -92,6 +96,8 @@
             Step::Heal(vm) => group.set_partitioned(vm, false),
             Step::Snapshot(vm) if group.is_running(vm) => group.snapshot(vm),
             Step::Snapshot(_) => {}
+            Step::LowOnSpace(vm) => group.set_low_on_space(vm, true),
+            Step::EnoughSpace(vm) => group.set_low_on_space(vm, false),
         }
     }
     for vm in 0..vms {
--- a/crates/bh-consensus/tests/fuzz_reads.rs
+++ b/crates/bh-consensus/tests/fuzz_reads.rs
@@ -30,6 +30,8 @@
     Restart(usize),
     Partition(usize),
     Heal(usize),
+    LowOnSpace(usize),
+    EnoughSpace(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -45,6 +47,8 @@
         1 => (0..VOTERS).prop_map(Step::Restart),
         1 => (0..VOTERS).prop_map(Step::Partition),
         3 => (0..VOTERS).prop_map(Step::Heal),
+        2 => (0..VOTERS).prop_map(Step::LowOnSpace),
+        3 => (0..VOTERS).prop_map(Step::EnoughSpace),
     ]
 }
 
@@ -69,6 +73,8 @@
             Step::Restart(vm) => group.restart(vm),
             Step::Partition(vm) => group.set_partitioned(vm, true),
             Step::Heal(vm) => group.set_partitioned(vm, false),
+            Step::LowOnSpace(vm) => group.set_low_on_space(vm, true),
+            Step::EnoughSpace(vm) => group.set_low_on_space(vm, false),
         }
     }
     group
--- a/crates/bh-consensus/tests/support/mod.rs
+++ b/crates/bh-consensus/tests/support/mod.rs
@@ -256,6 +256,17 @@
         }
     }
 
+    /// Fills the disk of a VM nearly up, or frees it.
+    pub fn set_low_on_space(&mut self, index: usize, low_on_space: bool) {
+        self.step(index, Event::LowOnSpace(low_on_space));
+    }
+
+    /// Whether the VM, as leader, knows of disk space on a majority.
+    pub fn has_space(&self, index: usize) -> bool {
+        let replica = self.vms[index].replica.as_ref();
+        replica.is_some_and(Replica::has_space)
+    }
+
     /// VMs that believe that they lead, including suspended and partitioned ones.
     pub fn self_declared_leaders(&self) -> Vec<usize> {
         let leads = |vm: &Vm| vm.replica.as_ref().is_some_and(Replica::is_leader);
--- a/crates/bh-control/src/calls/answer.rs
+++ b/crates/bh-control/src/calls/answer.rs
@@ -42,6 +42,12 @@
         /// When to retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The cores have no room to record the change: nothing was recorded, and nothing will be for this call. Processes of older versions cannot
+    /// read this answer and treat the outcome as unknown.
+    NoRoom {
+        /// When to retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The effect of the call may or may not have been recorded.
     Unknown,
     /// The process that was asked does not lead; nothing was recorded.
--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -28,7 +28,7 @@
 /// Forwards `call` to the leader and returns its answer, within `limit_ms`.
 ///
 /// A call that may have been recorded is repeated until its outcome is known. `Unavailable` is returned only if it was certainly not
-/// recorded, since the caller is then told that nothing will run. The same holds for `Busy`, which is final: the leader has decided. A call
+/// recorded, since the caller is then told that nothing will run. The same holds for `Busy` and `NoRoom`, which are final: the leader has decided. A call
 /// that changes nothing is never recorded, so its caller may retry at once.
 pub async fn forward(mesh: &Rc<Mesh>, call: &Call, limit_ms: u64) -> Answer {
     let Ok(body) = serde_json::to_vec(call) else {
@@ -48,7 +48,9 @@
                     may_be_recorded = modifies_state(call);
                 }
                 Ok(Ok(Answer::Unavailable { .. })) => {}
-                Ok(Ok(Answer::Refused(_) | Answer::Busy { .. })) if may_be_recorded => {
+                Ok(Ok(Answer::Refused(_) | Answer::Busy { .. } | Answer::NoRoom { .. }))
+                    if may_be_recorded =>
+                {
                     return Answer::Unknown;
                 }
                 Ok(Ok(answer)) => return answer,
--- a/crates/bh-control/src/config/storage_limits.rs
+++ b/crates/bh-control/src/config/storage_limits.rs
@@ -12,6 +12,12 @@
 pub struct StorageLimits {
     /// Log after a snapshot that leads to the next snapshot.
     pub log_bytes: u64,
+    /// Snapshot from which on the leader refuses new jobs and rules.
+    pub state_bytes: u64,
+    /// Largest document of rules.
+    pub rules_bytes: u64,
+    /// Space set aside for a full disk.
+    pub reserve_bytes: u64,
 }
 
 impl StorageLimits {
@@ -20,6 +26,9 @@
         let disk_bytes = disk_mb.unwrap_or(DEFAULT_DISK_MB) * BYTES_PER_MB;
         Self {
             log_bytes: disk_bytes / 16,
+            state_bytes: disk_bytes * 3 / 32,
+            rules_bytes: disk_bytes / 32,
+            reserve_bytes: disk_bytes / 32,
         }
     }
 }
--- a/crates/bh-control/src/core/admit.rs
+++ b/crates/bh-control/src/core/admit.rs
@@ -5,6 +5,7 @@
 use super::answer_call::confirm_state;
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
+use super::shortage;
 use crate::calls::Answer;
 use crate::observe::Metrics;
 use bh_workload::admission::AdmissionController;
@@ -46,6 +47,9 @@
 
 /// Records a submission, or refuses it before anything is recorded.
 pub(super) async fn submit(core: &Rc<CoreNode>, place: Place, spec: JobSpec) -> Answer {
+    if let Some(answer) = shortage::check_submission(core, &place).await {
+        return answer;
+    }
     if let Some(answer) = refuse(core, &place, &spec).await {
         return answer;
     }
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -6,6 +6,7 @@
 use super::detection::Detection;
 use super::heartbeats::handle_heartbeat;
 use super::records::propose;
+use super::shortage;
 use super::submission::Submission;
 use crate::calls::Answer;
 use crate::calls::Call;
@@ -65,7 +66,10 @@
         Call::Read { place } => read(core, &place).await,
         Call::Heartbeat(heartbeat) => handle_heartbeat(core, heartbeat).await,
         Call::Leave { worker } => leave(core, &worker).await,
-        Call::SetRules(Ok(rules)) => change(core, Command::SetRules(rules)).await,
+        Call::SetRules(Ok(rules)) => match shortage::check_rules(core, &rules).await {
+            Some(answer) => answer,
+            None => change(core, Command::SetRules(rules)).await,
+        },
         Call::SetRules(Err(problem)) => Answer::Refused(Refusal::BadRules(problem)),
         Call::StartWave(_) if core.config.vm_service_address.is_none() => {
             Answer::Refused(Refusal::NoWave)
@@ -179,7 +183,7 @@
 }
 
 /// Answer for a refusal. Without rules nothing is known about queues; the queue may exist a moment later, so the call can be retried.
-fn refused(refusal: Refusal) -> Answer {
+pub(super) fn refused(refusal: Refusal) -> Answer {
     match refusal {
         Refusal::NoRules => unavailable(),
         refusal => Answer::Refused(refusal),
--- a/crates/bh-control/src/core/driver.rs
+++ b/crates/bh-control/src/core/driver.rs
@@ -79,12 +79,15 @@
         seed: folder.replica_id(),
     };
     let machine = Machine::new(Workload::default(), Workload::CODEC);
-    let storage = Some(folder.journal(GROUP)?);
+    let limits = config.storage_limits();
+    let (journal, recovered) = folder.journal(GROUP)?;
+    let reserve_bytes = usize::try_from(limits.reserve_bytes).unwrap_or(usize::MAX);
+    let storage = Some((journal.with_reserve(reserve_bytes), recovered));
     let hooks = hooks(deferred);
     let (driver, group) = Driver::new(consensus, machine, storage, clock.clone(), hooks)?;
     let driver = driver
         .with_snapshot_entries(SNAPSHOT_ENTRIES)
-        .with_max_log_bytes(config.storage_limits().log_bytes);
+        .with_max_log_bytes(limits.log_bytes);
     Ok((driver, group))
 }
 
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -5,6 +5,7 @@
 use super::evacuations;
 use super::evacuations::Evacuation;
 use super::load_reports;
+use super::shortage::Shortage;
 use super::surveys;
 use crate::observe::Metrics;
 use crate::observe::OperatorHooks;
@@ -52,6 +53,18 @@
     /// Latest time of a recorded change, in milliseconds since 1970; 0 if the core is of an older version.
     #[serde(default)]
     pub recorded_ms: u64,
+    /// Length of the journal, in bytes.
+    #[serde(default)]
+    pub journal_bytes: u64,
+    /// Length of the last snapshot, in bytes.
+    #[serde(default)]
+    pub snapshot_bytes: u64,
+    /// Whether its disk has little space left.
+    #[serde(default)]
+    pub low_on_space: bool,
+    /// Why the leader refuses new jobs and rules, if it does.
+    #[serde(default)]
+    pub shortage: Option<String>,
     /// Version of the rules in force.
     pub rules_version: u64,
     /// Number of jobs that have not ended.
@@ -81,6 +94,10 @@
         metrics.gauge("term", report.term);
         let record_age_ms = gauged.wall_ms().saturating_sub(report.recorded_ms);
         metrics.gauge("record_age_ms", record_age_ms);
+        metrics.gauge("journal_bytes", report.journal_bytes);
+        metrics.gauge("snapshot_bytes", report.snapshot_bytes);
+        metrics.gauge("disk_low_on_space", u64::from(report.low_on_space));
+        metrics.gauge("changes_refused", u64::from(report.shortage.is_some()));
         metrics.gauge("votes", u64::from(report.is_voter));
         metrics.gauge("voters", size(report.voters.len()));
         metrics.gauge("applied_index", report.applied);
@@ -203,6 +220,12 @@
             .last_leader_contact_ms
             .map(|at_ms| core.clock.now_ms().saturating_sub(at_ms)),
         recorded_ms: workload.latest_ms,
+        journal_bytes: status.journal_bytes,
+        snapshot_bytes: status.snapshot_bytes,
+        low_on_space: status.low_on_space,
+        shortage: Shortage::new(&status, &core.config.storage_limits())
+            .filter(|_| status.is_leader)
+            .map(|shortage| format!("{shortage:?}")),
         rules_version: workload.rules.as_ref().map_or(0, |rules| rules.version),
         active_jobs: workload.active_jobs().count(),
         workers: workload.worker_count(),
--- a/crates/bh-group/src/driver.rs
+++ b/crates/bh-group/src/driver.rs
@@ -5,6 +5,8 @@
 use crate::input::Input;
 use crate::machine::Machine;
 use crate::persist::persist;
+use crate::persist::persist_own_snapshot;
+use crate::persist::restore_reserve;
 use bh_consensus::Config;
 use bh_consensus::Event;
 use bh_consensus::Output;
@@ -30,6 +32,9 @@
 /// A write to the journal that takes at least this long is logged, in milliseconds. Until it ends, this replica neither records nor answers
 /// anything.
 const SLOW_WRITE_MS: u64 = 200;
+/// Time between attempts to free disk space while little is left, and until a snapshot is taken again for which the disk had no room, in
+/// milliseconds.
+const SPACE_RETRY_MS: u64 = 1_000;
 
 type ProposalReply = oneshot::Sender<Result<Vec<u8>, Failure>>;
 type ReadReply = oneshot::Sender<Result<(), Failure>>;
@@ -69,6 +74,13 @@
     status: Rc<RefCell<GroupStatus>>,
     hooks: Hooks,
     applied: u64,
+    /// Length of the last snapshot in bytes; 0 if there is none.
+    snapshot_bytes: u64,
+    low_on_space: bool,
+    /// When the next snapshot may be taken.
+    next_snapshot_ms: u64,
+    /// When the reserve may be set aside again.
+    next_reserve_ms: u64,
     next_request_id: u64,
     /// Proposals that are not appended yet, by request id.
     proposals: BTreeMap<u64, ProposalReply>,
@@ -104,8 +116,10 @@
             .snapshot
             .as_ref()
             .map_or(0, |snapshot| snapshot.index);
+        let mut snapshot_bytes = 0;
         if let Some(snapshot) = &recovered.snapshot {
             machine.restore(&snapshot.state)?;
+            snapshot_bytes = byte_count(&snapshot.state);
         }
         let replica = Replica::new(config, persisted_state(recovered), clock.now_ms());
         let (sender, inbox) = unbounded::channel();
@@ -130,6 +144,10 @@
             status,
             hooks,
             applied,
+            snapshot_bytes,
+            low_on_space: false,
+            next_snapshot_ms: 0,
+            next_reserve_ms: 0,
             next_request_id: 0,
             proposals: BTreeMap::new(),
             appended: BTreeMap::new(),
@@ -189,6 +207,7 @@
             }
             self.release(outputs).await?;
             self.snapshot_if_due().await?;
+            self.check_space().await?;
         }
     }
 
@@ -253,6 +272,7 @@
             }
             Output::Restore { index, state } => {
                 self.machine.restore(&state)?;
+                self.snapshot_bytes = byte_count(&state);
                 self.applied = index;
                 self.fail_proposals_up_to(index);
                 return Ok(true);
@@ -337,16 +357,51 @@
 
     async fn snapshot_if_due(&mut self) -> Result<(), Failure> {
         let entries = self.applied.saturating_sub(self.replica.snapshot_index());
-        if entries == 0
-            || entries < self.snapshot_entries && self.superseded_bytes() < self.max_log_bytes
-        {
+        let is_due = entries >= self.snapshot_entries
+            || self.superseded_bytes() >= self.max_log_bytes
+            || self.low_on_space;
+        if entries == 0 || !is_due || self.clock.now_ms() < self.next_snapshot_ms {
             return Ok(());
         }
+        let journal_bytes = self.journal.as_ref().map_or(0, Journal::length);
+        let began_ms = self.clock.now_ms();
         let state = self.machine.snapshot()?;
+        self.snapshot_bytes = byte_count(&state);
         let index = self.applied;
-        let outputs = self
-            .replica
-            .step(self.clock.now_ms(), Event::Compact { index, state });
+        let now_ms = self.clock.now_ms();
+        let took_ms = now_ms.saturating_sub(began_ms);
+        log::info!(group = &*self.name, index, entries, bytes = self.snapshot_bytes, journal_bytes, took_ms; "snapshot taken");
+        let outputs = self.replica.step(now_ms, Event::Compact { index, state });
+        if !persist_own_snapshot(&mut self.journal, outputs).await? || self.low_on_space {
+            self.next_snapshot_ms = self.clock.now_ms() + SPACE_RETRY_MS;
+        }
+        self.publish_status();
+        Ok(())
+    }
+
+    /// Sets the journal's reserve aside again while it is given up, and tells the replica when disk space becomes scarce and when it is not
+    /// any more.
+    async fn check_space(&mut self) -> Result<(), Failure> {
+        let now_ms = self.clock.now_ms();
+        if self.low_on_space && now_ms >= self.next_reserve_ms {
+            restore_reserve(&mut self.journal).await?;
+            self.next_reserve_ms = self.clock.now_ms() + SPACE_RETRY_MS;
+        }
+        let journal = self.journal.as_ref();
+        let low_on_space = journal.is_some_and(Journal::is_low_on_space);
+        if low_on_space == self.low_on_space {
+            return Ok(());
+        }
+        self.low_on_space = low_on_space;
+        // The reserve is not set aside at once: while the disk is full, that would only fail or take the space that was just freed.
+        self.next_reserve_ms = now_ms + SPACE_RETRY_MS;
+        let journal_bytes = self.journal.as_ref().map_or(0, Journal::length);
+        if low_on_space {
+            log::warn!(group = &*self.name, journal_bytes; "little disk space is left: the reserve is given up");
+        } else {
+            log::info!(group = &*self.name, journal_bytes; "there is disk space again");
+        }
+        let outputs = self.replica.step(now_ms, Event::LowOnSpace(low_on_space));
         self.release(outputs).await
     }
 
@@ -372,6 +427,10 @@
         status.last_index = self.replica.last_index();
         status.snapshot_index = self.replica.snapshot_index();
         status.members = self.replica.members();
+        status.has_space = self.replica.has_space();
+        status.low_on_space = self.low_on_space;
+        status.journal_bytes = self.journal.as_ref().map_or(0, Journal::length);
+        status.snapshot_bytes = self.snapshot_bytes;
         status.quorum_confirmed_ms = self.replica.quorum_confirmed_ms(now_ms);
         status.last_leader_contact_ms = self
             .replica
@@ -380,6 +439,10 @@
     }
 }
 
+fn byte_count(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
+
 fn persisted_state(recovered: RecoveredState) -> PersistedState {
     PersistedState {
         term: recovered.vote.term,
--- a/crates/bh-group/src/handle.rs
+++ b/crates/bh-group/src/handle.rs
@@ -34,6 +34,14 @@
     pub snapshot_index: u64,
     /// The voters.
     pub members: Vec<Member>,
+    /// Whether a majority of the voters has disk space for large changes, as far as this replica knows if it leads; else whether it has itself.
+    pub has_space: bool,
+    /// Whether this replica's disk has had no room for the journal's reserve since it was given up.
+    pub low_on_space: bool,
+    /// Length of this replica's journal, in bytes.
+    pub journal_bytes: u64,
+    /// Length of the last snapshot, in bytes; 0 if there is none.
+    pub snapshot_bytes: u64,
     /// Latest time, on the process's clock, at which a majority certainly knew of no later leader; `None` unless this replica leads.
     pub quorum_confirmed_ms: Option<u64>,
     /// When this replica last heard from a leader, on the process's clock; `None` if it has heard from none since it started.
--- a/crates/bh-group/src/persist.rs
+++ b/crates/bh-group/src/persist.rs
@@ -23,37 +23,84 @@
     outputs: Vec<Output>,
 ) -> Result<Vec<Output>, Failure> {
     let (saves, others): (Vec<Output>, Vec<Output>) = outputs.into_iter().partition(is_save);
-    let Some(mut owned) = journal.take() else {
-        return Ok(others);
-    };
-    if saves.is_empty() {
-        *journal = Some(owned);
-        return Ok(others);
-    }
     let mut saves: VecDeque<Output> = saves.into();
-    loop {
-        let writing = monoio::spawn_blocking(move || {
-            let result = write(&mut owned, &mut saves);
-            (owned, saves, result)
-        });
+    while !saves.is_empty() && journal.is_some() {
         let result;
-        (owned, saves, result) = writing
-            .await
-            .map_err(|_| Failure::new(Code::Internal, "the disk thread has ended"))?;
+        (saves, result) = on_disk_thread(journal, move |journal| {
+            let result = write(journal, &mut saves);
+            (saves, result)
+        })
+        .await?;
         match result {
             Ok(()) => break,
             // Nothing leaves this replica until the write succeeds. To the other replicas it is silent, as if its disk hung.
-            Err(failure) if matches!(failure.code, Code::DiskFull | Code::NoDescriptors) => {
+            Err(failure) if is_temporary(&failure) => {
                 log::warn!(code = failure.code.number(); "waiting for room: {failure}");
                 sleep_ms(RETRY_WAIT_MS).await;
             }
             Err(failure) => return Err(failure),
         }
     }
-    *journal = Some(owned);
     Ok(others)
 }
 
+/// Replaces the journal by a snapshot of this replica's own state, if the disk has room for it. Returns whether it had. The journal holds the
+/// same without the snapshot, so nothing waits for it.
+///
+/// # Errors
+///
+/// [`Code::DiskFailed`].
+pub(crate) async fn persist_own_snapshot(
+    journal: &mut Option<Journal>,
+    outputs: Vec<Output>,
+) -> Result<bool, Failure> {
+    let mut saves: VecDeque<Output> = outputs.into_iter().filter(is_save).collect();
+    if journal.is_none() {
+        return Ok(true);
+    }
+    match on_disk_thread(journal, move |journal| write(journal, &mut saves)).await? {
+        Ok(()) => Ok(true),
+        Err(failure) if is_temporary(&failure) => {
+            log::warn!(code = failure.code.number(); "no room for a snapshot: {failure}");
+            Ok(false)
+        }
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Sets the reserve of the journal aside again, if the disk has room for it.
+///
+/// # Errors
+///
+/// [`Code::Internal`] if the disk thread has ended.
+pub(crate) async fn restore_reserve(journal: &mut Option<Journal>) -> Result<(), Failure> {
+    if journal.is_some() {
+        on_disk_thread(journal, Journal::restore_reserve).await?;
+    }
+    Ok(())
+}
+
+/// Runs `work` with the journal on a helper thread.
+async fn on_disk_thread<T: Send + 'static>(
+    journal: &mut Option<Journal>,
+    work: impl FnOnce(&mut Journal) -> T + Send + 'static,
+) -> Result<T, Failure> {
+    let ended = || Failure::new(Code::Internal, "the disk thread has ended");
+    let mut owned = journal.take().ok_or_else(ended)?;
+    let working = monoio::spawn_blocking(move || {
+        let result = work(&mut owned);
+        (owned, result)
+    });
+    let (owned, result) = working.await.map_err(|_| ended())?;
+    *journal = Some(owned);
+    Ok(result)
+}
+
+/// Whether a write failed for a lack that may end.
+fn is_temporary(failure: &Failure) -> bool {
+    matches!(failure.code, Code::DiskFull | Code::NoDescriptors)
+}
+
 fn is_save(output: &Output) -> bool {
     matches!(
         output,
--- a/crates/bh-protocol/src/wire/raft.rs
+++ b/crates/bh-protocol/src/wire/raft.rs
@@ -48,6 +48,8 @@
     Snapshot = 6,
     /// Asks to receive the log. Observers send it, and voters that know of no leader.
     Observe = 7,
+    /// A leader that has stepped down asks the receiver to stand for election at once. Replicas of an older version ignore it.
+    Transfer = 8,
 }
 
 /// Content of a message; the kind decides which fields are used.
@@ -90,6 +92,12 @@
     /// Observe: whether the sender stores its log on a disk, so that it may become a voter.
     #[prost(bool, tag = "12")]
     pub durable: bool,
+    /// Replies to appends: whether the sender's disk has little space left.
+    #[prost(bool, tag = "13")]
+    pub low_on_space: bool,
+    /// Votes: whether the last leader asked for the election, so that it may take place although that leader was heard lately.
+    #[prost(bool, tag = "14")]
+    pub transferred: bool,
 }
 
 /// A message from one replica to another.
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -163,6 +163,15 @@
         Ok((id, job))
     }
 
+    /// Whether the record holds a job with the name that a submission gives, so that it is acknowledged without effect.
+    pub fn is_submitted(&self, place: &Place) -> bool {
+        let id = self
+            .find(place)
+            .ok()
+            .and_then(|found| JobId::parse(found.rest));
+        id.is_some_and(|id| self.jobs.contains_key(&id))
+    }
+
     /// Number of jobs of the queue `queue` of which no task has started.
     pub fn pending(&self, queue: &str) -> usize {
         self.active
