Crashes under tasks: sound work and losses of many workers count, and a service outlives one of its tasks

Cause: crashes within the first 30 s of a run add up whatever the task is and does since (`worker crashed under a run evidence=Present crashes_before=0, 1, 2`), nothing takes a count back, and the job goes with the task. Ruled out: the limit of failures (no run failed).

A task that crashes its workers at its start is contained as before.

Tests, all failing before: a service at work for 10 s at a time, the_other_tasks_of_a_service_go_on_when_one_is_given_up, sound_work_clears_a_task (2 cases), a_crash_of_many_workers_at_once_is_no_evidence. The tests of crashing tasks and their fuzz pass unchanged.

--- a/crates/beechctl/src/commands/core_explain.rs
+++ b/crates/beechctl/src/commands/core_explain.rs
@@ -73,10 +73,21 @@
         step.done.to_string(),
         step.failures.to_string(),
         step.crashes.to_string(),
-        step.wait.as_ref().map_or("-".to_owned(), wait_text) + &blocking_run_text(step),
+        step.wait.as_ref().map_or("-".to_owned(), wait_text)
+            + &blocking_run_text(step)
+            + &given_up_tasks_text(step),
     ]
 }
 
+/// Describes the tasks of a service that are given up.
+fn given_up_tasks_text(step: &StepReport) -> String {
+    if step.given_up.is_empty() {
+        return String::new();
+    }
+    let runs = step.given_up.join(", ");
+    format!(" (given up, since workers crashed under them: {runs})")
+}
+
 /// Describes the run that blocks the step.
 fn blocking_run_text(step: &StepReport) -> String {
     step.held_by.as_ref().map_or(String::new(), |blocking| {
--- a/crates/bh-control/src/core/departures.rs
+++ b/crates/bh-control/src/core/departures.rs
@@ -73,9 +73,16 @@
     }
 }
 
-/// Logs each job that was given up because a worker crashed while running one of these runs.
+/// Logs each job, and each task of a service, that was given up because a worker crashed while running one of these runs.
 pub(super) fn log_given_up(core: &Rc<CoreNode>, suspects: &[Suspect]) {
     let workload = core.group.machine.read();
+    for Suspect { run, .. } in suspects {
+        let task = workload.task(run.task);
+        if let Some(task) = task.filter(|task| task.given_up == Some(*run)) {
+            core.metrics.count("tasks_given_up_after_crashes", 1);
+            log::warn!(run = run.to_string(), crashes = task.all_crashes(); "task of a service given up: workers crashed under it");
+        }
+    }
     let jobs: BTreeSet<JobId> = suspects.iter().map(|s| s.run.task.step.job).collect();
     for id in jobs {
         let given_up = workload.job(id).and_then(|job| job.given_up);
--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -8,6 +8,7 @@
 use super::StartPhase;
 use super::StopPhase;
 use super::Target;
+use super::crash::sound_runs;
 use super::order::RETRY_MS;
 use super::pacing;
 use crate::job::RunId;
@@ -151,6 +152,7 @@
         ends.extend(ends_of_missing_runs(order, target, worker, report));
     }
     let not_displaced = not_displaced(target, &ends);
+    let cleared = sound_runs(target, &ends, workload);
     target.runs.retain(|run, _| {
         worker.runs.contains_key(run) || report.running.iter().any(|r| r.run == *run)
     });
@@ -167,6 +169,7 @@
         crash: None,
         late_failures,
         not_displaced,
+        cleared,
     })
 }
 
--- a/crates/bh-workload/src/dispatch/crash.rs
+++ b/crates/bh-workload/src/dispatch/crash.rs
@@ -4,6 +4,8 @@
 use super::StartPhase;
 use super::Target;
 use crate::job::RunId;
+use crate::job::StepSpec;
+use crate::state::End;
 use crate::state::Evidence;
 use crate::state::Suspect;
 use crate::state::Workload;
@@ -17,6 +19,8 @@
 /// Run time from which a run is not a suspect at all, in milliseconds. It is far above the time in which a start does its harm, and below
 /// the run time of most long jobs: these must not be given up because some of their workers crash for other reasons over hours.
 const MAX_SUSPECT_RUN_TIME_MS: u64 = 30_000;
+/// The same for a task of a service, which must be restarted however its runs end. It is far above the time in which a start does its harm.
+const MAX_SUSPECT_SERVICE_RUN_TIME_MS: u64 = 5_000;
 
 /// Minimum time from the crash of a worker until its next incarnation answers, in milliseconds.
 const MIN_RESTART_MS: u64 = 150;
@@ -26,12 +30,21 @@
 
 /// Run time until which no other runs may start beside a run, in milliseconds, when `crashes` workers have crashed under its task. If other
 /// runs started beside it sooner, they would be lost with it if it crashed its worker, and nothing would tell which run caused the crash.
-/// After two crashes without proof, the task may be one that crashes its worker some time after its start.
-pub fn isolation_ms(crashes: u32) -> u64 {
+/// After two crashes without proof, the task may be one that crashes its worker some time after its start. `spec` is that of its step.
+pub fn isolation_ms(crashes: u32, spec: Option<&StepSpec>) -> u64 {
     match crashes {
         0 => 0,
         1 => JUST_STARTED_MS,
-        _ => MAX_SUSPECT_RUN_TIME_MS,
+        _ => max_suspect_run_time_ms(spec),
+    }
+}
+
+/// Run time from which a run is no suspect of a crash, in milliseconds.
+fn max_suspect_run_time_ms(spec: Option<&StepSpec>) -> u64 {
+    if spec.is_some_and(|spec| spec.long_running) {
+        MAX_SUSPECT_SERVICE_RUN_TIME_MS
+    } else {
+        MAX_SUSPECT_RUN_TIME_MS
     }
 }
 
@@ -125,7 +138,7 @@
     let mut suspects: Vec<Suspect> = runs()
         .filter(|(_, run_state)| run_state.start != StartPhase::Unsent)
         .filter(|(run, run_state)| !run_state.was_sent_after_crash(now_ms, run.attempt))
-        .filter(|(_, run_state)| run_state.run_time_ms() < MAX_SUSPECT_RUN_TIME_MS)
+        .filter(|(run, run_state)| !has_worked_soundly(run, run_state, workload))
         .map(|(run, run_state)| Suspect {
             run: *run,
             evidence: evidence(run, run_state),
@@ -145,6 +158,24 @@
     suspects
 }
 
+/// Whether a run had worked for so long that it is no suspect of a crash.
+fn has_worked_soundly(run: &RunId, run_state: &RunState, workload: &Workload) -> bool {
+    let spec = workload.step_spec(run.task.step);
+    run_state.run_time_ms() >= max_suspect_run_time_ms(spec)
+}
+
+/// Runs among `ends` that had worked soundly and clear their tasks of crashes counted before.
+pub(super) fn sound_runs(target: &Target, ends: &[End], workload: &Workload) -> Vec<RunId> {
+    let runs = ends.iter().map(|end| end.run);
+    let is_sound = |run: &RunId| {
+        let task = workload.task(run.task);
+        let run_state = target.runs.get(run);
+        task.is_some_and(|task| task.all_crashes() > 0)
+            && run_state.is_some_and(|run_state| has_worked_soundly(run, run_state, workload))
+    };
+    runs.filter(is_sound).collect()
+}
+
 /// Whether two runs are the same, or members of the same gang.
 fn are_same_or_in_one_gang(workload: &Workload, run: &RunId, other: &RunId) -> bool {
     let step = run.task.step;
--- a/crates/bh-workload/src/dispatch/departure.rs
+++ b/crates/bh-workload/src/dispatch/departure.rs
@@ -2,6 +2,7 @@
 
 use super::Restart;
 use super::Target;
+use super::crash::sound_runs;
 use super::crash::suspects;
 use crate::state::Command;
 use crate::state::Crash;
@@ -48,7 +49,7 @@
         return Command::Workers(vec![WorkerChange::Gone(id.clone())]);
     }
     let recorded = workload.worker(id).into_iter();
-    let ends = recorded
+    let ends: Vec<End> = recorded
         .flat_map(|worker| worker.runs.keys())
         .map(|run| End {
             run: *run,
@@ -58,9 +59,11 @@
                 .runs
                 .get(run)
                 .and_then(|run_state| run_state.checkpoint.clone()),
-        });
+        })
+        .collect();
     Command::Ends {
-        ends: ends.collect(),
+        cleared: sound_runs(target, &ends, workload),
+        ends,
         now_ms: 0,
         crash: Some(Crash {
             worker: id.clone(),
--- a/crates/bh-workload/src/dispatch/dispatcher.rs
+++ b/crates/bh-workload/src/dispatch/dispatcher.rs
@@ -18,6 +18,7 @@
 use super::departure::gone_command;
 use super::order::RETRY_MS;
 use super::pacing;
+use super::recent_crashes::RecentCrashes;
 use super::restart::note_restart;
 use super::worker_reconciler::WorkerReconciler;
 use super::worker_reconciler::probe_wait_ms;
@@ -71,6 +72,7 @@
     emptied: BTreeSet<Incarnation>,
     /// Gangs with members that ended because another member did.
     broken_gangs: BrokenGangs,
+    recent_crashes: RecentCrashes,
     /// Workers that were removed from the record. A delayed heartbeat must not add them again.
     removed: BTreeSet<Incarnation>,
 }
@@ -94,6 +96,7 @@
             permissions: Permissions::default(),
             emptied: BTreeSet::new(),
             broken_gangs: BrokenGangs::from_record(now_ms, workload),
+            recent_crashes: RecentCrashes::default(),
             removed: BTreeSet::new(),
         };
         for worker in workload.workers() {
@@ -476,6 +479,25 @@
         order: &Order,
         answer: &Answer,
         workload: &Workload,
+    ) -> Option<Command> {
+        let mut command = self.process_answer(now_ms, order, answer, workload);
+        if let Some(Command::Ends {
+            crash: Some(crash),
+            cleared,
+            ..
+        }) = &mut command
+        {
+            cleared.extend(self.recent_crashes.note(now_ms, crash));
+        }
+        command
+    }
+
+    fn process_answer(
+        &mut self,
+        now_ms: u64,
+        order: &Order,
+        answer: &Answer,
+        workload: &Workload,
     ) -> Option<Command> {
         let id = &order.to.worker;
         let target = self.targets.get_mut(id)?;
--- a/crates/bh-workload/src/dispatch/mod.rs
+++ b/crates/bh-workload/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod pacing;
 mod permissions;
+mod recent_crashes;
 mod record_outcome;
 mod restart;
 mod run_phase;
--- a/crates/bh-workload/src/dispatch/restart.rs
+++ b/crates/bh-workload/src/dispatch/restart.rs
@@ -6,6 +6,7 @@
 use super::StopPhase;
 use super::Target;
 use super::answers::not_displaced;
+use super::crash::sound_runs;
 use super::crash::suspects;
 use super::departure::gone_command;
 use super::departure::is_leaving;
@@ -89,6 +90,7 @@
     if !ends.is_empty() {
         return Some(Command::Ends {
             not_displaced: not_displaced(target, &ends),
+            cleared: sound_runs(target, &ends, workload),
             ends,
             // The caller fills in the time.
             now_ms: 0,
--- a/crates/bh-workload/src/plan/collect.rs
+++ b/crates/bh-workload/src/plan/collect.rs
@@ -9,7 +9,6 @@
 use crate::state::Job;
 use crate::state::Step;
 use crate::state::Task;
-use crate::state::TaskState;
 use crate::state::Workload;
 use bh_protocol::number::floor_to_u64;
 use std::cmp::Ordering;
@@ -242,7 +241,7 @@
     }
     let waits = || {
         let tasks = progress.tasks.iter().zip(0..);
-        tasks.filter(|(task, _)| task.state == TaskState::Waiting)
+        tasks.filter(|(task, _)| task.is_waiting())
     };
     let any_suspect = waits().any(|(task, _)| task.all_crashes() > 0);
     waits()
--- a/crates/bh-workload/src/plan/explain.rs
+++ b/crates/bh-workload/src/plan/explain.rs
@@ -56,6 +56,9 @@
     pub failures: u32,
     /// Number of workers that crashed under one task; the maximum over the tasks.
     pub crashes: u32,
+    /// Last runs of the service's tasks that are not started any more, because workers crashed under them.
+    #[serde(default)]
+    pub given_up: Vec<String>,
     /// Recorded runs of the step.
     pub runs: Vec<RunReport>,
     /// Why the tasks without a run wait.
@@ -210,6 +213,8 @@
             });
         }
     }
+    let given_up = progress.tasks.iter().filter_map(|task| task.given_up);
+    let given_up = given_up.map(|run| run.to_string()).collect();
     let crashes = progress.tasks.iter().map(Task::all_crashes).max();
     let failed = progress.tasks.iter().map(|task| task.failures).max();
     Some(StepReport {
@@ -218,6 +223,7 @@
         done: progress.done,
         failures: failed.unwrap_or(0).max(progress.failures),
         crashes: crashes.unwrap_or(0),
+        given_up,
         runs,
         wait,
         held_by: blocking,
--- a/crates/bh-workload/src/plan/fleet_load.rs
+++ b/crates/bh-workload/src/plan/fleet_load.rs
@@ -7,7 +7,6 @@
 use crate::job::StepId;
 use crate::state::Job;
 use crate::state::Step;
-use crate::state::TaskState;
 use crate::state::Workload;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -149,6 +148,6 @@
 
 fn tasks_without_run(progress: &Step) -> u64 {
     let tasks = progress.tasks.iter();
-    let waiting = tasks.filter(|task| task.state == TaskState::Waiting);
+    let waiting = tasks.filter(|task| task.is_waiting());
     u64::try_from(waiting.count()).unwrap_or(u64::MAX)
 }
--- a/crates/bh-workload/src/plan/room.rs
+++ b/crates/bh-workload/src/plan/room.rs
@@ -37,8 +37,9 @@
             let run_state = target.and_then(|target| target.runs.get(run));
             let run_time_ms = run_state.map_or(0, RunState::run_time_ms);
             let crashes = workload.task(run.task).map_or(0, Task::all_crashes);
+            let spec = workload.step_spec(run.task.step);
             recent.any |= run_state.is_none_or(RunState::has_just_started);
-            recent.suspect |= run_time_ms < isolation_ms(crashes);
+            recent.suspect |= run_time_ms < isolation_ms(crashes, spec);
         }
         recent
     }
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -43,8 +43,10 @@
                 crash,
                 late_failures,
                 not_displaced,
+                cleared,
                 ..
             } => {
+                self.clear_crashes(&cleared);
                 // Whether the end of the run was recorded only as lost, and the worker may still report a failure.
                 let may_still_report = |run: &RunId| {
                     ends.iter().any(|end| {
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -55,6 +55,10 @@
         /// or they were no longer wanted. A core of an older version does not know this field and counts no displacements.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         not_displaced: Vec<RunId>,
+        /// Runs whose tasks are cleared of the crashes counted before: they had worked soundly for long, or the crash took many workers at
+        /// once. A core of an older version does not know this field and keeps the counts.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        cleared: Vec<RunId>,
     },
     /// An operator orders a wave of upkeep.
     StartWave {
@@ -101,6 +105,7 @@
             crash: None,
             late_failures: Vec::new(),
             not_displaced: Vec::new(),
+            cleared: Vec::new(),
         }
     }
 
--- a/crates/bh-workload/src/state/crashes.rs
+++ b/crates/bh-workload/src/state/crashes.rs
@@ -4,6 +4,7 @@
 use super::End;
 use super::Evidence;
 use super::GiveUp;
+use super::Job;
 use super::Suspect;
 use super::Task;
 use super::TaskState;
@@ -11,7 +12,7 @@
 use crate::job::RunId;
 use crate::job::TaskId;
 
-/// Crashes under one task after which its job is given up, no matter what ran beside it. Users accept three. A lower number would also give
+/// Crashes under one task after which it is given up, no matter what ran beside it. Users accept three. A lower number would also give
 /// up tasks that ran beside tasks that crash their workers.
 const MAX_CRASHES: u32 = 3;
 /// Crashes just after the start of a task after which its job is given up, if the task was alone on the last worker. Nothing else can have
@@ -41,9 +42,9 @@
         }
     }
 
-    /// Whether its job is given up after a worker crashed under it with the given evidence. After three crashes a newer run is not awaited:
+    /// Whether it is given up after a worker crashed under it with the given evidence. After three crashes a newer run is not awaited:
     /// it would crash the next worker. Two crashes are no proof while a newer run is in progress, which may show that the task is sound.
-    fn is_given_up(&self, evidence: Evidence) -> bool {
+    fn must_be_given_up(&self, evidence: Evidence) -> bool {
         let too_often = self.crashes >= MAX_CRASHES || self.all_crashes() >= MAX_ALL_CRASHES;
         let is_proven = evidence == Evidence::Alone
             && (self.crashes_at_start >= MAX_CRASHES_AT_START
@@ -87,8 +88,39 @@
         }
         for Suspect { run, evidence } in suspects {
             let task = self.task(run.task);
-            if task.is_some_and(|task| task.is_given_up(evidence)) {
-                self.give_up(run.task.step.job, GiveUp::Crashes { run });
+            if task.is_some_and(|task| task.must_be_given_up(evidence)) {
+                self.give_up_crashing(run);
+            }
+        }
+    }
+
+    /// Gives up the task of `run`. The other tasks of a service go on without it, since each of them serves by itself. Any other job can't be
+    /// done without the task, and a gang can't run.
+    fn give_up_crashing(&mut self, run: RunId) {
+        let step = run.task.step;
+        let spec = self.step_spec(step);
+        if spec.is_some_and(|spec| spec.long_running && !spec.gang) {
+            if let Some(task) = self.task_mut(run.task) {
+                task.given_up = Some(run);
+            }
+            let newer_runs = self.open_runs.of_task(run.task);
+            for (_, worker) in newer_runs {
+                self.events.mark_worker(worker);
+            }
+            if self.jobs.get(&step.job).is_some_and(Job::has_service_tasks) {
+                return;
+            }
+        }
+        self.give_up(step.job, GiveUp::Crashes { run });
+    }
+
+    /// Clears the tasks of runs: the crashes counted before were hardly their doing.
+    pub(super) fn clear_crashes(&mut self, runs: &[RunId]) {
+        for run in runs {
+            if let Some(task) = self.task_mut(run.task) {
+                task.crashes = 0;
+                task.crashes_at_start = 0;
+                task.possible_crashes = 0;
             }
         }
     }
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -148,7 +148,17 @@
         usize::try_from(run.task.index)
             .ok()
             .and_then(|index| step.tasks.get(index))
-            .is_some_and(|task| task.state == TaskState::Open(run.attempt))
+            .is_some_and(|task| {
+                task.state == TaskState::Open(run.attempt) && task.given_up.is_none()
+            })
+    }
+
+    /// Whether a service of the job has a task that is not given up.
+    pub(super) fn has_service_tasks(&self) -> bool {
+        let specs = self.spec.steps.iter().cycle();
+        let services = specs.zip(&self.steps).filter(|(spec, _)| spec.long_running);
+        let mut tasks = services.flat_map(|(_, step)| &step.tasks);
+        tasks.any(|task| task.given_up.is_none())
     }
 
     /// Whether a step is a gang with recorded runs of some members but not of all. Such a gang waits until all of them have ended.
--- a/crates/bh-workload/src/state/start.rs
+++ b/crates/bh-workload/src/state/start.rs
@@ -59,9 +59,8 @@
                     .tasks
                     .get(usize::try_from(start.run.task.index).ok()?)
             });
-        let is_waiting = task.is_some_and(|task| {
-            task.state == TaskState::Waiting && start.run.attempt > task.attempt
-        });
+        let is_waiting =
+            task.is_some_and(|task| task.is_waiting() && start.run.attempt > task.attempt);
         is_waiting && self.has_room(step, &start.worker, 1)
     }
 
--- a/crates/bh-workload/src/state/task.rs
+++ b/crates/bh-workload/src/state/task.rs
@@ -1,5 +1,6 @@
 //! Progress of tasks and of the step to which they belong.
 
+use crate::job::RunId;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -46,10 +47,20 @@
     /// same number for every member.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub displacements: u32,
+    /// The last run of a service's task that is not started any more, because workers crashed under it. The other tasks of the service go on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub given_up: Option<RunId>,
     /// Its last checkpoint.
     pub checkpoint: Option<Arc<str>>,
 }
 
+impl Task {
+    /// Whether it waits to be started.
+    pub fn is_waiting(&self) -> bool {
+        self.state == TaskState::Waiting && self.given_up.is_none()
+    }
+}
+
 /// One step of one occurrence of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -9,7 +9,11 @@
 use bh_group::Machine;
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
+use bh_workload::dispatch::Ended;
 use bh_workload::dispatch::OrderBody;
+use bh_workload::dispatch::RecordOutcome;
+use bh_workload::dispatch::Report;
+use bh_workload::job::JobId;
 use bh_workload::job::RunId;
 use bh_workload::job::StepSpec;
 use bh_workload::job::TaskId;
@@ -22,10 +26,12 @@
 use bh_workload::state::Outcome;
 use bh_workload::state::Suspect;
 use bh_workload::state::WorkerChange;
+use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
 use rstest::rstest;
 use std::collections::BTreeSet;
 use support::Site;
+use support::run_of;
 use support::step;
 use support::task;
 use support::worker_id;
@@ -292,6 +298,7 @@
         }),
         late_failures: Vec::new(),
         not_displaced: Vec::new(),
+        cleared: Vec::new(),
     };
     site.crash(&worker);
     site.workload.apply(repeated);
@@ -366,6 +373,7 @@
 /// each worker as it starts is given up like any other work, since it would take the fleet down.
 #[rstest]
 #[case::for_long(NOT_SUSPECT_MS, None)]
+#[case::for_ten_seconds(10_000, None)]
 #[case::at_its_start(10, Some(Outcome::Failed))]
 fn a_service_is_given_up_only_for_crashes_at_its_start(
     #[case] running_ms: u64,
@@ -451,3 +459,157 @@
     let outcome = site.workload.job(job).unwrap().outcome;
     assert_eq!(outcome, Some(Outcome::Failed));
 }
+
+/// Creates a site where a service of three tasks runs, each on a worker of its own.
+fn running_service() -> (Site, JobId) {
+    let mut site = Site::new(6, 3);
+    let service = StepSpec {
+        long_running: true,
+        most_per_worker: Some(1),
+        ..step(3, 1)
+    };
+    let job = site.submit(0, "other", vec![service]);
+    start_and_run(&mut site, NOT_SUSPECT_MS);
+    assert_eq!(site.open_runs().len(), 3);
+    (site, job)
+}
+
+/// The worker on which the task `index` of the job's first step runs.
+fn worker_of(site: &Site, job: JobId, index: u32) -> Incarnation {
+    let holder = site.workload.holder(run_of(site, job, index));
+    holder.unwrap().info.id.clone()
+}
+
+/// Crashes the worker of a service's first task 10 ms after each start of the task, until the task is not started any more.
+fn crash_first_task(site: &mut Site, job: JobId) {
+    site.crash(&worker_of(site, job, 0));
+    for _ in 0..6 {
+        site.advance(3_000);
+        site.report();
+        site.plan_and_start();
+        site.send_starts();
+        site.advance(10);
+        let first = task(job, 0, 0);
+        if site.open_runs().iter().any(|(_, run)| run.task == first) {
+            site.crash(&worker_of(site, job, 0));
+        }
+    }
+}
+
+/// Guards against a service that is stopped as a whole because one of its tasks crashes its workers.
+#[test]
+fn the_other_tasks_of_a_service_go_on_when_one_is_given_up() {
+    let (mut site, job) = running_service();
+    crash_first_task(&mut site, job);
+    assert_eq!(site.workload.job(job).unwrap().outcome, None);
+    assert!(
+        site.workload
+            .task(task(job, 0, 0))
+            .unwrap()
+            .given_up
+            .is_some()
+    );
+    for index in [1, 2] {
+        let run = run_of(&site, job, index);
+        assert!(site.workload.should_run(run), "{run}");
+    }
+    assert_eq!(site.plan().starts, Vec::new());
+    let times = (site.now_ms, site.wall_ms());
+    let report = site
+        .planner
+        .explain(times, &site.workload, &site.dispatcher, job);
+    let step = report.unwrap().steps.remove(0);
+    assert_eq!(step.given_up.len(), 1, "{step:?}");
+    site.cancel(0, "other", job);
+    let outcome = site.workload.job(job).unwrap().outcome;
+    assert_eq!(outcome, Some(Outcome::Cancelled));
+}
+
+/// Guards against a task that is given up for the crash of a worker years after two others, although it has worked soundly since.
+#[rstest]
+#[case::ended_otherwise(false)]
+#[case::crashed_late(true)]
+fn sound_work_clears_a_task(#[case] crashes_late: bool) {
+    let mut site = Site::new(6, 3);
+    let job = site.submit(0, "other", vec![step(1, 8)]);
+    for _ in 0..2 {
+        start_and_run(&mut site, 1_500);
+        site.crash(&worker_of(&site, job, 0));
+        site.advance(3_000);
+    }
+    assert_eq!(crashes(&site, task(job, 0, 0)), 2);
+    start_and_run(&mut site, NOT_SUSPECT_MS);
+    let (worker, run) = site.open_runs()[0].clone();
+    if crashes_late {
+        site.crash(&worker);
+    } else {
+        let ended = Ended {
+            number: 1,
+            run,
+            kind: EndKind::Stopped,
+            checkpoint: None,
+        };
+        let answer = Answer::Done {
+            clock_ms: Some(site.now_ms),
+            report: Some(Report {
+                ended: vec![ended],
+                ..Report::default()
+            }),
+        };
+        site.answer_for(&worker, &answer);
+        let recorded = RecordOutcome::Recorded;
+        site.dispatcher.note_recorded(&worker, Some(1), recorded);
+    }
+    assert_eq!(crashes(&site, task(job, 0, 0)), 0);
+    site.advance(3_000);
+    start_and_run(&mut site, 1_500);
+    site.crash(&worker_of(&site, job, 0));
+    assert_eq!(site.workload.job(job).unwrap().outcome, None);
+}
+
+/// All workers crash, and other incarnations answer at their addresses from now on.
+fn crash_all(site: &mut Site) {
+    site.advance(400);
+    let all: Vec<WorkerInfo> = site.workload.workers().map(|w| w.info.clone()).collect();
+    for order in site.orders() {
+        let answer = Answer::OtherIncarnation;
+        let (dispatcher, workload) = (&mut site.dispatcher, &site.workload);
+        let command = dispatcher.note_answer(site.now_ms, &order, &answer, workload);
+        if let Some(command) = command {
+            let now_ms = site.wall_ms();
+            site.workload.apply(command.at(now_ms));
+        }
+    }
+    let restarted = all.into_iter().map(|info| WorkerInfo {
+        id: worker_id(&format!("{}'", info.id)),
+        ..info
+    });
+    let known = restarted.map(WorkerChange::Known).collect();
+    site.workload.apply(Command::Workers(known));
+    site.take_events();
+    site.heartbeats();
+}
+
+/// Guards against sound tasks that are given up because many workers crashed at once, as when a rack loses power.
+#[test]
+fn a_crash_of_many_workers_at_once_is_no_evidence() {
+    const WORKERS: usize = 6;
+    let mut site = Site::new(WORKERS, 3);
+    let jobs: Vec<JobId> = (0..WORKERS)
+        .map(|_| site.submit(0, "other", vec![step(1, 8)]))
+        .collect();
+    start_and_run(&mut site, 1_500);
+    crash_all(&mut site);
+    for job in &jobs {
+        assert_eq!(crashes(&site, task(*job, 0, 0)), 0);
+    }
+    for _ in 0..2 {
+        site.advance(3_000);
+        start_and_run(&mut site, 1_500);
+        crash_all(&mut site);
+    }
+    let given_up = jobs
+        .iter()
+        .filter(|job| site.workload.job(**job).unwrap().outcome.is_some());
+    assert_eq!(given_up.count(), 0);
+}
--- a/crates/bh-workload/tests/record_times.rs
+++ b/crates/bh-workload/tests/record_times.rs
@@ -87,6 +87,7 @@
                     }),
                     late_failures: Vec::new(),
                     not_displaced: Vec::new(),
+                    cleared: Vec::new(),
                 }
             }
             Departure::Upkeep => {
