Jobs of other customers can't be read, cancelled or shadowed

Seen by the review without a case. A caller of a public queue, with another key or none, reads and cancels any job whose name it knows, whatever queue and customer the job has; and a submission whose name another customer's job uses is acknowledged (200) though nothing is recorded for it: its caller then reads 410.

Cause: `find_job` asked only whether the caller's queue is public, and `accept` only whether the name exists.

Change: a caller may access the jobs of its customer, and on the same queue those that belong to no customer or, if the queue is public, all of that queue. A submission with a name that its caller may not access is refused (400, its name is in use).

Tests: callers.rs; 4 of its 5 cases failed before (access by two kinds of callers, names in use in two ways).

--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -172,8 +172,12 @@
         let Some(id) = JobId::parse(found.rest) else {
             return Reply::Refused(Refusal::BadJob("its name is malformed".to_owned()));
         };
-        if self.jobs.contains_key(&id) {
-            return Reply::Done;
+        if let Some(job) = self.jobs.get(&id) {
+            return if found.may_access(job) {
+                Reply::Done
+            } else {
+                Reply::Refused(Refusal::BadJob("its name is in use".to_owned()))
+            };
         }
         if let Some(problem) = spec.problem() {
             return Reply::Refused(Refusal::BadJob(problem.to_owned()));
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -84,6 +84,19 @@
     pub customer: Option<&'a Arc<Customer>>,
 }
 
+impl ResolvedCall<'_> {
+    /// Whether the caller may read and cancel a job: it is its customer's, or it is of this queue and either belongs to no customer or the
+    /// queue is public. There the name of a job is all that its callers have.
+    pub fn may_access(&self, job: &Job) -> bool {
+        let customer = self.customer.map(|customer| &customer.name);
+        if customer.is_some() && job.customer.as_ref() == customer {
+            return true;
+        }
+        let is_open = job.customer.is_none() || self.queue.public;
+        is_open && job.queue.name == self.queue.name
+    }
+}
+
 impl Workload {
     /// Applies encoded commands, takes snapshots and restores them.
     pub const CODEC: Codec<Workload> = Codec {
@@ -155,21 +168,16 @@
         let found = self.find(place)?;
         let id = JobId::parse(found.rest).ok_or(Refusal::NoJob)?;
         let job = self.jobs.get(&id).ok_or(Refusal::NoJob)?;
-        let owner = found.customer.map(|customer| &customer.name);
         // A customer must not learn of the jobs of another customer, not even that they exist.
-        if !found.queue.public && job.customer.is_some() && job.customer.as_ref() != owner {
+        if !found.may_access(job) {
             return Err(Refusal::NoJob);
         }
         Ok((id, job))
     }
 
-    /// Whether the record holds a job with the name that a submission gives, so that it is acknowledged without effect.
+    /// Whether the record holds the job of a submission, so that it is acknowledged without effect.
     pub fn is_submitted(&self, place: &Place) -> bool {
-        let id = self
-            .find(place)
-            .ok()
-            .and_then(|found| JobId::parse(found.rest));
-        id.is_some_and(|id| self.jobs.contains_key(&id))
+        self.find_job(place).is_ok()
     }
 
     /// Number of jobs of the queue `queue` of which no task has started.
--- /dev/null
+++ b/crates/bh-workload/tests/callers.rs
@@ -0,0 +1,125 @@
+//! What callers learn of jobs, and what they may do with them.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test that meets the unexpected shall end"
+)]
+mod support;
+
+use bh_workload::job::JobId;
+use bh_workload::job::JobSpec;
+use bh_workload::job::StepSpec;
+use bh_workload::rules::Queue;
+use bh_workload::rules::Rules;
+use bh_workload::state::Command;
+
+use bh_workload::state::JobState;
+use bh_workload::state::Place;
+use bh_workload::state::Refusal;
+use bh_workload::state::Reply;
+use rstest::rstest;
+use std::sync::Arc;
+use support::HOST;
+use support::Site;
+use support::place;
+use support::rules;
+use support::step;
+
+/// Rules in which the queue of priority 2 is public.
+fn rules_with_public_queue(version: u64) -> Rules {
+    let mut rules = rules(version);
+    let public = Queue {
+        public: true,
+        ..Queue::clone(&rules.queues[2])
+    };
+    rules.queues[2] = Arc::new(public);
+    rules
+}
+
+fn site_with_public_queue() -> Site {
+    let mut site = Site::new(2, 2);
+    let rules = rules_with_public_queue(2);
+    site.workload.apply(Command::SetRules(Box::new(rules)));
+    site.take_events();
+    site
+}
+
+/// Place of a job in a queue, without a key.
+fn keyless(priority: u32, job: JobId) -> Place {
+    Place {
+        host: Arc::from(HOST),
+        path: Arc::from(format!("/p{priority}/{job}")),
+        key: None,
+    }
+}
+
+fn submit(site: &mut Site, place: Place, steps: Vec<StepSpec>) -> Reply {
+    let spec = JobSpec {
+        text: Arc::from("text"),
+        steps,
+        schedule: None,
+    };
+    let now_ms = site.wall_ms();
+    let command = Command::Accept {
+        place,
+        spec,
+        now_ms,
+    };
+    site.workload.apply(command)
+}
+
+fn cancel(site: &mut Site, place: Place) -> Reply {
+    let now_ms = site.wall_ms();
+    site.workload.apply(Command::Cancel { place, now_ms })
+}
+
+fn state(site: &Site, job: JobId) -> JobState {
+    site.workload.job(job).unwrap().state()
+}
+
+/// Guards against callers who read or cancel another customer's job through a public queue.
+#[rstest]
+#[case::without_key(|job| keyless(2, job))]
+#[case::with_another_key(|job| place(2, "guaranteed", job))]
+fn a_public_queue_gives_no_access_to_the_jobs_of_others(#[case] intruder: fn(JobId) -> Place) {
+    let mut site = site_with_public_queue();
+    let job = site.submit(1, "other", vec![step(1, 1)]);
+    let found = site.workload.find_job(&intruder(job));
+    assert_eq!(found.err(), Some(Refusal::NoJob));
+    let reply = cancel(&mut site, intruder(job));
+    assert_eq!(reply, Reply::Refused(Refusal::NoJob));
+    assert_eq!(state(&site, job), JobState::Queued);
+    assert!(site.workload.find_job(&place(1, "other", job)).is_ok());
+}
+
+/// Guards against callers of a public queue who cannot reach their own jobs: they have no key to show.
+#[test]
+fn a_job_of_a_public_queue_is_reached_by_its_name() {
+    let mut site = site_with_public_queue();
+    let job = JobId(77);
+    assert_eq!(
+        submit(&mut site, keyless(2, job), vec![step(1, 1)]),
+        Reply::Done
+    );
+    assert!(site.workload.find_job(&keyless(2, job)).is_ok());
+    assert_eq!(cancel(&mut site, keyless(2, job)), Reply::Done);
+}
+
+/// Guards against a submission that is acknowledged though nothing is recorded for it, because another customer's job has its name.
+#[rstest]
+#[case::of_another_customer(place(1, "guaranteed", JobId(1)))]
+#[case::through_a_public_queue(keyless(2, JobId(1)))]
+fn a_name_that_another_customer_uses_is_refused(#[case] second: Place) {
+    let mut site = site_with_public_queue();
+    let job = site.submit(1, "other", vec![step(1, 1)]);
+    assert_eq!(job, JobId(1));
+    let reply = submit(&mut site, second.clone(), vec![step(1, 1)]);
+    assert!(
+        matches!(reply, Reply::Refused(Refusal::BadJob(_))),
+        "{reply:?}"
+    );
+    assert!(!site.workload.is_submitted(&second));
+    let own = place(1, "other", job);
+    let resent = submit(&mut site, own.clone(), vec![step(1, 1)]);
+    assert_eq!(resent, Reply::Done);
+    assert!(site.workload.is_submitted(&own));
+}
