Public queues: a key that is given must be known

PROTOCOL.md: "A call with an unknown key receives a 401 response"; a public queue needs no key, but a call with one that was never known or was taken away was served there.

Test: an_unknown_key_is_refused_on_a_public_queue (failed before).

--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -135,7 +135,7 @@
         (command.time_ms().is_none() && is_outdated).then(|| Command::time(now_ms))
     }
 
-    /// Finds the queue of a call and checks the key of the caller.
+    /// Finds the queue of a call and checks the key of the caller. A public queue needs none, but one that is given must be known.
     ///
     /// # Errors
     ///
@@ -149,7 +149,7 @@
             .key
             .as_ref()
             .and_then(|key| rules.customer_of_key(key));
-        if customer.is_none() && !queue.public {
+        if customer.is_none() && (!queue.public || place.key.is_some()) {
             return Err(Refusal::NoKey);
         }
         Ok(ResolvedCall {
--- a/crates/bh-workload/tests/callers.rs
+++ b/crates/bh-workload/tests/callers.rs
@@ -11,7 +11,6 @@
 use bh_workload::rules::Queue;
 use bh_workload::rules::Rules;
 use bh_workload::state::Command;
-
 use bh_workload::state::JobState;
 use bh_workload::state::Place;
 use bh_workload::state::Refusal;
@@ -123,3 +122,13 @@
     assert_eq!(resent, Reply::Done);
     assert!(site.workload.is_submitted(&own));
 }
+
+/// Guards against a key that was taken away and is still served, through a public queue.
+#[test]
+fn an_unknown_key_is_refused_on_a_public_queue() {
+    let site = site_with_public_queue();
+    let unknown = place(2, "gone", JobId(1));
+    assert_eq!(site.workload.find(&unknown).err(), Some(Refusal::NoKey));
+    assert!(site.workload.find(&keyless(2, JobId(1))).is_ok());
+    assert!(site.workload.find(&place(2, "other", JobId(1))).is_ok());
+}
