A run at work outlasts a new leader that has no permission for it yet

After a change of leader, a run of a queue with an adviser whose first probe is answered later than 300 ms gets a stop order: its start counts as unsure, the new leader has no permission to send it again, and a start without permission was withdrawn with a stop.

Change: it is withdrawn once a report shows that it does not run.

Test: a_run_at_work_outlasts_a_late_answer_to_a_new_leader (failed before: a stop order 300 ms after the election).

--- a/crates/bh-workload/src/dispatch/worker_reconciler.rs
+++ b/crates/bh-workload/src/dispatch/worker_reconciler.rs
@@ -266,7 +266,8 @@
         let step = run.task.step;
         let permission = self.permissions.proof(step, &self.worker.info.id, now_ms);
         if permission.is_none() && self.workload.queue_of(job).advised.is_some() {
-            self.withdraw(target, run);
+            // A run that an earlier leader ordered may be at work, and needs no further permission then.
+            self.withdraw_if_not_running(target, run);
             return;
         }
         let Some(lease_until_ms) = target.grant(now_ms, self.timing) else {
@@ -321,8 +322,8 @@
         excess_runs
     }
 
-    /// Withdraws a run that is known not to run and may not start any more: the worker is leaving, its data centre is being evacuated, or the
-    /// rules allow fewer failures now. If a start order of this or an earlier leader had no answer, the next report tells whether it was carried out. Withdrawing
+    /// Withdraws a run that is known not to run and may not start any more: the worker is leaving, its data centre is being evacuated, the
+    /// rules allow fewer failures now, or a permission is missing. If a start order of this or an earlier leader had no answer, the next report tells whether it was carried out. Withdrawing
     /// the run before that could stop work in progress, and with it the rest of a gang on other workers.
     fn withdraw_if_not_running(&mut self, target: &mut Target, run: RunId) {
         let Some(run_state) = target.runs.get(&run) else {
--- a/crates/bh-workload/tests/advice.rs
+++ b/crates/bh-workload/tests/advice.rs
@@ -149,3 +149,39 @@
     assert_eq!(plan.starts.len(), 2);
     assert!(plan.questions.is_empty());
 }
+
+/// Guards against a new leader that stops a run at work, for which it has no permission yet, because its first probe of the worker is answered
+/// late.
+#[test]
+fn a_run_at_work_outlasts_a_late_answer_to_a_new_leader() {
+    const ANSWER_MS: u64 = 800;
+    let mut site = advised_site(1);
+    site.submit(1, "other", vec![step(1, 8)]);
+    let plan = site.plan();
+    advise(&mut site, &plan.questions[0], &["w00"]);
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(1_000);
+    site.report();
+    let worker = worker_id("w00");
+    site.take_over(2);
+    let mut probes = Vec::new();
+    for _ in 0..40 {
+        site.advance(100);
+        for order in site.orders() {
+            let is_probe = matches!(order.body, OrderBody::Probe { .. });
+            assert!(is_probe, "{order:?}");
+            probes.push(order);
+        }
+        let answered = |order: &Order| order.sent_ms + ANSWER_MS <= site.now_ms;
+        let (due, later) = probes.into_iter().partition(answered);
+        probes = later;
+        let due: Vec<Order> = due;
+        for order in due {
+            let answer = site.probe_answer(&worker, &[]);
+            site.dispatcher
+                .note_answer(site.now_ms, &order, &answer, &site.workload);
+        }
+    }
+    assert_eq!(site.open_runs().len(), 1);
+}
