A gang of a service is restarted when a member ends as done

PROTOCOL.md: tasks that last "must be restarted however they end"; the end `done` of one member of a gang completed the whole job.

Test: a_gang_of_a_service_is_restarted_when_a_member_is_done (failed before: Completed).

--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -48,7 +48,7 @@
             worker.unheard.insert(end.run);
         }
         let failed_too_often = if spec.gang {
-            end_gang_member(step, &end, was_open)
+            end_gang_member(step, &end, was_open, spec.long_running)
         } else {
             end_task_run(step, &end, was_open, spec.long_running)
         }
@@ -153,9 +153,14 @@
 }
 
 /// Applies the end of a run of a gang member. Returns the number of failed attempts of the gang if this end added one. The success of one
-/// member is the success of all; each attempt of the gang counts as failed at most once.
-fn end_gang_member(step: &mut super::Step, end: &End, was_open: bool) -> Option<u32> {
-    if end.kind == EndKind::Done {
+/// member is the success of all, unless the gang is a service; each attempt of the gang counts as failed at most once.
+fn end_gang_member(
+    step: &mut super::Step,
+    end: &End,
+    was_open: bool,
+    long_running: bool,
+) -> Option<u32> {
+    if end.kind == EndKind::Done && !long_running {
         for task in &mut step.tasks {
             task.state = TaskState::Done;
         }
--- a/crates/bh-workload/tests/lasting.rs
+++ b/crates/bh-workload/tests/lasting.rs
@@ -109,3 +109,24 @@
         .collect();
     assert_eq!(started, vec![service]);
 }
+
+/// Guards against a service that counts as completed because a member of its gang ended by itself: it is restarted like any other service.
+#[test]
+fn a_gang_of_a_service_is_restarted_when_a_member_is_done() {
+    let mut site = Site::new(2, 2);
+    site.advance(60_000);
+    let gang = StepSpec {
+        gang: true,
+        ..service_step(2, 8, None)
+    };
+    let job = site.submit(2, "other", vec![gang]);
+    site.plan_and_start();
+    site.send_starts();
+    let runs = site.open_runs();
+    assert_eq!(runs.len(), 2);
+    site.end(runs[0].1, EndKind::Done);
+    assert_eq!(site.workload.job(job).unwrap().outcome, None);
+    assert!(!site.workload.should_run(runs[1].1));
+    site.end(runs[1].1, EndKind::Broken);
+    assert_eq!(site.plan_and_start().starts.len(), 2);
+}
