A job whose starts were all refused is pending

PROTOCOL.md: `pending` is the number of jobs "for which no task has started". A job counted as begun, and read as running, once a start was recorded, also if its worker refused the start and has done nothing.

Change: a job counts as begun while a run is recorded that may have started, and from the first run on that ended otherwise than by never having started. In a record of the older version the latter is not known; such a job may read as queued until its next run ends.

Test: a_job_whose_starts_were_all_refused_is_pending (failed before: Running).

--- a/crates/bh-workload/src/state/end.rs
+++ b/crates/bh-workload/src/state/end.rs
@@ -61,6 +61,9 @@
         let is_exhausted =
             failure_limit.is_some_and(|limit| step.has_exhausted_attempts(limit, spec.gang));
         let has_other_open_runs = spec.gang && step.open_runs > 0;
+        if was_open || end.kind == EndKind::Done {
+            job.note_run_ended(end.kind);
+        }
         if failed_too_often || is_exhausted {
             let step = end.run.task.step;
             self.give_up(id, GiveUp::Failures { step });
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -1,5 +1,6 @@
 //! An accepted job and its progress.
 
+use super::EndKind;
 use super::GiveUp;
 use super::Step;
 use super::TaskState;
@@ -35,6 +36,14 @@
     Ended(Outcome),
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "signature required by skip_serializing_if"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// An accepted job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
@@ -54,8 +63,12 @@
     pub given_up: Option<GiveUp>,
     /// When it ended, in milliseconds since 1970 by the record's own time; 0 while it has not ended.
     pub ended_ms: u64,
-    /// Whether a task has ever started.
+    /// Whether a task has started, as far as known: a run is recorded that may have started, or one has ended otherwise than by never having
+    /// started.
     pub started: bool,
+    /// Whether one has ended so.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_run: bool,
     /// Its steps, ordered by occurrence (repetition of a scheduled job) and then by position.
     pub steps: Vec<Step>,
 }
@@ -80,10 +93,19 @@
             given_up: None,
             ended_ms: 0,
             started: false,
+            has_run: false,
             steps,
         }
     }
 
+    /// Notes that a recorded run has ended.
+    pub(super) fn note_run_ended(&mut self, kind: EndKind) {
+        self.has_run |= kind != EndKind::NotStarted;
+        if !self.has_run {
+            self.started = self.has_open_runs();
+        }
+    }
+
     /// The state reported to the caller.
     pub fn state(&self) -> JobState {
         match self.outcome {
--- a/crates/bh-workload/tests/callers.rs
+++ b/crates/bh-workload/tests/callers.rs
@@ -11,6 +11,7 @@
 use bh_workload::rules::Queue;
 use bh_workload::rules::Rules;
 use bh_workload::state::Command;
+use bh_workload::state::EndKind;
 use bh_workload::state::JobState;
 use bh_workload::state::Place;
 use bh_workload::state::Refusal;
@@ -132,3 +133,28 @@
     assert!(site.workload.find(&keyless(2, JobId(1))).is_ok());
     assert!(site.workload.find(&place(2, "other", JobId(1))).is_ok());
 }
+
+/// Guards against a job that callers read as running, and that is not counted as pending, although no worker has taken any of its starts.
+#[test]
+fn a_job_whose_starts_were_all_refused_is_pending() {
+    let mut site = Site::new(2, 2);
+    let job = site.submit(1, "other", vec![step(2, 1)]);
+    for _ in 0..3 {
+        assert_eq!(state(&site, job), JobState::Queued);
+        assert_eq!(site.workload.pending("q1"), 1);
+        site.plan_and_start();
+        assert_eq!(state(&site, job), JobState::Running);
+        for (_, run) in site.open_runs() {
+            site.end(run, EndKind::NotStarted);
+        }
+    }
+    assert_eq!(state(&site, job), JobState::Queued);
+    site.plan_and_start();
+    let runs = site.open_runs();
+    site.end(runs[0].1, EndKind::NotStarted);
+    assert_eq!(state(&site, job), JobState::Running);
+    site.end(runs[1].1, EndKind::Lost);
+    // The run may have begun before its worker was lost.
+    assert_eq!(state(&site, job), JobState::Running);
+    assert_eq!(site.workload.pending("q1"), 0);
+}
