Jobs with too many tasks in all their occurrences are refused

A job of 8,192 tasks in 1,024 occurrences was accepted: 8.4 million tasks, which are recorded at once, more than a core can hold.

Change: 65,536 tasks in all occurrences, eight times the largest occurrence.

Test: a_job_with_too_many_tasks_in_all_occurrences_is_refused (failed before).

--- a/crates/bh-workload/src/job/job_spec.rs
+++ b/crates/bh-workload/src/job/job_spec.rs
@@ -10,6 +10,8 @@
 /// Maximum number of tasks in one occurrence of a job, over all its steps. It allows several steps that are each as large as the largest gang
 /// that the system is designed for.
 pub const MAX_TASKS: u64 = 8_192;
+/// Maximum number of tasks in all occurrences of a job. All of them are recorded from the acceptance of the job on.
+pub const MAX_ALL_TASKS: u64 = 65_536;
 /// Maximum number of occurrences of a job.
 pub const MAX_OCCURRENCES: u32 = 1_024;
 
@@ -73,6 +75,9 @@
         if self.occurrences() > MAX_OCCURRENCES {
             return Some("the job has too many occurrences");
         }
+        if tasks * u64::from(self.occurrences()) > MAX_ALL_TASKS {
+            return Some("the job has too many tasks in all its occurrences");
+        }
         None
     }
 }
--- a/crates/bh-workload/tests/callers.rs
+++ b/crates/bh-workload/tests/callers.rs
@@ -158,3 +158,23 @@
     assert_eq!(state(&site, job), JobState::Running);
     assert_eq!(site.workload.pending("q1"), 0);
 }
+
+/// Guards against a job that takes all the memory of the cores: its tasks in all occurrences are recorded from its acceptance on.
+#[test]
+fn a_job_with_too_many_tasks_in_all_occurrences_is_refused() {
+    let schedule = |times| bh_workload::job::Schedule {
+        first_due_ms: 0,
+        interval_ms: 1_000,
+        times,
+    };
+    let spec = |count, times| JobSpec {
+        text: Arc::from("text"),
+        steps: vec![step(count, 1)],
+        schedule: Some(schedule(times)),
+    };
+    assert_eq!(spec(64, 1_024).problem(), None);
+    assert_eq!(spec(8_192, 8).problem(), None);
+    let problem = Some("the job has too many tasks in all its occurrences");
+    assert_eq!(spec(65, 1_024).problem(), problem);
+    assert_eq!(spec(8_192, 1_024).problem(), problem);
+}
