Fuzz of reads: the steps as they were, and a fuzz of its own for hand-overs of the lead

Cause: mixed disks that run low on space into the steps of this fuzz. The lead is handed over then, and reads that wait are not answered.

Change: the fuzz has its old steps and bound again. The injected bug has to be found by both kinds of steps.

--- a/crates/bh-consensus/tests/fuzz_reads.rs
+++ b/crates/bh-consensus/tests/fuzz_reads.rs
@@ -47,6 +47,13 @@
         1 => (0..VOTERS).prop_map(Step::Restart),
         1 => (0..VOTERS).prop_map(Step::Partition),
         3 => (0..VOTERS).prop_map(Step::Heal),
+    ]
+}
+
+/// Steps that also let the disks of voters run low on space.
+fn step_with_disks() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        90 => step(),
         2 => (0..VOTERS).prop_map(Step::LowOnSpace),
         3 => (0..VOTERS).prop_map(Step::EnoughSpace),
     ]
@@ -80,10 +87,14 @@
     group
 }
 
-fn fuzz(cases: u32, bugs: InjectedBugs) -> (Result<(), String>, usize) {
+fn fuzz(
+    cases: u32,
+    bugs: InjectedBugs,
+    step: impl Strategy<Value = Step>,
+) -> (Result<(), String>, usize) {
     let mut runner = runner(cases, SEED);
     let answered = std::cell::Cell::new(0);
-    let strategy = proptest::collection::vec(step(), 1..STEPS);
+    let strategy = proptest::collection::vec(step, 1..STEPS);
     let result = runner.run(&strategy, |steps| {
         let group = run(bugs, &steps);
         answered.set(answered.get() + group.reads_answered);
@@ -100,7 +111,15 @@
 /// a read from its old state: the answer must include everything that any replica had applied before the read was requested.
 #[test]
 fn fuzz_reads_hold_all_that_was_applied_before() {
-    let (result, answered) = fuzz(CASES, InjectedBugs::default());
+    let (result, answered) = fuzz(CASES, InjectedBugs::default(), step());
+    assert_eq!(result, Ok(()));
+    assert!(answered > 1_000, "only {answered} reads were answered");
+}
+
+/// The same while disks run low on space, so that the lead is handed over.
+#[test]
+fn fuzz_reads_hold_all_that_was_applied_before_a_hand_over() {
+    let (result, answered) = fuzz(2 * CASES, InjectedBugs::default(), step_with_disks());
     assert_eq!(result, Ok(()));
     assert!(answered > 1_000, "only {answered} reads were answered");
 }
@@ -112,5 +131,6 @@
         skips_read_confirmation: true,
         ..InjectedBugs::default()
     };
-    assert!(fuzz(CASES, bugs).0.is_err());
+    assert!(fuzz(CASES, bugs, step()).0.is_err());
+    assert!(fuzz(CASES, bugs, step_with_disks()).0.is_err());
 }
