Jobs of a public queue are reached after the queue is renamed

If an operator renames a public queue, callers read 410 for jobs that were accepted (LOST), and a resent submission is refused.

Change: a queue that serves the same host and path prefix is the same to callers. Limits and priorities still follow the name.

Test: a_job_of_a_public_queue_is_reached_after_the_queue_is_renamed (failed before: the job isn't found).

--- a/crates/bh-workload/src/rules/queue.rs
+++ b/crates/bh-workload/src/rules/queue.rs
@@ -31,6 +31,14 @@
     pub advised: Option<AdviserTiming>,
 }
 
+impl Queue {
+    /// Whether `other` is another definition of this queue: it has the same name, or it was renamed and serves the same requests.
+    pub fn is_same(&self, other: &Queue) -> bool {
+        let serves_same_requests = self.host == other.host && self.path_prefix == other.path_prefix;
+        self.name == other.name || serves_same_requests
+    }
+}
+
 /// Response times of the external adviser, and how long its permissions last.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviserTiming {
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -93,7 +93,7 @@
             return true;
         }
         let is_open = job.customer.is_none() || self.queue.public;
-        is_open && job.queue.name == self.queue.name
+        is_open && job.queue.is_same(self.queue)
     }
 }
 
--- a/crates/bh-workload/tests/callers.rs
+++ b/crates/bh-workload/tests/callers.rs
@@ -104,6 +104,25 @@
     assert_eq!(cancel(&mut site, keyless(2, job)), Reply::Done);
 }
 
+/// Guards against an accepted job that callers of a public queue can't reach any more, because the operator renamed the queue.
+#[test]
+fn a_job_of_a_public_queue_is_reached_after_the_queue_is_renamed() {
+    let mut site = site_with_public_queue();
+    let job = JobId(77);
+    submit(&mut site, keyless(2, job), vec![step(1, 1)]);
+    let mut rules = rules_with_public_queue(3);
+    let renamed = Queue {
+        name: Arc::from("renamed"),
+        ..Queue::clone(&rules.queues[2])
+    };
+    rules.queues[2] = Arc::new(renamed);
+    site.workload.apply(Command::SetRules(Box::new(rules)));
+    site.take_events();
+    assert!(site.workload.find_job(&keyless(2, job)).is_ok());
+    let resent = submit(&mut site, keyless(2, job), vec![step(1, 1)]);
+    assert_eq!(resent, Reply::Done);
+}
+
 /// Guards against a submission that is acknowledged though nothing is recorded for it, because another customer's job has its name.
 #[rstest]
 #[case::of_another_customer(place(1, "guaranteed", JobId(1)))]
