--- a/crates/bh-workload/src/dispatch/worker_reconciler.rs
+++ b/crates/bh-workload/src/dispatch/worker_reconciler.rs
@@ -323,8 +323,9 @@
     }
 
     /// Withdraws a run that is known not to run and may not start any more: the worker is leaving, its data centre is being evacuated, the
-    /// rules allow fewer failures now, or a permission is missing. If a start order of this or an earlier leader had no answer, the next report tells whether it was carried out. Withdrawing
-    /// the run before that could stop work in progress, and with it the rest of a gang on other workers.
+    /// rules allow fewer failures now, or a permission is missing. If a start order of this or an earlier leader had no answer, the next
+    /// report tells whether it was carried out. Withdrawing the run before that could stop work in progress, and with it the rest of a gang
+    /// on other workers.
     fn withdraw_if_not_running(&mut self, target: &mut Target, run: RunId) {
         let Some(run_state) = target.runs.get(&run) else {
             return;
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -66,7 +66,7 @@
     /// Whether a task has started, as far as known: a run is recorded that may have started, or one has ended otherwise than by never having
     /// started.
     pub started: bool,
-    /// Whether one has ended so.
+    /// Whether a run has ended otherwise than by never having started.
     #[serde(default, skip_serializing_if = "is_false")]
     pub has_run: bool,
     /// Its steps, ordered by occurrence (repetition of a scheduled job) and then by position.
