Soak: limits that change, large rules on small disks, and workers that leave as announced

Change: `--change-limits`, `--extra-queues` and `--disk-mb` (operators), `--departures` (workers drain, sign off and come back under a new id). A run ends with one more question for each accepted job after old jobs have been removed; the cores' folders may take half of their disks at any moment.

Both questions "may it have failed" are one function now, and use the lowest limit only where operators change it. A job that is given up with fewer failures than any limit in force allowed is still found.

--- a/crates/beechhollow/tests/soak.rs
+++ b/crates/beechhollow/tests/soak.rs
@@ -5,6 +5,7 @@
 use bh_soak::FaultKinds;
 use bh_soak::Load;
 use bh_soak::Options;
+use bh_soak::RulesChanges;
 use bh_soak::Size;
 use bh_soak::run;
 use rstest::rstest;
@@ -40,6 +41,26 @@
     run_and_check(seed, options(descriptors, FaultKinds::RefusalsOnly));
 }
 
+/// Operators change the limit of failures while runs are at work, and send large rules in quick succession to cores with small disks; workers leave
+/// with their runs. Guards against accepted jobs that are forgotten after a changed limit ended them, and against logs that fill the disks.
+#[test]
+fn promises_hold_while_limits_change_and_rules_are_large() {
+    let options = Options {
+        size: Size {
+            disk_mb: Some(16),
+            ..Size::default()
+        },
+        rules_changes: RulesChanges {
+            changes_limits: true,
+            extra_queues: 1_000,
+            ..RulesChanges::default()
+        },
+        departures: true,
+        ..options(None, FaultKinds::All)
+    };
+    run_and_check(55, options);
+}
+
 /// Gangs and steps with many tasks, while one leader after the other is killed, paused, cut off, stopped or emptied of its data. Guards against
 /// accepted jobs that have nothing running for 3 s, although the group is stable again and has free capacity for them.
 #[test]
