--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -16,7 +16,7 @@
 use std::thread;
 use std::time::Duration;
 
-/// A small deployment: three data centres, one core each, and two entries.
+/// A small deployment: three data centres, one core each, and some entries.
 pub struct Cluster {
     pub folder: PathBuf,
     binary: PathBuf,
@@ -69,7 +69,7 @@
     /// Writes the files and starts the processes.
     pub fn start(
         binary: &str,
-        bounds: Bounds,
+        (bounds, entries): (Bounds, u8),
         (platform, adviser): (SocketAddr, SocketAddr),
         record: Arc<Record>,
     ) -> Self {
@@ -78,7 +78,7 @@
         let peer_port = free(1).port();
         let control: Vec<SocketAddr> = (1..=3).map(free).collect();
         let metrics: Vec<SocketAddr> = (1..=3).map(free).collect();
-        let entries: Vec<SocketAddr> = (11..=12).map(free).collect();
+        let entries: Vec<SocketAddr> = (11..11 + entries).map(free).collect();
         let seeds: Vec<String> = control.iter().map(ToString::to_string).collect();
         let seeds = seeds.join(",");
         let bounds = format!(
@@ -115,7 +115,7 @@
                 "name: 'frontend-{at}'\nrole: entry\ncallers_address: '{address}'\nreadiness_address: '{}'\ndata_centre: '{}'\nip: '{}'\npeer_port: {peer_port}\n\
                  metrics_address: '{}'\ndescriptors: 4100\nseeds: '{seeds}'\ntolerated_losses: 1\ngrace_s: 6\n{bounds}",
                 free(host),
-                ZONES[at],
+                ZONES[at % ZONES.len()],
                 ip(host),
                 free(host),
             );
@@ -163,6 +163,16 @@
         }
     }
 
+    /// Sends `STOP` or `CONT` to a process.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let found = self.children.iter().find(|(other, _)| other == name);
+        if let Some((_, Some(child))) = found {
+            let command = format!("kill -{signal} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
+            self.record.line(&format!("{name} gets SIG{signal}"));
+        }
+    }
+
     /// Processes that have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,11 +6,9 @@
 mod gang;
 mod http;
 mod lost;
-mod platform;
 mod reclaim;
 mod record;
 mod setup;
-mod wave;
 mod worker;
 
 use std::process::exit;
@@ -27,7 +25,6 @@
         "gang" => gang::run(binary, record, trouble),
         "lost" => lost::run(binary, record, trouble),
         "reclaim" => reclaim::run(binary, record, trouble),
-        "wave" => wave::run(binary, record, trouble),
         _ => Err(format!("no case is named {case}")),
     };
     match result {
--- a/review/stand-ins-2/src/setup.rs
+++ b/review/stand-ins-2/src/setup.rs
@@ -59,18 +59,28 @@
 }
 
 impl Site {
-    /// Starts the processes, waits for a leader, and hands in the configuration.
+    /// Starts the processes with two entries, waits for a leader, and hands in the configuration.
     pub fn start(
         binary: &str,
         record: &str,
         bounds: Bounds,
         platform: Option<SocketAddr>,
+    ) -> Result<Self, String> {
+        Self::start_with(binary, record, (bounds, 2), platform)
+    }
+
+    /// Starts the processes with this number of entries; see [`Self::start`].
+    pub fn start_with(
+        binary: &str,
+        record: &str,
+        (bounds, entries): (Bounds, u8),
+        platform: Option<SocketAddr>,
     ) -> Result<Self, String> {
         let record = Arc::new(Record::new(record));
         let nobody = free(250);
         let mut cluster = Cluster::start(
             binary,
-            bounds,
+            (bounds, entries),
             (platform.unwrap_or(nobody), nobody),
             record.clone(),
         );
