--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and checks of the review's scripts. Usage: `review-stand-ins-2 CASE BINARY RECORD`; the variable `TROUBLE=0` leaves the
 //! disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod cancel;
 mod cluster;
 mod flap;
 mod gang;
@@ -21,6 +22,7 @@
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
+        "cancel" => cancel::run(binary, record, trouble),
         "flap" => flap::run(binary, record, trouble),
         "gang" => gang::run(binary, record, trouble),
         "lost" => lost::run(binary, record, trouble),
