A submission that arrives after the cancel of its job is refused

Hypotheses, before the code was read: (1) the core that decided the cancel was behind and missed a recorded job; (2) the cancel was acknowledged and lost; (3) the entry sends the submission late and nothing remembers the cancel. The logs of a run tell: entry-1 `job cancelled answer=Refused(NoJob)` at 28.906, entry-0 `job handed in took_ms=0 answer=Done` at 29.376, `run planned` at 35.642, one leader in one term. The submission reached the record after the cancel, and the entry counts from its reading of the call.

Cause: Workload::cancel refuses the cancel of a job that is not recorded and leaves nothing, so Workload::accept takes what was sent before the cancel and arrives after it.

Change: such a cancel is kept in the record (EarlyCancels), by caller and job, and Workload::accept refuses the submission (Refusal::Cancelled, 410). The order in the replicated log decides. So it does not matter where a submission waited: in an entry, on a link, in a core that stood still or led before, for admission, or between two attempts of `forward`; each of them is proposed only later, and Accept is applied after Cancel. The leader looks before it checks room and load, so that a late submission is not told to come back. - The truth: GET stays 410, nothing is pending, no job is shown. A submission of a job that was recorded and then cancelled is acknowledged as before: it remains one job, which is shown as cancelled. Where an earlier attempt may have been recorded, the entry says Unknown as before. - Others: a caller is its customer, or the public queue if it has no key; a customer bars none but its own jobs. Cancels are recorded while new jobs are refused for want of room. - One log line says why: `job refused: it was cancelled before its submission arrived`, with the customer and how long ago. The own interface (`beechhollow run`) can't have the fault: its jobs are cancelled by numbers that the record gives with the acceptance.

--- a/crates/beechhollow/tests/support/processes.rs
+++ b/crates/beechhollow/tests/support/processes.rs
@@ -34,15 +34,17 @@
         let file = folder.join("config.yaml");
         let config = config.replace("FOLDER", &folder.join("data").display().to_string());
         std::fs::write(&file, config).unwrap();
-        let child = Command::new(BINARY)
-            .args(["serve", "--config"])
-            .arg(&file)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let child = spawn(&file);
         Self { child, folder }
     }
 
+    /// Kills the process and starts it again with the files that it left.
+    pub fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.folder.join("config.yaml"));
+    }
+
     /// The folder with the configuration file and the data folder.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -50,7 +52,13 @@
 
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends the signal `name` to the process.
+    pub fn signal(&self, name: &str) {
         let sent = Command::new("kill")
+            .arg(format!("-{name}"))
             .arg(self.child.id().to_string())
             .status()
             .unwrap();
@@ -58,6 +66,15 @@
     }
 }
 
+fn spawn(config: &Path) -> Child {
+    Command::new(BINARY)
+        .args(["serve", "--config"])
+        .arg(config)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // Fails if the process has already ended, which is fine.
--- a/crates/bh-control/src/core/admit.rs
+++ b/crates/bh-control/src/core/admit.rs
@@ -3,6 +3,7 @@
 
 use super::answer_call::change;
 use super::answer_call::confirm_state;
+use super::cancels;
 use super::core_node::CoreNode;
 use super::leadership::Leadership;
 use super::shortage;
@@ -47,6 +48,9 @@
 
 /// Records a submission, or refuses it before anything is recorded.
 pub(super) async fn submit(core: &Rc<CoreNode>, place: Place, spec: JobSpec) -> Answer {
+    if let Some(answer) = cancels::check_submission(core, &place) {
+        return answer;
+    }
     if let Some(answer) = shortage::check_submission(core, &place).await {
         return answer;
     }
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -1,6 +1,7 @@
 //! Answers calls as the leader.
 
 use super::admit;
+use super::cancels;
 use super::core_node::CoreNode;
 use super::departures::log_departures;
 use super::detection::Detection;
@@ -61,8 +62,7 @@
                 Err(refusal) => refused(refusal),
             },
         },
-        // Here and below, a time of 0 is replaced when the command is proposed.
-        Call::Cancel { place } => change(core, Command::Cancel { place, now_ms: 0 }).await,
+        Call::Cancel { place } => cancels::cancel(core, place).await,
         Call::Read { place } => read(core, &place).await,
         Call::Heartbeat(heartbeat) => handle_heartbeat(core, heartbeat).await,
         Call::Leave { worker } => leave(core, &worker).await,
@@ -74,6 +74,7 @@
         Call::StartWave(_) if core.config.vm_service_address.is_none() => {
             Answer::Refused(Refusal::NoWave)
         }
+        // Here and below, a time of 0 is replaced when the command is proposed.
         Call::StartWave(spec) => change(core, Command::StartWave { spec, now_ms: 0 }).await,
         Call::Evacuate { data_centre } => {
             let command = Command::Evacuate {
--- a/crates/bh-control/src/core/leader_loop.rs
+++ b/crates/bh-control/src/core/leader_loop.rs
@@ -234,7 +234,8 @@
         .wall_ms()
         .saturating_sub(core.config.timing().retention_ms + CLOCK_MARGIN_MS);
     let removed = job_ends::log_removed_jobs(core, &core.group.machine.read(), before_ms);
-    if removed > 0 {
+    let has_old_cancel = core.group.machine.read().has_early_cancel_before(before_ms);
+    if removed > 0 || has_old_cancel {
         let origin = Origin {
             term,
             listed_to: None,
--- a/crates/bh-control/src/core/mod.rs
+++ b/crates/bh-control/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod advice;
 mod answer_call;
+mod cancels;
 mod carriers;
 mod carry;
 mod carry_delay;
--- a/crates/bh-control/src/core/operator.rs
+++ b/crates/bh-control/src/core/operator.rs
@@ -107,6 +107,8 @@
         );
         metrics.gauge("rules_version", report.rules_version);
         metrics.gauge("jobs_active", size(report.active_jobs));
+        let cancels_kept = gauged.group.machine.read().early_cancel_count();
+        metrics.gauge("cancels_kept", size(cancels_kept));
         metrics.gauge("workers", size(report.workers));
         metrics.gauge("runs", size(report.runs));
         metrics.gauge("accelerators", report.accelerators);
--- a/crates/bh-control/src/core/submission.rs
+++ b/crates/bh-control/src/core/submission.rs
@@ -5,14 +5,16 @@
 use super::load_reports::CUSTOMER_LABEL;
 use crate::calls::Answer;
 use crate::calls::Call;
+use bh_workload::state::Place;
+use bh_workload::state::Refusal;
 use bh_workload::state::Workload;
 use std::sync::Arc;
 
 /// A submitted job before it is decided on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Submission {
-    /// Path of the call, which contains the name of the job.
-    path: Arc<str>,
+    /// Name of the queue and the job, and the caller.
+    place: Place,
     /// Name of the queue.
     queue: Arc<str>,
     /// Priority of the queue.
@@ -32,7 +34,7 @@
         };
         let found = workload.find(place).ok()?;
         Some(Self {
-            path: place.path.clone(),
+            place: place.clone(),
             queue: found.queue.name.clone(),
             priority: found.queue.priority,
             customer: found.customer.map(|customer| customer.name.clone()),
@@ -44,13 +46,22 @@
     pub fn log(&self, core: &CoreNode, answer: &Answer) {
         let customer = self.customer.as_deref();
         let name = customer.unwrap_or("-");
+        let path = &*self.place.path;
         match answer {
             Answer::Done if !self.is_resend => {
-                log::info!(path = &*self.path, queue = &*self.queue, priority = self.priority, customer = name; "job accepted");
+                log::info!(path, queue = &*self.queue, priority = self.priority, customer = name; "job accepted");
+            }
+            Answer::Refused(Refusal::Cancelled) => {
+                self.count_refusal(core);
+                core.metrics.count("submissions_after_cancel", 1);
+                let cancelled_ms = core.group.machine.read().cancelled_early_ms(&self.place);
+                let cancelled_ms_ago =
+                    cancelled_ms.map_or(0, |at_ms| core.wall_ms().saturating_sub(at_ms));
+                log::info!(path, queue = &*self.queue, priority = self.priority, cancelled_ms_ago, customer = name; "job refused: it was cancelled before its submission arrived");
             }
             Answer::Refused(reason) => {
                 self.count_refusal(core);
-                log::info!(path = &*self.path, queue = &*self.queue, priority = self.priority, reason:? = reason, customer = name; "job refused");
+                log::info!(path, queue = &*self.queue, priority = self.priority, reason:? = reason, customer = name; "job refused");
             }
             // Admission control logs its refusals itself, with the retry time.
             Answer::Busy { .. } => self.count_refusal(core),
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -112,6 +112,7 @@
     match answer {
         Answer::Refused(Refusal::NoKey) => "calls_refused_no_key",
         Answer::Refused(Refusal::NoQueue | Refusal::NoJob) => "calls_refused_unknown_place",
+        Answer::Refused(Refusal::Cancelled) => "calls_refused_cancelled",
         Answer::Refused(_) => "calls_refused_malformed",
         Answer::Unavailable { .. } | Answer::NotLeader => "calls_unavailable",
         Answer::Busy { .. } => "calls_busy",
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -1,6 +1,7 @@
 //! Applies commands to the replicated record.
 
 use super::Command;
+use super::EarlyCancels;
 use super::End;
 use super::EndKind;
 use super::GiveUp;
@@ -35,7 +36,11 @@
                 spec,
                 now_ms,
             } => self.accept(&place, spec, now_ms),
-            Command::Cancel { place, .. } => self.cancel(&place),
+            Command::Cancel {
+                place,
+                bars_late_submission,
+                ..
+            } => self.cancel(&place, bars_late_submission),
             Command::Workers(changes) => self.change_workers(changes),
             Command::Starts(starts) => self.start(starts),
             Command::Ends {
@@ -179,6 +184,9 @@
                 Reply::Refused(Refusal::BadJob("its name is in use".to_owned()))
             };
         }
+        if self.early_cancels.cancelled_ms(place, &found, id).is_some() {
+            return Reply::Refused(Refusal::Cancelled);
+        }
         if let Some(problem) = spec.problem() {
             return Reply::Refused(Refusal::BadJob(problem.to_owned()));
         }
@@ -192,16 +200,37 @@
         Reply::Done
     }
 
-    fn cancel(&mut self, place: &Place) -> Reply {
+    /// Cancels a job. If it is not recorded, its submission may still arrive; `bars_late_submission` says whether that is refused then.
+    fn cancel(&mut self, place: &Place, bars_late_submission: bool) -> Reply {
         match self.find_job(place) {
             Ok((id, _)) => {
                 self.end_job(id, Outcome::Cancelled);
                 Reply::Done
             }
+            Err(Refusal::NoJob) if bars_late_submission => self.cancel_early(place),
             Err(refusal) => Reply::Refused(refusal),
         }
     }
 
+    /// Cancels a job that is not recorded.
+    fn cancel_early(&mut self, place: &Place) -> Reply {
+        let found = match self.find(place) {
+            Ok(found) => found,
+            Err(refusal) => return Reply::Refused(refusal),
+        };
+        let Some(id) = JobId::parse(found.rest) else {
+            return Reply::Refused(Refusal::NoJob);
+        };
+        let caller = EarlyCancels::caller(place, &found);
+        let share = self.early_cancels_per_caller();
+        let is_stored = self.early_cancels.insert(caller, id, self.latest_ms, share);
+        Reply::Refused(if is_stored {
+            Refusal::NoJob
+        } else {
+            Refusal::TooManyCancels
+        })
+    }
+
     /// Ends a job at the record's time; only the first outcome counts. Its runs stay recorded until each of them has ended.
     pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -4,6 +4,7 @@
 use super::VmUpkeep;
 use super::WaveSpec;
 use super::WorkerInfo;
+use super::job::is_false;
 use crate::job::JobSpec;
 use crate::job::RunId;
 use crate::job::StepId;
@@ -33,6 +34,10 @@
         place: Place,
         /// When the leader received the call, in milliseconds since 1970.
         now_ms: u64,
+        /// Whether the job, if it is not recorded, is refused when its submission arrives later. A core of an older version does not know this
+        /// field and accepts the submission.
+        #[serde(default, skip_serializing_if = "is_false")]
+        bars_late_submission: bool,
     },
     /// Workers were added or changed, are leaving, or are gone.
     Workers(Vec<WorkerChange>),
@@ -229,6 +234,10 @@
     NoKey,
     /// No such job exists.
     NoJob,
+    /// The job was cancelled before its submission arrived.
+    Cancelled,
+    /// The caller has cancelled too many jobs that are not recorded.
+    TooManyCancels,
     /// No such wave exists.
     NoWave,
     /// No such data centre exists.
--- a/crates/bh-workload/src/state/job.rs
+++ b/crates/bh-workload/src/state/job.rs
@@ -40,7 +40,7 @@
     clippy::trivially_copy_pass_by_ref,
     reason = "signature required by skip_serializing_if"
 )]
-fn is_false(value: &bool) -> bool {
+pub(super) fn is_false(value: &bool) -> bool {
     !value
 }
 
--- a/crates/bh-workload/src/state/usage.rs
+++ b/crates/bh-workload/src/state/usage.rs
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Removes jobs that ended before `before_ms`, in milliseconds since 1970. The usage of their runs that are still open ends, since the
-    /// customer of a run is known only from its job.
+    /// Removes jobs that ended before `before_ms`, in milliseconds since 1970, and cancels of that age. The usage of the jobs' runs that are
+    /// still open ends, since the customer of a run is known only from its job.
     pub(super) fn forget(&mut self, before_ms: u64) {
         let ended = self
             .jobs
@@ -102,6 +102,7 @@
             }
         }
         self.jobs.retain(|_, job| !job.ended_before(before_ms));
+        self.early_cancels.forget(before_ms);
         self.drop_past_customers();
     }
 
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -1,6 +1,7 @@
 //! The replicated record: rules, jobs, workers and runs.
 
 use super::Command;
+use super::EarlyCancels;
 use super::Job;
 use super::JobState;
 use super::OpenRuns;
@@ -58,6 +59,9 @@
     /// Data centres under evacuation, and since when, in milliseconds since 1970.
     #[serde(default)]
     pub(super) evacuations: BTreeMap<Arc<str>, u64>,
+    /// Cancels of jobs that were not recorded.
+    #[serde(default, skip_serializing_if = "EarlyCancels::is_empty")]
+    pub(super) early_cancels: EarlyCancels,
     /// Resources that each customer's runs take and took.
     #[serde(default, skip_serializing_if = "UsageLedger::is_empty")]
     pub(super) usage: UsageLedger,
@@ -180,6 +184,36 @@
         self.find_job(place).is_ok()
     }
 
+    /// When the caller of a submission cancelled its job, in milliseconds since 1970, if it did so before the job was recorded. The
+    /// submission is refused then.
+    pub fn cancelled_early_ms(&self, place: &Place) -> Option<u64> {
+        let found = self.find(place).ok()?;
+        let id = JobId::parse(found.rest)?;
+        if self.jobs.contains_key(&id) {
+            return None;
+        }
+        self.early_cancels.cancelled_ms(place, &found, id)
+    }
+
+    /// Number of stored cancels of jobs that were not recorded.
+    pub fn early_cancel_count(&self) -> usize {
+        self.early_cancels.len()
+    }
+
+    /// Number of cancels of jobs that are not recorded which are stored for each caller. Callers without a key share those of their queue.
+    pub fn early_cancels_per_caller(&self) -> usize {
+        let callers = self.rules.as_ref().map_or(0, |rules| {
+            let public = rules.queues.iter().filter(|queue| queue.public);
+            rules.customers.len() + public.count()
+        });
+        (EarlyCancels::MAX / callers.max(1)).max(1)
+    }
+
+    /// Whether a cancel of a job that was not recorded is older than `before_ms`, in milliseconds since 1970.
+    pub fn has_early_cancel_before(&self, before_ms: u64) -> bool {
+        self.early_cancels.has_older(before_ms)
+    }
+
     /// Number of jobs of the queue `queue` of which no task has started.
     pub fn pending(&self, queue: &str) -> usize {
         self.active
--- a/crates/bh-workload/tests/admission_limits.rs
+++ b/crates/bh-workload/tests/admission_limits.rs
@@ -274,7 +274,11 @@
     });
     assert_eq!(accepted, Reply::Done);
     admitting.controller.note_recorded(&place, workload);
-    workload.apply(Command::Cancel { place, now_ms: 2 });
+    workload.apply(Command::Cancel {
+        place,
+        now_ms: 2,
+        bars_late_submission: true,
+    });
     workload.apply(Command::Forget { before_ms: 3 });
     admitting.take_snapshot();
     assert_eq!(admitting.reason(1, "other", step(1, 1)), None);
--- a/crates/bh-workload/tests/callers.rs
+++ b/crates/bh-workload/tests/callers.rs
@@ -69,7 +69,11 @@
 
 fn cancel(site: &mut Site, place: Place) -> Reply {
     let now_ms = site.wall_ms();
-    site.workload.apply(Command::Cancel { place, now_ms })
+    site.workload.apply(Command::Cancel {
+        place,
+        now_ms,
+        bars_late_submission: true,
+    })
 }
 
 fn state(site: &Site, job: JobId) -> JobState {
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -824,7 +824,11 @@
                 Fault::Cancel { job } => {
                     if let Some(id) = self.jobs.get(job).copied() {
                         let place = place(1, "other", id);
-                        let reply = self.apply(Command::Cancel { place, now_ms: 0 });
+                        let reply = self.apply(Command::Cancel {
+                            place,
+                            now_ms: 0,
+                            bars_late_submission: true,
+                        });
                         if reply == Reply::Done {
                             self.cancelled_ms.insert(id, self.site.now_ms);
                         }
--- a/crates/bh-workload/tests/record_times.rs
+++ b/crates/bh-workload/tests/record_times.rs
@@ -140,6 +140,7 @@
     let cancel = Command::Cancel {
         place: place(0, "other", job),
         now_ms: behind_ms,
+        bars_late_submission: true,
     };
     site.workload.apply(cancel);
     remove_old_jobs(&mut site);
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -230,6 +230,7 @@
         let reply = self.workload.apply(Command::Cancel {
             place: place(priority, customer, job),
             now_ms: self.wall_ms(),
+            bars_late_submission: true,
         });
         assert_eq!(reply, Reply::Done);
         self.take_events();
