A call is not repeated after its time limit

Cause: the time limit was checked after an attempt and not before one. Now nothing is sent once it has passed.

--- a/crates/bh-control/src/calls/forward.rs
+++ b/crates/bh-control/src/calls/forward.rs
@@ -29,7 +29,7 @@
 ///
 /// A call that may have been recorded is repeated until its outcome is known. `Unavailable` is returned only if it was certainly not
 /// recorded, since the caller is then told that nothing will run. The same holds for `Busy` and `NoRoom`, which are final: the leader has decided. A call
-/// that changes nothing is never recorded, so its caller may retry at once.
+/// that changes nothing is never recorded, so its caller may retry at once. Nothing is sent after `limit_ms`.
 pub async fn forward(mesh: &Rc<Mesh>, call: &Call, limit_ms: u64) -> Answer {
     let Ok(body) = serde_json::to_vec(call) else {
         return Answer::Refused(Refusal::BadJob("the call cannot be written".to_owned()));
@@ -39,8 +39,9 @@
     loop {
         let leader = mesh.fresh_leader();
         let asked_term = leader.as_ref().map(|leader| leader.leader_term());
-        if let Some(leader) = leader {
-            let left_ms = until_ms.saturating_sub(mesh.now_ms()).max(1);
+        let left_ms = until_ms.saturating_sub(mesh.now_ms());
+        // The process may have stood still since the last attempt, and the sender may have undone the call since then.
+        if let Some(leader) = leader.filter(|_| left_ms > 0) {
             let reply = ask(mesh, &leader, body.clone(), left_ms.min(ATTEMPT_TIMEOUT_MS)).await;
             match reply.map(|reply| serde_json::from_slice::<Answer>(&reply.body)) {
                 Ok(Ok(Answer::NotLeader)) | Err(CallError::NotSent) => leader.note_not_leading(),
--- a/crates/bh-control/tests/busy_leader.rs
+++ b/crates/bh-control/tests/busy_leader.rs
@@ -156,6 +156,45 @@
     .unwrap();
 }
 
+/// Guards against a call that is sent after its sender was told that it did nothing: the process stood still while it waited to ask the leader
+/// again.
+#[test]
+fn a_call_is_not_repeated_after_its_time_limit() {
+    const LIMIT_MS: u64 = 100;
+    let refusal = Answer::Unavailable {
+        retry_after_ms: 1_000,
+    };
+    let address = ports::free(1)[0];
+    runtime::run(1, async move {
+        let calls = Rc::new(Cell::new(0));
+        leader(address, Rc::new(Cell::new(1)), Some(refusal), calls.clone());
+        let now_ms = Rc::new(Cell::new(1));
+        let clock = Clock::with_manual(now_ms.clone());
+        let entry = Mesh::new(Hello::default(), clock, CancellationToken::new());
+        entry.add_cores([address]);
+        while entry.leader().is_none() {
+            sleep_ms(20).await;
+        }
+        let calling = entry.clone();
+        let answer = Rc::new(Cell::new(None));
+        let answered = answer.clone();
+        monoio::spawn(async move {
+            answered.set(Some(forward(&calling, &submission(), LIMIT_MS).await));
+        });
+        while calls.get() < 2 {
+            sleep_ms(1).await;
+        }
+        // The second answer has arrived, and the entry waits before it asks again.
+        sleep_ms(5).await;
+        let sent = calls.get();
+        now_ms.set(now_ms.get() + LIMIT_MS);
+        sleep_ms(300).await;
+        assert!(matches!(answer.take(), Some(Answer::Unavailable { .. })));
+        assert_eq!(calls.get(), sent);
+    })
+    .unwrap();
+}
+
 /// No leader is known, as during an election. Guards against callers that are all told the same time and come back together.
 #[test]
 fn retries_are_spread_where_no_leader_is_known() {
