An order on an evacuation that was delayed has no effect after what undid it

A core stands still for over a second with an order in its socket. The operator turns to another core after a second, is acknowledged there, and later undoes the order, which is acknowledged too. The core wakes, reads the old order and carries it out: the data centre is evacuated again though nobody asks for it, or, worse, no longer evacuated though it was ordered (EVAC).

Cause: the orders carry nothing that tells how old they are, the record took each as new, and a core counts the time of a call from its reading.

Change, in two parts, since an order may be late before and after a core has read it: - After: the core that reads an order adds the number of the data centre's last change that it knows. The record numbers the changes and refuses an order if the data centre has changed since (Refusal::Outdated, 503: nothing done, a new order is taken). So a copy that waits on a link, in a leader that stood still or led before, or that `forward` repeats has no effect. An order that is in effect already is acknowledged as before. - Before: a core notices that it stood still (Standstill: half a second and more between two looks at a clock that counts suspended time) and, for half a second, refuses orders that may have waited for as long as their sender waits (0.9 s). The operator has turned to another core by then. Rules, heartbeats and waves need none of this: they have versions, sequence numbers and numbers; a wave is never removed from the record.

--- a/crates/beechhollow/tests/support/mod.rs
+++ b/crates/beechhollow/tests/support/mod.rs
@@ -20,10 +20,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+pub use processes::GroupCore;
 pub use processes::LeadingCore;
 pub use processes::Process;
 pub use processes::entry_config;
 pub use processes::metric;
+pub use processes::start_group;
 pub use processes::start_leading_core;
 pub use processes::wait_for_listener;
 
--- a/crates/beechhollow/tests/support/processes.rs
+++ b/crates/beechhollow/tests/support/processes.rs
@@ -148,3 +148,60 @@
         peer_port: addresses[2].port(),
     }
 }
+
+/// A core of a group.
+pub struct GroupCore {
+    /// The process.
+    pub process: Process,
+    /// Address for operators and workers.
+    pub control: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Starts `count` cores that form a group, each at an address of its own, and waits until one of them leads. The leader comes first.
+pub fn start_group(name: &str, count: u8) -> Vec<GroupCore> {
+    let ports = ports::free(3);
+    // Test processes that run at the same time use different nets.
+    let net = std::process::id() % 250;
+    let ip = |host: u8| format!("127.60.{net}.{host}");
+    let seeds: Vec<String> = (1..=count)
+        .map(|host| format!("{}:{}", ip(host), ports[0].port()))
+        .collect();
+    let start = |host: u8| {
+        let address = |port: u16| {
+            format!("{}:{port}", ip(host))
+                .parse::<SocketAddr>()
+                .unwrap()
+        };
+        let (control, metrics) = (address(ports[0].port()), address(ports[1].port()));
+        let config = format!(
+            "name: core-{host}\nrole: core\ndata_centre: dc-{host}\nip: '{}'\npeer_port: {}\ncontrol_address: '{control}'\nmetrics_address: '{metrics}'\n\
+             data_folder: FOLDER\nmay_form: true\ntolerated_losses: 1\nseeds: '{}'\ngrace_s: 1\n",
+            ip(host),
+            ports[2].port(),
+            seeds.join(","),
+        );
+        GroupCore {
+            process: Process::start(&format!("{name}-{host}"), &config),
+            control,
+            metrics,
+        }
+    };
+    let mut cores: Vec<GroupCore> = (1..=count).map(start).collect();
+    for core in &cores {
+        wait_for_listener(core.metrics);
+    }
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        assert!(Instant::now() < until, "no core leads");
+        let leader = cores
+            .iter()
+            .position(|core| metric(core.metrics, "leads") == Some(1));
+        if let Some(leader) = leader {
+            cores.swap(0, leader);
+            return cores;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/crates/bh-control/src/calls/call.rs
+++ b/crates/bh-control/src/calls/call.rs
@@ -45,11 +45,18 @@
     Evacuate {
         /// Its name.
         data_centre: Arc<str>,
+        /// Number of the data centre's last change that the core knew when it read the call. Set by that core; absent from calls that cores of
+        /// an older version forward.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        known_change: Option<u64>,
     },
     /// An operator ends the evacuation of a data centre.
     EndEvacuation {
         /// Its name.
         data_centre: Arc<str>,
+        /// See [`Call::Evacuate`].
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        known_change: Option<u64>,
     },
     /// An operator starts a maintenance wave.
     StartWave(WaveSpec),
@@ -69,7 +76,7 @@
             }
             Call::Heartbeat(heartbeat) => Arc::from(heartbeat.info.id.to_string()),
             Call::Leave { worker } => Arc::from(worker.to_string()),
-            Call::Evacuate { data_centre } | Call::EndEvacuation { data_centre } => {
+            Call::Evacuate { data_centre, .. } | Call::EndEvacuation { data_centre, .. } => {
                 data_centre.clone()
             }
             Call::SetRules(_) | Call::GetRules => Arc::from("rules"),
--- a/crates/bh-control/src/core/answer_call.rs
+++ b/crates/bh-control/src/core/answer_call.rs
@@ -76,16 +76,24 @@
         }
         // Here and below, a time of 0 is replaced when the command is proposed.
         Call::StartWave(spec) => change(core, Command::StartWave { spec, now_ms: 0 }).await,
-        Call::Evacuate { data_centre } => {
+        Call::Evacuate {
+            data_centre,
+            known_change,
+        } => {
             let command = Command::Evacuate {
                 data_centre: data_centre.clone(),
                 now_ms: 0,
+                known_change,
             };
             change_data_centre(core, &data_centre, command).await
         }
-        Call::EndEvacuation { data_centre } => {
+        Call::EndEvacuation {
+            data_centre,
+            known_change,
+        } => {
             let command = Command::EndEvacuation {
                 data_centre: data_centre.clone(),
+                known_change,
             };
             change_data_centre(core, &data_centre, command).await
         }
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -12,6 +12,7 @@
 use crate::mesh::Inbound;
 use crate::mesh::Mesh;
 use crate::observe::Metrics;
+use crate::standstill::Standstill;
 use bh_group::Group;
 use bh_net::Clock;
 use bh_protocol::Incarnation;
@@ -41,6 +42,8 @@
     pub clock: Clock,
     /// Its replica of the record.
     pub group: Group<Workload>,
+    /// Detects that the process stood still.
+    pub standstill: Rc<Standstill>,
     /// Links to other cores.
     pub mesh: Rc<Mesh>,
     /// Open links from other cores and entries.
--- a/crates/bh-control/src/core/evacuations.rs
+++ b/crates/bh-control/src/core/evacuations.rs
@@ -68,12 +68,14 @@
 ) -> Option<Response<Bytes>> {
     let data_centre: Arc<str> = Arc::from(data_centre);
     let is_evacuated = *method == Method::POST;
-    let call = match *method {
+    let mut call = match *method {
         Method::POST => Call::Evacuate {
             data_centre: data_centre.clone(),
+            known_change: None,
         },
         Method::DELETE => Call::EndEvacuation {
             data_centre: data_centre.clone(),
+            known_change: None,
         },
         _ => return None,
     };
@@ -81,12 +83,49 @@
         data_centre,
         is_evacuated,
     };
-    Some(
-        match incoming::decide(core, &call, ORDER_TIMEOUT_MS).await {
-            Answer::Done => answer::json(&ordered),
-            other => answer::failed(&failure(&ordered.data_centre, &other)),
-        },
-    )
+    let answer = match prepare_order(core, &mut call, ORDER_TIMEOUT_MS) {
+        Ok(()) => incoming::decide(core, &call, ORDER_TIMEOUT_MS).await,
+        Err(answer) => answer,
+    };
+    Some(match answer {
+        Answer::Done => answer::json(&ordered),
+        other => answer::failed(&failure(&ordered.data_centre, &other)),
+    })
+}
+
+/// Prepares an order on an evacuation that this core has just read; other calls stay as they are. The last change of the data centre that the
+/// core knows is added: if the order is delayed from here on and another change is recorded first, it is refused.
+///
+/// # Errors
+///
+/// The answer to an order that may have waited in this process for longer than its sender does. The sender has sent it to another core then,
+/// and may have undone it since. Rules, heartbeats and waves have numbers that tell the same.
+pub(super) fn prepare_order(
+    core: &CoreNode,
+    call: &mut Call,
+    timeout_ms: u64,
+) -> Result<(), Answer> {
+    let (Call::Evacuate {
+        data_centre,
+        known_change,
+    }
+    | Call::EndEvacuation {
+        data_centre,
+        known_change,
+    }) = call
+    else {
+        return Ok(());
+    };
+    let waited_ms = core.standstill.waited_ms();
+    if waited_ms >= timeout_ms {
+        core.metrics.count("evacuation_orders_delayed", 1);
+        log::warn!(data_centre = &**data_centre, waited_ms; "order on an evacuation refused: it may have waited while this core stood still");
+        return Err(Answer::Unavailable {
+            retry_after_ms: RETRY_AFTER_MS,
+        });
+    }
+    *known_change = Some(core.group.machine.read().evacuation_change(data_centre));
+    Ok(())
 }
 
 fn failure(data_centre: &str, answer: &Answer) -> Failure {
@@ -99,6 +138,11 @@
             let label = "the order may have been recorded; it may be sent again";
             Failure::new(Code::Unreachable, label)
         }
+        Answer::Refused(Refusal::Outdated) => {
+            let label =
+                "the evacuation was changed while the order was on its way; nothing was recorded";
+            Failure::new(Code::NoQuorum, label).with_retry_after_ms(RETRY_AFTER_MS)
+        }
         _ => Failure::new(Code::NoQuorum, "no core leads").with_retry_after_ms(RETRY_AFTER_MS),
     }
 }
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -4,6 +4,7 @@
 use super::answer_call::answer_call;
 use super::carry;
 use super::core_node::CoreNode;
+use super::evacuations;
 use super::heartbeats;
 use crate::calls::Answer;
 use crate::calls::Call;
@@ -83,7 +84,7 @@
 /// Handles a call of a worker or an operator: answers it if this core leads, and forwards it otherwise.
 pub(super) async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
     let _open = OpenCall::begin(&core);
-    let received = match (core.dialect.read_control)(&request) {
+    let mut received = match (core.dialect.read_control)(&request) {
         Ok(received) => received,
         Err(status) => {
             core.metrics.count("calls_unreadable", 1);
@@ -93,7 +94,10 @@
     };
     let timeout_ms = received.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let received_ms = core.clock.now_ms();
-    let answer = decide(&core, &received.call, timeout_ms).await;
+    let answer = match evacuations::prepare_order(&core, &mut received.call, timeout_ms) {
+        Ok(()) => decide(&core, &received.call, timeout_ms).await,
+        Err(answer) => answer,
+    };
     if let Call::Heartbeat(heartbeat) = &received.call {
         core.undelivered_heartbeats
             .borrow_mut()
@@ -133,10 +137,10 @@
         Call::SetRules(Err(problem)) => {
             log::info!(problem = &**problem, answer:? = answer; "unreadable rules sent");
         }
-        Call::Evacuate { data_centre } => {
+        Call::Evacuate { data_centre, .. } => {
             log::info!(data_centre = &**data_centre, answer:? = answer; "evacuation ordered");
         }
-        Call::EndEvacuation { data_centre } => {
+        Call::EndEvacuation { data_centre, .. } => {
             log::info!(data_centre = &**data_centre, answer:? = answer; "end of an evacuation ordered");
         }
         Call::Leave { worker } => {
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -20,6 +20,7 @@
 use crate::observe::serve_metrics;
 use crate::reload;
 use crate::server;
+use crate::standstill::Standstill;
 use bh_net::Clock;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
@@ -75,7 +76,9 @@
     let peer_listener = server::bind(config.peer_bind_address())?;
     let control_listener = server::bind(control)?;
     let (wake, wakes) = unbounded::channel();
+    let standstill = Standstill::watch(clock.clone(), stop.clone());
     let core = Rc::new(CoreNode {
+        standstill,
         workers: WorkerCalls::new(clock.clone(), config.descriptors()),
         config,
         dialect,
--- a/crates/bh-control/src/lib.rs
+++ b/crates/bh-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod observe;
 mod reload;
 pub mod server;
+pub mod standstill;
 
 use bh_protocol::Failure;
 use config::LocalConfig;
--- a/crates/bh-workload/src/state/apply.rs
+++ b/crates/bh-workload/src/state/apply.rs
@@ -88,19 +88,12 @@
             Command::Evacuate {
                 data_centre,
                 now_ms,
-            } => {
-                // A recorded evacuation was ordered again because its acknowledgement was lost.
-                self.evacuations
-                    .entry(data_centre.clone())
-                    .or_insert(now_ms);
-                self.mark_workers_in(&data_centre);
-                Reply::Done
-            }
-            Command::EndEvacuation { data_centre } => {
-                self.evacuations.remove(&data_centre);
-                self.mark_workers_in(&data_centre);
-                Reply::Done
-            }
+                known_change,
+            } => self.change_evacuation(data_centre, Some(now_ms), known_change),
+            Command::EndEvacuation {
+                data_centre,
+                known_change,
+            } => self.change_evacuation(data_centre, None, known_change),
             Command::Forget { before_ms } => {
                 self.forget(before_ms);
                 Reply::Done
@@ -248,6 +241,30 @@
         }
     }
 
+    /// Starts the evacuation of a data centre at `since_ms`, in milliseconds since 1970, or ends it if that is `None`.
+    fn change_evacuation(
+        &mut self,
+        data_centre: Arc<str>,
+        since_ms: Option<u64>,
+        known_change: Option<u64>,
+    ) -> Reply {
+        // An order that is in effect was sent again because its acknowledgement was lost.
+        if self.evacuations.contains_key(&data_centre) == since_ms.is_some() {
+            return Reply::Done;
+        }
+        let last_change = self.evacuation_changes.last(&data_centre);
+        if known_change.is_some_and(|known_change| known_change < last_change) {
+            return Reply::Refused(Refusal::Outdated);
+        }
+        match since_ms {
+            Some(since_ms) => self.evacuations.insert(data_centre.clone(), since_ms),
+            None => self.evacuations.remove(&data_centre),
+        };
+        self.mark_workers_in(&data_centre);
+        self.evacuation_changes.note(data_centre);
+        Reply::Done
+    }
+
     /// Marks the workers of a data centre as changed, because what may start there has changed.
     fn mark_workers_in(&mut self, data_centre: &str) {
         let local_workers = self
--- a/crates/bh-workload/src/state/command.rs
+++ b/crates/bh-workload/src/state/command.rs
@@ -88,11 +88,19 @@
         data_centre: Arc<str>,
         /// When the leader received the call, in milliseconds since 1970.
         now_ms: u64,
+        /// Number of the data centre's last change that was known where the order was read. The order is refused if the data centre has changed
+        /// since: it was delayed, and what it would undo came later. A core of an older version does not know this field and carries the
+        /// order out.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        known_change: Option<u64>,
     },
     /// An operator ends the evacuation of a data centre.
     EndEvacuation {
         /// The data centre.
         data_centre: Arc<str>,
+        /// See [`Command::Evacuate`].
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        known_change: Option<u64>,
     },
     /// Removes jobs that ended before a time, in milliseconds since 1970.
     Forget {
@@ -242,6 +250,8 @@
     NoWave,
     /// No such data centre exists.
     NoDataCentre,
+    /// The call was delayed, and what it would change has been changed since it was read.
+    Outdated,
     /// The job cannot be parsed or exceeds a limit.
     BadJob(String),
     /// The rules are invalid.
--- a/crates/bh-workload/src/state/workload.rs
+++ b/crates/bh-workload/src/state/workload.rs
@@ -2,6 +2,7 @@
 
 use super::Command;
 use super::EarlyCancels;
+use super::EvacuationChanges;
 use super::Job;
 use super::JobState;
 use super::OpenRuns;
@@ -59,6 +60,9 @@
     /// Data centres under evacuation, and since when, in milliseconds since 1970.
     #[serde(default)]
     pub(super) evacuations: BTreeMap<Arc<str>, u64>,
+    /// Numbers of the changes of evacuations.
+    #[serde(default, skip_serializing_if = "EvacuationChanges::is_empty")]
+    pub(super) evacuation_changes: EvacuationChanges,
     /// Cancels of jobs that were not recorded.
     #[serde(default, skip_serializing_if = "EarlyCancels::is_empty")]
     pub(super) early_cancels: EarlyCancels,
@@ -312,6 +316,11 @@
             .map(|(data_centre, since_ms)| (data_centre, *since_ms))
     }
 
+    /// Number of the last start or end of an evacuation of a data centre; 0 if none is known.
+    pub fn evacuation_change(&self, data_centre: &str) -> u64 {
+        self.evacuation_changes.last(data_centre)
+    }
+
     /// Whether the data centre of a worker is under evacuation, so that no run may start there.
     pub fn is_evacuated(&self, worker: &WorkerInfo) -> bool {
         self.evacuations.contains_key(&worker.data_centre)
--- a/crates/bh-workload/tests/delays/site.rs
+++ b/crates/bh-workload/tests/delays/site.rs
@@ -551,7 +551,10 @@
         match fault {
             Fault::Evacuation { far, .. } => {
                 let data_centre = Arc::from(data_centre(*far));
-                self.record.apply(Command::EndEvacuation { data_centre });
+                self.record.apply(Command::EndEvacuation {
+                    data_centre,
+                    known_change: None,
+                });
                 self.wake(self.term);
             }
             Fault::MissingQueue { .. } | Fault::FewerAttempts { .. } => self.change_rules(),
@@ -592,6 +595,7 @@
                 self.record.apply(Command::Evacuate {
                     data_centre: Arc::from(data_centre(far)),
                     now_ms: START_WALL_MS + self.now_ms,
+                    known_change: None,
                 });
                 self.wake(self.term);
             }
--- a/crates/bh-workload/tests/evacuation.rs
+++ b/crates/bh-workload/tests/evacuation.rs
@@ -19,6 +19,8 @@
 use bh_workload::plan::WaitReason;
 use bh_workload::state::Command;
 use bh_workload::state::EndKind;
+use bh_workload::state::EvacuationChanges;
+use bh_workload::state::Refusal;
 use bh_workload::state::Reply;
 use bh_workload::state::Workload;
 use rstest::rstest;
@@ -292,6 +294,97 @@
     assert!(!site.workload.knows_data_centre("elsewhere"));
 }
 
+/// Applies an order that was read when `known_change` was the last known change.
+fn delayed_order(site: &mut Site, evacuates: bool, known_change: u64) -> Reply {
+    let data_centre = Arc::from(FAR);
+    let known_change = Some(known_change);
+    let command = if evacuates {
+        Command::Evacuate {
+            data_centre,
+            now_ms: site.wall_ms(),
+            known_change,
+        }
+    } else {
+        Command::EndEvacuation {
+            data_centre,
+            known_change,
+        }
+    };
+    site.workload.apply(command)
+}
+
+fn is_evacuated(site: &Site) -> bool {
+    site.workload.evacuations().any(|(name, _)| &**name == FAR)
+}
+
+/// Guards against an evacuation that begins after it was ended, or ends after it was ordered again, by a copy of the earlier order that was delayed
+/// on its way to the leader. The leader may be another one by then, whose record went through a snapshot.
+#[rstest]
+fn an_order_that_was_delayed_is_refused(#[values(true, false)] evacuates: bool) {
+    let mut site = Site::in_two_data_centres(1, 1);
+    if !evacuates {
+        site.evacuate(FAR);
+    }
+    let known_change = site.workload.evacuation_change(FAR);
+    let apply = |site: &mut Site, evacuates| {
+        if evacuates {
+            site.evacuate(FAR);
+        } else {
+            site.end_evacuation(FAR);
+        }
+    };
+    apply(&mut site, evacuates);
+    apply(&mut site, !evacuates);
+    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
+    let bytes = machine.snapshot().unwrap();
+    machine.restore(&bytes).unwrap();
+    site.workload = machine.read().clone();
+    let reply = delayed_order(&mut site, evacuates, known_change);
+    assert_eq!(reply, Reply::Refused(Refusal::Outdated));
+    assert_eq!(is_evacuated(&site), !evacuates);
+    // A new order is carried out, also right after the last change.
+    let known_change = site.workload.evacuation_change(FAR);
+    assert_eq!(
+        delayed_order(&mut site, evacuates, known_change),
+        Reply::Done
+    );
+    assert_eq!(is_evacuated(&site), evacuates);
+}
+
+/// Guards against an order that is refused although it is in effect: its acknowledgement was lost, and it was sent again to a core that is behind.
+#[rstest]
+fn an_order_that_is_in_effect_is_acknowledged_again(#[values(true, false)] evacuates: bool) {
+    let mut site = Site::in_two_data_centres(1, 1);
+    site.evacuate(FAR);
+    if !evacuates {
+        site.end_evacuation(FAR);
+    }
+    assert_eq!(delayed_order(&mut site, evacuates, 0), Reply::Done);
+    assert_eq!(is_evacuated(&site), evacuates);
+}
+
+/// Guards against an order that is refused because another data centre was evacuated meanwhile.
+#[test]
+fn an_order_is_not_delayed_by_changes_of_other_data_centres() {
+    let mut site = Site::in_two_data_centres(1, 1);
+    site.evacuate(NEAR);
+    site.end_evacuation(NEAR);
+    assert_eq!(delayed_order(&mut site, true, 0), Reply::Done);
+}
+
+/// Guards against a record that grows with each name of a data centre that an operator has used.
+#[test]
+fn the_changes_of_few_data_centres_are_kept() {
+    let mut site = Site::in_two_data_centres(1, 1);
+    for number in 0..2 * EvacuationChanges::MAX {
+        site.evacuate(&format!("dc{number}"));
+        site.end_evacuation(&format!("dc{number}"));
+    }
+    let changes: serde_json::Value = serde_json::to_value(&site.workload).unwrap();
+    let kept = changes["evacuation_changes"]["by_data_centre"].as_object();
+    assert_eq!(kept.unwrap().len(), EvacuationChanges::MAX);
+}
+
 /// A snapshot of a version without evacuations is read as one with none.
 #[test]
 fn older_snapshots_hold_no_evacuation() {
--- a/crates/bh-workload/tests/fuzz_orders.rs
+++ b/crates/bh-workload/tests/fuzz_orders.rs
@@ -645,12 +645,14 @@
                     self.record(Command::Evacuate {
                         data_centre: Arc::from(*name),
                         now_ms: 0,
+                        known_change: None,
                     });
                     self.evacuated_ms.entry(name).or_insert(now_ms);
                 }
                 if due(at_ms + duration_ms) || due(at_ms + duration_ms + REPEAT_MS) {
                     self.record(Command::EndEvacuation {
                         data_centre: Arc::from(*name),
+                        known_change: None,
                     });
                     self.evacuated_ms.remove(name);
                 }
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -317,6 +317,7 @@
         let reply = self.workload.apply(Command::Evacuate {
             data_centre: Arc::from(data_centre),
             now_ms: self.wall_ms(),
+            known_change: None,
         });
         assert_eq!(reply, Reply::Done);
         self.take_events();
@@ -326,6 +327,7 @@
     pub fn end_evacuation(&mut self, data_centre: &str) {
         let reply = self.workload.apply(Command::EndEvacuation {
             data_centre: Arc::from(data_centre),
+            known_change: None,
         });
         assert_eq!(reply, Reply::Done);
         self.take_events();
