A call that may have waited for longer than its caller does is refused

The kept cancels cover late submissions for the retention time; this covers the time after, and work for callers who left.

Change: after a standstill of at least the caller's time limit an entry refuses, for half a second, what it reads (503, to be tried again). An entry that stood still for less goes on as before: its callers still wait.

a_call_that_waited_for_longer_than_its_caller_is_refused (entry stopped for 1.2 s, limit 1 s) failed before with 200.

--- a/crates/beechhollow/tests/late_submissions.rs
+++ b/crates/beechhollow/tests/late_submissions.rs
@@ -24,7 +24,8 @@
 /// A core that leads, and entries in front of it.
 struct Site {
     core: LeadingCore,
-    entries: Vec<(Process, SocketAddr)>,
+    /// Process, address for callers and address of the metrics.
+    entries: Vec<(Process, SocketAddr, SocketAddr)>,
 }
 
 impl Site {
@@ -37,7 +38,7 @@
             let config = entry_config(&addresses, core.peer_port);
             let process = Process::start(&format!("{name}-entry-{index}"), &config);
             wait_for_listener(addresses[0]);
-            (process, addresses[0])
+            (process, addresses[0], addresses[2])
         });
         let entries = entries.collect();
         let site = Self { core, entries };
@@ -58,12 +59,23 @@
 
     /// Calls an entry about a job; about the queue if `job` is empty.
     fn call(&self, entry: usize, method: &str, job: &str) -> RawAnswer {
+        self.call_with_deadline(entry, method, job, 3_000)
+    }
+
+    fn call_with_deadline(
+        &self,
+        entry: usize,
+        method: &str,
+        job: &str,
+        deadline_ms: u64,
+    ) -> RawAnswer {
         let spec = if method == "POST" {
             job_spec()
         } else {
             String::new()
         };
-        let headers = [("deadline-ms", "3000")];
+        let deadline_ms = deadline_ms.to_string();
+        let headers = [("deadline-ms", &*deadline_ms)];
         let path = format!("/queue/{job}");
         let address = self.entries[entry].1;
         http_raw::send(address, method, &path, &headers, spec.as_bytes(), TIMEOUT)
@@ -119,6 +131,24 @@
     site.check_refused_as_cancelled(&submission);
 }
 
+/// Guards against a call that is carried out after its caller has given up, because the entry that was to read it stood still.
+#[test]
+fn a_call_that_waited_for_longer_than_its_caller_is_refused() {
+    let site = Site::start("delayed-call", 1, "");
+    let submission = thread::scope(|scope| {
+        site.entries[0].0.signal("STOP");
+        let submission = scope.spawn(|| site.call_with_deadline(0, "POST", JOB, 1_000));
+        thread::sleep(Duration::from_millis(1_200));
+        site.entries[0].0.signal("CONT");
+        submission.join().unwrap()
+    });
+    assert_eq!(submission.status, 503, "{submission:?}");
+    site.wait_until_served();
+    assert_eq!(site.call(0, "GET", JOB).status, 410);
+    let delayed = metric(site.entries[0].2, "calls_delayed_total");
+    assert_eq!(delayed, Some(1));
+}
+
 /// Guards against cancels that are lost when all cores are killed, so that a late submission is accepted afterwards.
 #[test]
 fn a_cancel_outlives_the_loss_of_all_cores() {
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -3,6 +3,7 @@
 use super::Readiness;
 use crate::calls::Answer;
 use crate::calls::Call;
+use crate::calls::RETRY_AFTER_MS;
 use crate::calls::forward;
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
@@ -13,12 +14,14 @@
 use crate::observe::serve_metrics;
 use crate::reload;
 use crate::server;
+use crate::standstill::Standstill;
 use bh_net::Clock;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::wire::Hello;
+use bh_workload::admission::retry_after_ms;
 use bh_workload::state::Refusal;
 use bytes::Bytes;
 use http::HeaderValue;
@@ -56,6 +59,7 @@
     connections: Rc<Cell<usize>>,
     metrics: Rc<Metrics>,
     readiness: Readiness,
+    standstill: Rc<Standstill>,
 }
 
 impl Entry {
@@ -79,7 +83,7 @@
             .min(MAX_TIMEOUT_MS)
             .saturating_sub(ANSWER_TRANSIT_MS)
             .max(1);
-        let answer = forward(&self.mesh, &received.call, timeout_ms).await;
+        let answer = self.decide(&received.call, timeout_ms).await;
         let took_ms = self.mesh.now_ms().saturating_sub(started_ms);
         self.metrics.count(outcome(&answer), 1);
         self.metrics.time_ms("call", took_ms);
@@ -91,6 +95,19 @@
         response
     }
 
+    /// Has a call decided by the leader. A call that may have waited in this process for longer than its caller does is refused.
+    async fn decide(&self, call: &Call, timeout_ms: u64) -> Answer {
+        let waited_ms = self.standstill.waited_ms();
+        if waited_ms < timeout_ms {
+            return forward(&self.mesh, call, timeout_ms).await;
+        }
+        self.metrics.count("calls_delayed", 1);
+        log::warn!(path = &*call.name(), waited_ms; "call refused: it may have waited while this entry stood still");
+        Answer::Unavailable {
+            retry_after_ms: retry_after_ms(RETRY_AFTER_MS, &call.name()),
+        }
+    }
+
     fn readiness(&self) -> Response<Bytes> {
         let mut response = Response::new(Bytes::new());
         if !self.is_ready() {
@@ -150,7 +167,9 @@
         data_centre: config.data_centre.to_string(),
         ..Hello::default()
     };
-    let mesh = Mesh::of_entry(hello, Clock::new(), stop.clone());
+    let clock = Clock::new();
+    let standstill = Standstill::watch(clock.clone(), stop.clone());
+    let mesh = Mesh::of_entry(hello, clock, stop.clone());
     mesh.add_cores(config.seed_peers());
     reload::follow(mesh.clone(), config.path.clone())?;
     let missing = |key: &str| Failure::new(Code::BadConfigFile, format!("`{key}` is missing"));
@@ -171,6 +190,7 @@
         connections: Rc::new(Cell::new(0)),
         metrics: Rc::new(Metrics::new()),
         readiness: Readiness::new(),
+        standstill,
     });
     log::info!(entry = &*entry.config.name, address = entry.config.ip.to_string(); "entry starts");
     if let Some(address) = entry.config.metrics_address {
