A start is not sent again once its worker has reported the end of the run

Cause: `note_report` marks runs that a report lists as running as confirmed, and leaves those that it lists as ended unsure, so `send_start` repeats their start until the end is recorded. And an order that is lost after such a report made a confirmed run unsure again.

Change: a listed end confirms the start as well, and a lost order doesn't take a confirmation back; it still counts as one that may arrive late.

a_start_is_not_sent_again_once_its_run_has_ended (both orders of events) failed 2 of 2 before.

Other reports of workers, why a late one can't undo a later one: a draining worker stays so in the record whatever heartbeat comes late, also under the next leader (a_late_heartbeat_does_not_take_an_announcement_back, new, held before); details of an older sequence number are ignored (shrinking_workers.rs); a leave call or heartbeat of an earlier start is told by its start time (restarted_workers.rs); a worker that is removed has ended, so a late heartbeat that adds it again gets orders that nothing reads, or 421 from the next worker at the address.

--- a/crates/bh-workload/src/dispatch/answers.rs
+++ b/crates/bh-workload/src/dispatch/answers.rs
@@ -57,6 +57,13 @@
             run_state.start = StartPhase::Confirmed { at_ms: now_ms };
             None
         }
+        // A report has shown meanwhile that the worker has the run, or has had it.
+        Answer::Lost | Answer::NotListening | Answer::CarrierLost
+            if matches!(run_state.start, StartPhase::Confirmed { .. }) =>
+        {
+            run_state.was_unconfirmed = true;
+            None
+        }
         Answer::Denied {
             denial: Denial::Fenced,
             ..
@@ -136,6 +143,12 @@
             EndKind::Failed => target.note_failure(now_ms, ended.run.task.step.job),
             _ => {}
         }
+        // Its start must not be sent again while the end is being recorded: a restarted worker would carry it out.
+        if let Some(run_state) = target.runs.get_mut(&ended.run)
+            && !matches!(run_state.start, StartPhase::Confirmed { .. })
+        {
+            run_state.start = StartPhase::Confirmed { at_ms: now_ms };
+        }
         let last_checkpoint = target
             .runs
             .get(&ended.run)
--- a/crates/bh-workload/tests/leaving_workers.rs
+++ b/crates/bh-workload/tests/leaving_workers.rs
@@ -354,3 +354,28 @@
         Some(Command::Workers(vec![WorkerChange::Gone(worker)]))
     );
 }
+
+/// Guards against giving work to a worker that leaves, because a heartbeat from before its announcement was delayed: it arrives when the announcement
+/// was acknowledged, at the same leader or at the next one.
+#[rstest]
+fn a_late_heartbeat_does_not_take_an_announcement_back(#[values(false, true)] new_leader: bool) {
+    let mut site = Site::new(1, 1);
+    let known: Vec<_> = site.workload.workers().cloned().collect();
+    let info = known[0].info.clone();
+    let leaves = WorkerChange::Draining(info.id.clone());
+    site.workload.apply(Command::Workers(vec![leaves]));
+    site.take_events();
+    if new_leader {
+        site.take_over(2);
+    }
+    for sequence in [0, 7] {
+        let mut info = info.clone();
+        info.sequence = sequence;
+        let late = WorkerChange::Known(info);
+        site.workload.apply(Command::Workers(vec![late]));
+        site.take_events();
+        site.heartbeats();
+        site.submit(0, "other", vec![step(1, 1)]);
+        assert!(site.plan().starts.is_empty());
+    }
+}
--- a/crates/bh-workload/tests/repeated_starts.rs
+++ b/crates/bh-workload/tests/repeated_starts.rs
@@ -177,3 +177,63 @@
     let suspects: Vec<RunId> = crash.suspects.iter().map(|suspect| suspect.run).collect();
     assert_eq!(suspects, [run_of(&start)]);
 }
+
+/// Report of a worker on which a run has ended as done.
+fn done_report(site: &Site, run: RunId) -> Answer {
+    Answer::Done {
+        clock_ms: Some(site.now_ms),
+        report: Some(Report {
+            ended: vec![Ended {
+                number: 1,
+                run,
+                kind: EndKind::Done,
+                checkpoint: None,
+            }],
+            ..Report::default()
+        }),
+    }
+}
+
+/// Guards against running a task that is done once more: its worker has reported the end, and the start order that had no answer is sent again until
+/// the end is recorded. A worker that has restarted meanwhile carries it out.
+#[rstest]
+#[case::lost_before_the_report(true)]
+#[case::lost_after_the_report(false)]
+fn a_start_is_not_sent_again_once_its_run_has_ended(#[case] lost_before: bool) {
+    const REPEATED_MS: u64 = 2_000;
+    let (mut site, _, start) = site_with_start();
+    if lost_before {
+        answer(&mut site, &start, &Answer::Lost);
+    }
+    site.advance(100);
+    let done = done_report(&site, run_of(&start));
+    let probe = site
+        .orders()
+        .into_iter()
+        .find(|order| order.to.worker == start.to.worker)
+        .unwrap_or_else(|| Order {
+            body: OrderBody::Probe {
+                lease_until_ms: None,
+                recorded_to: 0,
+                wait_ms: 0,
+            },
+            sent_ms: site.now_ms,
+            ..start.clone()
+        });
+    // The end is on its way into the record from here on.
+    let ends = site
+        .dispatcher
+        .note_answer(site.now_ms, &probe, &done, &site.workload);
+    assert!(matches!(ends, Some(Command::Ends { .. })), "{ends:?}");
+    if !lost_before {
+        answer(&mut site, &start, &Answer::Lost);
+    }
+    for _ in 0..REPEATED_MS / 100 {
+        site.advance(100);
+        let repeated = site
+            .orders()
+            .into_iter()
+            .find(|order| matches!(order.body, OrderBody::Start { .. }));
+        assert_eq!(repeated, None);
+    }
+}
