--- a/crates/beechhollow/tests/soak.rs
+++ b/crates/beechhollow/tests/soak.rs
@@ -61,6 +61,21 @@
     run_and_check(55, options);
 }
 
+/// A client cancels jobs whose submission had no answer soon, while entries and cores are paused, killed and cut off, and operators evacuate data centres.
+/// Guards against jobs that run or are shown although they were unknown when their cancel was acknowledged, and against orders on evacuations that take
+/// effect after they were undone.
+#[test]
+fn what_was_undone_does_not_come_late() {
+    let options = Options {
+        load: Load {
+            has_impatient_client: true,
+            ..Load::default()
+        },
+        ..options(None, FaultKinds::All)
+    };
+    run_and_check(61, options);
+}
+
 /// Gangs and steps with many tasks, while one leader after the other is killed, paused, cut off, stopped or emptied of its data. Guards against
 /// accepted jobs that have nothing running for 3 s, although the group is stable again and has free capacity for them.
 #[test]
