The disruption budget is asked for all stops at once, and charged for what is carried out

One root: DisruptionBudget answered for one run, at a moment, and handed its allowance out as it was asked. make_room asked for every candidate in the order of the workers' ids, so the first had it whether or not the unit could run there; gangs were completed after the question, in the plan and in upkeep; a run on a silent worker counted as available by its last progress.

Change: the budget is asked for a set of stops with complete gangs, grants all or nothing and is charged only for what is carried out. The plan chooses among all runs that may be stopped by themselves; if its choice holds too many of a service, each of these is left out in turn until a choice is allowed (64 choices a unit at most). This is exact until that bound: if no choice exists with all candidates, none exists with fewer, and a choice that holds too many must lose one of them. A worker that does not answer has no available task.

Steps without a limit are planned as before.

--- a/crates/bh-workload/src/plan/disruption_budget.rs
+++ b/crates/bh-workload/src/plan/disruption_budget.rs
@@ -10,11 +10,13 @@
 use crate::state::Workload;
 use bh_protocol::Incarnation;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// Progress that a task of a service reports when it is ready to serve, in percent.
 const READY_PERCENT: u64 = 100;
 
-/// Decides which tasks of services may be stopped, so that no step has more unavailable tasks than the caller who submitted the job allows.
+/// Decides which tasks of services may be stopped, so that no step has more unavailable tasks than the caller who submitted the job allows. It is
+/// asked for all runs that are to be stopped together, and charged only for those that are.
 pub struct DisruptionBudget<'a> {
     workload: &'a Workload,
     dispatcher: &'a Dispatcher,
@@ -39,25 +41,66 @@
         }
     }
 
-    /// Returns whether a run may be stopped, and if so counts it as stopped.
+    /// Whether these runs may be stopped together. Each gang among them must be complete.
     ///
     /// In a step with a limit, a run that this leader has not itself seen ready may not be stopped. Such a run may well be ready: a new
     /// leader has not yet received reports of all runs.
-    pub fn allow_stop(&mut self, run: RunId) -> bool {
-        let step = run.task.step;
-        let spec = self.workload.step_spec(step);
-        let Some(max_unavailable) = spec.and_then(|spec| spec.most_unavailable) else {
-            return true;
-        };
-        if !self.is_available(run) {
+    pub fn allows(&mut self, stops: &BTreeSet<RunId>) -> bool {
+        self.limited(stops)
+            .iter()
+            .all(|(step, runs)| self.allows_of_step(*step, runs))
+    }
+
+    /// Whether these runs may be stopped together, and if so counts them as stopped.
+    pub fn take(&mut self, stops: &BTreeSet<RunId>) -> bool {
+        if !self.allows(stops) {
             return false;
         }
-        let left = match self.remaining.get(&step) {
-            Some(left) => *left,
-            None => u64::from(max_unavailable).saturating_sub(self.unavailable(step, spec)),
-        };
-        self.remaining.insert(step, left.saturating_sub(1));
-        left > 0
+        for (step, runs) in self.limited(stops) {
+            let left = self.remaining(step);
+            let taken = u64::try_from(runs.len()).unwrap_or(u64::MAX);
+            self.remaining.insert(step, left.saturating_sub(taken));
+        }
+        true
+    }
+
+    /// The runs of one step among `stops` that may not be stopped together, if there is such a step.
+    pub fn excess(&mut self, stops: &BTreeSet<RunId>) -> Option<Vec<RunId>> {
+        let mut steps = self.limited(stops).into_iter();
+        let refused = steps.find(|(step, runs)| !self.allows_of_step(*step, runs));
+        refused.map(|(_, runs)| runs)
+    }
+
+    /// The runs in steps with a limit, by step.
+    fn limited(&self, stops: &BTreeSet<RunId>) -> BTreeMap<StepId, Vec<RunId>> {
+        let mut limited: BTreeMap<StepId, Vec<RunId>> = BTreeMap::new();
+        for run in stops {
+            let step = run.task.step;
+            let spec = self.workload.step_spec(step);
+            if spec.is_some_and(|spec| spec.most_unavailable.is_some()) {
+                limited.entry(step).or_default().push(*run);
+            }
+        }
+        limited
+    }
+
+    fn allows_of_step(&mut self, step: StepId, runs: &[RunId]) -> bool {
+        let count = u64::try_from(runs.len()).unwrap_or(u64::MAX);
+        count <= self.remaining(step) && runs.iter().all(|run| self.is_available(*run))
+    }
+
+    /// Number of tasks of a step that may still be stopped.
+    fn remaining(&mut self, step: StepId) -> u64 {
+        if let Some(left) = self.remaining.get(&step) {
+            return *left;
+        }
+        let spec = self.workload.step_spec(step);
+        let most = spec.and_then(|spec| spec.most_unavailable);
+        let left = most.map_or(u64::MAX, |most| {
+            u64::from(most).saturating_sub(self.unavailable(step, spec))
+        });
+        self.remaining.insert(step, left);
+        left
     }
 
     /// Returns how many tasks of a step are not ready.
@@ -71,19 +114,22 @@
         all.saturating_sub(u64::try_from(available).unwrap_or(u64::MAX))
     }
 
-    /// Returns whether the worker has confirmed the start of the run and reported it ready to this leader, and the run is neither being stopped
-    /// nor in `stopping`.
+    /// Returns whether the worker answers, has confirmed the start of the run and reported it ready to this leader, and the run is neither being
+    /// stopped nor in `stopping`. A run on a worker that does not answer may have ended with it.
     fn is_available(&self, run: RunId) -> bool {
         let is_ready = |run_state: &RunState| {
             run_state.percent >= READY_PERCENT
                 && !run_state.stop_requested
                 && matches!(run_state.start, StartPhase::Confirmed { .. })
         };
-        let run_state = self
+        let target = self
             .workload
             .holder(run)
-            .and_then(|worker| self.dispatcher.view(&worker.info.id)?.runs.get(&run));
-        let seen_ready = run_state.is_some_and(is_ready);
+            .and_then(|worker| self.dispatcher.view(&worker.info.id))
+            .filter(|target| !target.is_silent());
+        let seen_ready = target
+            .and_then(|target| target.runs.get(&run))
+            .is_some_and(is_ready);
         seen_ready && !self.stopping.iter().any(|(_, other)| *other == run)
     }
 }
--- a/crates/bh-workload/src/plan/mod.rs
+++ b/crates/bh-workload/src/plan/mod.rs
@@ -80,6 +80,7 @@
 pub use planner::Planner;
 pub use policy::Policy;
 pub use preemption::PreemptionCandidate;
+pub(crate) use preemption::with_gang;
 pub use queue_load::QueueLoad;
 pub use room::Room;
 pub use runnable::RunnableStep;
--- a/crates/bh-workload/src/plan/preempt.rs
+++ b/crates/bh-workload/src/plan/preempt.rs
@@ -9,6 +9,7 @@
 use super::preemption;
 use super::preemption::Preemption;
 use super::preemption::PreemptionFailure;
+use super::preemption::with_gang;
 use super::preemption_candidates::PreemptionCandidates;
 use super::reservation::Reservation;
 use super::shared_stops::plan_shared_stops;
@@ -19,6 +20,7 @@
 use crate::state::Worker;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 /// Maximum work that may be lost for a unit of priority 0, as a multiple of the unit's own work. Such a unit is worth about ten times as
 /// much per capacity as the work that it displaces, and is late within a second or two. A factor of four leaves a margin for what the
@@ -28,6 +30,9 @@
 /// chooses other workers.
 const RESERVATION_GRACE_MS: u64 = 1_500;
 
+/// Maximum number of choices that are tried for one unit because the cheapest ones stop too many tasks of a service.
+const MAX_CHOICES: usize = 64;
+
 impl Pass<'_> {
     /// Stops other runs to make room for `unit`, if it may preempt any, and adds a reservation. Returns whether it did.
     pub fn try_preempt(
@@ -117,6 +122,9 @@
 
     /// Chooses the workers for `unit`, given the available capacity and the runs in `all` that yield to the unit. `waits` tells whether the
     /// unit waits for a rack rather than being spread, `exceeds_limit` whether tasks at the limit of displacements may be stopped.
+    ///
+    /// The cheapest choice may stop more tasks of a service than may be missing. Then at least one of these runs must be left alone, so each of
+    /// them is left out in turn until a choice is allowed.
     fn make_room(
         &self,
         unit: &Unit,
@@ -125,18 +133,56 @@
     ) -> Result<Preemption, PreemptionFailure> {
         let mut budget =
             DisruptionBudget::new(self.workload, self.dispatcher, &self.plan.evictions);
-        let mut may_stop = |candidate: &&PreemptionCandidate| {
+        let may_stop = |candidate: &&PreemptionCandidate| {
             candidate.stopping
                 || candidate.yields_to(unit)
                     && (exceeds_limit || !candidate.at_limit)
-                    && (!candidate.has_disruption_limit || budget.allow_stop(candidate.run))
+                    && (!candidate.has_disruption_limit
+                        || budget.allows(&with_gang(candidate.run, self.workload)))
         };
-        let candidates: Vec<&PreemptionCandidate> = all.iter().filter(&mut may_stop).collect();
+        let candidates: Vec<&PreemptionCandidate> = all.iter().filter(may_stop).collect();
+        let mut left_out = VecDeque::from([BTreeSet::new()]);
+        let mut seen: BTreeSet<BTreeSet<RunId>> = BTreeSet::new();
+        let mut failure = PreemptionFailure::NoRoom;
+        while let Some(spared) = left_out.pop_front() {
+            let tried: Vec<&PreemptionCandidate> = candidates
+                .iter()
+                .copied()
+                .filter(|candidate| candidate.stopping || !spared.contains(&candidate.run))
+                .collect();
+            let made = match self.choose_places(unit, &tried, waits) {
+                Ok(made) => made,
+                Err(why) => {
+                    failure = why;
+                    continue;
+                }
+            };
+            let Some(excess) = budget.excess(&made.evictions) else {
+                return Ok(made);
+            };
+            for run in excess {
+                let mut spared = spared.clone();
+                spared.insert(run);
+                if seen.len() < MAX_CHOICES && seen.insert(spared.clone()) {
+                    left_out.push_back(spared);
+                }
+            }
+        }
+        Err(failure)
+    }
+
+    /// Chooses the workers for `unit`, given the available capacity and the runs that may be stopped.
+    fn choose_places(
+        &self,
+        unit: &Unit,
+        candidates: &[&PreemptionCandidate],
+        waits: bool,
+    ) -> Result<Preemption, PreemptionFailure> {
         let plan = |unit: &Unit| {
             if self.policy.max_displacements.is_some() {
-                plan_shared_stops(unit, &self.rooms, &candidates, self.workload, waits)
+                plan_shared_stops(unit, &self.rooms, candidates, self.workload, waits)
             } else {
-                preemption::plan_preemption(unit, &self.rooms, &candidates, self.workload, waits)
+                preemption::plan_preemption(unit, &self.rooms, candidates, self.workload, waits)
             }
         };
         // The unit goes where it is on time, if it can. Spread over several racks, it would not be.
--- a/crates/bh-workload/src/plan/preemption.rs
+++ b/crates/bh-workload/src/plan/preemption.rs
@@ -247,12 +247,12 @@
 }
 
 /// Returns the run and the other members of its gang. Stopping one member ends all of them and frees the resources of all.
-pub(super) fn with_gang(run: RunId, workload: &Workload) -> Vec<RunId> {
+pub(crate) fn with_gang(run: RunId, workload: &Workload) -> BTreeSet<RunId> {
     let gang = workload
         .step_spec(run.task.step)
         .is_some_and(|spec| spec.gang);
     if !gang {
-        return vec![run];
+        return BTreeSet::from([run]);
     }
     let step = run.task.step;
     let tasks = workload
--- a/crates/bh-workload/src/upkeep/wave_scheduler.rs
+++ b/crates/bh-workload/src/upkeep/wave_scheduler.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::Timing;
 use crate::job::RunId;
 use crate::plan::DisruptionBudget;
+use crate::plan::with_gang;
 use crate::state::Command;
 use crate::state::VmUpkeep;
 use crate::state::Wave;
@@ -170,7 +171,7 @@
             let worker = workload.worker_on(vm);
             match worker.filter(|worker| !worker.runs.is_empty()) {
                 Some(worker) if now_ms >= emptying.stop_at_ms => {
-                    actions.extend(stop_actions(worker, dispatcher, &mut budget));
+                    actions.extend(stop_actions(worker, (workload, dispatcher), &mut budget));
                 }
                 Some(_) => {}
                 None if now_ms >= self.no_orders_until_ms && self.recording.insert(vm.clone()) => {
@@ -261,7 +262,7 @@
 /// Stops of the runs on a worker that are not being stopped yet, as far as the disruption budgets of their services allow.
 fn stop_actions(
     worker: &Worker,
-    dispatcher: &Dispatcher,
+    (workload, dispatcher): (&Workload, &Dispatcher),
     budget: &mut DisruptionBudget,
 ) -> Vec<UpkeepAction> {
     let target = dispatcher.view(&worker.info.id);
@@ -273,7 +274,7 @@
         .runs
         .keys()
         .filter(|run| !is_stopping(run))
-        .filter(|run| budget.allow_stop(**run))
+        .filter(|run| budget.take(&with_gang(**run, workload)))
         .map(|run| UpkeepAction::Stop(worker.info.id.clone(), *run))
         .collect()
 }
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -390,6 +390,29 @@
         }
     }
 
+    /// The due starts are carried out, and every worker is probed and reports that its runs are fully at work.
+    pub fn report_fully_at_work(&mut self) {
+        /// Number of steps within which each worker is probed, and their length in milliseconds.
+        const STEPS: u64 = 10;
+        const STEP_MS: u64 = 100;
+        for _ in 0..STEPS {
+            for order in self.orders() {
+                let mut report = self.report_of(&order.to.worker);
+                for running in &mut report.running {
+                    running.percent = 100;
+                }
+                let is_probe = matches!(order.body, OrderBody::Probe { .. });
+                let answer = Answer::Done {
+                    clock_ms: Some(self.now_ms),
+                    report: is_probe.then_some(report),
+                };
+                self.dispatcher
+                    .note_answer(self.now_ms, &order, &answer, &self.workload);
+            }
+            self.advance(STEP_MS);
+        }
+    }
+
     /// A worker answers its probe and reports the progress of a run, in percent.
     pub fn report_percent(&mut self, worker: &Incarnation, run: RunId, percent: u64) {
         let mut report = self.report_of(worker);
--- a/crates/bh-workload/tests/upkeep.rs
+++ b/crates/bh-workload/tests/upkeep.rs
@@ -255,6 +255,28 @@
     assert_eq!(fleet.site.open_runs().len(), 1);
 }
 
+/// Guards against a gang of a service that ends as a whole since the VM of one member is due, though only some of its tasks may be missing.
+#[test]
+fn a_gang_of_which_not_all_tasks_may_be_missing_is_not_stopped() {
+    let mut fleet = Fleet::new(4, 1);
+    let service = StepSpec {
+        long_running: true,
+        gang: true,
+        most_unavailable: Some(1),
+        most_per_worker: Some(1),
+        ..step(2, 4)
+    };
+    fleet.site.submit(1, "other", vec![service]);
+    fleet.site.plan_and_start();
+    assert_eq!(fleet.site.open_runs().len(), 2);
+    fleet.site.report_fully_at_work();
+    for _ in 0..(WITHIN_MS / TURN_MS + 10) {
+        fleet.turn();
+    }
+    assert_eq!(fleet.upkeeps.len(), 2, "the two workers without a member");
+    assert_eq!(fleet.site.open_runs().len(), 2);
+}
+
 /// Guards against starting a wave a second time when its order is sent again after the acknowledgement was lost.
 #[test]
 fn a_wave_that_is_ordered_again_does_not_restart() {
