Nothing starts on a VM whose upkeep may yet be carried out

Cause: the upkeep keeps free the worker that the VM had when it was recorded as ordered (or none, if it had none), not the VM. Now each worker that comes up on the VM gets no work until the order is answered as carried out. A new leader doesn't know that answer; it sends the order again, which is acknowledged at once if it is done, so it is slower for that time and never ends more.

nothing_starts_on_a_vm_whose_upkeep_may_yet_be_carried_out failed 4 of 4 before (worker crashed before or after the record, same and next leader).

--- a/crates/bh-workload/src/upkeep/wave_scheduler.rs
+++ b/crates/bh-workload/src/upkeep/wave_scheduler.rs
@@ -87,17 +87,33 @@
         }
     }
 
-    /// Workers that get no new work because their VMs are next, or because the upkeep of their VMs, which ends them, is recorded as ordered.
+    /// Workers that get no new work because their VMs are next, or because the upkeep of their VMs, which ends them, is recorded as ordered. Until
+    /// the order is known to be carried out, that holds for each worker that comes up on the VM.
     pub fn emptied_workers(&self, workload: &Workload) -> BTreeSet<Incarnation> {
-        let emptied = self.emptying.keys().filter_map(|vm| workload.worker_on(vm));
+        let ordered = workload.waves().flat_map(|(id, wave)| {
+            let vms = wave.vms.iter();
+            vms.filter(move |(vm, upkeep)| {
+                let is_ordered = matches!(upkeep, VmUpkeep::Ordered { .. });
+                is_ordered && !self.is_carried_out(id, vm)
+            })
+            .map(|(vm, _)| vm)
+        });
+        let emptied = self.emptying.keys().chain(ordered);
         let ended = workload.waves().flat_map(|(_, wave)| wave.ended_workers());
         emptied
+            .filter_map(|vm| workload.worker_on(vm))
             .map(|worker| &worker.info.id)
             .chain(ended)
             .cloned()
             .collect()
     }
 
+    /// Whether the order for a VM has been answered as carried out.
+    fn is_carried_out(&self, wave: u64, vm: &Arc<str>) -> bool {
+        let phase = self.orders.get(&(wave, vm.clone()));
+        matches!(phase, Some(OrderPhase::Done { .. }))
+    }
+
     /// The actions to carry out at `now_ms` on the leader's clock and `wall_ms` since 1970.
     pub fn actions(
         &mut self,
--- a/crates/bh-workload/tests/upkeep.rs
+++ b/crates/bh-workload/tests/upkeep.rs
@@ -6,6 +6,7 @@
 
 mod support;
 
+use bh_protocol::Incarnation;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::StepSpec;
 use bh_workload::state::Command;
@@ -23,6 +24,7 @@
 use support::Site;
 use support::step;
 use support::worker_id;
+use support::worker_info;
 
 const WAVE: u64 = 1;
 const UPKEEP_MS: u64 = 2_000;
@@ -125,6 +127,28 @@
         self.site.take_events();
     }
 
+    /// Lets turns pass until an order to the service is due, which has no answer yet.
+    fn turn_until_ordered(&mut self) -> UpkeepOrder {
+        for _ in 0..(WITHIN_MS / TURN_MS) {
+            self.site.advance(TURN_MS);
+            let times = (self.site.now_ms, self.site.wall_ms());
+            let actions =
+                self.wave_scheduler
+                    .actions(times, &self.site.workload, &self.site.dispatcher);
+            for action in actions {
+                if let UpkeepAction::Order(order) = action {
+                    return order;
+                }
+                self.carry_out_action(action);
+            }
+            let emptied = self.wave_scheduler.emptied_workers(&self.site.workload);
+            self.site.dispatcher.set_emptied(emptied);
+            self.site.heartbeats();
+            self.site.plan_and_start();
+        }
+        panic!("no order is sent");
+    }
+
     /// Time passes: VMs come up, the wave scheduler acts, and a plan is made.
     fn turn(&mut self) {
         self.site.advance(TURN_MS);
@@ -277,6 +301,64 @@
     assert_eq!(fleet.site.open_runs().len(), 2);
 }
 
+/// Guards against tasks that end with the upkeep of their VM because they began on its next worker: the upkeep was ordered when the worker before had
+/// crashed, and the order is repeated until it is carried out. The leader may be another one by then.
+#[rstest]
+fn nothing_starts_on_a_vm_whose_upkeep_may_yet_be_carried_out(
+    #[values(false, true)] had_worker: bool,
+    #[values(false, true)] new_leader: bool,
+) {
+    let mut fleet = Fleet::new(1, 1);
+    let mut info = fleet.site.workload.workers().next().unwrap().info.clone();
+    let crash = |fleet: &mut Fleet, id: &Incarnation| {
+        let gone = Command::Workers(vec![WorkerChange::Gone(id.clone())]);
+        fleet.site.workload.apply(gone);
+        fleet.site.take_events();
+    };
+    if !had_worker {
+        crash(&mut fleet, &info.id);
+    }
+    let order = fleet.turn_until_ordered();
+    let lost = fleet
+        .wave_scheduler
+        .note_answer(fleet.site.now_ms, &order, UpkeepAnswer::Lost);
+    assert_eq!(lost, None);
+    if had_worker {
+        crash(&mut fleet, &info.id);
+    }
+    info.id = worker_id("w00next");
+    let known = Command::Workers(vec![WorkerChange::Known(info)]);
+    fleet.site.workload.apply(known);
+    fleet.site.take_events();
+    if new_leader {
+        fleet.site.take_over(2);
+        let now_ms = fleet.site.now_ms;
+        fleet.wave_scheduler = WaveScheduler::new(Arc::from("core-2"), 2, now_ms, &Timing::DEFAULT);
+    }
+    fleet.site.heartbeats();
+    fleet.site.submit(1, "other", vec![step(1, 4)]);
+    let order = fleet.turn_until_ordered();
+    assert_eq!(fleet.site.open_runs(), []);
+    let done = fleet
+        .wave_scheduler
+        .note_answer(fleet.site.now_ms, &order, UpkeepAnswer::Done);
+    done.into_iter().for_each(|command| {
+        fleet.site.workload.apply(command);
+    });
+    // The VM is up again with another worker.
+    crash(&mut fleet, &worker_id("w00next"));
+    let mut info = worker_info(0, 4);
+    info.id = worker_id("w00last");
+    let known = Command::Workers(vec![WorkerChange::Known(info)]);
+    fleet.site.workload.apply(known);
+    fleet.site.take_events();
+    for _ in 0..(2 * UPKEEP_MS / TURN_MS) {
+        fleet.turn();
+    }
+    assert!(fleet.has_wave_ended());
+    assert_eq!(fleet.site.open_runs().len(), 1);
+}
+
 /// Guards against starting a wave a second time when its order is sent again after the acknowledgement was lost.
 #[test]
 fn a_wave_that_is_ordered_again_does_not_restart() {
