--- a/crates/bh-workload/tests/callers.rs
+++ b/crates/bh-workload/tests/callers.rs
@@ -7,7 +7,6 @@
 
 use bh_workload::job::JobId;
 use bh_workload::job::JobSpec;
-use bh_workload::job::StepSpec;
 use bh_workload::rules::Queue;
 use bh_workload::rules::Rules;
 use bh_workload::state::Command;
@@ -18,8 +17,8 @@
 use bh_workload::state::Reply;
 use rstest::rstest;
 use std::sync::Arc;
-use support::HOST;
 use support::Site;
+use support::keyless;
 use support::place;
 use support::rules;
 use support::step;
@@ -43,39 +42,6 @@
     site
 }
 
-/// Place of a job in a queue, without a key.
-fn keyless(priority: u32, job: JobId) -> Place {
-    Place {
-        host: Arc::from(HOST),
-        path: Arc::from(format!("/p{priority}/{job}")),
-        key: None,
-    }
-}
-
-fn submit(site: &mut Site, place: Place, steps: Vec<StepSpec>) -> Reply {
-    let spec = JobSpec {
-        text: Arc::from("text"),
-        steps,
-        schedule: None,
-    };
-    let now_ms = site.wall_ms();
-    let command = Command::Accept {
-        place,
-        spec,
-        now_ms,
-    };
-    site.workload.apply(command)
-}
-
-fn cancel(site: &mut Site, place: Place) -> Reply {
-    let now_ms = site.wall_ms();
-    site.workload.apply(Command::Cancel {
-        place,
-        now_ms,
-        bars_late_submission: true,
-    })
-}
-
 fn state(site: &Site, job: JobId) -> JobState {
     site.workload.job(job).unwrap().state()
 }
@@ -89,7 +55,7 @@
     let job = site.submit(1, "other", vec![step(1, 1)]);
     let found = site.workload.find_job(&intruder(job));
     assert_eq!(found.err(), Some(Refusal::NoJob));
-    let reply = cancel(&mut site, intruder(job));
+    let reply = site.cancel_at(intruder(job));
     assert_eq!(reply, Reply::Refused(Refusal::NoJob));
     assert_eq!(state(&site, job), JobState::Queued);
     assert!(site.workload.find_job(&place(1, "other", job)).is_ok());
@@ -101,11 +67,11 @@
     let mut site = site_with_public_queue();
     let job = JobId(77);
     assert_eq!(
-        submit(&mut site, keyless(2, job), vec![step(1, 1)]),
+        site.submit_at(keyless(2, job), vec![step(1, 1)]),
         Reply::Done
     );
     assert!(site.workload.find_job(&keyless(2, job)).is_ok());
-    assert_eq!(cancel(&mut site, keyless(2, job)), Reply::Done);
+    assert_eq!(site.cancel_at(keyless(2, job)), Reply::Done);
 }
 
 /// Guards against an accepted job that callers of a public queue can't reach any more, because the operator renamed the queue.
@@ -113,7 +79,7 @@
 fn a_job_of_a_public_queue_is_reached_after_the_queue_is_renamed() {
     let mut site = site_with_public_queue();
     let job = JobId(77);
-    submit(&mut site, keyless(2, job), vec![step(1, 1)]);
+    site.submit_at(keyless(2, job), vec![step(1, 1)]);
     let mut rules = rules_with_public_queue(3);
     let renamed = Queue {
         name: Arc::from("renamed"),
@@ -123,7 +89,7 @@
     site.workload.apply(Command::SetRules(Box::new(rules)));
     site.take_events();
     assert!(site.workload.find_job(&keyless(2, job)).is_ok());
-    let resent = submit(&mut site, keyless(2, job), vec![step(1, 1)]);
+    let resent = site.submit_at(keyless(2, job), vec![step(1, 1)]);
     assert_eq!(resent, Reply::Done);
 }
 
@@ -135,14 +101,14 @@
     let mut site = site_with_public_queue();
     let job = site.submit(1, "other", vec![step(1, 1)]);
     assert_eq!(job, JobId(1));
-    let reply = submit(&mut site, second.clone(), vec![step(1, 1)]);
+    let reply = site.submit_at(second.clone(), vec![step(1, 1)]);
     assert!(
         matches!(reply, Reply::Refused(Refusal::BadJob(_))),
         "{reply:?}"
     );
     assert!(!site.workload.is_submitted(&second));
     let own = place(1, "other", job);
-    let resent = submit(&mut site, own.clone(), vec![step(1, 1)]);
+    let resent = site.submit_at(own.clone(), vec![step(1, 1)]);
     assert_eq!(resent, Reply::Done);
     assert!(site.workload.is_submitted(&own));
 }
--- a/crates/bh-workload/tests/early_cancels.rs
+++ b/crates/bh-workload/tests/early_cancels.rs
@@ -8,7 +8,6 @@
 use bh_group::Machine;
 use bh_workload::dispatch::Timing;
 use bh_workload::job::JobId;
-use bh_workload::job::JobSpec;
 use bh_workload::rules::Queue;
 use bh_workload::rules::Rules;
 use bh_workload::state::Command;
@@ -23,8 +22,8 @@
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use support::HOST;
 use support::Site;
+use support::keyless;
 use support::place;
 use support::rules;
 use support::step;
@@ -60,50 +59,12 @@
     site
 }
 
-/// Place of a job in the queue of priority 2, without a key.
-fn keyless(job: JobId) -> Place {
-    Place {
-        host: Arc::from(HOST),
-        path: Arc::from(format!("/p{OPEN_QUEUE}/{job}")),
-        key: None,
-    }
+fn open_queue(job: JobId) -> Place {
+    keyless(OPEN_QUEUE, job)
 }
 
 fn submit(site: &mut Site, place: Place) -> Reply {
-    let spec = JobSpec {
-        text: Arc::from("text"),
-        steps: vec![step(1, 1)],
-        schedule: None,
-    };
-    let now_ms = site.wall_ms();
-    site.workload.apply(Command::Accept {
-        place,
-        spec,
-        now_ms,
-    })
-}
-
-fn cancel(site: &mut Site, place: Place) -> Reply {
-    let now_ms = site.wall_ms();
-    site.workload.apply(Command::Cancel {
-        place,
-        now_ms,
-        bars_late_submission: true,
-    })
-}
-
-/// Applies the removal of old jobs and cancels as the leader proposes it now.
-fn remove_old(site: &mut Site) {
-    let before_ms = site.wall_ms() - Timing::DEFAULT.retention_ms;
-    site.workload.apply(Command::Forget { before_ms });
-}
-
-/// Replaces the record by a copy that went through a snapshot.
-fn restore_from_snapshot(site: &mut Site) {
-    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
-    let bytes = machine.snapshot().unwrap();
-    machine.restore(&bytes).unwrap();
-    site.workload = machine.read().clone();
+    site.submit_at(place, vec![step(1, 1)])
 }
 
 const NO_JOB: Reply = Reply::Refused(Refusal::NoJob);
@@ -114,7 +75,7 @@
 fn a_submission_that_arrives_after_its_cancel_is_refused() {
     let mut site = Site::new(2, 2);
     let own = place(1, "other", JOB);
-    assert_eq!(cancel(&mut site, own.clone()), NO_JOB);
+    assert_eq!(site.cancel_at(own.clone()), NO_JOB);
     for _ in 0..2 {
         assert_eq!(submit(&mut site, own.clone()), CANCELLED);
     }
@@ -127,12 +88,12 @@
 fn a_cancelled_name_is_not_shown_as_a_job() {
     let mut site = Site::new(2, 2);
     let own = place(1, "other", JOB);
-    cancel(&mut site, own.clone());
+    site.cancel_at(own.clone());
     for _ in 0..2 {
         assert_eq!(site.workload.find_job(&own).err(), Some(Refusal::NoJob));
         assert_eq!(site.workload.pending("q1"), 0);
         assert_eq!(site.workload.active_jobs().count(), 0);
-        assert_eq!(cancel(&mut site, own.clone()), NO_JOB);
+        assert_eq!(site.cancel_at(own.clone()), NO_JOB);
         submit(&mut site, own.clone());
     }
 }
@@ -144,7 +105,7 @@
     let mut site = Site::new(2, 2);
     let own = place(1, "other", JOB);
     assert_eq!(submit(&mut site, own.clone()), Reply::Done);
-    assert_eq!(cancel(&mut site, own.clone()), Reply::Done);
+    assert_eq!(site.cancel_at(own.clone()), Reply::Done);
     assert_eq!(submit(&mut site, own.clone()), Reply::Done);
     let state = site.workload.job(JOB).unwrap().state();
     assert_eq!(state, JobState::Ended(Outcome::Cancelled));
@@ -155,11 +116,11 @@
 #[rstest]
 #[case::own_queues(place(1, "guaranteed", JOB), place(1, "other", JOB))]
 #[case::public_queue(place(2, "guaranteed", JOB), place(2, "other", JOB))]
-#[case::public_queue_without_key(place(2, "guaranteed", JOB), keyless(JOB))]
-#[case::from_a_public_queue(keyless(JOB), place(1, "other", JOB))]
+#[case::public_queue_without_key(place(2, "guaranteed", JOB), open_queue(JOB))]
+#[case::from_a_public_queue(open_queue(JOB), place(1, "other", JOB))]
 fn a_cancel_bars_no_job_of_another_customer(#[case] canceller: Place, #[case] submitter: Place) {
     let mut site = site_with_public_queue();
-    assert_eq!(cancel(&mut site, canceller), NO_JOB);
+    assert_eq!(site.cancel_at(canceller), NO_JOB);
     assert_eq!(submit(&mut site, submitter.clone()), Reply::Done);
     assert!(site.workload.find_job(&submitter).is_ok());
 }
@@ -172,9 +133,9 @@
     closed,
     place(1, "other", JOB)
 )]
-#[case::without_key(public, keyless(JOB), public, keyless(JOB))]
-#[case::renamed_queue(public, keyless(JOB), public_and_renamed, keyless(JOB))]
-#[case::queue_that_became_public(public, keyless(JOB), public, place(2, "other", JOB))]
+#[case::without_key(public, open_queue(JOB), public, open_queue(JOB))]
+#[case::renamed_queue(public, open_queue(JOB), public_and_renamed, open_queue(JOB))]
+#[case::queue_that_became_public(public, open_queue(JOB), public, place(2, "other", JOB))]
 #[case::queue_that_became_closed(public, place(2, "other", JOB), closed, place(2, "other", JOB))]
 fn a_cancel_holds_for_its_caller_in_every_form(
     #[case] before: fn(&mut Queue),
@@ -184,7 +145,7 @@
 ) {
     let mut site = Site::new(2, 2);
     set_rules(&mut site, 2, before);
-    assert_eq!(cancel(&mut site, canceller), NO_JOB);
+    assert_eq!(site.cancel_at(canceller), NO_JOB);
     set_rules(&mut site, 3, after);
     assert_eq!(submit(&mut site, submitter), CANCELLED);
 }
@@ -193,11 +154,11 @@
 #[test]
 fn a_cancel_outlives_leaders_and_snapshots() {
     let mut site = site_with_public_queue();
-    let places = [place(1, "other", JOB), keyless(JobId(7))];
+    let places = [place(1, "other", JOB), open_queue(JobId(7))];
     for place in &places {
-        cancel(&mut site, place.clone());
+        site.cancel_at(place.clone());
     }
-    restore_from_snapshot(&mut site);
+    site.restore_from_snapshot();
     site.take_over(2);
     for place in places {
         assert_eq!(submit(&mut site, place), CANCELLED);
@@ -209,14 +170,14 @@
 fn a_cancel_is_kept_for_the_retention_time() {
     let mut site = Site::new(2, 2);
     let own = place(1, "other", JOB);
-    cancel(&mut site, own.clone());
+    site.cancel_at(own.clone());
     site.advance(Timing::DEFAULT.retention_ms);
-    remove_old(&mut site);
+    site.remove_old();
     assert_eq!(submit(&mut site, own.clone()), CANCELLED);
     site.advance(1);
     let before_ms = site.wall_ms() - Timing::DEFAULT.retention_ms;
     assert!(site.workload.has_early_cancel_before(before_ms));
-    remove_old(&mut site);
+    site.remove_old();
     assert!(!site.workload.has_early_cancel_before(before_ms));
     assert_eq!(site.workload.early_cancel_count(), 0);
     assert_eq!(submit(&mut site, own), Reply::Done);
@@ -227,11 +188,11 @@
 fn a_repeated_cancel_is_kept_from_its_last_time_on() {
     let mut site = Site::new(2, 2);
     let own = place(1, "other", JOB);
-    cancel(&mut site, own.clone());
+    site.cancel_at(own.clone());
     site.advance(Timing::DEFAULT.retention_ms);
-    cancel(&mut site, own.clone());
+    site.cancel_at(own.clone());
     site.advance(Timing::DEFAULT.retention_ms);
-    remove_old(&mut site);
+    site.remove_old();
     assert_eq!(submit(&mut site, own), CANCELLED);
 }
 
@@ -247,17 +208,17 @@
     let callers: [fn(JobId) -> Place; 3] = [
         |job| place(1, "other", job),
         |job| place(0, "guaranteed", job),
-        keyless,
+        open_queue,
     ];
     for caller in callers {
         for job in 0..share {
             let job = JobId(u64::MAX - 1 - u64::try_from(job).unwrap());
-            assert_eq!(cancel(&mut site, caller(job)), NO_JOB);
+            assert_eq!(site.cancel_at(caller(job)), NO_JOB);
         }
         let refused = Reply::Refused(Refusal::TooManyCancels);
-        assert_eq!(cancel(&mut site, caller(last)), refused);
+        assert_eq!(site.cancel_at(caller(last)), refused);
         let repeated = caller(JobId(u64::MAX - 1));
-        assert_eq!(cancel(&mut site, repeated.clone()), NO_JOB);
+        assert_eq!(site.cancel_at(repeated.clone()), NO_JOB);
         assert_eq!(submit(&mut site, repeated), CANCELLED);
     }
     assert!(site.workload.early_cancel_count() <= EarlyCancels::MAX);
@@ -266,7 +227,7 @@
     // A recorded job needs no room to be cancelled.
     let own = place(1, "other", JOB);
     assert_eq!(submit(&mut site, own.clone()), Reply::Done);
-    assert_eq!(cancel(&mut site, own), Reply::Done);
+    assert_eq!(site.cancel_at(own), Reply::Done);
 }
 
 fn snapshot_bytes(site: &Site) -> usize {
@@ -297,7 +258,7 @@
     |job| place(1, "other", job),
     |job| place(2, "other", job),
     |job| place(1, "guaranteed", job),
-    keyless,
+    open_queue,
 ];
 
 /// A step of the fuzz. Callers are given by their index in [`CALLERS`].
@@ -340,7 +301,7 @@
                     let known = site.workload.job(JobId(job));
                     // The time for which an ended job is kept does not begin anew.
                     let has_ended = known.is_some_and(|job| job.outcome.is_some());
-                    let reply = cancel(&mut site, CALLERS[caller](JobId(job)));
+                    let reply = site.cancel_at(CALLERS[caller](JobId(job)));
                     prop_assert!(matches!(reply, Reply::Done | NO_JOB));
                     if reply == NO_JOB || !has_ended {
                         cancels.insert((customer(caller), job), site.wall_ms());
@@ -363,8 +324,8 @@
                     }
                 }
                 Step::Advance { by_ms } => site.advance(by_ms),
-                Step::RemoveOld => remove_old(&mut site),
-                Step::Restore => restore_from_snapshot(&mut site),
+                Step::RemoveOld => site.remove_old(),
+                Step::Restore => site.restore_from_snapshot(),
             }
         }
     }
--- a/crates/bh-workload/tests/evacuation.rs
+++ b/crates/bh-workload/tests/evacuation.rs
@@ -6,7 +6,6 @@
 
 mod support;
 
-use bh_group::Machine;
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Order;
@@ -246,10 +245,7 @@
     site.plan_and_start();
     site.send_starts();
     site.evacuate(FAR);
-    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
-    let bytes = machine.snapshot().unwrap();
-    machine.restore(&bytes).unwrap();
-    site.workload = machine.read().clone();
+    site.restore_from_snapshot();
     site.take_over(2);
     let evacuated: Vec<&Arc<str>> = site.workload.evacuations().map(|(name, _)| name).collect();
     assert_eq!(evacuated, [&Arc::from(FAR)]);
@@ -335,10 +331,7 @@
     };
     apply(&mut site, evacuates);
     apply(&mut site, !evacuates);
-    let machine = Machine::new(site.workload.clone(), Workload::CODEC);
-    let bytes = machine.snapshot().unwrap();
-    machine.restore(&bytes).unwrap();
-    site.workload = machine.read().clone();
+    site.restore_from_snapshot();
     let reply = delayed_order(&mut site, evacuates, known_change);
     assert_eq!(reply, Reply::Refused(Refusal::Outdated));
     assert_eq!(is_evacuated(&site), !evacuates);
--- a/crates/bh-workload/tests/record_times.rs
+++ b/crates/bh-workload/tests/record_times.rs
@@ -41,12 +41,6 @@
     (site, job, worker)
 }
 
-/// Applies the removal of old jobs as the leader proposes it now.
-fn remove_old_jobs(site: &mut Site) {
-    let before_ms = site.wall_ms() - Timing::DEFAULT.retention_ms;
-    site.workload.apply(Command::Forget { before_ms });
-}
-
 fn state(site: &Site, job: JobId) -> Option<JobState> {
     site.workload.job(job).map(bh_workload::state::Job::state)
 }
@@ -124,10 +118,10 @@
     site.workload.apply(command);
     let failed = Some(JobState::Ended(Outcome::Failed));
     assert_eq!(state(&site, job), failed);
-    remove_old_jobs(&mut site);
+    site.remove_old();
     assert_eq!(state(&site, job), failed);
     site.now_ms += Timing::DEFAULT.retention_ms + 1;
-    remove_old_jobs(&mut site);
+    site.remove_old();
     assert_eq!(state(&site, job), None);
 }
 
@@ -143,7 +137,7 @@
         bars_late_submission: true,
     };
     site.workload.apply(cancel);
-    remove_old_jobs(&mut site);
+    site.remove_old();
     let cancelled = JobState::Ended(Outcome::Cancelled);
     assert_eq!(state(&site, job), Some(cancelled));
 }
@@ -173,7 +167,7 @@
     site.advance(QUIET_MS);
     let strict = Command::SetRules(Box::new(rules_with_attempts(2, 1)));
     record(&mut site, strict);
-    remove_old_jobs(&mut site);
+    site.remove_old();
     let failed = JobState::Ended(Outcome::Failed);
     assert_eq!(state(&site, job), Some(failed));
 }
@@ -185,7 +179,7 @@
     site.advance(QUIET_MS);
     let gone = Command::Workers(vec![WorkerChange::Gone(worker)]);
     record(&mut site, gone);
-    remove_old_jobs(&mut site);
+    site.remove_old();
     let failed = JobState::Ended(Outcome::Failed);
     assert_eq!(state(&site, job), Some(failed));
 }
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -14,6 +14,7 @@
 pub mod stalled_steps;
 pub mod uneven_fleet;
 
+use bh_group::Machine;
 use bh_protocol::Incarnation;
 use bh_workload::dispatch::Answer;
 use bh_workload::dispatch::Dispatcher;
@@ -162,6 +163,14 @@
     }
 }
 
+/// Place of a job in the queue of `priority`, without a key.
+pub fn keyless(priority: u32, job: JobId) -> Place {
+    Place {
+        key: None,
+        ..place(priority, "", job)
+    }
+}
+
 impl Site {
     /// A site of `workers` workers with eight accelerators each, `per_rack` of them in a rack.
     pub fn new(workers: usize, per_rack: usize) -> Self {
@@ -212,30 +221,56 @@
     pub fn submit(&mut self, priority: u32, customer: &str, steps: Vec<StepSpec>) -> JobId {
         let id = JobId(self.next_job);
         self.next_job += 1;
+        let reply = self.submit_at(place(priority, customer, id), steps);
+        assert_eq!(reply, Reply::Done);
+        id
+    }
+
+    /// Submits a job at `place`.
+    pub fn submit_at(&mut self, place: Place, steps: Vec<StepSpec>) -> Reply {
         let spec = JobSpec {
             text: Arc::from("text"),
             steps,
             schedule: None,
         };
-        let reply = self.workload.apply(Command::Accept {
-            place: place(priority, customer, id),
+        let now_ms = self.wall_ms();
+        self.workload.apply(Command::Accept {
+            place,
             spec,
-            now_ms: self.wall_ms(),
-        });
-        assert_eq!(reply, Reply::Done);
-        id
+            now_ms,
+        })
     }
 
     pub fn cancel(&mut self, priority: u32, customer: &str, job: JobId) {
-        let reply = self.workload.apply(Command::Cancel {
-            place: place(priority, customer, job),
-            now_ms: self.wall_ms(),
-            bars_late_submission: true,
-        });
+        let reply = self.cancel_at(place(priority, customer, job));
         assert_eq!(reply, Reply::Done);
         self.take_events();
     }
 
+    /// Cancels the job at `place`.
+    pub fn cancel_at(&mut self, place: Place) -> Reply {
+        let now_ms = self.wall_ms();
+        self.workload.apply(Command::Cancel {
+            place,
+            now_ms,
+            bars_late_submission: true,
+        })
+    }
+
+    /// Removes old jobs and cancels as the leader does now.
+    pub fn remove_old(&mut self) {
+        let before_ms = self.wall_ms() - Timing::DEFAULT.retention_ms;
+        self.workload.apply(Command::Forget { before_ms });
+    }
+
+    /// Replaces the record by a copy that went through a snapshot.
+    pub fn restore_from_snapshot(&mut self) {
+        let machine = Machine::new(self.workload.clone(), Workload::CODEC);
+        let bytes = machine.snapshot().unwrap();
+        machine.restore(&bytes).unwrap();
+        self.workload = machine.read().clone();
+    }
+
     /// Makes a plan without recording it.
     pub fn plan(&mut self) -> Plan {
         self.planner.plan(
