The disruption budget groups stops once, and tests share how work starts

Cause: a rereading of the change. take() grouped the runs by step twice, once in allows() and once to charge them, and allows() repeated the search of excess(). flapping_workers.rs had a copy of start_and_run of crashing_tasks.rs.

Change: take() groups once, allows() asks excess(), and start_and_run is in the tests' support. No behaviour, bound or assertion changes.

Measured: the tests of both files, disruption_budget.rs, lasting.rs and upkeep.rs pass (58 of 58).

--- a/crates/bh-workload/src/plan/disruption_budget.rs
+++ b/crates/bh-workload/src/plan/disruption_budget.rs
@@ -46,17 +46,17 @@
     /// In a step with a limit, a run that this leader has not itself seen ready may not be stopped. Such a run may well be ready: a new
     /// leader has not yet received reports of all runs.
     pub fn allows(&mut self, stops: &BTreeSet<RunId>) -> bool {
-        self.limited(stops)
-            .iter()
-            .all(|(step, runs)| self.allows_of_step(*step, runs))
+        self.excess(stops).is_none()
     }
 
     /// Whether these runs may be stopped together, and if so counts them as stopped.
     pub fn take(&mut self, stops: &BTreeSet<RunId>) -> bool {
-        if !self.allows(stops) {
+        let limited = self.limited(stops);
+        let mut steps = limited.iter();
+        if !steps.all(|(step, runs)| self.allows_of_step(*step, runs)) {
             return false;
         }
-        for (step, runs) in self.limited(stops) {
+        for (step, runs) in limited {
             let left = self.remaining(step);
             let taken = u64::try_from(runs.len()).unwrap_or(u64::MAX);
             self.remaining.insert(step, left.saturating_sub(taken));
--- a/crates/bh-workload/tests/crashing_tasks.rs
+++ b/crates/bh-workload/tests/crashing_tasks.rs
@@ -31,6 +31,7 @@
 use std::collections::BTreeSet;
 use support::Site;
 use support::run_of;
+use support::start_and_run;
 use support::step;
 use support::task;
 use support::worker_id;
@@ -70,14 +71,6 @@
     assert_eq!(outcome, Some(Outcome::Failed));
 }
 
-/// Starts the waiting work, and lets workers report it as running after `for_ms`.
-fn start_and_run(site: &mut Site, run_ms: u64) {
-    site.plan_and_start();
-    site.send_starts();
-    site.advance(run_ms);
-    site.report();
-}
-
 fn crashes(site: &Site, task: TaskId) -> u32 {
     site.workload.task(task).unwrap().all_crashes()
 }
--- a/crates/bh-workload/tests/flapping_workers.rs
+++ b/crates/bh-workload/tests/flapping_workers.rs
@@ -13,6 +13,7 @@
 use rstest::rstest;
 use std::collections::BTreeSet;
 use support::Site;
+use support::start_and_run;
 use support::step;
 use support::task;
 
@@ -24,14 +25,6 @@
 /// Time after the last crash by which all work must run again, in milliseconds.
 const RECOVERY_MS: u64 = 7_000;
 
-/// Starts the waiting work, and lets workers report it as running after `run_ms`.
-fn start_and_run(site: &mut Site, run_ms: u64) {
-    site.plan_and_start();
-    site.send_starts();
-    site.advance(run_ms);
-    site.report();
-}
-
 /// A site on which all workers but the flapping ones are full.
 fn site_with_full_workers() -> Site {
     let mut site = Site::new(WORKERS, 2);
--- a/crates/bh-workload/tests/support/mod.rs
+++ b/crates/bh-workload/tests/support/mod.rs
@@ -157,6 +157,14 @@
     }
 }
 
+/// Starts the waiting work, and lets workers report it as running after `run_ms`.
+pub fn start_and_run(site: &mut Site, run_ms: u64) {
+    site.plan_and_start();
+    site.send_starts();
+    site.advance(run_ms);
+    site.report();
+}
+
 /// Place of a job in the queue of `priority`, with the customer's key.
 pub fn place(priority: u32, customer: &str, job: JobId) -> Place {
     Place {
