--- a/crates/bh-testkit/src/lib.rs
+++ b/crates/bh-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! An *entry* is the process of a VM that takes callers' requests.
 
 pub mod cluster;
+pub mod crowd;
 pub mod history;
 pub mod http_raw;
 pub mod link;
@@ -15,6 +16,8 @@
 
 pub use cluster::Cluster;
 pub use cluster::EntryOptions;
+pub use crowd::Crowd;
+pub use crowd::Script;
 pub use link::Link;
 pub use random::Random;
 pub use worker::Faults;
