--- a/crates/bh-workload/src/job/job_spec.rs
+++ b/crates/bh-workload/src/job/job_spec.rs
@@ -7,6 +7,10 @@
 
 /// Maximum number of steps in a job. Without a limit, one caller could fill the replicated state.
 pub const MAX_STEPS: usize = 64;
+/// Maximum size of a job's text in bytes. It is recorded, and sent to a worker with each start.
+pub const MAX_TEXT_BYTES: usize = 64 << 10;
+/// Maximum size of the name of a label, a rack or an image in bytes.
+pub const MAX_LABEL_BYTES: usize = 1 << 10;
 /// Maximum number of tasks in one occurrence of a job, over all its steps. It allows several steps that are each as large as the largest gang
 /// that the system is designed for.
 pub const MAX_TASKS: u64 = 8_192;
