The first frame of a link may have 16 KiB

What was seen: 40 strangers that announce a frame of 60 MiB on the port for links and send half of it: 1,269 MB in a core.

The first frame holds names and addresses only. Its limit is raised once the handshake has ended.

--- a/crates/bh-net/src/link/codec.rs
+++ b/crates/bh-net/src/link/codec.rs
@@ -22,6 +22,17 @@
             .new_codec();
         Self { inner }
     }
+
+    /// Sets the maximum size of a frame in bytes.
+    pub fn with_max_frame_bytes(mut self, max_frame_bytes: usize) -> Self {
+        self.set_max_frame_bytes(max_frame_bytes);
+        self
+    }
+
+    /// Changes the maximum size of a frame in bytes.
+    pub fn set_max_frame_bytes(&mut self, max_frame_bytes: usize) {
+        self.inner.set_max_frame_length(max_frame_bytes);
+    }
 }
 
 impl Default for RawCodec {
--- a/crates/bh-net/src/link/reader.rs
+++ b/crates/bh-net/src/link/reader.rs
@@ -1,5 +1,6 @@
 //! The receiving side of a link.
 
+use super::codec::MAX_FRAME_BYTES;
 use super::codec::RawCodec;
 use super::key::LinkKey;
 use super::key::MAC_BYTES;
@@ -10,6 +11,9 @@
 use prost::Message;
 use std::io;
 
+/// Maximum size of the first frame in bytes: it comes from an unknown sender, and holds names and addresses only.
+const MAX_HELLO_BYTES: usize = 16 << 10;
+
 /// Reads frames and checks their MACs. Run it in its own task: cancelling a read would lose a partly read frame.
 pub struct Reader<R> {
     framed: FramedRead<R, RawCodec>,
@@ -18,17 +22,23 @@
 }
 
 impl<R: AsyncReadRent> Reader<R> {
-    /// Creates a reader of frames that are authenticated with `key` and numbered from 0.
+    /// Creates a reader of small frames that are authenticated with `key` and numbered from 0.
     pub fn new(source: R, key: LinkKey) -> Self {
         Self {
-            framed: FramedRead::new(source, RawCodec::new()),
+            framed: FramedRead::new(
+                source,
+                RawCodec::new().with_max_frame_bytes(MAX_HELLO_BYTES),
+            ),
             key,
             sequence: 0,
         }
     }
 
-    /// Switches to another key after the handshake and numbers frames from 0 again.
+    /// Switches to another key after the handshake, numbers frames from 0 again, and reads frames up to [`MAX_FRAME_BYTES`].
     pub fn set_key(&mut self, key: LinkKey) {
+        self.framed
+            .decoder_mut()
+            .set_max_frame_bytes(MAX_FRAME_BYTES);
         self.key = key;
         self.sequence = 0;
     }
