Memory and connections of clients are bounded for the process as a whole

What users saw: a process of the system ended, out of memory, while clients that are not theirs sent large bodies, stopped short of the end and stayed connected. Also, 90 open heads where there are 80 descriptors kept all ordinary callers out for as long as they stayed.

Cause: every limit was one of a connection (8 MiB a body, 16 KiB a head, 30 s), and nothing bounded their sum. A listener with all its connections taken disconnected whoever came next.

Change: all listeners of a process share one table of connections (`bh_net::connections`). A body is read into one buffer, whatever its chunks; the buffer, the copies while it grows, what parsing takes, the copies to the leader and the answer are taken from the account before they are allocated. Without room the request that has been open for the longest time gives way (503, BH205, `Retry-After`, not run), then an answer of which nobody has read for a second. Small requests have a quarter for themselves; what can never fit is 413 at once. Without a free connection a stalled or idle one gives way. Receive and send buffers have 16 KiB. Calls of other processes and answers of workers are taken from the same account, and an answer of a worker is read up to its limit even if one chunk says that it is larger. Chunk extensions and trailers are now skipped; malformed chunks are answered (BH107) instead of closed.

A single legal body of 8 MiB is served.

--- a/crates/beechhollow/src/serve.rs
+++ b/crates/beechhollow/src/serve.rs
@@ -10,8 +10,8 @@
 use clap::Command;
 use std::process::ExitCode;
 
-/// Threads for disk syncs: a core has one replica with one journal.
-const DISK_THREADS: usize = 1;
+/// Helper threads: one for disk syncs, since a core has one replica with one journal, and one for parsing large bodies.
+const HELPER_THREADS: usize = 2;
 
 pub fn command() -> Command {
     Command::new("serve")
@@ -27,7 +27,7 @@
     };
     logging::start(config.log_json);
     let main = bh_control::run(config, bh_platform::dialect());
-    let status = run_to_end(DISK_THREADS, main);
+    let status = run_to_end(HELPER_THREADS, main);
     logging::flush();
     status
 }
--- a/crates/bh-control/src/config/local_config.rs
+++ b/crates/bh-control/src/config/local_config.rs
@@ -3,6 +3,7 @@
 use super::PolicyConfig;
 use super::StorageLimits;
 use super::storage_limits::MIN_DISK_MB;
+use bh_net::connections::ConnectionLimits;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bh_protocol::number::floor_to_u64;
@@ -82,6 +83,9 @@
     /// Size of the disk that holds the data folder, in megabytes.
     #[serde(default)]
     pub disk_mb: Option<f64>,
+    /// Memory of the VM that the process may use, in megabytes.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Grace period: time from the stop signal until the process is killed, in seconds.
     #[serde(default)]
     pub grace_s: Option<f64>,
@@ -161,6 +165,15 @@
 /// Default grace period, in milliseconds.
 const DEFAULT_GRACE_MS: u64 = 6_000;
 
+/// Memory of the VM if the config does not give it, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Least memory that a process runs with, in megabytes.
+const MIN_MEMORY_MB: u64 = 32;
+/// Percentage of an entry's memory for requests and answers.
+const ENTRY_REQUESTS_PERCENT: u64 = 40;
+/// Percentage of a core's memory for requests and answers; it also holds the record and its log.
+const CORE_REQUESTS_PERCENT: u64 = 30;
+
 /// Percentage of an entry's descriptors for callers; the rest is for links and files.
 const ENTRY_CALLERS_PERCENT: usize = 85;
 /// Percentage of a core's descriptors for callers. It needs as many again for the workers that it talks to itself.
@@ -214,6 +227,12 @@
                 "a core needs `disk_mb` of {MIN_DISK_MB} at least"
             )));
         }
+        let lacks_memory = |memory_mb: f64| floor_to_u64(memory_mb) < MIN_MEMORY_MB;
+        if config.memory_mb.is_some_and(lacks_memory) {
+            return Err(bad(format!(
+                "a process needs `memory_mb` of {MIN_MEMORY_MB} at least"
+            )));
+        }
         match missing {
             Some(key) => Err(bad(format!("`{key}` is missing for this role"))),
             None if config.seeds.is_empty() => Err(bad("`seeds` names no core".to_owned())),
@@ -267,6 +286,16 @@
         self.descriptors() * percent / 100
     }
 
+    /// What the connections of clients may take together.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let memory_mb = self.memory_mb.map_or(DEFAULT_MEMORY_MB, floor_to_u64);
+        let request_percent = match self.role {
+            Role::Entry => ENTRY_REQUESTS_PERCENT,
+            Role::Core => CORE_REQUESTS_PERCENT,
+        };
+        ConnectionLimits::new(memory_mb, request_percent, self.max_callers())
+    }
+
     /// Grace period for a shutdown, in milliseconds.
     pub fn grace_ms(&self) -> u64 {
         self.grace_s.map_or(DEFAULT_GRACE_MS, seconds_to_ms)
--- a/crates/bh-control/src/core/core_node.rs
+++ b/crates/bh-control/src/core/core_node.rs
@@ -7,6 +7,7 @@
 use super::received_heartbeat::ReceivedHeartbeat;
 use super::undelivered_heartbeats::UndeliveredHeartbeats;
 use super::worker_calls::WorkerCalls;
+use crate::calls::Parser;
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
 use crate::mesh::Inbound;
@@ -15,12 +16,14 @@
 use crate::standstill::Standstill;
 use bh_group::Group;
 use bh_net::Clock;
+use bh_net::connections::Connections;
 use bh_protocol::Incarnation;
 use bh_protocol::wire::CoreStatus;
 use bh_workload::admission::OpenCalls;
 use bh_workload::state::WorkerInfo;
 use bh_workload::state::Workload;
 use local_sync::mpsc::unbounded;
+use local_sync::semaphore::Semaphore;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -48,6 +51,12 @@
     pub mesh: Rc<Mesh>,
     /// Open links from other cores and entries.
     pub inbound: Rc<Inbound>,
+    /// Parses the calls of workers and operators.
+    pub parser: Parser,
+    /// Held by the call about the rules that is being forwarded to the leader.
+    pub(super) rules_turn: Semaphore,
+    /// Connections of workers and operators, and what calls take.
+    pub connections: Rc<Connections>,
     /// Connections to workers.
     pub workers: WorkerCalls,
     /// The leader's state; `None` while this core does not lead.
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -8,6 +8,7 @@
 use super::heartbeats;
 use crate::calls::Answer;
 use crate::calls::Call;
+use crate::calls::RETRY_AFTER_MS;
 use crate::calls::forward;
 use crate::mesh::LinkHandler;
 use crate::server;
@@ -18,6 +19,7 @@
 use http::Request;
 use http::Response;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Timeout of a call whose sender does not give one, in milliseconds. Workers and operators try another core after a second.
 const DEFAULT_TIMEOUT_MS: u64 = 900;
@@ -26,6 +28,9 @@
 /// not recorded were answered later than that, its sender would have to take its outcome for unknown.
 const RELAY_MARGIN_MS: u64 = 40;
 
+/// Copies of a call of another process while it is carried out: its body, the parsed call, and the record of the change.
+const CALL_COPIES: u64 = 3;
+
 /// Creates the handlers for messages that arrive over links.
 pub(super) fn link_handler(core: &Rc<CoreNode>) -> LinkHandler {
     let (delivering, answering, telling) = (core.clone(), core.clone(), core.clone());
@@ -58,6 +63,14 @@
         heartbeats::handle_relayed(&core, &request.body);
         return Vec::new();
     }
+    let bytes = u64::try_from(request.body.len()).unwrap_or(u64::MAX);
+    let Ok(_memory) = core.connections.claim(bytes * CALL_COPIES).await else {
+        // Nothing was recorded.
+        let answer = Answer::Unavailable {
+            retry_after_ms: RETRY_AFTER_MS,
+        };
+        return serde_json::to_vec(&answer).unwrap_or_default();
+    };
     let is_relayed = request.kind == i32::from(RpcKind::Relay);
     let answer = match serde_json::from_slice::<Call>(&request.body) {
         Ok(call) if is_relayed => {
@@ -84,11 +97,12 @@
 /// Handles a call of a worker or an operator: answers it if this core leads, and forwards it otherwise.
 pub(super) async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
     let _open = OpenCall::begin(&core);
-    let mut received = match (core.dialect.read_control)(&request) {
+    let path: Arc<str> = Arc::from(request.uri().path());
+    let mut received = match core.parser.parse(request).await {
         Ok(received) => received,
         Err(status) => {
             core.metrics.count("calls_unreadable", 1);
-            log::info!(path = request.uri().path(), status = status.as_u16(); "call not parsed");
+            log::info!(path = &*path, status = status.as_u16(); "call not parsed");
             return server::status(status);
         }
     };
@@ -121,12 +135,19 @@
 
 /// Handles a call while this core does not lead.
 async fn handle_as_follower(core: &Rc<CoreNode>, call: &Call, timeout_ms: u64) -> Answer {
+    let until_ms = core.clock.now_ms() + timeout_ms;
     if let Call::Heartbeat(heartbeat) = call
         && let Some(answer) = heartbeats::accept_for_leader(core, heartbeat)
     {
         return answer;
     }
-    forward(&core.mesh, call, timeout_ms).await
+    if !matches!(call, Call::SetRules(_) | Call::GetRules) {
+        return forward(&core.mesh, call, timeout_ms).await;
+    }
+    // The rules may take megabytes in each of several copies, here and at the leader, so they are forwarded one at a time.
+    let _turn = core.rules_turn.acquire().await;
+    let left_ms = until_ms.saturating_sub(core.clock.now_ms());
+    forward(&core.mesh, call, left_ms).await
 }
 
 fn log_control(call: &Call, answer: &Answer) {
--- a/crates/bh-control/src/core/serve.rs
+++ b/crates/bh-control/src/core/serve.rs
@@ -11,6 +11,7 @@
 use super::operator;
 use super::undelivered_heartbeats::UndeliveredHeartbeats;
 use super::worker_calls::WorkerCalls;
+use crate::calls::Parser;
 use crate::config::LocalConfig;
 use crate::dialect::Dialect;
 use crate::mesh;
@@ -22,6 +23,8 @@
 use crate::server;
 use crate::standstill::Standstill;
 use bh_net::Clock;
+use bh_net::connections::Connections;
+use bh_net::http_server;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
 use bh_protocol::Code;
@@ -31,6 +34,7 @@
 use bh_workload::admission::OpenCalls;
 use local_sync::mpsc::unbounded;
 use local_sync::oneshot;
+use local_sync::semaphore::Semaphore;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -65,6 +69,7 @@
     let deferred = DeferredCore::default();
     let (driver, group) = driver::build(&config, &folder, &clock, &deferred)?;
     let stop = CancellationToken::new();
+    let connections = Connections::new(clock.clone(), config.connection_limits());
     let hello = Hello {
         name: config.name.to_string(),
         data_centre: config.data_centre.to_string(),
@@ -73,13 +78,17 @@
         ..Hello::default()
     };
     let mesh = Mesh::new(hello, clock.clone(), stop.clone());
-    let peer_listener = server::bind(config.peer_bind_address())?;
+    let peer_listener = server::bind_links(config.peer_bind_address())?;
     let control_listener = server::bind(control)?;
     let (wake, wakes) = unbounded::channel();
     let standstill = Standstill::watch(clock.clone(), stop.clone());
     let core = Rc::new(CoreNode {
         standstill,
-        workers: WorkerCalls::new(clock.clone(), config.descriptors()),
+        parser: Parser::new(dialect.read_control),
+        rules_turn: Semaphore::new(1),
+        workers: WorkerCalls::new(clock.clone(), config.descriptors())
+            .with_memory_of(connections.clone()),
+        connections,
         config,
         dialect,
         clock,
@@ -105,6 +114,7 @@
     if let Some(address) = core.config.metrics_address {
         serve_metrics(
             address,
+            &core.connections,
             core.metrics.clone(),
             operator::operator_hooks(&core),
             stop.clone(),
@@ -132,10 +142,9 @@
     monoio::spawn(heartbeats::relay_to_leader(core.clone()));
     monoio::spawn(report_leader_changes(core.clone()));
     let serving = core.clone();
-    monoio::spawn(server::serve(
+    monoio::spawn(http_server::accept(
         control_listener,
-        core.draining.clone(),
-        (Rc::new(Cell::new(0)), core.config.max_callers()),
+        server::for_documents(&core.connections, core.draining.clone()),
         move |request| incoming::handle(serving.clone(), request),
     ));
     let signal = runtime::stop_on_signal()
--- a/crates/bh-control/src/core/worker_calls.rs
+++ b/crates/bh-control/src/core/worker_calls.rs
@@ -1,6 +1,7 @@
 //! Calls to workers over kept-alive connections.
 
 use bh_net::Clock;
+use bh_net::connections::Connections;
 use bh_net::http_client::Connection;
 use bh_net::http_client::Pool;
 use bh_net::http_client::SendError;
@@ -10,6 +11,7 @@
 use http::Response;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Timeout for opening a connection, in milliseconds. Within a region it takes a few; a VM without power never answers.
 const CONNECT_TIMEOUT_MS: u64 = 600;
@@ -54,6 +56,8 @@
 pub struct WorkerCalls {
     pool: Pool,
     clock: Clock,
+    /// Account from which large answers take their memory.
+    connections: Option<Rc<Connections>>,
     in_progress: Cell<usize>,
     max_in_progress: usize,
 }
@@ -67,12 +71,19 @@
                 .with_max_total(descriptors * MAX_IDLE_PERCENT / 100)
                 .with_max_idle_ms(IDLE_TIMEOUT_MS),
             clock,
+            connections: None,
             in_progress: Cell::new(0),
             max_in_progress: (descriptors * MAX_IN_PROGRESS_PERCENT / 100)
                 .max(MIN_IN_PROGRESS_LIMIT),
         }
     }
 
+    /// Takes the memory of large answers from that of `connections`.
+    pub fn with_memory_of(mut self, connections: Rc<Connections>) -> Self {
+        self.connections = Some(connections);
+        self
+    }
+
     /// Number of calls in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.get()
@@ -148,6 +159,9 @@
         let mut connection = Connection::open(address, left_ms().min(CONNECT_TIMEOUT_MS))
             .await
             .map_err(unanswered)?;
+        if let Some(connections) = &self.connections {
+            connection = connection.with_memory_of(connections.clone());
+        }
         let response = connection
             .send(request, left_ms(), MAX_ANSWER_BYTES)
             .await
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -3,6 +3,7 @@
 use super::Readiness;
 use crate::calls::Answer;
 use crate::calls::Call;
+use crate::calls::Parser;
 use crate::calls::RETRY_AFTER_MS;
 use crate::calls::forward;
 use crate::config::LocalConfig;
@@ -16,6 +17,9 @@
 use crate::server;
 use crate::standstill::Standstill;
 use bh_net::Clock;
+use bh_net::connections::Connections;
+use bh_net::http_server;
+use bh_net::http_server::Service;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
 use bh_protocol::Code;
@@ -29,7 +33,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use std::cell::Cell;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
@@ -51,12 +54,14 @@
 pub struct Entry {
     config: LocalConfig,
     dialect: Dialect,
+    parser: Parser,
     mesh: Rc<Mesh>,
     /// Cancelled when the entry is told to stop; it is not ready from then on.
     draining: CancellationToken,
     /// Cancelled when callers' connections are to be closed.
     closing: CancellationToken,
-    connections: Rc<Cell<usize>>,
+    /// How callers are served.
+    callers: Service,
     metrics: Rc<Metrics>,
     readiness: Readiness,
     standstill: Rc<Standstill>,
@@ -73,7 +78,7 @@
 
     async fn handle(self: Rc<Self>, request: Request<Bytes>) -> Response<Bytes> {
         let started_ms = self.mesh.now_ms();
-        let received = match (self.dialect.read_caller)(&request) {
+        let received = match self.parser.parse(request).await {
             Ok(received) => received,
             Err(status) => return server::status(status),
         };
@@ -169,6 +174,7 @@
     };
     let clock = Clock::new();
     let standstill = Standstill::watch(clock.clone(), stop.clone());
+    let connections = Connections::new(clock.clone(), config.connection_limits());
     let mesh = Mesh::of_entry(hello, clock, stop.clone());
     mesh.add_cores(config.seed_peers());
     reload::follow(mesh.clone(), config.path.clone())?;
@@ -179,15 +185,18 @@
     let readiness = config
         .readiness_address
         .ok_or_else(|| missing("readiness_address"))?;
-    let callers = server::bind(callers)?;
-    let readiness = server::bind(readiness)?;
+    let callers_listener = server::bind(callers)?;
+    let readiness_listener = server::bind(readiness)?;
+    let closing = CancellationToken::new();
+    let callers = server::for_calls(&connections, closing.clone());
     let entry = Rc::new(Entry {
         config,
+        parser: Parser::new(dialect.read_caller),
         dialect,
         mesh,
         draining: CancellationToken::new(),
-        closing: CancellationToken::new(),
-        connections: Rc::new(Cell::new(0)),
+        closing,
+        callers,
         metrics: Rc::new(Metrics::new()),
         readiness: Readiness::new(),
         standstill,
@@ -196,23 +205,22 @@
     if let Some(address) = entry.config.metrics_address {
         serve_metrics(
             address,
+            &connections,
             entry.metrics.clone(),
             operator_hooks(&entry),
             stop.clone(),
         )?;
     }
     let serving = entry.clone();
-    monoio::spawn(server::serve(
-        callers,
-        entry.closing.clone(),
-        (entry.connections.clone(), entry.config.max_callers()),
+    monoio::spawn(http_server::accept(
+        callers_listener,
+        entry.callers.clone(),
         move |request| serving.clone().handle(request),
     ));
     let answering = entry.clone();
-    monoio::spawn(server::serve(
-        readiness,
-        stop.clone(),
-        (Rc::new(Cell::new(0)), entry.config.max_callers()),
+    monoio::spawn(http_server::accept(
+        readiness_listener,
+        server::for_side_requests(&connections, stop.clone()),
         move |request| {
             let entry = answering.clone();
             async move {
@@ -239,7 +247,7 @@
     OperatorHooks::new(move |metrics| {
         let size = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
         metrics.gauge("ready", u64::from(entry.is_ready()));
-        metrics.gauge("connections", size(entry.connections.get()));
+        metrics.gauge("connections", size(entry.callers.open()));
         metrics.gauge("links_open", size(entry.mesh.links_open()));
         metrics.gauge("log_lines_dropped", log_lines_dropped());
     })
@@ -250,7 +258,7 @@
 async fn drain(entry: &Rc<Entry>) {
     let grace_ms = entry.config.grace_ms();
     let now_ms = entry.mesh.now_ms();
-    log::info!(entry = &*entry.config.name, connections = entry.connections.get(); "entry drains");
+    log::info!(entry = &*entry.config.name, connections = entry.callers.open(); "entry drains");
     entry.draining.cancel();
     let close_ms = now_ms + grace_ms * LAME_DUCK_PERCENT / 100;
     let finish_ms = now_ms + grace_ms * FINISH_PERCENT / 100;
@@ -258,7 +266,7 @@
         sleep_ms(POLL_MS).await;
     }
     entry.closing.cancel();
-    while entry.connections.get() > 0 && entry.mesh.now_ms() < finish_ms {
+    while entry.callers.open() > 0 && entry.mesh.now_ms() < finish_ms {
         sleep_ms(POLL_MS).await;
     }
 }
--- a/crates/bh-control/src/observe/serve_metrics.rs
+++ b/crates/bh-control/src/observe/serve_metrics.rs
@@ -2,6 +2,8 @@
 
 use super::Metrics;
 use crate::server;
+use bh_net::connections::Connections;
+use bh_net::http_server;
 use bh_protocol::Failure;
 use bytes::Bytes;
 use http::HeaderValue;
@@ -10,15 +12,12 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
-/// Maximum number of connections at a time.
-const MAX_CONNECTIONS: usize = 16;
 /// Path of the metrics.
 const PATH: &str = "/metrics";
 
@@ -61,25 +60,47 @@
 /// If the process cannot listen on the address.
 pub fn serve_metrics(
     address: SocketAddr,
+    connections: &Rc<Connections>,
     metrics: Rc<Metrics>,
     hooks: OperatorHooks,
     stop: CancellationToken,
 ) -> Result<(), Failure> {
     let listener = server::bind(address)?;
     let hooks = Rc::new(hooks);
+    let service = server::for_side_requests(connections, stop);
+    let connections = connections.clone();
     let handler = move |request: Request<Bytes>| {
         let (metrics, hooks) = (metrics.clone(), hooks.clone());
+        set_connection_metrics(&metrics, &connections);
         async move { answer(&metrics, &hooks, request).await }
     };
-    monoio::spawn(server::serve(
-        listener,
-        stop,
-        (Rc::new(Cell::new(0)), MAX_CONNECTIONS),
-        handler,
-    ));
+    monoio::spawn(http_server::accept(listener, service, handler));
     Ok(())
 }
 
+/// Sets the metrics of the connections of clients.
+fn set_connection_metrics(metrics: &Metrics, connections: &Connections) {
+    let figures = connections.figures();
+    metrics.gauge("client_connections", figures.open);
+    metrics.gauge("client_connections_max", figures.max_open);
+    metrics.gauge("client_memory_bytes", figures.used_bytes);
+    metrics.gauge("client_memory_peak_bytes", figures.peak_bytes);
+    metrics.gauge("client_memory_max_bytes", figures.max_bytes);
+    metrics.gauge(
+        "clients_evicted_for_connections_total",
+        figures.evicted_for_connections,
+    );
+    metrics.gauge(
+        "clients_evicted_for_memory_total",
+        figures.evicted_for_memory,
+    );
+    metrics.gauge("requests_refused_no_memory_total", figures.refused_busy);
+    metrics.gauge(
+        "requests_refused_too_large_total",
+        figures.refused_too_large,
+    );
+}
+
 async fn answer(
     metrics: &Metrics,
     hooks: &OperatorHooks,
--- a/crates/bh-control/src/server.rs
+++ b/crates/bh-control/src/server.rs
@@ -1,41 +1,54 @@
-//! Accepts and serves HTTP connections.
+//! Listens for connections of clients and of other processes.
 
+use bh_net::connections::Connections;
 use bh_net::http_server;
 use bh_net::http_server::Limits;
-use bh_net::runtime::sleep_ms;
+use bh_net::http_server::Service;
+use bh_net::http_server::parse_cost;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bytes::Bytes;
-use http::Request;
 use http::Response;
 use http::StatusCode;
 use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
-use std::cell::Cell;
-use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
 /// Time after which an idle connection is closed, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 60_000;
-/// Time to wait after a connection could not be accepted, in milliseconds.
-const ACCEPT_RETRY_MS: u64 = 10;
+/// Maximum number of connections at a time of a listener that is not for calls.
+const MAX_SIDE_CONNECTIONS: usize = 16;
+/// Maximum size of a body at a listener that is not for calls, in bytes; its requests need none.
+const MAX_SIDE_BODY_BYTES: u64 = 64 << 10;
 
-/// Listens on `address`.
+/// Listens on `address` for clients.
 ///
 /// # Errors
 ///
 /// [`Code::BadConfigFile`] when the address is in use or not the VM's.
 pub fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
+    http_server::bind(address).map_err(|error| not_listening(address, &error))
+}
+
+/// Listens on `address` for links from other processes, which carry more data than the connections of clients.
+///
+/// # Errors
+///
+/// [`Code::BadConfigFile`] when the address is in use or not the VM's.
+pub fn bind_links(address: SocketAddr) -> Result<TcpListener, Failure> {
     // Without this, two processes could listen on the same address and each would get some of the connections.
     let options = ListenerOpts::new().reuse_port(false);
-    TcpListener::bind_with_config(address, &options).map_err(|error| {
-        Failure::new(
-            Code::BadConfigFile,
-            format!("{address} cannot be listened on: {error}"),
-        )
-    })
+    TcpListener::bind_with_config(address, &options).map_err(|error| not_listening(address, &error))
+}
+
+fn not_listening(address: SocketAddr, error: &io::Error) -> Failure {
+    Failure::new(
+        Code::BadConfigFile,
+        format!("{address} cannot be listened on: {error}"),
+    )
 }
 
 /// Creates a response without a body.
@@ -45,32 +58,32 @@
     response
 }
 
-/// Serves connections until `closing` is cancelled, at most `max_open` at a time; `open` counts the open ones.
-pub async fn serve<F: Future<Output = Response<Bytes>> + 'static>(
-    listener: TcpListener,
-    closing: CancellationToken,
-    (open, max_open): (Rc<Cell<usize>>, usize),
-    handler: impl Fn(Request<Bytes>) -> F + Clone + 'static,
-) {
+/// How calls are served until `closing` is cancelled.
+pub fn for_calls(connections: &Rc<Connections>, closing: CancellationToken) -> Service {
+    Service {
+        connections: connections.clone(),
+        listener: connections.add_listener(),
+        max_open: connections.limits().max_open,
+        limits: Limits::new(IDLE_TIMEOUT_MS),
+        draining: closing.clone(),
+        closing,
+    }
+}
+
+/// How calls are served whose bodies are documents of any number of values, until `closing` is cancelled.
+pub fn for_documents(connections: &Rc<Connections>, closing: CancellationToken) -> Service {
     let limits = Limits::new(IDLE_TIMEOUT_MS);
-    loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = closing.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            sleep_ms(ACCEPT_RETRY_MS).await;
-            continue;
-        };
-        if open.get() >= max_open {
-            log::warn!(open = open.get(); "a connection was refused: too many are open");
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (closing, open, handler) = (closing.clone(), open.clone(), handler.clone());
-        monoio::spawn(async move {
-            http_server::serve(stream, limits, &closing, &closing, handler).await;
-            open.set(open.get() - 1);
-        });
+    Service {
+        limits: limits.with_parse_bytes(|_, body| parse_cost::of_document(body)),
+        ..for_calls(connections, closing)
+    }
+}
+
+/// How readiness checks or an operator's requests are served until `closing` is cancelled.
+pub fn for_side_requests(connections: &Rc<Connections>, closing: CancellationToken) -> Service {
+    Service {
+        max_open: MAX_SIDE_CONNECTIONS,
+        limits: Limits::new(IDLE_TIMEOUT_MS).with_max_body_bytes(MAX_SIDE_BODY_BYTES),
+        ..for_calls(connections, closing)
     }
 }
--- a/crates/bh-net/src/http_client/connection.rs
+++ b/crates/bh-net/src/http_client/connection.rs
@@ -1,6 +1,8 @@
 //! Client connection, with one request in progress at a time.
 
 use super::SendError;
+use super::limited_reader::LimitedReader;
+use crate::connections::Connections;
 use crate::runtime::within_ms;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -20,8 +22,13 @@
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::FixedPayload;
 use monoio_http::h1::payload::Payload;
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Maximum size of the head of an answer in bytes. The body may have as many bytes again for the sizes of its chunks.
+const MAX_HEAD_BYTES: u64 = 64 << 10;
 
 /// An open connection.
 ///
@@ -31,6 +38,8 @@
     read: OwnedReadHalf<TcpStream>,
     write: OwnedWriteHalf<TcpStream>,
     reusable: bool,
+    /// Account from which large answers take their memory, if there is one.
+    memory: Option<Rc<Connections>>,
 }
 
 impl Connection {
@@ -55,9 +64,16 @@
             read,
             write,
             reusable: true,
+            memory: None,
         })
     }
 
+    /// Takes the memory of large answers from that of `connections`.
+    pub fn with_memory_of(mut self, connections: Rc<Connections>) -> Self {
+        self.memory = Some(connections);
+        self
+    }
+
     /// Whether the last answer was complete and the other side keeps the connection open.
     pub fn is_reusable(&self) -> bool {
         self.reusable
@@ -78,7 +94,12 @@
         max_answer_bytes: u64,
     ) -> Result<Response<Bytes>, SendError> {
         self.reusable = false;
-        match within_ms(limit_ms, self.exchange(request, max_answer_bytes)).await {
+        let exceeded = Cell::new(false);
+        let exchange = self.exchange(request, max_answer_bytes, &exceeded);
+        match within_ms(limit_ms, exchange).await {
+            Some(Err(SendError::Broken)) if exceeded.get() => Err(SendError::TooLarge {
+                limit: max_answer_bytes,
+            }),
             Some(result) => result,
             None => Err(SendError::TimedOut),
         }
@@ -88,6 +109,7 @@
         &mut self,
         request: Request<Bytes>,
         max_answer_bytes: u64,
+        exceeded: &Cell<bool>,
     ) -> Result<Response<Bytes>, SendError> {
         let (parts, body) = request.into_parts();
         let payload = Payload::Fixed(FixedPayload::new(body));
@@ -96,7 +118,10 @@
             .send_and_flush(request)
             .await
             .map_err(|_| SendError::Broken)?;
-        let mut reader = ClientResponseDecoder::new(&mut self.read);
+        let slot = self.memory.as_ref().map(Connections::account);
+        let max_bytes = max_answer_bytes.saturating_mul(2) + MAX_HEAD_BYTES;
+        let source = LimitedReader::new(&mut self.read, max_bytes, slot, exceeded);
+        let mut reader = ClientResponseDecoder::new(source);
         let response = match reader.next().await {
             Some(Ok(response)) => response,
             _ => return Err(SendError::Broken),
--- a/crates/bh-net/src/http_client/mod.rs
+++ b/crates/bh-net/src/http_client/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client, for calls to targets and for calls of `beechctl` to entries.
 
 mod connection;
+mod limited_reader;
 mod pool;
 mod send_error;
 
--- a/crates/bh-net/src/http_server/limits.rs
+++ b/crates/bh-net/src/http_server/limits.rs
@@ -1,5 +1,8 @@
 //! Limits of a connection.
 
+use super::parse_cost;
+use http::request::Parts;
+
 /// Limits of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -12,8 +15,10 @@
     /// Longest wait for a complete head, in milliseconds. It limits how long a caller that sends single bytes now and then can
     /// hold a connection.
     pub idle_ms: u64,
-    /// Longest wait for a complete body, in milliseconds.
+    /// Longest wait for a complete body, and for a caller that does not read its answer, in milliseconds.
     pub body_ms: u64,
+    /// Upper bound of the memory that the handler takes for a request beside its body, in bytes.
+    pub parse_bytes: fn(&Parts, &[u8]) -> u64,
 }
 
 impl Limits {
@@ -25,6 +30,19 @@
             max_body_bytes: 8 << 20,
             idle_ms,
             body_ms: 30_000,
+            parse_bytes: |_, body| parse_cost::of_text(body),
         }
     }
+
+    /// Sets the maximum size of a request body.
+    pub fn with_max_body_bytes(mut self, max_body_bytes: u64) -> Self {
+        self.max_body_bytes = max_body_bytes;
+        self
+    }
+
+    /// Sets the upper bound of the memory that the handler takes for a request beside its body.
+    pub fn with_parse_bytes(mut self, parse_bytes: fn(&Parts, &[u8]) -> u64) -> Self {
+        self.parse_bytes = parse_bytes;
+        self
+    }
 }
--- a/crates/bh-net/src/lib.rs
+++ b/crates/bh-net/src/lib.rs
@@ -6,6 +6,7 @@
 //! that keep the replicated record of the workload, use the same link.
 
 pub mod clock;
+pub mod connections;
 pub mod http_client;
 pub mod http_server;
 pub mod link;
--- a/crates/bh-node/src/background.rs
+++ b/crates/bh-node/src/background.rs
@@ -5,7 +5,6 @@
 use crate::leader::LeaderCall;
 use crate::node::Node;
 use bh_net::http_server;
-use bh_net::http_server::Limits;
 use bh_net::runtime::sleep_ms;
 use monoio::net::TcpListener;
 use std::path::PathBuf;
@@ -17,42 +16,20 @@
 const RENEWALS_PER_LEASE: u64 = 10;
 /// Time between writes of the service-level counters, and between reports of the gauges, in milliseconds.
 const COUNTERS_INTERVAL_MS: u64 = 5_000;
-/// Wait after a connection could not be accepted, in milliseconds.
-const ACCEPT_RETRY_MS: u64 = 10;
 
 /// Accepts HTTP connections and serves their requests until the node closes.
 pub(crate) async fn accept_callers(node: Rc<Node>, listener: TcpListener) {
-    let limits = Limits::new(node.config.idle_connection_ms);
-    loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = node.closing.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            // Most likely the process has no free file descriptors; connections that close free some.
-            sleep_ms(ACCEPT_RETRY_MS).await;
-            continue;
-        };
-        if node.connections.get() >= node.config.max_connections {
-            node.metrics.count("connections_refused", 1);
-            continue;
-        }
-        node.connections.set(node.connections.get() + 1);
+    let service = node.callers.clone();
+    let handler = move |request| {
         let node = node.clone();
-        monoio::spawn(async move {
-            let handler = |request| {
-                let node = node.clone();
-                async move {
-                    node.in_progress.set(node.in_progress.get() + 1);
-                    let response = http_api::route(&node, request).await;
-                    node.in_progress.set(node.in_progress.get() - 1);
-                    response
-                }
-            };
-            http_server::serve(stream, limits, &node.draining, &node.closing, handler).await;
-            node.connections.set(node.connections.get() - 1);
-        });
-    }
+        async move {
+            node.in_progress.set(node.in_progress.get() + 1);
+            let response = http_api::route(&node, request).await;
+            node.in_progress.set(node.in_progress.get() - 1);
+            response
+        }
+    };
+    http_server::accept(listener, service, handler).await;
 }
 
 /// While this entry reaches no leader, uses the targets that announce themselves to it; returns whether the owned targets
@@ -146,8 +123,23 @@
         .gauge("in_progress", u64::from(node.in_progress.get()));
     node.metrics.gauge(
         "connections",
-        u64::try_from(node.connections.get()).unwrap_or(u64::MAX),
+        u64::try_from(node.callers.open()).unwrap_or(u64::MAX),
     );
+    let figures = node.callers.connections.figures();
+    for (name, value) in [
+        ("client_memory_bytes", figures.used_bytes),
+        ("client_memory_peak_bytes", figures.peak_bytes),
+        ("client_memory_max_bytes", figures.max_bytes),
+        (
+            "clients_evicted_for_connections",
+            figures.evicted_for_connections,
+        ),
+        ("clients_evicted_for_memory", figures.evicted_for_memory),
+        ("requests_refused_no_memory", figures.refused_busy),
+        ("requests_refused_too_large", figures.refused_too_large),
+    ] {
+        node.metrics.gauge(name, value);
+    }
     node.metrics
         .gauge("settings_revision", node.settings_in_force().0);
     node.metrics.gauge("link_bytes", node.link_bytes.get());
--- a/crates/bh-node/src/http_api/mod.rs
+++ b/crates/bh-node/src/http_api/mod.rs
@@ -14,6 +14,7 @@
 
 pub use reports::load_counters;
 pub use reports::save_counters;
+pub(crate) use route::parse_bytes;
 pub use route::route;
 pub use status::EntryStatus;
 pub use status::GroupView;
--- a/crates/bh-node/src/http_api/route.rs
+++ b/crates/bh-node/src/http_api/route.rs
@@ -11,14 +11,25 @@
 use super::status;
 use super::targets;
 use crate::node::Node;
+use bh_net::http_server::parse_cost;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::request::Parts;
 use std::rc::Rc;
 
+/// Upper bound of the memory that a request takes beside its body. The bodies of short requests are passed on as they are.
+pub(crate) fn parse_bytes(parts: &Parts, body: &[u8]) -> u64 {
+    let path: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
+    match path.as_slice() {
+        ["v1", "customers", _, "requests", _] => parse_cost::of_text(body),
+        _ => parse_cost::of_document(body),
+    }
+}
+
 /// Serves one request.
 pub async fn route(node: &Rc<Node>, request: Request<Bytes>) -> Response<Bytes> {
     let result = dispatch(node, &request).await;
--- a/crates/bh-node/src/node/state.rs
+++ b/crates/bh-node/src/node/state.rs
@@ -7,6 +7,7 @@
 use bh_membership::LeaderlessTargets;
 use bh_net::Clock;
 use bh_net::http_client::Pool;
+use bh_net::http_server::Service;
 use bh_protocol::settings::InForce;
 use bh_report::Counters;
 use bh_router::Decision;
@@ -59,8 +60,8 @@
     pub stop: CancellationToken,
     /// Requests of callers, and ledger records written in the background, that are in progress.
     pub in_progress: Cell<u32>,
-    /// Open connections from callers and targets.
-    pub connections: Cell<usize>,
+    /// How callers and targets are served.
+    pub callers: Service,
     /// Bytes sent to other entries.
     pub link_bytes: Cell<u64>,
     /// A weak reference to this node, for tasks that outlive the call that spawns them.
--- a/crates/bh-node/src/requests/attempt.rs
+++ b/crates/bh-node/src/requests/attempt.rs
@@ -76,7 +76,9 @@
     {
         return Ok(connection);
     }
-    Connection::open(address, node.config.target_connect_ms.min(timeout_ms)).await
+    let limit_ms = node.config.target_connect_ms.min(timeout_ms);
+    let connection = Connection::open(address, limit_ms).await?;
+    Ok(connection.with_memory_of(node.callers.connections.clone()))
 }
 
 fn build(
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -21,7 +21,12 @@
 use bh_membership::LeaderlessTargets;
 use bh_membership::OwnedTargets;
 use bh_net::Clock;
+use bh_net::connections::ConnectionLimits;
+use bh_net::connections::Connections;
 use bh_net::http_client::Pool;
+use bh_net::http_server;
+use bh_net::http_server::Limits;
+use bh_net::http_server::Service;
 use bh_net::link::LinkKey;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
@@ -36,12 +41,15 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
+/// Percentage of the memory for requests and answers of callers and targets.
+const REQUESTS_PERCENT: u64 = 40;
 /// Time between checks for requests in progress during shutdown, in milliseconds.
 const DRAIN_POLL_MS: u64 = 10;
 
@@ -60,8 +68,8 @@
         Some(folder) => folder.replica_id(),
         None => bh_storage::random_replica_id()?,
     };
-    let http_listener = bind(config.own.http_address)?;
-    let peer_listener = bind(config.own.peer_address)?;
+    let http_listener = listening(config.own.http_address, http_server::bind)?;
+    let peer_listener = listening(config.own.peer_address, bind_links)?;
     let clock = Clock::new();
     let node_handle = NodeHandle::new();
     let builder = GroupBuilder {
@@ -152,10 +160,11 @@
     Ok(LinkKey::new(bytes.trim_ascii()))
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
-    // With port reuse, two entries could listen on one address, each receiving some of the connections.
-    let options = ListenerOpts::new().reuse_port(false);
-    TcpListener::bind_with_config(address, &options).map_err(|error| {
+fn listening(
+    address: SocketAddr,
+    bind: impl FnOnce(SocketAddr) -> io::Result<TcpListener>,
+) -> Result<TcpListener, Failure> {
+    bind(address).map_err(|error| {
         Failure::new(
             Code::BadConfigFile,
             format!("cannot listen on {address}: {error}"),
@@ -163,6 +172,13 @@
     })
 }
 
+/// Listens for links from other entries, which carry more data than the connections of callers.
+fn bind_links(address: SocketAddr) -> io::Result<TcpListener> {
+    // With port reuse, two entries could listen on one address, each receiving some of the connections.
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+}
+
 fn build_node(
     config: EntryConfig,
     clock: Clock,
@@ -184,6 +200,7 @@
         .as_ref()
         .map(|folder| http_api::load_counters(&counters_path(folder)))
         .unwrap_or_default();
+    let callers = service(&config, &clock);
     let router = Router::new(OwnedTargets::new(config.own.name.clone(), incarnation));
     let leaderless_targets = LeaderlessTargets::new(clock.now_ms(), config.target_lease_ms);
     Rc::new_cyclic(|weak_self| Node {
@@ -198,11 +215,11 @@
         leaderless_targets: RefCell::new(leaderless_targets),
         pool: Pool::new(),
         counters: RefCell::new(counters),
-        draining: CancellationToken::new(),
-        closing: CancellationToken::new(),
+        draining: callers.draining.clone(),
+        closing: callers.closing.clone(),
         stop: CancellationToken::new(),
         in_progress: Cell::new(0),
-        connections: Cell::new(0),
+        callers: callers.clone(),
         link_bytes: Cell::new(0),
         weak_self: weak_self.clone(),
         pending_decisions: RefCell::new(BTreeMap::new()),
@@ -211,6 +228,20 @@
     })
 }
 
+/// How callers and targets are served.
+fn service(config: &EntryConfig, clock: &Clock) -> Service {
+    let limits = ConnectionLimits::new(config.memory_mb, REQUESTS_PERCENT, config.max_connections);
+    let connections = Connections::new(clock.clone(), limits);
+    Service {
+        listener: connections.add_listener(),
+        max_open: limits.max_open,
+        connections,
+        limits: Limits::new(config.idle_connection_ms).with_parse_bytes(http_api::parse_bytes),
+        draining: CancellationToken::new(),
+        closing: CancellationToken::new(),
+    }
+}
+
 /// Shuts down gracefully: reports not ready, then accepts no new connections, then waits for the requests in progress.
 async fn drain(node: &Rc<Node>) {
     let config = &node.config;
@@ -220,7 +251,7 @@
     sleep_ms(config.drain_delay_ms).await;
     node.closing.cancel();
     let deadline_ms = node.clock.now_ms() + config.drain_limit_ms;
-    while (node.in_progress.get() > 0 || node.connections.get() > 0)
+    while (node.in_progress.get() > 0 || node.callers.open() > 0)
         && node.clock.now_ms() < deadline_ms
     {
         sleep_ms(DRAIN_POLL_MS).await;
--- a/crates/bh-protocol/src/code.rs
+++ b/crates/bh-protocol/src/code.rs
@@ -97,6 +97,7 @@
     Draining = 202, 503, 5, No, "This entry is shutting down", "Resend; the balancer will choose another entry.";
     NoQuorum = 203, 503, 5, No, "This data centre cannot reach a quorum for the change", "Resend after the time given in Retry-After; nothing was recorded.";
     TooManyConnections = 204, 503, 5, No, "Too many connections are open", "Close idle connections and resend.";
+    NoMemory = 205, 503, 5, No, "There is no memory for the request beside those of others", "Resend after the time given in Retry-After.";
     TargetFailed = 300, 502, 6, Yes, "The target ran the request and reported a failure", "Read the body for the target's own words.";
     Cancelled = 301, 409, 6, Yes, "The job was cancelled", "Submit it again with a new key if that was a mistake.";
     JobFailed = 302, 422, 6, Yes, "The job failed on several targets and was given up", "Read the job's reason; the job itself is the likely cause.";
--- a/crates/bh-settings/src/entry.rs
+++ b/crates/bh-settings/src/entry.rs
@@ -66,6 +66,8 @@
     pub drain_limit_ms: u64,
     /// Maximum number of open connections of callers and targets.
     pub max_connections: usize,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u64,
     /// Longest wait for a request on a caller's connection before it is closed, in milliseconds.
     pub idle_connection_ms: u64,
     /// Number of log entries after which a snapshot is taken.
@@ -206,6 +208,7 @@
         target_lease_ms: root.number("target_lease_ms"),
         drain_delay_ms: root.number("drain_delay_ms"),
         drain_limit_ms: root.number("drain_limit_ms"),
+        memory_mb: root.number("memory_mb"),
         max_connections: usize::try_from(root.number("max_connections")).unwrap_or(usize::MAX),
         idle_connection_ms: root.number("idle_connection_ms"),
         snapshot_entries: root.number("snapshot_entries"),
--- a/crates/bh-settings/src/entry_key.rs
+++ b/crates/bh-settings/src/entry_key.rs
@@ -124,6 +124,14 @@
         Some(4_096),
         "Connections of callers and targets open at a time.",
     ),
+    number_key(
+        "memory_mb",
+        "MB",
+        32,
+        1_048_576,
+        Some(256),
+        "Memory that the process may use; requests and answers of callers and targets get 40 in 100 of it.",
+    ),
     number_key(
         "idle_connection_ms",
         "ms",
--- a/crates/bh-testkit/src/worker/serve.rs
+++ b/crates/bh-testkit/src/worker/serve.rs
@@ -7,6 +7,8 @@
 use super::state::WorkerStats;
 use super::tasks::Tasks;
 use bh_net::Clock;
+use bh_net::connections::ConnectionLimits;
+use bh_net::connections::Connections;
 use bh_net::http_server;
 use bh_net::http_server::Limits;
 use bh_net::runtime;
@@ -151,7 +153,13 @@
 }
 
 async fn accept(state: Arc<State>, listener: TcpListener, clock: Clock, stop: CancellationToken) {
+    const MEMORY_MB: u64 = 1_000;
+    const MAX_OPEN: usize = 10_000;
+    let limits = ConnectionLimits::new(MEMORY_MB, 50, MAX_OPEN);
+    let connections = Connections::new(clock.clone(), limits);
+    let own = connections.add_listener();
     while let Ok((stream, _)) = listener.accept().await {
+        let slot = connections.add_when_possible(own, MAX_OPEN).await;
         let (state, clock, stop) = (state.clone(), clock.clone(), stop.clone());
         monoio::spawn(async move {
             let truncates = state
@@ -164,7 +172,7 @@
                 return;
             }
             let handler = |request| serve(state.clone(), clock.clone(), request);
-            http_server::serve(stream, Limits::new(60_000), &stop, &stop, handler).await;
+            http_server::serve(stream, Limits::new(60_000), slot, &stop, &stop, handler).await;
         });
     }
 }
