Waiting for room lets timers fire, and one connection gives way at a time

Cause, found on rereading: the event loop fires no timers while any task is ready. A connection that waited until another one has given way kept itself ready, so that a connection whose refusal waits for a timer would never have left; and until it had left, the next one gave way too.

Both waits now rest for a millisecond, and a connection that is closing for another one counts until it is closed. Also, an announced body that is over what memory allows is refused before `100 Continue`, and 413s are counted in one place.

--- a/crates/bh-control/tests/config_problems.rs
+++ b/crates/bh-control/tests/config_problems.rs
@@ -161,3 +161,20 @@
         assert_eq!(found.is_empty(), is_enough, "{disk_mb}: {found:?}");
     }
 }
+
+/// Guards against a process that starts with too little memory for a single request, and against limits of clients that do not follow from the
+/// memory and the descriptors.
+#[test]
+fn limits_of_clients_follow_from_the_memory() {
+    let with = |lines: &str| LocalConfig::parse(format!("{CORE}{lines}").as_bytes());
+    assert!(with("memory_mb: 31\n").is_err());
+    let limits = with("memory_mb: 256.0\ndescriptors: 4096\n");
+    let limits = limits.unwrap().connection_limits();
+    assert_eq!(limits.max_open, 1_843);
+    assert_eq!(limits.max_bytes, 76_800_000);
+    assert!(limits.max_large_bytes < limits.max_bytes);
+    let small = with("memory_mb: 32\ndescriptors: 4096\n").unwrap();
+    assert!(small.connection_limits().max_open < 600);
+    let unset = with("descriptors: 4096\n").unwrap();
+    assert_eq!(unset.connection_limits(), limits);
+}
--- a/crates/bh-net/src/connections/table.rs
+++ b/crates/bh-net/src/connections/table.rs
@@ -9,8 +9,8 @@
 use super::eviction;
 use super::state::State;
 use crate::Clock;
+use crate::runtime::rest;
 use crate::runtime::sleep_ms;
-use crate::runtime::yield_now;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -72,6 +72,10 @@
 
     /// A number for a new listener.
     pub fn add_listener(&self) -> u64 {
+        self.new_id()
+    }
+
+    fn new_id(&self) -> u64 {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         id
@@ -97,7 +101,7 @@
 
     /// Adds a connection that `listener` has accepted, without regard to the limits.
     fn add(self: &Rc<Self>, listener: u64) -> Slot {
-        let id = self.add_listener();
+        let id = self.new_id();
         if listener != NO_LISTENER {
             self.open_connections.set(self.open_connections.get() + 1);
         }
@@ -116,7 +120,7 @@
             }
             let only = is_listener_full.then_some(listener);
             if self.evict_for_connection(only) {
-                yield_now().await;
+                rest().await;
             } else {
                 sleep_ms(POLL_MS).await;
             }
@@ -139,7 +143,7 @@
                 move |state: &&Rc<State>| listener.is_none_or(|only| state.listener == only);
             open.values().filter(of_listener)
         };
-        if candidates().any(|state| state.is_leaving()) {
+        if candidates().any(|state| state.evicted_for.get() == Some(Resource::Connection)) {
             return true;
         }
         let Some(state) = eviction::for_connection(candidates(), self.clock.now_ms()) else {
@@ -160,7 +164,6 @@
     ) -> Result<(), Shortage> {
         let wanted = own.bytes.get().saturating_add(bytes);
         if wanted > self.limits.max_large_bytes {
-            self.count(|figures| figures.refused_too_large += 1);
             return Err(Shortage::TooLarge);
         }
         loop {
@@ -175,7 +178,7 @@
                 self.count(|figures| figures.refused_busy += 1);
                 return Err(Shortage::Busy);
             }
-            yield_now().await;
+            rest().await;
         }
     }
 
--- a/crates/bh-net/src/http_server/connection.rs
+++ b/crates/bh-net/src/http_server/connection.rs
@@ -1,5 +1,6 @@
 //! Server side of one connection of a caller, target or operator.
 
+use super::Framing;
 use super::Limits;
 use super::progress_writer::ProgressWriter;
 use super::read_error::ReadError;
@@ -157,6 +158,9 @@
         }
         Err(ReadError::Evicted(_) | ReadError::Closed) => return None,
     };
+    if code == Code::BodyTooLarge {
+        slot.table().note_too_large();
+    }
     // What was read has been dropped with the future.
     slot.shrink_to(0);
     slot.enter(Stage::Closing);
@@ -172,7 +176,8 @@
     let response = Response::from_parts(parts, HttpBody::from(payload));
     let mut encoder = GenericEncoder::new(&mut *writer);
     let sent = within_ms(REFUSAL_MS, encoder.send_and_flush(response)).await;
-    if matches!(sent, Some(Ok(()))) && writer.shutdown().await.is_ok() {
+    let is_refused = matches!(sent, Some(Ok(()))) && writer.shutdown().await.is_ok();
+    if is_refused && linger_ms > 0 {
         within_ms(linger_ms, reader.discard(MAX_LINGER_BYTES)).await;
     }
 }
@@ -187,6 +192,9 @@
     let (parts, framing) = next_head(reader, limits, slot, stop).await?;
     let max_large_bytes = slot.table().limits().max_large_bytes;
     let max_body_bytes = limits.max_body_bytes.min(max_large_bytes / BODY_SHARE);
+    if matches!(framing, Framing::Length(length) if length > max_body_bytes) {
+        return Err(Code::BodyTooLarge.into());
+    }
     if expects_continue(&parts) {
         let (result, _) = writer
             .write_all(&b"HTTP/1.1 100 Continue\r\n\r\n"[..])
@@ -208,7 +216,7 @@
     limits: &Limits,
     slot: &Slot,
     stop: &CancellationToken,
-) -> Result<(Parts, super::Framing), ReadError> {
+) -> Result<(Parts, Framing), ReadError> {
     let next = within_ms(limits.idle_ms, async move {
         reader.wait().await?;
         slot.enter(Stage::Receiving);
--- a/crates/bh-net/src/http_server/request_reader.rs
+++ b/crates/bh-net/src/http_server/request_reader.rs
@@ -108,7 +108,7 @@
         Ok(None)
     }
 
-    /// Reads a body of at most `max_body_bytes`.
+    /// Reads a body of at most `max_body_bytes`; an announced length must not be over it.
     ///
     /// # Errors
     ///
@@ -120,7 +120,6 @@
         slot: &Slot,
     ) -> Result<Bytes, ReadError> {
         match framing {
-            Framing::Length(length) if length > max_body_bytes => Err(Code::BodyTooLarge.into()),
             Framing::Length(length) => {
                 let length = usize::try_from(length).map_err(|_| Code::BodyTooLarge)?;
                 self.announced_body(length, slot).await
--- a/crates/bh-net/src/runtime.rs
+++ b/crates/bh-net/src/runtime.rs
@@ -73,13 +73,8 @@
     Ok(token)
 }
 
-/// Lets the tasks that are ready run first. Timers do not fire while tasks call this in turn, so it is for waits that the other tasks end.
-pub async fn yield_now() {
-    // A task that wakes itself is put in front of all others; a new task comes last.
-    monoio::spawn(std::future::ready(())).await;
-}
-
-/// Lets timers, input and other tasks come first. A task that always finds bytes to read would hold up all of them.
+/// Lets timers, input and other tasks come first. A task that always finds bytes to read would hold up all of them, and timers do not fire
+/// while any task is ready.
 pub async fn rest() {
     const REST_MS: u64 = 1;
     sleep_ms(REST_MS).await;
