--- a/crates/bh-workload/src/job/bounded.rs
+++ b/crates/bh-workload/src/job/bounded.rs
@@ -1,4 +1,4 @@
-//! Deserializers that stop at the limits of a job, before what is over them takes memory.
+//! Deserializers that stop at the limits of a job or a worker, before what is over them takes memory.
 
 use serde::Deserialize;
 use serde::Deserializer;
@@ -84,6 +84,26 @@
     }
 }
 
+/// Deserializes a list of at most `VALUES` texts of at most `MAX` bytes each.
+///
+/// # Errors
+///
+/// If there are more, or one is longer or no text.
+pub fn texts<'de, const VALUES: usize, const MAX: usize, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<Arc<str>>, D::Error> {
+    let texts: Vec<BoundedText<MAX>> = list::<VALUES, _, _>(deserializer)?;
+    Ok(texts.into_iter().map(|text| text.0).collect())
+}
+
+struct BoundedText<const MAX: usize>(Arc<str>);
+
+impl<'de, const MAX: usize> Deserialize<'de> for BoundedText<MAX> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        text::<MAX, D>(deserializer).map(Self)
+    }
+}
+
 struct OptionalText<const MAX: usize>;
 
 impl<'de, const MAX: usize> Visitor<'de> for OptionalText<MAX> {
--- a/crates/bh-workload/src/job/job_spec.rs
+++ b/crates/bh-workload/src/job/job_spec.rs
@@ -9,8 +9,10 @@
 pub const MAX_STEPS: usize = 64;
 /// Maximum size of a job's text in bytes. It is recorded, and sent to a worker with each start.
 pub const MAX_TEXT_BYTES: usize = 64 << 10;
-/// Maximum size of the name of a label, a rack or an image in bytes.
+/// Maximum size of the name of a label, a rack, an image, a pool or a VM in bytes.
 pub const MAX_LABEL_BYTES: usize = 1 << 10;
+/// Maximum number of labels of a worker. They are recorded with it.
+pub const MAX_LABELS: usize = 64;
 /// Maximum number of tasks in one occurrence of a job, over all its steps. It allows several steps that are each as large as the largest gang
 /// that the system is designed for.
 pub const MAX_TASKS: u64 = 8_192;
--- a/crates/bh-workload/src/job/mod.rs
+++ b/crates/bh-workload/src/job/mod.rs
@@ -10,6 +10,7 @@
 pub use job_id::JobId;
 pub use job_spec::JobSpec;
 pub use job_spec::MAX_LABEL_BYTES;
+pub use job_spec::MAX_LABELS;
 pub use job_spec::MAX_OCCURRENCES;
 pub use job_spec::MAX_STEPS;
 pub use job_spec::MAX_TASKS;
