Test: the largest rules that a core stores are accepted

The account of a core must bear a document of 4 MB on its way into the record; a bound that refuses it would be found by an operator first.

--- a/crates/beechhollow/tests/misbehaving_clients.rs
+++ b/crates/beechhollow/tests/misbehaving_clients.rs
@@ -432,6 +432,39 @@
     assert_eq!(read.status, 200, "{read:?}");
 }
 
+/// Guards against a bound that refuses rules which a core can store.
+#[test]
+fn the_largest_rules_are_accepted() {
+    /// Largest document of rules on a disk of the default size.
+    const MAX_RULES_BYTES: usize = 4_000_000;
+    let _turn = take_turn();
+    let core = start_leading_core("largest-rules", "");
+    let route = |number: usize| {
+        json!({"name": format!("route-{number}"), "host": "queue.example", "pathPrefix": format!("/route-{number}/"), "kind": "non_idempotent",
+            "timeoutMs": 3_000, "targetLatencyMs": 1_000, "priority": 1, "service": "pool", "maxAttempts": 2, "slackFactor": 3.0,
+            "public": false})
+    };
+    let rules = |count: usize| {
+        let routes: Vec<serde_json::Value> = (0..count).map(route).collect();
+        json!({"version": 1, "routes": routes, "services": [{"name": "pool"}], "tenants": []})
+            .to_string()
+    };
+    let per_route = (rules(11_000).len() - rules(10_000).len()).div_ceil(1_000);
+    let body = rules(MAX_RULES_BYTES / per_route - 100);
+    assert!(body.len() > MAX_RULES_BYTES * 9 / 10 && body.len() <= MAX_RULES_BYTES);
+    let mut watched = Watched::new(core.process.child.id(), &[core.control]);
+    let body = body.as_bytes();
+    let answer = http_raw::send(core.control, "PUT", "/-/config", &[], body, TIMEOUT);
+    watched.sample();
+    assert!(matches!(answer.status, 200 | 504), "{answer:?}");
+    watched.check(CORE_BYTES);
+    let until = Instant::now() + TIMEOUT;
+    while get(core.control, "/-/config").json()["version"] != 1 {
+        assert!(Instant::now() < until, "the rules are not in force");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// Guards against a submission that is refused and runs nevertheless, and against a crowd of legal bodies of which none is served.
 #[test]
 fn refused_submissions_of_a_crowd_never_run() {
