--- a/crates/beechhollow/src/process.rs
+++ b/crates/beechhollow/src/process.rs
@@ -28,10 +28,10 @@
 
 /// Runs `main` on the event loop until it ends, and returns the exit status. A failure is printed and determines the status.
 pub fn run_to_end(
-    disk_threads: usize,
+    helper_threads: usize,
     main: impl Future<Output = Result<(), Failure>>,
 ) -> ExitCode {
-    match runtime::run(disk_threads, main) {
+    match runtime::run(helper_threads, main) {
         Ok(Ok(())) => ExitCode::SUCCESS,
         Ok(Err(failure)) => print_failure(failure),
         Err(error) => print_failure(Failure::new(
--- a/crates/beechhollow/src/run.rs
+++ b/crates/beechhollow/src/run.rs
@@ -8,8 +8,8 @@
 use clap::Command;
 use std::process::ExitCode;
 
-/// Threads for disk syncs: one for each group that an entry usually has.
-const DISK_THREADS: usize = 2;
+/// Helper threads: one for the disk syncs of each group that an entry usually has, and one for parsing large bodies.
+const HELPER_THREADS: usize = 3;
 
 pub fn command() -> Command {
     Command::new("run")
@@ -24,5 +24,5 @@
         Err(code) => return code,
     };
     bh_node::logging::start(&config);
-    run_to_end(DISK_THREADS, bh_node::run(config))
+    run_to_end(HELPER_THREADS, bh_node::run(config))
 }
--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -97,6 +97,7 @@
 /// Handles a call of a worker or an operator: answers it if this core leads, and forwards it otherwise.
 pub(super) async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
     let _open = OpenCall::begin(&core);
+    let received_ms = core.clock.now_ms();
     let path: Arc<str> = Arc::from(request.uri().path());
     let mut received = match core.parser.parse(request).await {
         Ok(received) => received,
@@ -106,8 +107,10 @@
             return server::status(status);
         }
     };
-    let timeout_ms = received.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
-    let received_ms = core.clock.now_ms();
+    let timeout_ms = received
+        .timeout_ms
+        .unwrap_or(DEFAULT_TIMEOUT_MS)
+        .saturating_sub(core.clock.now_ms() - received_ms);
     let answer = match evacuations::prepare_order(&core, &mut received.call, timeout_ms) {
         Ok(()) => decide(&core, &received.call, timeout_ms).await,
         Err(answer) => answer,
--- a/crates/bh-control/src/entry/serve.rs
+++ b/crates/bh-control/src/entry/serve.rs
@@ -87,6 +87,7 @@
             .unwrap_or(DEFAULT_TIMEOUT_MS)
             .min(MAX_TIMEOUT_MS)
             .saturating_sub(ANSWER_TRANSIT_MS)
+            .saturating_sub(self.mesh.now_ms() - started_ms)
             .max(1);
         let answer = self.decide(&received.call, timeout_ms).await;
         let took_ms = self.mesh.now_ms().saturating_sub(started_ms);
--- a/crates/bh-net/src/runtime.rs
+++ b/crates/bh-net/src/runtime.rs
@@ -14,17 +14,17 @@
 /// How often the event loop checks whether a signal has arrived.
 const SIGNAL_POLL: Duration = Duration::from_millis(20);
 
-/// Runs `main` to its end on this thread, with `disk_threads` helper threads for disk syncs.
+/// Runs `main` to its end on this thread, with `helper_threads` for disk syncs and for parsing large bodies.
 ///
 /// The driver is always epoll. The default of `monoio` would use io_uring, which these programs must not use.
 ///
 /// # Errors
 ///
 /// When the system provides no epoll descriptor.
-pub fn run<T>(disk_threads: usize, main: impl Future<Output = T>) -> io::Result<T> {
+pub fn run<T>(helper_threads: usize, main: impl Future<Output = T>) -> io::Result<T> {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
-        .attach_thread_pool(Box::new(DefaultThreadPool::new(disk_threads)))
+        .attach_thread_pool(Box::new(DefaultThreadPool::new(helper_threads)))
         .build()?;
     Ok(runtime.block_on(main))
 }
--- a/crates/bh-node/src/http_api/announce.rs
+++ b/crates/bh-node/src/http_api/announce.rs
@@ -24,7 +24,7 @@
     node: &Rc<Node>,
     request: &Request<Bytes>,
 ) -> Result<Response<Bytes>, Failure> {
-    let announcement: Announcement = answer::read(request)?;
+    let announcement: Announcement = answer::read(node, request).await?;
     validate(node, &announcement)?;
     if announcement.leaving {
         log::info!(target_name = &*announcement.name; "target is leaving");
--- a/crates/bh-node/src/http_api/answer.rs
+++ b/crates/bh-node/src/http_api/answer.rs
@@ -1,5 +1,6 @@
 //! Builds answers and reads parts of requests.
 
+use crate::node::Node;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bytes::Bytes;
@@ -17,9 +18,19 @@
 /// # Errors
 ///
 /// [`Code::MalformedBody`].
-pub(super) fn read<T: DeserializeOwned>(request: &Request<Bytes>) -> Result<T, Failure> {
-    serde_json::from_slice(request.body())
-        .map_err(|error| Failure::new(Code::MalformedBody, error.to_string()))
+pub(super) async fn read<T: DeserializeOwned + Send + 'static>(
+    node: &Node,
+    request: &Request<Bytes>,
+) -> Result<T, Failure> {
+    let body = request.body().clone();
+    let parsed = node
+        .background
+        .run(body.len(), move || serde_json::from_slice(&body));
+    match parsed.await {
+        Some(Ok(value)) => Ok(value),
+        Some(Err(error)) => Err(Failure::new(Code::MalformedBody, error.to_string())),
+        None => Err(Failure::new(Code::Draining, "the body was not parsed")),
+    }
 }
 
 /// The bearer token of the request, if it has one.
--- a/crates/bh-node/src/http_api/jobs.rs
+++ b/crates/bh-node/src/http_api/jobs.rs
@@ -59,7 +59,7 @@
     request: &Request<Bytes>,
     customer: &str,
 ) -> Result<Response<Bytes>, Failure> {
-    let submission: Submission = answer::read(request)?;
+    let submission: Submission = answer::read(node, request).await?;
     let data_centre = data_centre(node, request)?;
     let spec = resolve(node, request, customer, submission)?;
     check_can_fit(node, data_centre, &spec).await?;
@@ -171,7 +171,7 @@
     customer: &str,
 ) -> Result<Response<Bytes>, Failure> {
     authorize(node, request, customer)?;
-    let cancellation: Cancellation = answer::read(request)?;
+    let cancellation: Cancellation = answer::read(node, request).await?;
     if cancellation.jobs.len() > MAX_CANCELLED_JOBS {
         return Err(Failure::new(
             Code::MalformedBody,
--- a/crates/bh-node/src/http_api/settings.rs
+++ b/crates/bh-node/src/http_api/settings.rs
@@ -27,7 +27,7 @@
     node: &Rc<Node>,
     request: &Request<Bytes>,
 ) -> Result<Response<Bytes>, Failure> {
-    let change: Change = answer::read(request)?;
+    let change: Change = answer::read(node, request).await?;
     let presented = answer::token(request.headers())
         .ok_or_else(|| Failure::new(Code::NotAuthorized, "a change of settings"))?;
     if change.change_id.is_empty() || change.change_id.len() > MAX_ID_BYTES {
--- a/crates/bh-node/src/node/state.rs
+++ b/crates/bh-node/src/node/state.rs
@@ -5,6 +5,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use bh_membership::LeaderlessTargets;
+use bh_net::Background;
 use bh_net::Clock;
 use bh_net::http_client::Pool;
 use bh_net::http_server::Service;
@@ -60,6 +61,8 @@
     pub stop: CancellationToken,
     /// Requests of callers, and ledger records written in the background, that are in progress.
     pub in_progress: Cell<u32>,
+    /// Parses large bodies.
+    pub background: Background,
     /// How callers and targets are served.
     pub callers: Service,
     /// Bytes sent to other entries.
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -20,6 +20,7 @@
 use crate::peers::Peers;
 use bh_membership::LeaderlessTargets;
 use bh_membership::OwnedTargets;
+use bh_net::Background;
 use bh_net::Clock;
 use bh_net::connections::ConnectionLimits;
 use bh_net::connections::Connections;
@@ -219,6 +220,7 @@
         closing: callers.closing.clone(),
         stop: CancellationToken::new(),
         in_progress: Cell::new(0),
+        background: Background::new(),
         callers: callers.clone(),
         link_bytes: Cell::new(0),
         weak_self: weak_self.clone(),
