Connections give way for want of descriptors only if that is why none is accepted

Found on rereading: after any error of `accept` a connection was closed, also after that of a client that had left before it was accepted. Tests of the table share their set-up.

--- a/crates/bh-net/src/http_server/accept.rs
+++ b/crates/bh-net/src/http_server/accept.rs
@@ -10,14 +10,15 @@
 use http::Response;
 use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
+use rustix::io::Errno;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
-/// Time to wait after a connection could not be accepted, in milliseconds. Most likely the process has no free file descriptors, and
-/// connections that close free some.
+/// Time to wait after a connection could not be accepted, in milliseconds. Most likely there are no free file descriptors, and connections that
+/// close free some.
 const ACCEPT_RETRY_MS: u64 = 10;
 
 /// Listens on `address` for clients.
@@ -66,11 +67,15 @@
 ) {
     loop {
         let next = async {
-            let accepted = listener.accept().await;
-            let Ok((stream, _)) = accepted else {
-                service.connections.evict_for_connection(None);
-                sleep_ms(ACCEPT_RETRY_MS).await;
-                return None;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    if lacks_descriptors(&error) {
+                        service.connections.evict_for_connection(None);
+                    }
+                    sleep_ms(ACCEPT_RETRY_MS).await;
+                    return None;
+                }
             };
             let connections = &service.connections;
             let slot = connections.add_when_possible(service.listener, service.max_open);
@@ -95,3 +100,11 @@
         });
     }
 }
+
+/// Whether a connection could not be accepted since too many files and connections are open.
+fn lacks_descriptors(error: &io::Error) -> bool {
+    matches!(
+        Errno::from_io_error(error),
+        Some(Errno::MFILE | Errno::NFILE)
+    )
+}
--- a/crates/bh-net/tests/connections.rs
+++ b/crates/bh-net/tests/connections.rs
@@ -51,6 +51,13 @@
         slot.enter(stage);
         slot
     }
+
+    /// A connection with a request that is not complete.
+    async fn receiving(&self, bytes: u64) -> Rc<Slot> {
+        let slot = self.slot(Stage::Receiving).await;
+        slot.grow(bytes).await.unwrap();
+        slot
+    }
 }
 
 /// Does what a connection does that has to give way: it drops what it holds.
@@ -72,11 +79,9 @@
 fn the_request_that_is_open_for_the_longest_time_gives_way() {
     run(async {
         let table = Table::new();
-        let first = table.slot(Stage::Receiving).await;
-        let second = table.slot(Stage::Receiving).await;
+        let first = table.receiving(3 * MB).await;
+        let second = table.receiving(4 * MB).await;
         let third = table.slot(Stage::Receiving).await;
-        first.grow(3 * MB).await.unwrap();
-        second.grow(4 * MB).await.unwrap();
         leave_when_evicted(&first);
         assert_eq!(third.grow(3 * MB).await, Ok(()));
         assert_eq!(first.evicted_for(), Some(Resource::Memory));
@@ -92,10 +97,8 @@
 fn the_oldest_request_does_not_push_out_newer_ones() {
     run(async {
         let table = Table::new();
-        let first = table.slot(Stage::Receiving).await;
-        let second = table.slot(Stage::Receiving).await;
-        first.grow(4 * MB).await.unwrap();
-        second.grow(4 * MB).await.unwrap();
+        let first = table.receiving(4 * MB).await;
+        let second = table.receiving(4 * MB).await;
         assert_eq!(first.grow(MB).await, Err(Shortage::Busy));
         assert_eq!(second.evicted_for(), None);
         assert_eq!(table.connections.figures().refused_busy, 1);
@@ -107,10 +110,8 @@
 fn unfinished_requests_give_way_to_a_complete_one() {
     run(async {
         let table = Table::new();
-        let first = table.slot(Stage::Receiving).await;
-        let second = table.slot(Stage::Receiving).await;
-        first.grow(4 * MB).await.unwrap();
-        second.grow(4 * MB).await.unwrap();
+        let first = table.receiving(4 * MB).await;
+        let second = table.receiving(4 * MB).await;
         leave_when_evicted(&second);
         assert_eq!(first.grow_complete(2 * MB).await, Ok(()));
         assert_eq!(second.evicted_for(), Some(Resource::Memory));
