--- a/crates/beechhollow/tests/misbehaving_clients.rs
+++ b/crates/beechhollow/tests/misbehaving_clients.rs
@@ -296,6 +296,40 @@
     });
 }
 
+/// Guards against limits of each listener that together are more than the memory of the VM.
+#[test]
+fn crowds_at_all_listeners_fit_into_memory_together() {
+    let _turn = take_turn();
+    let site = Site::start("all-listeners", "");
+    let (mut entry, mut core) = (site.watched_entry(), site.watched_core());
+    let crowds = [
+        (site.callers, CLIENTS),
+        (site.readiness, CLIENTS),
+        (site.entry_metrics, METRICS_CLIENTS),
+        (site.core.control, CLIENTS),
+        (site.core.metrics, METRICS_CLIENTS),
+    ];
+    let crowds =
+        crowds.map(|(at, count)| Crowd::start(at, count, &unfinished(at, Sending::LargeChunks)));
+    for crowd in &crowds {
+        crowd.wait_until_settled(|| {
+            entry.sample();
+            core.sample();
+        });
+    }
+    let submitted = site.submit(1, 0);
+    let configured = get(site.core.control, "/-/config");
+    let ready = get(site.readiness, "/-/readiness");
+    entry.sample();
+    core.sample();
+    drop(crowds);
+    entry.check(ENTRY_BYTES);
+    core.check(CORE_BYTES);
+    for answer in [submitted, configured, ready] {
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
 /// Guards against an entry of the own interface that runs out of memory while callers hold unfinished bodies.
 #[rstest]
 #[case::whole(Sending::Whole)]
--- a/crates/bh-net/src/http_server/connection.rs
+++ b/crates/bh-net/src/http_server/connection.rs
@@ -148,7 +148,7 @@
         None => read,
     };
     let was_receiving = slot.stage() == Stage::Receiving;
-    let (code, limit_ms) = match read {
+    let (code, linger_ms) = match read {
         Ok(request) => return Some(request),
         Err(ReadError::Refused(code)) => (code, LINGER_MS),
         Err(ReadError::Evicted(Resource::Memory)) if was_receiving => (Code::NoMemory, LINGER_MS),
@@ -164,7 +164,7 @@
     // What was read has been dropped with the future.
     slot.shrink_to(0);
     slot.enter(Stage::Closing);
-    refuse(reader, writer, code, limit_ms).await;
+    refuse(reader, writer, code, linger_ms).await;
     None
 }
 
