One function binds for links; no work of refusals on the path of ordinary calls

Both kinds of processes had their own lines for listening without the small buffers of clients: now `link::bind`. A core copied the path of each call for a log line that only unreadable ones have; it keeps the URI, which is shared. Each accepted connection counted those of its listener; that is done only where all connections together would be too many. The gauges of connections were set for every request of an operator, and are now set for the metrics only. A comment of the crowd said less than the function returns.

--- a/crates/bh-control/src/core/incoming.rs
+++ b/crates/bh-control/src/core/incoming.rs
@@ -19,7 +19,6 @@
 use http::Request;
 use http::Response;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Timeout of a call whose sender does not give one, in milliseconds. Workers and operators try another core after a second.
 const DEFAULT_TIMEOUT_MS: u64 = 900;
@@ -98,12 +97,12 @@
 pub(super) async fn handle(core: Rc<CoreNode>, request: Request<Bytes>) -> Response<Bytes> {
     let _open = OpenCall::begin(&core);
     let received_ms = core.clock.now_ms();
-    let path: Arc<str> = Arc::from(request.uri().path());
+    let uri = request.uri().clone();
     let mut received = match core.parser.parse(request).await {
         Ok(received) => received,
         Err(status) => {
             core.metrics.count("calls_unreadable", 1);
-            log::info!(path = &*path, status = status.as_u16(); "call not parsed");
+            log::info!(path = uri.path(), status = status.as_u16(); "call not parsed");
             return server::status(status);
         }
     };
--- a/crates/bh-control/src/observe/serve_metrics.rs
+++ b/crates/bh-control/src/observe/serve_metrics.rs
@@ -70,9 +70,8 @@
     let service = server::for_side_requests(connections, stop);
     let connections = connections.clone();
     let handler = move |request: Request<Bytes>| {
-        let (metrics, hooks) = (metrics.clone(), hooks.clone());
-        set_connection_metrics(&metrics, &connections);
-        async move { answer(&metrics, &hooks, request).await }
+        let (metrics, hooks, connections) = (metrics.clone(), hooks.clone(), connections.clone());
+        async move { answer(&metrics, &connections, &hooks, request).await }
     };
     monoio::spawn(http_server::accept(listener, service, handler));
     Ok(())
@@ -103,6 +102,7 @@
 
 async fn answer(
     metrics: &Metrics,
+    connections: &Connections,
     hooks: &OperatorHooks,
     request: Request<Bytes>,
 ) -> Response<Bytes> {
@@ -119,6 +119,7 @@
     if !is_get {
         return server::status(StatusCode::METHOD_NOT_ALLOWED);
     }
+    set_connection_metrics(metrics, connections);
     (hooks.refresh)(metrics);
     let mut response = Response::new(Bytes::from(metrics.text()));
     response.headers_mut().insert(
--- a/crates/bh-control/src/server.rs
+++ b/crates/bh-control/src/server.rs
@@ -5,12 +5,12 @@
 use bh_net::http_server::Limits;
 use bh_net::http_server::Service;
 use bh_net::http_server::parse_cost;
+use bh_net::link;
 use bh_protocol::Code;
 use bh_protocol::Failure;
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
 use std::io;
 use std::net::SocketAddr;
@@ -33,15 +33,13 @@
     http_server::bind(address).map_err(|error| not_listening(address, &error))
 }
 
-/// Listens on `address` for links from other processes, which carry more data than the connections of clients.
+/// Listens on `address` for links from other processes.
 ///
 /// # Errors
 ///
 /// [`Code::BadConfigFile`] when the address is in use or not the VM's.
 pub fn bind_links(address: SocketAddr) -> Result<TcpListener, Failure> {
-    // Without this, two processes could listen on the same address and each would get some of the connections.
-    let options = ListenerOpts::new().reuse_port(false);
-    TcpListener::bind_with_config(address, &options).map_err(|error| not_listening(address, &error))
+    link::bind(address).map_err(|error| not_listening(address, &error))
 }
 
 fn not_listening(address: SocketAddr, error: &io::Error) -> Failure {
--- a/crates/bh-net/src/connections/table.rs
+++ b/crates/bh-net/src/connections/table.rs
@@ -114,7 +114,9 @@
     pub async fn add_when_possible(self: &Rc<Self>, listener: u64, max_open: usize) -> Slot {
         loop {
             let is_full = self.open_connections.get() >= self.limits.max_open;
-            let is_listener_full = self.open_at(listener) >= max_open;
+            // The connections of a listener are counted only where all of them would be too many.
+            let may_be_full = self.open_connections.get() >= max_open;
+            let is_listener_full = may_be_full && self.open_at(listener) >= max_open;
             if !is_full && !is_listener_full {
                 return self.add(listener);
             }
--- a/crates/bh-net/src/link/mod.rs
+++ b/crates/bh-net/src/link/mod.rs
@@ -1,5 +1,6 @@
 //! The link between two entries: authenticated frames and calls.
 
+mod bind;
 mod call_error;
 mod channel;
 mod codec;
@@ -9,6 +10,7 @@
 mod write_frames;
 mod writer;
 
+pub use bind::bind;
 pub use call_error::CallError;
 pub use channel::Channel;
 pub use codec::MAX_FRAME_BYTES;
--- a/crates/bh-node/src/start.rs
+++ b/crates/bh-node/src/start.rs
@@ -28,6 +28,7 @@
 use bh_net::http_server;
 use bh_net::http_server::Limits;
 use bh_net::http_server::Service;
+use bh_net::link;
 use bh_net::link::LinkKey;
 use bh_net::runtime;
 use bh_net::runtime::sleep_ms;
@@ -37,7 +38,6 @@
 use bh_settings::EntryConfig;
 use bh_storage::Folder;
 use local_sync::oneshot;
-use monoio::net::ListenerOpts;
 use monoio::net::TcpListener;
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -70,7 +70,7 @@
         None => bh_storage::random_replica_id()?,
     };
     let http_listener = listening(config.own.http_address, http_server::bind)?;
-    let peer_listener = listening(config.own.peer_address, bind_links)?;
+    let peer_listener = listening(config.own.peer_address, link::bind)?;
     let clock = Clock::new();
     let node_handle = NodeHandle::new();
     let builder = GroupBuilder {
@@ -173,13 +173,6 @@
     })
 }
 
-/// Listens for links from other entries, which carry more data than the connections of callers.
-fn bind_links(address: SocketAddr) -> io::Result<TcpListener> {
-    // With port reuse, two entries could listen on one address, each receiving some of the connections.
-    let options = ListenerOpts::new().reuse_port(false);
-    TcpListener::bind_with_config(address, &options)
-}
-
 fn build_node(
     config: EntryConfig,
     clock: Clock,
--- a/crates/bh-testkit/src/crowd.rs
+++ b/crates/bh-testkit/src/crowd.rs
@@ -87,7 +87,7 @@
         sample();
     }
 
-    /// Ends the sending; returns the connections of the clients that sent everything.
+    /// Ends the sending; returns the connections that were opened, also those that the server has closed.
     pub fn into_streams(mut self) -> Vec<Option<TcpStream>> {
         self.shared.stop.store(true, Ordering::SeqCst);
         let clients = std::mem::take(&mut self.clients);
