--- a/review/stand-ins-3/src/cases.rs
+++ b/review/stand-ins-3/src/cases.rs
@@ -1,11 +1,10 @@
 //! The cases.
 
 use crate::Verdict;
+use crate::adviser::Adviser;
 use crate::cluster::Cluster;
 use crate::cluster::Setup;
 use crate::json::Json;
-use crate::platform::Adviser;
-use crate::platform::Platform;
 use crate::record::Record;
 use crate::record::Run;
 use crate::worker::Settings;
@@ -21,11 +20,11 @@
 
 pub fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Verdict {
     let verdict = match case {
+        "departure" => departure(record, trouble),
         "flapping" => flapping(record, trouble),
         "guarantee" => guarantee(record, trouble),
         "service-after-crash" => service_after_crash(record, trouble),
         "advice-backlog" => advice_backlog(record, trouble),
-        "wave" => wave(record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     verdict.unwrap_or_else(Verdict::CouldNotRun)
@@ -72,7 +71,6 @@
             zone: cluster.setup.zones[number % cluster.setup.zones.len()].clone(),
             rack: format!("r{}", number / 4),
             kind: "a".to_owned(),
-            machine: Some(format!("m-{number}")),
             address: cluster.workers[number],
             control: cluster.control.clone(),
             cpu: 32_000,
@@ -132,6 +130,76 @@
     run.started_ms <= to_ms && run.ended_ms.is_none_or(|ended_ms| ended_ms >= from_ms)
 }
 
+/// A worker drains, announces its end and ends. Just before, it is cut off: what it sends arrives, what is sent to it does not. So it gets no
+/// acknowledgement of its announcement, and ends some seconds later.
+fn departure(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
+    /// `drainMs`, and a little longer.
+    const SERVES_ON_MS: u64 = 3_500;
+    /// Time from the cut to the announcement.
+    const CUT_BEFORE_MS: u64 = 300;
+    /// Time after which a worker ends without an acknowledgement.
+    const ENDS_AFTER_MS: u64 = 4_000;
+    let routes = [route("r1", "/q/", 1, "")];
+    let (cluster, workers) = started(deploy(Setup::default(), 8, &routes, record, |_, _| {}))?;
+    submit(
+        &cluster,
+        record,
+        ("/q/00000000000000a1", KEY),
+        r#"{"spec":"run 20000","steps":[{"count":2,"cpu":1000,"requestMemoryMb":256,"gpu":1,"estimatedMs":20000}]}"#,
+    )?;
+    wait_ms(4_000);
+    let leaving = workers
+        .iter()
+        .max_by_key(|worker| worker.tasks().len())
+        .expect("workers");
+    let leader = cluster.leader(CLEAR).ok_or("there is no leader")?;
+    leaving.drain();
+    wait_ms(SERVES_ON_MS - CUT_BEFORE_MS);
+    let mut connection = leaving
+        .connection(cluster.control[leader])
+        .ok_or("no connection")?;
+    if trouble {
+        leaving.cut_off();
+    }
+    wait_ms(CUT_BEFORE_MS);
+    let waits = if trouble {
+        Duration::ZERO
+    } else {
+        Duration::from_secs(1)
+    };
+    if !leaving.announce_end(&mut connection, waits) {
+        wait_ms(ENDS_AFTER_MS);
+    }
+    leaving.end();
+    watch(&workers, record, 24);
+    let runs = record.runs_of("00000000000000a1");
+    let mut twice = Vec::new();
+    for (index, first) in runs.iter().enumerate() {
+        for second in &runs[index + 1..] {
+            let both_ms = first
+                .ended_ms
+                .unwrap_or(u64::MAX)
+                .saturating_sub(second.started_ms);
+            if first.task == second.task && both_ms > 0 {
+                twice.push(format!(
+                    "{} on {} and {} for {both_ms} ms",
+                    first.task, first.worker, second.worker
+                ));
+            }
+        }
+    }
+    let done = runs.iter().filter(|run| run.how == "done").count();
+    let text = format!(
+        "{} runs, {done} done; tasks that ran twice at the same time: {twice:?}",
+        runs.len()
+    );
+    Ok(if twice.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
+}
+
 /// One of eight workers goes down and up by turns. It is the only one with the label that two jobs require: one whose task lasts, one whose task
 /// works for six seconds. Neither task fails.
 fn flapping(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
@@ -344,54 +412,3 @@
         Verdict::Held(text)
     })
 }
-
-/// A wave of upkeep of all three machines, which may all be down at once. Each has a task that works for a minute. A lasting task fails.
-fn wave(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
-    const FAILS_AFTER_MS: u64 = 12_000;
-    let routes = [route("r1", "/q/", 1, "")];
-    let setup = Setup {
-        platform: true,
-        ..Setup::default()
-    };
-    let (cluster, workers) = started(deploy(setup, 3, &routes, record, |_, _| {}))?;
-    let workers = Arc::new(workers);
-    let platform = Platform::start(cluster.platform, workers.clone(), record.clone());
-    submit(
-        &cluster,
-        record,
-        ("/q/00000000000000a1", KEY),
-        &format!(
-            r#"{{"spec":"lastfail {FAILS_AFTER_MS}","steps":[{{"count":1,"cpu":1000,"requestMemoryMb":256,"gpu":1,"estimatedMs":1000,"longRunning":true,"image":"web"}}]}}"#
-        ),
-    )?;
-    submit(
-        &cluster,
-        record,
-        ("/q/00000000000000b1", KEY),
-        r#"{"spec":"run 60000","steps":[{"count":3,"cpu":1000,"requestMemoryMb":256,"gpu":1,"estimatedMs":60000,"antiAffinity":1,"image":"batch"}]}"#,
-    )?;
-    wait_ms(7_000);
-    if trouble {
-        let machines: Vec<String> = workers.iter().filter_map(Worker::machine).collect();
-        platform.add_wave(1, &machines);
-        let body = r#"{"wave":1,"machines":["m-0","m-1","m-2"],"deadlineS":50,"maxCount":3}"#;
-        cluster.operator("POST", "/-/wave-start", Json::parse(body).as_ref(), CLEAR);
-    }
-    watch(&workers, record, 60);
-    let runs = record.runs_of("00000000000000a1");
-    let ended_ms = runs
-        .first()
-        .and_then(|run| run.ended_ms)
-        .ok_or("the lasting task didn't fail")?;
-    let again_ms = runs.get(1).map(|run| run.started_ms - ended_ms);
-    let upkeep_ms = platform.first_begun_ms();
-    let text = format!(
-        "the lasting task failed at {ended_ms} ms and ran again after {again_ms:?} ms; the first upkeep began at {upkeep_ms:?} ms"
-    );
-    let late = again_ms.is_none_or(|again_ms| again_ms > 9_000);
-    Ok(if late {
-        Verdict::Broken(text)
-    } else {
-        Verdict::Held(text)
-    })
-}
--- a/review/stand-ins-3/src/cluster.rs
+++ b/review/stand-ins-3/src/cluster.rs
@@ -31,7 +31,6 @@
     pub zones: Vec<String>,
     pub stop_timeout_ms: u64,
     pub adviser: bool,
-    pub platform: bool,
 }
 
 impl Default for Setup {
@@ -42,7 +41,6 @@
             zones: ["zone-a", "zone-b", "zone-c"].map(str::to_owned).to_vec(),
             stop_timeout_ms: 400,
             adviser: false,
-            platform: false,
         }
     }
 }
@@ -62,7 +60,6 @@
     pub frontend: Vec<SocketAddr>,
     pub status: Vec<SocketAddr>,
     pub adviser: SocketAddr,
-    pub platform: SocketAddr,
     pub workers: Vec<SocketAddr>,
 }
 
@@ -102,13 +99,11 @@
         let seeds: Vec<String> = control.iter().take(3).map(SocketAddr::to_string).collect();
         let zone = |number: usize| setup.zones[number % setup.zones.len()].clone();
         let adviser = free(host(100), 1)[0];
-        let platform = free(host(101), 1)[0];
         let mut cluster = Cluster {
             record,
             processes: Vec::new(),
             status: (0..setup.cores).map(|n| free(host(n + 1), 1)[0]).collect(),
             adviser,
-            platform,
             workers: (0..workers)
                 .map(|n| free(host(110 + n % 100), 1)[0])
                 .collect(),
@@ -138,9 +133,6 @@
             if setup.adviser {
                 text += &format!("adviser_address: '{adviser}'\n");
             }
-            if setup.platform {
-                text += &format!("vm_service_address: '{platform}'\n");
-            }
             text += &format!(
                 "seeds: '{}'\ndescriptors: 4096\nmemory_mb: 256\ntolerated_losses: 1\ngrace_s: 6\n{bounds}policy:\n  min_workers: 100\n  \
                  backfills: true\n  sharing_min_ratio: 4\n  max_displacements: 3\n",
--- a/review/stand-ins-3/src/http.rs
+++ b/review/stand-ins-3/src/http.rs
@@ -39,6 +39,8 @@
     Answer(u16, Json),
     /// Closes the connection without an answer.
     Close,
+    /// Leaves the connection open without an answer.
+    Silence,
 }
 
 fn read_message(
@@ -161,6 +163,54 @@
     }
 }
 
+impl Server {
+    /// Refuses new connections; the open ones stay.
+    pub fn stop_listening(&mut self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A connection that is kept open.
+pub struct Connection {
+    address: SocketAddr,
+    stream: TcpStream,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr) -> Option<Connection> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Connection { address, stream })
+    }
+
+    /// Sends a request. Waits for the answer for `timeout`, or not at all if that is zero.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: Option<&Json>,
+        timeout: Duration,
+    ) -> Option<(u16, Json)> {
+        let body = body.map(Json::to_string).unwrap_or_default();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            self.address,
+            body.len()
+        );
+        self.stream.write_all(text.as_bytes()).ok()?;
+        if timeout.is_zero() {
+            return None;
+        }
+        self.stream.set_read_timeout(Some(timeout)).ok()?;
+        let (first, _, body) = read_message(&mut BufReader::new(self.stream.try_clone().ok()?))?;
+        let status = first.split(' ').nth(1)?.parse().ok()?;
+        Some((status, Json::parse(&body).unwrap_or(Json::Null)))
+    }
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.stopped.store(true, Ordering::SeqCst);
@@ -196,8 +246,13 @@
             headers,
             body: Json::parse(&body).unwrap_or(Json::Null),
         };
-        let Reply::Answer(status, answer) = handler(request) else {
-            break;
+        let (status, answer) = match handler(request) {
+            Reply::Answer(status, answer) => (status, answer),
+            Reply::Close => break,
+            Reply::Silence => {
+                thread::sleep(Duration::from_secs(60));
+                break;
+            }
         };
         let answer = answer.to_string();
         let text = format!(
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -1,11 +1,11 @@
 //! The scripts of the cases: `review-3 CASE FOLDER` writes FOLDER/record.txt and ends with 0 if the rule held, 1 if it was broken, and 2 if the
 //! case couldn't run. With TROUBLE=0 the disruption is left out.
 
+mod adviser;
 mod cases;
 mod cluster;
 mod http;
 mod json;
-mod platform;
 mod record;
 mod worker;
 
--- a/review/stand-ins-3/src/worker.rs
+++ b/review/stand-ins-3/src/worker.rs
@@ -31,7 +31,6 @@
     pub zone: String,
     pub rack: String,
     pub kind: String,
-    pub machine: Option<String>,
     pub address: SocketAddr,
     pub control: Vec<SocketAddr>,
     pub cpu: i64,
@@ -45,7 +44,6 @@
     started: Instant,
     /// `None` for a task that lasts.
     work_ms: Option<u64>,
-    fails: bool,
     stops_at: Option<Instant>,
 }
 
@@ -62,6 +60,7 @@
     next_end: i64,
     /// Highest run of each task that ended or was stopped.
     over: BTreeMap<String, i64>,
+    draining: bool,
 }
 
 impl Life {
@@ -76,6 +75,7 @@
             finished: Vec::new(),
             next_end: 1,
             over: BTreeMap::new(),
+            draining: false,
         }
     }
 
@@ -92,6 +92,8 @@
     up: Mutex<bool>,
     stopped: Mutex<bool>,
     lives: Mutex<u32>,
+    /// Whether nothing that is sent to it arrives.
+    cut: Mutex<bool>,
 }
 
 /// A handle on a worker, which ends with it.
@@ -110,10 +112,17 @@
             up: Mutex::new(true),
             stopped: Mutex::new(false),
             lives: Mutex::new(1),
+            cut: Mutex::new(false),
         });
         let server = Arc::new(Mutex::new(Some(listen(&shared))));
-        let beating = shared.clone();
+        let (beating, working) = (shared.clone(), shared.clone());
         thread::spawn(move || beat(&beating));
+        thread::spawn(move || {
+            while !*working.stopped.lock().unwrap() {
+                thread::sleep(Duration::from_millis(20));
+                working.advance(&mut working.life());
+            }
+        });
         Worker { shared, server }
     }
 
@@ -121,17 +130,53 @@
         self.shared.settings.name.clone()
     }
 
-    pub fn machine(&self) -> Option<String> {
-        self.shared.settings.machine.clone()
-    }
-
     /// Tasks that it runs now.
     pub fn tasks(&self) -> Vec<String> {
         self.shared.life().running.keys().cloned().collect()
     }
 
-    pub fn is_up(&self) -> bool {
-        *self.shared.up.lock().unwrap()
+    /// Reports that it drains, with its next heartbeat.
+    pub fn drain(&self) {
+        self.shared.record.line(format!("{} drains", self.name()));
+        self.shared.life().draining = true;
+    }
+
+    /// Announces its end to a core, on a connection that was open before. Returns whether the announcement was acknowledged.
+    pub fn announce_end(&self, connection: &mut http::Connection, waits: Duration) -> bool {
+        let id = self.shared.life().id.clone();
+        let answer = connection.call("DELETE", &format!("/-/instances/{id}"), None, waits);
+        let status = answer.map(|(status, _)| status);
+        self.shared
+            .record
+            .line(format!("{}: DELETE {id} -> {status:?}", self.name()));
+        matches!(status, Some(200..300))
+    }
+
+    /// A connection to a core that is kept open, over which a heartbeat was acknowledged.
+    pub fn connection(&self, core: SocketAddr) -> Option<http::Connection> {
+        let mut connection = http::Connection::open(core)?;
+        let (id, body) = self.shared.heartbeat();
+        let path = format!("/-/instances/{id}");
+        let answer = connection.call("PUT", &path, Some(&body), Duration::from_secs(1));
+        matches!(answer, Some((200..300, _))).then_some(connection)
+    }
+
+    /// What is sent to it does not arrive any more, and new connections are refused. It runs on.
+    pub fn cut_off(&self) {
+        self.shared.record.line(format!(
+            "{}: nothing reaches it, new connections are refused",
+            self.name()
+        ));
+        *self.shared.cut.lock().unwrap() = true;
+        if let Some(server) = self.server.lock().unwrap().as_mut() {
+            server.stop_listening();
+        }
+    }
+
+    /// The process ends, for good.
+    pub fn end(&self) {
+        *self.shared.stopped.lock().unwrap() = true;
+        self.crash(Duration::from_secs(3_600), "ends");
     }
 
     /// The process ends at once, with all that runs there. It starts again after `down`.
@@ -152,12 +197,7 @@
             down.as_millis()
         ));
         for (task, run) in std::mem::take(&mut life.running) {
-            let how = if why == "is in upkeep" {
-                "upkeep"
-            } else {
-                "lost"
-            };
-            self.shared.record.ended(&task, run.attempt, &name, how);
+            self.shared.record.ended(&task, run.attempt, &name, "lost");
         }
         drop(life);
         let (shared, server) = (self.shared.clone(), self.server.clone());
@@ -223,7 +263,7 @@
                 let how = if run.stops_at.is_some_and(|at| now >= at) {
                     "stopped"
                 } else if run.work_ms.is_some_and(|work_ms| worked_ms >= work_ms) {
-                    if run.fails { "failed" } else { "done" }
+                    "done"
                 } else if lapsed {
                     "lapsed"
                 } else {
@@ -238,6 +278,17 @@
     }
 
     fn answer(self: &Arc<Self>, request: &Request) -> Reply {
+        let reply = self.carry_out(request);
+        if *self.cut.lock().unwrap() {
+            return Reply::Silence;
+        }
+        reply
+    }
+
+    fn carry_out(self: &Arc<Self>, request: &Request) -> Reply {
+        if *self.cut.lock().unwrap() {
+            return Reply::Silence;
+        }
         if request.method == "GET" {
             return Reply::Answer(200, Json::Obj(Vec::new()));
         }
@@ -291,10 +342,7 @@
                 let run = Running {
                     attempt,
                     started: Instant::now(),
-                    // `lastfail MS` is a task that lasts, whose first run fails.
-                    work_ms: work_ms
-                        .filter(|_| kind != "last" && (kind != "lastfail" || attempt == 1)),
-                    fails: kind == "lastfail",
+                    work_ms: work_ms.filter(|_| kind != "last"),
                     stops_at: None,
                 };
                 life.running.insert(task, run);
@@ -341,7 +389,7 @@
         life.sequence += 1;
         let settings = &self.settings;
         let text = |text: &str| Json::Str(text.to_owned());
-        let mut fields = vec![
+        let fields = vec![
             ("service".to_owned(), text(&settings.service)),
             (
                 "address".to_owned(),
@@ -350,7 +398,10 @@
             ("zone".to_owned(), text(&settings.zone)),
             ("version".to_owned(), text("v1")),
             ("slots".to_owned(), Json::Int(8)),
-            ("state".to_owned(), text("ready")),
+            (
+                "state".to_owned(),
+                text(if life.draining { "draining" } else { "ready" }),
+            ),
             ("coldRemainingMs".to_owned(), Json::Int(0)),
             (
                 "capacity".to_owned(),
@@ -367,9 +418,6 @@
             ("clockMs".to_owned(), Json::Int(life.clock_ms())),
             ("sequence".to_owned(), Json::Int(life.sequence)),
         ];
-        if let Some(machine) = &settings.machine {
-            fields.push(("machine".to_owned(), text(machine)));
-        }
         (life.id.clone(), Json::Obj(fields))
     }
 }
@@ -434,7 +482,7 @@
         if *shared.stopped.lock().unwrap() {
             return;
         }
-        if !*shared.up.lock().unwrap() {
+        if !*shared.up.lock().unwrap() || *shared.cut.lock().unwrap() {
             thread::sleep(Duration::from_millis(10));
             continue;
         }
