--- a/review/stand-ins-3/src/cases.rs
+++ b/review/stand-ins-3/src/cases.rs
@@ -203,9 +203,9 @@
 /// One of eight workers goes down and up by turns. It is the only one with the label that two jobs require: one whose task lasts, one whose task
 /// works for six seconds. Neither task fails.
 fn flapping(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
-    const PERIOD_MS: u64 = 1_400;
-    const DOWN_MS: u64 = 700;
-    const TIMES: u32 = 5;
+    const PERIOD_MS: u64 = 1_120;
+    const DOWN_MS: u64 = 560;
+    const TIMES: u32 = 6;
     let routes = [route("r1", "/q/", 1, "")];
     let deployed = deploy(Setup::default(), 8, &routes, record, |number, settings| {
         if number == 0 {
